--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,53 @@
+# Shell functions shared by the demo and the bench: start processes on loopback,
+# wait for them, end them by pid.
+
+PIDS=""
+
+start() { # name command...
+    name=$1
+    shift
+    "$@" 2>"$OUT/$name.log" &
+    PIDS="$PIDS $!"
+    eval "PID_$(echo "$name" | tr - _)=$!"
+}
+
+pid_of() { # name
+    eval "echo \$PID_$(echo "$1" | tr - _)"
+}
+
+stop_all() {
+    for pid in $PIDS; do
+        kill "$pid" 2>/dev/null || true
+    done
+    for pid in $PIDS; do
+        wait "$pid" 2>/dev/null || true
+    done
+    PIDS=""
+}
+
+wait_for() { # seconds command...: until the command succeeds
+    tries=$(($1 * 20))
+    shift
+    while [ "$tries" -gt 0 ]; do
+        if "$@" >/dev/null 2>&1; then
+            return 0
+        fi
+        tries=$((tries - 1))
+        sleep 0.05
+    done
+    echo "gave up waiting for: $*" >&2
+    return 1
+}
+
+http_ok() { # url
+    curl -sf --noproxy '*' -o /dev/null "$1"
+}
+
+metric() { # address name: first value of a metric
+    curl -sf --noproxy '*' "http://$1/metrics" |
+        awk -v n="$2" '$1 == n || index($1, n "{") == 1 {print $2; exit}'
+}
+
+record() { # address
+    curl -sf --noproxy '*' "http://$1/record"
+}
--- /dev/null
+++ b/src/bus.c
@@ -0,0 +1,579 @@
+#include "bus.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "codec.h"
+#include "log.h"
+#include "map.h"
+#include "os.h"
+#include "util.h"
+
+#define Z85_KEY_SIZE 41
+#define MESSAGES_PER_TURN 64
+#define SEND_QUEUE_MESSAGES 1000
+#define LINGER_MS 200
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 2000
+#define SWEEP_MS 50
+#define ZAP_ADDRESS "inproc://zeromq.zap.01"
+#define ZAP_FRAMES_MAX 8
+/* A heartbeat with this correlation asks for one in return. */
+#define ASK_BACK 1
+
+struct Watched {
+    struct SrBus *bus;
+    void *socket;
+    ev_io readable;
+    void (*drain)(struct SrBus *bus);
+};
+
+struct Link {
+    struct SrMapEntry entry;
+    char name[SR_ID_SIZE];
+    void *socket;
+};
+
+struct Pending {
+    struct SrList link;
+    uint64_t correlation;
+    int64_t deadline_ms;
+    void (*done)(void *context, const Sr__Envelope *reply);
+    void *context;
+};
+
+struct SrBus {
+    struct SrKernel *kernel;
+    struct SrService service;
+    struct SrMembership membership;
+    void *context;
+    char public_key[Z85_KEY_SIZE];
+    char secret_key[Z85_KEY_SIZE];
+    uint8_t public_bytes[crypto_box_PUBLICKEYBYTES];
+    struct Watched router;
+    struct Watched zap;
+    ev_prepare prepare;
+    ev_check check;
+    ev_idle idle;
+    struct SrMap links;
+    struct SrList pending;
+    uint64_t next_correlation;
+    struct SrTimer sweep;
+    struct SrTimer heartbeat_timer;
+    Sr__Heartbeat heartbeat;
+};
+
+static const char *const error_texts[] = {
+    [SR_BUS_OK] = "no error",
+    [SR_BUS_NO_CURVE] = "the ZeroMQ library has no CURVE",
+    [SR_BUS_CANNOT_LISTEN] = "cannot listen",
+    [SR_BUS_UNKNOWN_PEER] = "unknown peer",
+    [SR_BUS_NOT_SENT] = "peer is not connected",
+};
+
+const char *
+SrBus_ErrorText(enum SrBusError error)
+{
+    return error_texts[error];
+}
+
+static void
+derive_keys(struct SrBus *bus)
+{
+    uint8_t seed[crypto_box_SEEDBYTES];
+    uint8_t secret[crypto_box_SECRETKEYBYTES];
+    const char *text = bus->kernel->settings->bus_secret;
+    crypto_generichash(seed, sizeof(seed), (const uint8_t *)text, strlen(text),
+                       NULL, 0);
+    crypto_box_seed_keypair(bus->public_bytes, secret, seed);
+    zmq_z85_encode(bus->public_key, bus->public_bytes,
+                   sizeof(bus->public_bytes));
+    zmq_z85_encode(bus->secret_key, secret, sizeof(secret));
+    sodium_memzero(seed, sizeof(seed));
+    sodium_memzero(secret, sizeof(secret));
+}
+
+static void
+set_number(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+set_keys(const struct SrBus *bus, void *socket)
+{
+    zmq_setsockopt(socket, ZMQ_CURVE_PUBLICKEY, bus->public_key, Z85_KEY_SIZE);
+    zmq_setsockopt(socket, ZMQ_CURVE_SECRETKEY, bus->secret_key, Z85_KEY_SIZE);
+}
+
+static void *
+open_link_socket(struct SrBus *bus, const char *address)
+{
+    char endpoint[SR_ID_SIZE + 8];
+    void *socket = zmq_socket(bus->context, ZMQ_DEALER);
+    set_number(socket, ZMQ_LINGER, LINGER_MS);
+    set_number(socket, ZMQ_IMMEDIATE, 1);
+    set_number(socket, ZMQ_SNDHWM, SEND_QUEUE_MESSAGES);
+    set_number(socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+    set_number(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    set_keys(bus, socket);
+    zmq_setsockopt(socket, ZMQ_CURVE_SERVERKEY, bus->public_key, Z85_KEY_SIZE);
+    snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+    zmq_connect(socket, endpoint);
+    return socket;
+}
+
+static struct Link *
+find_link(struct SrBus *bus, const char *name)
+{
+    struct SrMapEntry *entry = SrMap_Find(&bus->links, name);
+    if (entry != NULL) {
+        return SR_CONTAINER(entry, struct Link, entry);
+    }
+    const struct SrPeer *peer = SrMembership_Find(&bus->membership, name);
+    if (peer == NULL) {
+        return NULL;
+    }
+    struct Link *link = SrUtil_Calloc(1, sizeof(*link));
+    SrUtil_Copy(link->name, sizeof(link->name), name);
+    link->socket = open_link_socket(bus, peer->address);
+    SrMap_Add(&bus->links, &link->entry, link->name);
+    return link;
+}
+
+enum SrBusError
+SrBus_Send(struct SrBus *bus, const char *to, Sr__Envelope *envelope)
+{
+    struct Link *link = find_link(bus, to);
+    if (link == NULL) {
+        return SR_BUS_UNKNOWN_PEER;
+    }
+    envelope->from = bus->membership.name;
+    envelope->incarnation = bus->kernel->incarnation;
+    size_t size;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *data = SrCodec_Pack(envelope, &size);
+    if (zmq_send(link->socket, data, size, ZMQ_DONTWAIT) < 0) {
+        return SR_BUS_NOT_SENT;
+    }
+    SrMetrics_Count(bus->kernel->metrics, "sr_bus_sent_bytes_total", NULL,
+                    NULL, size);
+    return SR_BUS_OK;
+}
+
+static void
+on_sweep(void *context)
+{
+    struct SrBus *bus = context;
+    int64_t now_ms = SrOs_MonotonicMs();
+    struct SrList overdue;
+    SrList_Init(&overdue);
+    SR_LIST_EACH_SAFE(link, &bus->pending)
+    {
+        struct Pending *pending = SR_CONTAINER(link, struct Pending, link);
+        if (pending->deadline_ms <= now_ms) {
+            SrList_Remove(link);
+            SrList_Append(&overdue, link);
+        }
+    }
+    while (!SrList_IsEmpty(&overdue)) {
+        struct Pending *pending =
+            SR_CONTAINER(overdue.next, struct Pending, link);
+        SrList_Remove(&pending->link);
+        pending->done(pending->context, NULL);
+        free(pending);
+    }
+    if (SrList_IsEmpty(&bus->pending)) {
+        SrTimer_Stop(&bus->sweep);
+    }
+}
+
+enum SrBusError
+SrBus_Request(struct SrBus *bus, const char *to, Sr__Envelope *envelope,
+              int64_t timeout_ms,
+              void (*done)(void *context, const Sr__Envelope *reply),
+              void *context)
+{
+    envelope->correlation = ++bus->next_correlation;
+    enum SrBusError error = SrBus_Send(bus, to, envelope);
+    if (error != SR_BUS_OK) {
+        return error;
+    }
+    struct Pending *pending = SrUtil_Calloc(1, sizeof(*pending));
+    pending->correlation = envelope->correlation;
+    pending->deadline_ms = SrOs_MonotonicMs() + timeout_ms;
+    pending->done = done;
+    pending->context = context;
+    if (SrList_IsEmpty(&bus->pending)) {
+        SrTimer_Start(&bus->sweep, bus->kernel, SWEEP_MS, SWEEP_MS, on_sweep,
+                      bus);
+    }
+    SrList_Append(&bus->pending, &pending->link);
+    return SR_BUS_OK;
+}
+
+enum SrBusError
+SrBus_Reply(struct SrBus *bus, const Sr__Envelope *request,
+            Sr__Envelope *reply)
+{
+    reply->correlation = request->correlation;
+    return SrBus_Send(bus, request->from, reply);
+}
+
+static void
+take_reply(struct SrBus *bus, const Sr__Envelope *reply)
+{
+    SR_LIST_EACH_SAFE(link, &bus->pending)
+    {
+        struct Pending *pending = SR_CONTAINER(link, struct Pending, link);
+        if (pending->correlation == reply->correlation) {
+            SrList_Remove(link);
+            pending->done(pending->context, reply);
+            free(pending);
+            return;
+        }
+    }
+    SrMetrics_Count(bus->kernel->metrics, "sr_bus_unmatched_replies_total",
+                    NULL, NULL, 1);
+}
+
+static void
+send_heartbeat(struct SrBus *bus, const struct SrPeer *peer,
+               uint64_t correlation)
+{
+    Sr__Envelope envelope = SR__ENVELOPE__INIT;
+    envelope.correlation = correlation;
+    envelope.body_case = SR__ENVELOPE__BODY_HEARTBEAT;
+    envelope.heartbeat = &bus->heartbeat;
+    SrBus_Send(bus, peer->name, &envelope);
+}
+
+static void
+take_heartbeat(struct SrBus *bus, struct SrPeer *peer,
+               const Sr__Envelope *envelope)
+{
+    bool current =
+        SrMembership_Hear(&bus->membership, peer, envelope->incarnation,
+                          envelope->heartbeat, SrOs_MonotonicMs());
+    if (!current) {
+        return;
+    }
+    if (envelope->correlation == ASK_BACK) {
+        send_heartbeat(bus, peer, 0);
+    }
+    struct SrMessage message = {
+        .kind = SR_MESSAGE_ENVELOPE,
+        .u.envelope = envelope,
+    };
+    SrKernel_Publish(bus->kernel, &message);
+}
+
+static void
+take_message(struct SrBus *bus, const void *data, size_t size)
+{
+    Sr__Envelope *envelope =
+        SrCodec_Unpack(&sr__envelope__descriptor, data, size);
+    if (envelope == NULL) {
+        SR_WARN("bus", "bad-message", "size=%lu", (unsigned long)size);
+        return;
+    }
+    struct SrPeer *peer = SrMembership_Find(&bus->membership, envelope->from);
+    if (peer == NULL) {
+        SR_WARN("bus", "unknown-sender", "from=%s", envelope->from);
+        SrCodec_Free(envelope);
+        return;
+    }
+    switch (envelope->body_case) {
+    case SR__ENVELOPE__BODY_HEARTBEAT:
+        take_heartbeat(bus, peer, envelope);
+        break;
+    case SR__ENVELOPE__BODY_REPLY:
+    case SR__ENVELOPE__BODY_LEASE_REPLY:
+        take_reply(bus, envelope);
+        break;
+    default: {
+        struct SrMessage message = {
+            .kind = SR_MESSAGE_ENVELOPE,
+            .u.envelope = envelope,
+        };
+        SrKernel_Publish(bus->kernel, &message);
+        break;
+    }
+    }
+    SrCodec_Free(envelope);
+}
+
+static bool
+has_more(zmq_msg_t *message)
+{
+    return zmq_msg_more(message) != 0;
+}
+
+static void
+drain_router(struct SrBus *bus)
+{
+    for (int i = 0; i < MESSAGES_PER_TURN; i++) {
+        zmq_msg_t message;
+        zmq_msg_init(&message);
+        if (zmq_msg_recv(&message, bus->router.socket, ZMQ_DONTWAIT) < 0) {
+            zmq_msg_close(&message);
+            return;
+        }
+        while (has_more(&message)) {
+            zmq_msg_recv(&message, bus->router.socket, ZMQ_DONTWAIT);
+        }
+        take_message(bus, zmq_msg_data(&message), zmq_msg_size(&message));
+        zmq_msg_close(&message);
+    }
+}
+
+/* Answers ZeroMQ's authentication requests (RFC 27): a peer is let in if it
+ * holds the key pair derived from the shared secret. */
+static void
+drain_zap(struct SrBus *bus)
+{
+    for (;;) {
+        char frames[ZAP_FRAMES_MAX][SR_ID_SIZE] = {{0}};
+        int count = 0;
+        int more = 1;
+        size_t more_size = sizeof(more);
+        while (more != 0 && count < ZAP_FRAMES_MAX) {
+            int size = zmq_recv(bus->zap.socket, frames[count], SR_ID_SIZE - 1,
+                                ZMQ_DONTWAIT);
+            if (size < 0) {
+                return;
+            }
+            count++;
+            zmq_getsockopt(bus->zap.socket, ZMQ_RCVMORE, &more, &more_size);
+        }
+        /* version, request id, domain, address, identity, mechanism, key */
+        bool allowed = count >= 7 && strcmp(frames[5], "CURVE") == 0 &&
+                       sodium_memcmp(frames[6], bus->public_bytes,
+                                     sizeof(bus->public_bytes)) == 0;
+        zmq_send(bus->zap.socket, "1.0", 3, ZMQ_SNDMORE);
+        zmq_send(bus->zap.socket, frames[1], strlen(frames[1]), ZMQ_SNDMORE);
+        zmq_send(bus->zap.socket, allowed ? "200" : "400", 3, ZMQ_SNDMORE);
+        zmq_send(bus->zap.socket, "", 0, ZMQ_SNDMORE);
+        zmq_send(bus->zap.socket, "", 0, ZMQ_SNDMORE);
+        zmq_send(bus->zap.socket, "", 0, 0);
+        if (!allowed) {
+            SR_WARN("bus", "peer-refused", "address=%s", frames[3]);
+        }
+    }
+}
+
+static bool
+is_readable(const struct Watched *watched)
+{
+    int events = 0;
+    size_t size = sizeof(events);
+    zmq_getsockopt(watched->socket, ZMQ_EVENTS, &events, &size);
+    return (events & ZMQ_POLLIN) != 0;
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)events;
+    struct SrBus *bus = watcher->data;
+    /* The descriptor is edge-triggered, so that the loop must not sleep while
+     * a message waits. */
+    if (is_readable(&bus->router) || is_readable(&bus->zap)) {
+        ev_idle_start(loop, &bus->idle);
+    }
+}
+
+static void
+on_check(struct ev_loop *loop, ev_check *watcher, int events)
+{
+    (void)events;
+    struct SrBus *bus = watcher->data;
+    ev_idle_stop(loop, &bus->idle);
+    if (is_readable(&bus->zap)) {
+        drain_zap(bus);
+    }
+    if (is_readable(&bus->router)) {
+        drain_router(bus);
+    }
+}
+
+static void
+on_nothing(struct ev_loop *loop, ev_idle *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+}
+
+static void
+on_descriptor(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+}
+
+static void
+watch_socket(struct SrBus *bus, struct Watched *watched)
+{
+    int fd = -1;
+    size_t size = sizeof(fd);
+    zmq_getsockopt(watched->socket, ZMQ_FD, &fd, &size);
+    ev_io_init(&watched->readable, on_descriptor, fd, EV_READ);
+    ev_io_start(bus->kernel->loop, &watched->readable);
+}
+
+static enum SrBusError
+open_sockets(struct SrBus *bus)
+{
+    char endpoint[SR_ID_SIZE + 8];
+    bus->zap.socket = zmq_socket(bus->context, ZMQ_REP);
+    if (zmq_bind(bus->zap.socket, ZAP_ADDRESS) != 0) {
+        return SR_BUS_CANNOT_LISTEN;
+    }
+    bus->router.socket = zmq_socket(bus->context, ZMQ_ROUTER);
+    set_number(bus->router.socket, ZMQ_LINGER, 0);
+    set_number(bus->router.socket, ZMQ_CURVE_SERVER, 1);
+    int64_t message_max = SR_BUS_MESSAGE_MAX;
+    zmq_setsockopt(bus->router.socket, ZMQ_MAXMSGSIZE, &message_max,
+                   sizeof(message_max));
+    zmq_setsockopt(bus->router.socket, ZMQ_ZAP_DOMAIN, "sr", 2);
+    set_keys(bus, bus->router.socket);
+    snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+             bus->kernel->settings->bus_listen);
+    if (zmq_bind(bus->router.socket, endpoint) != 0) {
+        return SR_BUS_CANNOT_LISTEN;
+    }
+    return SR_BUS_OK;
+}
+
+void
+SrBus_Announce(struct SrBus *bus)
+{
+    SR_LIST_EACH(link, &bus->membership.peers)
+    {
+        struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        bool local = strcmp(peer->domain, bus->membership.domain) == 0;
+        if (peer->selected) {
+            send_heartbeat(bus, peer, local ? 0 : ASK_BACK);
+        }
+    }
+}
+
+static void
+on_heartbeat(void *context)
+{
+    struct SrBus *bus = context;
+    int64_t mean_ms = bus->kernel->settings->heartbeat_ms;
+    SrBus_Announce(bus);
+    /* Jitter of a quarter keeps the processes out of step. */
+    int64_t spread = mean_ms / 4 + 1;
+    int64_t delay_ms =
+        mean_ms - spread / 2 + (int64_t)randombytes_uniform((uint32_t)spread);
+    SrTimer_Start(&bus->heartbeat_timer, bus->kernel, delay_ms, 0,
+                  on_heartbeat, bus);
+}
+
+static void
+start_watchers(struct SrBus *bus)
+{
+    struct ev_loop *loop = bus->kernel->loop;
+    watch_socket(bus, &bus->router);
+    watch_socket(bus, &bus->zap);
+    ev_prepare_init(&bus->prepare, on_prepare);
+    ev_check_init(&bus->check, on_check);
+    ev_idle_init(&bus->idle, on_nothing);
+    bus->prepare.data = bus;
+    bus->check.data = bus;
+    ev_prepare_start(loop, &bus->prepare);
+    ev_check_start(loop, &bus->check);
+}
+
+enum SrBusError
+SrBus_Create(struct SrKernel *kernel, Sr__Role role, struct SrBus **result)
+{
+    const struct SrSettings *settings = kernel->settings;
+    if (zmq_has("curve") == 0) {
+        return SR_BUS_NO_CURVE;
+    }
+    struct SrBus *bus = SrUtil_Calloc(1, sizeof(*bus));
+    bus->kernel = kernel;
+    SrMembership_Init(&bus->membership, settings->name, role, settings->domain,
+                      settings->region, settings->suspect_ms, settings->peers);
+    SrMap_Init(&bus->links);
+    SrList_Init(&bus->pending);
+    /* Correlations of an earlier life must not match. */
+    bus->next_correlation = kernel->incarnation << 16;
+    sr__heartbeat__init(&bus->heartbeat);
+    bus->heartbeat.role = role;
+    bus->heartbeat.domain = bus->membership.domain;
+    derive_keys(bus);
+    bus->context = zmq_ctx_new();
+    enum SrBusError error = open_sockets(bus);
+    if (error != SR_BUS_OK) {
+        SrBus_Destroy(bus);
+        return error;
+    }
+    start_watchers(bus);
+    bus->service = (struct SrService){.name = SR_BUS_SERVICE, .self = bus};
+    SrKernel_Register(kernel, &bus->service);
+    SrTimer_Start(&bus->heartbeat_timer, kernel, 0, 0, on_heartbeat, bus);
+    *result = bus;
+    return SR_BUS_OK;
+}
+
+static void
+close_socket(struct SrBus *bus, struct Watched *watched)
+{
+    if (ev_is_active(&watched->readable)) {
+        ev_io_stop(bus->kernel->loop, &watched->readable);
+    }
+    if (watched->socket != NULL) {
+        zmq_close(watched->socket);
+    }
+}
+
+void
+SrBus_Destroy(struct SrBus *bus)
+{
+    if (bus == NULL) {
+        return;
+    }
+    SrKernel_Unregister(&bus->service);
+    SrTimer_Stop(&bus->heartbeat_timer);
+    SrTimer_Stop(&bus->sweep);
+    ev_prepare_stop(bus->kernel->loop, &bus->prepare);
+    ev_check_stop(bus->kernel->loop, &bus->check);
+    ev_idle_stop(bus->kernel->loop, &bus->idle);
+    SR_LIST_EACH_SAFE(link, &bus->pending)
+    {
+        free(SR_CONTAINER(link, struct Pending, link));
+    }
+    SR_MAP_EACH(entry, &bus->links)
+    {
+        struct Link *link = SR_CONTAINER(entry, struct Link, entry);
+        zmq_close(link->socket);
+        SrMap_Remove(&bus->links, entry);
+        free(link);
+    }
+    SrMap_Clear(&bus->links);
+    close_socket(bus, &bus->router);
+    close_socket(bus, &bus->zap);
+    zmq_ctx_term(bus->context);
+    SrMembership_Clear(&bus->membership);
+    free(bus);
+}
+
+struct SrMembership *
+SrBus_Membership(struct SrBus *bus)
+{
+    return &bus->membership;
+}
+
+Sr__Heartbeat *
+SrBus_Heartbeat(struct SrBus *bus)
+{
+    return &bus->heartbeat;
+}
--- /dev/null
+++ b/src/cells.c
@@ -0,0 +1,139 @@
+#include "cells.h"
+
+#include <string.h>
+
+int
+SrCells_Level(unsigned accelerators)
+{
+    int level = 0;
+    while ((1U << level) < accelerators) {
+        level++;
+    }
+    return level;
+}
+
+bool
+SrCells_IsSize(unsigned accelerators)
+{
+    return accelerators > 0 && accelerators <= SR_CELLS_GANG_MAX &&
+           (accelerators & (accelerators - 1)) == 0;
+}
+
+unsigned
+SrCells_Block(int level, unsigned first)
+{
+    return ((1U << (1U << level)) - 1) << first;
+}
+
+int
+SrCells_Containing(unsigned set, int level, unsigned first)
+{
+    unsigned block = SrCells_Block(level, first);
+    if ((set & block) != block) {
+        return -1;
+    }
+    while (level < SR_CELLS_WORKER_LEVEL) {
+        unsigned size = 1U << (level + 1);
+        unsigned start = first / size * size;
+        unsigned larger = SrCells_Block(level + 1, start);
+        if ((set & larger) != larger) {
+            break;
+        }
+        first = start;
+        level++;
+    }
+    return level;
+}
+
+void
+SrCells_Count(unsigned set, unsigned counts[SR_CELLS_LEVELS])
+{
+    unsigned first = 0;
+    while (first < SR_CELLS_WORKER_SIZE) {
+        int level = SrCells_Containing(set, 0, first);
+        if (level < 0) {
+            first++;
+            continue;
+        }
+        counts[level]++;
+        first += 1U << level;
+    }
+}
+
+bool
+SrCells_Take(unsigned counts[SR_CELLS_LEVELS], int level)
+{
+    int from = level;
+    while (from < SR_CELLS_LEVELS && counts[from] == 0) {
+        from++;
+    }
+    if (from == SR_CELLS_LEVELS) {
+        return false;
+    }
+    counts[from]--;
+    while (from > level) {
+        from--;
+        counts[from]++;
+    }
+    return true;
+}
+
+static struct SrCellsRack *
+best_rack(struct SrCellsRack *racks, unsigned rack_count, unsigned workers)
+{
+    struct SrCellsRack *best = NULL;
+    for (unsigned i = 0; i < rack_count; i++) {
+        if (racks[i].whole >= workers &&
+            (best == NULL || racks[i].whole < best->whole)) {
+            best = &racks[i];
+        }
+    }
+    return best;
+}
+
+static unsigned
+carve_racks(struct SrCellsRack *racks, unsigned rack_count, int level,
+            unsigned wanted)
+{
+    unsigned workers = 1U << (level - SR_CELLS_WORKER_LEVEL);
+    while (wanted > 0) {
+        struct SrCellsRack *rack = best_rack(racks, rack_count, workers);
+        if (rack == NULL) {
+            break;
+        }
+        unsigned fit = rack->whole / workers;
+        unsigned taken = fit < wanted ? fit : wanted;
+        rack->whole -= taken * workers;
+        wanted -= taken;
+    }
+    return wanted << level;
+}
+
+unsigned
+SrCells_Unmet(struct SrCellsRack *racks, unsigned rack_count,
+              const unsigned blocks[SR_CELLS_LEVELS],
+              const unsigned need[SR_CELLS_LEVELS])
+{
+    unsigned unmet = 0;
+    unsigned available = 0;
+    for (int level = SR_CELLS_LEVELS - 1; level > SR_CELLS_WORKER_LEVEL;
+         level--) {
+        unmet += carve_racks(racks, rack_count, level, need[level]);
+    }
+    for (unsigned i = 0; i < rack_count; i++) {
+        available += racks[i].whole;
+    }
+    for (int level = SR_CELLS_WORKER_LEVEL; level >= 0; level--) {
+        if (level < SR_CELLS_WORKER_LEVEL) {
+            available = available * 2 + blocks[level];
+        }
+        if (need[level] > available) {
+            unmet += (need[level] - available) << level;
+            available = 0;
+        }
+        else {
+            available -= need[level];
+        }
+    }
+    return unmet;
+}
--- /dev/null
+++ b/src/gang.c
@@ -0,0 +1,287 @@
+#include "gang.h"
+
+#include <string.h>
+
+static const SrPlatform__Action actions[] = {
+    [SR_GANG_IDLE] = SR_PLATFORM__ACTION__ACTION_UNSPECIFIED,
+    [SR_GANG_RESERVING] = SR_PLATFORM__ACTION__ACTION_RESERVE,
+    [SR_GANG_HOLDING] = SR_PLATFORM__ACTION__ACTION_HOLD,
+    [SR_GANG_RECORDING] = SR_PLATFORM__ACTION__ACTION_UNSPECIFIED,
+    [SR_GANG_RELEASING] = SR_PLATFORM__ACTION__ACTION_RELEASE,
+    [SR_GANG_RUNNING] = SR_PLATFORM__ACTION__ACTION_UNSPECIFIED,
+    [SR_GANG_CHECKPOINTING] = SR_PLATFORM__ACTION__ACTION_CHECKPOINT,
+    [SR_GANG_STOPPING] = SR_PLATFORM__ACTION__ACTION_STOP,
+    [SR_GANG_ENDED] = SR_PLATFORM__ACTION__ACTION_UNSPECIFIED,
+};
+
+void
+SrGang_Init(struct SrGang *gang)
+{
+    memset(gang, 0, sizeof(*gang));
+}
+
+int
+SrGang_FindMember(const struct SrGang *gang, const char *worker)
+{
+    for (unsigned i = 0; i < gang->member_count; i++) {
+        if (strcmp(gang->members[i].worker, worker) == 0) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
+
+int
+SrGang_AddMember(struct SrGang *gang, const char *worker)
+{
+    int found = SrGang_FindMember(gang, worker);
+    if (found >= 0) {
+        return found;
+    }
+    if (gang->member_count == SR_GANG_MEMBERS_MAX) {
+        return -1;
+    }
+    struct SrGangMember *member = &gang->members[gang->member_count];
+    SrUtil_Copy(member->worker, SR_ID_SIZE, worker);
+    return (int)gang->member_count++;
+}
+
+SrPlatform__Action
+SrGang_Action(const struct SrGang *gang)
+{
+    return actions[gang->phase];
+}
+
+static enum SrGangCommand
+enter(struct SrGang *gang, enum SrGangPhase phase)
+{
+    gang->phase = phase;
+    for (unsigned i = 0; i < gang->member_count; i++) {
+        gang->members[i].done = false;
+    }
+    switch (phase) {
+    case SR_GANG_RECORDING:
+        return SR_GANG_RECORD;
+    case SR_GANG_RELEASING:
+        gang->released = true;
+        return SR_GANG_SEND;
+    case SR_GANG_RESERVING:
+    case SR_GANG_HOLDING:
+    case SR_GANG_CHECKPOINTING:
+    case SR_GANG_STOPPING:
+        return SR_GANG_SEND;
+    case SR_GANG_ENDED:
+        return SR_GANG_END;
+    case SR_GANG_IDLE:
+    case SR_GANG_RUNNING:
+        break;
+    }
+    return SR_GANG_NOTHING;
+}
+
+enum SrGangCommand
+SrGang_Start(struct SrGang *gang)
+{
+    return enter(gang, SR_GANG_RESERVING);
+}
+
+enum SrGangCommand
+SrGang_Adopt(struct SrGang *gang)
+{
+    return enter(gang, SR_GANG_RELEASING);
+}
+
+static bool
+all_done(const struct SrGang *gang)
+{
+    for (unsigned i = 0; i < gang->member_count; i++) {
+        if (!gang->members[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+all_ended(const struct SrGang *gang)
+{
+    for (unsigned i = 0; i < gang->member_count; i++) {
+        if (!gang->members[i].ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static enum SrGangCommand
+stop(struct SrGang *gang, enum SrGangEnd end)
+{
+    if (gang->end == SR_GANG_END_NONE) {
+        gang->end = end;
+    }
+    if (all_ended(gang)) {
+        return enter(gang, SR_GANG_ENDED);
+    }
+    return enter(gang, SR_GANG_STOPPING);
+}
+
+/* How a gang ends that is cut short now. */
+static enum SrGangEnd
+end_of_cut(const struct SrGang *gang)
+{
+    return gang->released ? SR_GANG_LOST : SR_GANG_ABORTED;
+}
+
+static enum SrGangCommand
+next_phase(struct SrGang *gang)
+{
+    switch (gang->phase) {
+    case SR_GANG_RESERVING:
+        return enter(gang, SR_GANG_HOLDING);
+    case SR_GANG_HOLDING:
+        return enter(gang, SR_GANG_RECORDING);
+    case SR_GANG_RELEASING:
+        if (all_ended(gang)) {
+            gang->end = SR_GANG_FINISHED;
+            return enter(gang, SR_GANG_ENDED);
+        }
+        return enter(gang, SR_GANG_RUNNING);
+    case SR_GANG_STOPPING:
+        return enter(gang, SR_GANG_ENDED);
+    case SR_GANG_IDLE:
+    case SR_GANG_RECORDING:
+    case SR_GANG_RUNNING:
+    case SR_GANG_CHECKPOINTING:
+    case SR_GANG_ENDED:
+        break;
+    }
+    return SR_GANG_NOTHING;
+}
+
+enum SrGangCommand
+SrGang_OnStep(struct SrGang *gang, int index, SrPlatform__Action action,
+              bool done, const char *reason)
+{
+    struct SrGangMember *member = &gang->members[index];
+    if (action != actions[gang->phase] || member->done) {
+        return SR_GANG_NOTHING;
+    }
+    if (done) {
+        member->done = true;
+        if (gang->phase == SR_GANG_STOPPING) {
+            member->ended = true;
+        }
+        return all_done(gang) ? next_phase(gang) : SR_GANG_NOTHING;
+    }
+    if (gang->phase == SR_GANG_STOPPING ||
+        gang->phase == SR_GANG_CHECKPOINTING) {
+        /* A stop that failed is settled by the end of the lease. */
+        return SR_GANG_NOTHING;
+    }
+    SrUtil_Copy(gang->culprit, SR_ID_SIZE, member->worker);
+    SrUtil_Copy(gang->reason, SR_ID_SIZE, reason);
+    return stop(gang, end_of_cut(gang));
+}
+
+enum SrGangCommand
+SrGang_OnRecorded(struct SrGang *gang, bool recorded)
+{
+    if (gang->phase != SR_GANG_RECORDING) {
+        return SR_GANG_NOTHING;
+    }
+    if (recorded) {
+        return enter(gang, SR_GANG_RELEASING);
+    }
+    SrUtil_Copy(gang->reason, SR_ID_SIZE, "the placement was not recorded");
+    return stop(gang, SR_GANG_ABORTED);
+}
+
+static enum SrGangCommand
+on_finished(struct SrGang *gang, struct SrGangMember *member)
+{
+    member->ended = true;
+    if (gang->phase == SR_GANG_STOPPING) {
+        member->done = true;
+        return all_done(gang) ? enter(gang, SR_GANG_ENDED) : SR_GANG_NOTHING;
+    }
+    if (!all_ended(gang) || gang->phase < SR_GANG_RELEASING) {
+        return SR_GANG_NOTHING;
+    }
+    if (gang->end == SR_GANG_END_NONE) {
+        gang->end = SR_GANG_FINISHED;
+    }
+    return enter(gang, SR_GANG_ENDED);
+}
+
+enum SrGangCommand
+SrGang_OnLease(struct SrGang *gang, int index, SrPlatform__LeaseState state)
+{
+    struct SrGangMember *member = &gang->members[index];
+    if (gang->phase == SR_GANG_ENDED || gang->phase == SR_GANG_IDLE ||
+        member->ended) {
+        return SR_GANG_NOTHING;
+    }
+    switch (state) {
+    case SR_PLATFORM__LEASE_STATE__LEASE_FINISHED:
+        return on_finished(gang, member);
+    case SR_PLATFORM__LEASE_STATE__LEASE_FAILED:
+        member->ended = true;
+        if (gang->phase == SR_GANG_STOPPING) {
+            return on_finished(gang, member);
+        }
+        SrUtil_Copy(gang->culprit, SR_ID_SIZE, member->worker);
+        SrUtil_Copy(gang->reason, SR_ID_SIZE, "a task failed");
+        return stop(gang, SR_GANG_FAILED);
+    case SR_PLATFORM__LEASE_STATE__LEASE_STOPPED:
+        return SrGang_OnLost(gang, index);
+    case SR_PLATFORM__LEASE_STATE__LEASE_RUNNING:
+        return SrGang_OnStep(gang, index, SR_PLATFORM__ACTION__ACTION_RELEASE,
+                             true, NULL);
+    default:
+        return SR_GANG_NOTHING;
+    }
+}
+
+enum SrGangCommand
+SrGang_OnLost(struct SrGang *gang, int index)
+{
+    struct SrGangMember *member = &gang->members[index];
+    if (gang->phase == SR_GANG_ENDED || gang->phase == SR_GANG_IDLE ||
+        member->ended) {
+        return SR_GANG_NOTHING;
+    }
+    member->ended = true;
+    if (gang->phase == SR_GANG_STOPPING) {
+        member->done = true;
+        return all_done(gang) ? enter(gang, SR_GANG_ENDED) : SR_GANG_NOTHING;
+    }
+    SrUtil_Copy(gang->reason, SR_ID_SIZE, "a worker was lost");
+    return stop(gang, end_of_cut(gang));
+}
+
+enum SrGangCommand
+SrGang_Stop(struct SrGang *gang, bool checkpoint, const char *reason)
+{
+    if (gang->phase >= SR_GANG_CHECKPOINTING) {
+        return SR_GANG_NOTHING;
+    }
+    if (gang->phase == SR_GANG_IDLE) {
+        gang->end = SR_GANG_ABORTED;
+        return enter(gang, SR_GANG_ENDED);
+    }
+    SrUtil_Copy(gang->reason, SR_ID_SIZE, reason);
+    if (gang->phase == SR_GANG_RUNNING && checkpoint) {
+        gang->end = SR_GANG_STOPPED;
+        return enter(gang, SR_GANG_CHECKPOINTING);
+    }
+    return stop(gang, gang->released ? SR_GANG_STOPPED : SR_GANG_ABORTED);
+}
+
+enum SrGangCommand
+SrGang_OnGrace(struct SrGang *gang)
+{
+    if (gang->phase != SR_GANG_CHECKPOINTING) {
+        return SR_GANG_NOTHING;
+    }
+    return stop(gang, SR_GANG_STOPPED);
+}
--- /dev/null
+++ b/src/gate.c
@@ -0,0 +1,372 @@
+#include "gate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "auth.h"
+#include "bus.h"
+#include "call.h"
+#include "config.h"
+#include "daemon.h"
+#include "log.h"
+#include "os.h"
+#include "relay.h"
+#include "vms.h"
+
+#define PREFIX "/v1/"
+#define DEADLINE_DEFAULT_MS 20000
+#define DEADLINE_MAX_MS 600000
+#define LEADER_RETRY_MS 1000
+
+struct Gate {
+    const struct SrSettings *settings;
+    struct SrDaemon *daemon;
+    struct SrKernel *kernel;
+    struct SrBus *bus;
+    struct SrConfig *config;
+    struct SrRelay *relay;
+    struct SrVms *vms;
+    struct SrService service;
+};
+
+enum MethodKind {
+    METHOD_RELAYED,
+    /* Goes to the leader of the failure domain. */
+    METHOD_TO_LEADER,
+    METHOD_UNKNOWN,
+};
+
+struct Method {
+    const char *name;
+    enum MethodKind kind;
+    /* True if a lost answer leaves it open whether the call took effect. */
+    bool changes;
+};
+
+static const struct Method methods[] = {
+    {.name = "call", .kind = METHOD_RELAYED, .changes = true},
+    {.name = "submit", .kind = METHOD_TO_LEADER, .changes = true},
+    {.name = "cancel", .kind = METHOD_TO_LEADER, .changes = true},
+    {.name = "change-config", .kind = METHOD_TO_LEADER, .changes = true},
+    {.name = "status", .kind = METHOD_TO_LEADER},
+    {.name = "jobs", .kind = METHOD_TO_LEADER},
+    {.name = "workers", .kind = METHOD_TO_LEADER},
+    {.name = "config", .kind = METHOD_TO_LEADER},
+};
+
+static const struct Method unknown_method = {.kind = METHOD_UNKNOWN};
+
+/* A call on its way to a leader, from a caller or from another gate. */
+struct ToLeader {
+    struct Gate *gate;
+    struct SrHttpRequest *request;
+    struct SrCall *call;
+    bool changes;
+    int64_t arrived_us;
+    const char *method;
+};
+
+static const struct Method *
+find_method(const char *name)
+{
+    for (size_t i = 0; i < SR_LENGTH(methods); i++) {
+        if (strcmp(methods[i].name, name) == 0) {
+            return &methods[i];
+        }
+    }
+    return &unknown_method;
+}
+
+static void
+answer(struct Gate *gate, struct SrHttpRequest *request,
+       const Sr__ApiReply *reply)
+{
+    SrDaemon_Answer(gate->daemon, request, reply->status, NULL,
+                    reply->body.data, reply->body.len);
+}
+
+static void
+refuse(struct Gate *gate, struct SrHttpRequest *request, Sr__ErrorCode code,
+       const char *text)
+{
+    struct SrFailure failure = {
+        .code = code,
+        .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+        .text = text,
+        .retry_after_ms = LEADER_RETRY_MS,
+    };
+    Sr__ApiReply reply = SR__API_REPLY__INIT;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *body = SrCall_PackFailure(&failure, &reply.body.len);
+    reply.body.data = body;
+    reply.status = SrCall_Status(code);
+    answer(gate, request, &reply);
+}
+
+struct Relayed {
+    struct Gate *gate;
+    struct SrHttpRequest *request;
+};
+
+static void
+on_relayed(void *context, const Sr__ApiReply *reply)
+{
+    struct Relayed relayed = *(struct Relayed *)context;
+    free(context);
+    answer(relayed.gate, relayed.request, reply);
+}
+
+static void
+relay_call(struct Gate *gate, struct SrHttpRequest *request,
+           const char *account)
+{
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(request, &size);
+    if (account[0] == '\0') {
+        refuse(gate, request, SR__ERROR_CODE__ERROR_FORBIDDEN,
+               "calls are made with a client account's key");
+        return;
+    }
+    struct Relayed *relayed = SrUtil_Calloc(1, sizeof(*relayed));
+    *relayed = (struct Relayed){.gate = gate, .request = request};
+    SrRelay_Call(gate->relay, account, body, size, on_relayed, relayed);
+}
+
+static void
+end_to_leader(struct ToLeader *to_leader, const Sr__ApiReply *reply)
+{
+    struct Gate *gate = to_leader->gate;
+    if (to_leader->request != NULL) {
+        SrMetrics_Observe(
+            gate->kernel->metrics, "sr_api_seconds", "method",
+            to_leader->method,
+            (uint64_t)(SrOs_MonotonicUs() - to_leader->arrived_us));
+        answer(gate, to_leader->request, reply);
+    }
+    else {
+        SrCall_Pass(to_leader->call, reply);
+    }
+    free(to_leader);
+}
+
+static void
+fail_to_leader(struct ToLeader *to_leader, Sr__Outcome outcome,
+               const char *text)
+{
+    struct SrFailure failure = {
+        .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
+        .outcome = outcome,
+        .text = text,
+        .retry_after_ms = LEADER_RETRY_MS,
+    };
+    Sr__ApiReply reply = SR__API_REPLY__INIT;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *body = SrCall_PackFailure(&failure, &reply.body.len);
+    reply.body.data = body;
+    reply.status = SrCall_Status(failure.code);
+    end_to_leader(to_leader, &reply);
+}
+
+static void
+on_leader_reply(void *context, const Sr__Envelope *envelope)
+{
+    struct ToLeader *to_leader = context;
+    if (envelope != NULL && envelope->body_case == SR__ENVELOPE__BODY_REPLY) {
+        end_to_leader(to_leader, envelope->reply);
+        return;
+    }
+    fail_to_leader(to_leader,
+                   to_leader->changes ? SR__OUTCOME__OUTCOME_UNKNOWN
+                                      : SR__OUTCOME__OUTCOME_NOT_RUN,
+                   "the leader did not answer in time");
+}
+
+/* Any live gate of another domain, for calls while the own domain has no
+ * leader. */
+static const struct SrPeer *
+choose_other_gate(const struct Gate *gate)
+{
+    const struct SrMembership *membership = SrBus_Membership(gate->bus);
+    int64_t now_ms = SrOs_MonotonicMs();
+    SR_LIST_EACH(link, &membership->peers)
+    {
+        const struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        if (peer->role == SR__ROLE__ROLE_GATE && !peer->leaving &&
+            strcmp(peer->domain, membership->domain) != 0 &&
+            SrMembership_State(membership, peer, now_ms) == SR_PEER_ALIVE) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+static void
+send_to_leader(struct ToLeader *to_leader, const Sr__ApiCall *message,
+               bool may_leave_domain)
+{
+    struct Gate *gate = to_leader->gate;
+    const struct SrPeer *target =
+        SrMembership_Leader(SrBus_Membership(gate->bus),
+                            gate->settings->domain, SrOs_MonotonicMs());
+    if (target == NULL && may_leave_domain) {
+        target = choose_other_gate(gate);
+    }
+    Sr__Envelope envelope = SR__ENVELOPE__INIT;
+    envelope.body_case = SR__ENVELOPE__BODY_CALL;
+    envelope.call = (Sr__ApiCall *)message;
+    if (target == NULL ||
+        SrBus_Request(gate->bus, target->name, &envelope, message->deadline_ms,
+                      on_leader_reply, to_leader) != SR_BUS_OK) {
+        fail_to_leader(to_leader, SR__OUTCOME__OUTCOME_NOT_RUN,
+                       "no leader of a failure domain can be reached");
+    }
+}
+
+static uint32_t
+deadline_of(const struct SrHttpRequest *request)
+{
+    const char *text = SrHttpRequest_Header(request, "Deadline-Ms");
+    long deadline_ms =
+        text != NULL ? strtol(text, NULL, 10) : DEADLINE_DEFAULT_MS;
+    if (deadline_ms < 1 || deadline_ms > DEADLINE_MAX_MS) {
+        return DEADLINE_DEFAULT_MS;
+    }
+    return (uint32_t)deadline_ms;
+}
+
+static void
+call_leader(struct Gate *gate, struct SrHttpRequest *request,
+            const struct Method *method, const char *account)
+{
+    Sr__ApiCall message = SR__API_CALL__INIT;
+    struct ToLeader *to_leader = SrUtil_Calloc(1, sizeof(*to_leader));
+    *to_leader = (struct ToLeader){
+        .gate = gate,
+        .request = request,
+        .changes = method->changes,
+        .arrived_us = SrOs_MonotonicUs(),
+        .method = method->name,
+    };
+    message.method = (char *)method->name;
+    message.account = (char *)account;
+    message.deadline_ms = deadline_of(request);
+    message.body.data =
+        (uint8_t *)SrHttpRequest_Body(request, &message.body.len);
+    send_to_leader(to_leader, &message, true);
+}
+
+static void
+on_request(void *context, struct SrHttpRequest *request)
+{
+    struct Gate *gate = context;
+    char account[SR_AUTH_HEX_SIZE];
+    const char *path = SrHttpRequest_Path(request);
+    if (strncmp(path, PREFIX, strlen(PREFIX)) != 0) {
+        refuse(gate, request, SR__ERROR_CODE__ERROR_NOT_FOUND,
+               "no such path; methods are at /v1/<method>");
+        return;
+    }
+    if (SrAuth_Check(SrHttpRequest_Header(request, "Authorization"),
+                     SrConfig_Get(gate->config),
+                     gate->settings->operator_key_hash,
+                     account) == SR_AUTH_DENIED) {
+        refuse(gate, request, SR__ERROR_CODE__ERROR_UNAUTHENTICATED,
+               "the Authorization header is missing or wrong");
+        return;
+    }
+    const struct Method *method = find_method(path + strlen(PREFIX));
+    switch (method->kind) {
+    case METHOD_RELAYED:
+        relay_call(gate, request, account);
+        break;
+    case METHOD_TO_LEADER:
+        call_leader(gate, request, method, account);
+        break;
+    case METHOD_UNKNOWN:
+        refuse(gate, request, SR__ERROR_CODE__ERROR_NOT_FOUND,
+               "no such method");
+        break;
+    }
+}
+
+/* Another domain's gate that has no leader of its own passes a call on. */
+static void
+on_message(void *self, const struct SrMessage *message)
+{
+    struct Gate *gate = self;
+    if (message->kind != SR_MESSAGE_ENVELOPE ||
+        message->u.envelope->body_case != SR__ENVELOPE__BODY_CALL) {
+        return;
+    }
+    const struct Method *method =
+        find_method(message->u.envelope->call->method);
+    if (method->kind != METHOD_TO_LEADER) {
+        return;
+    }
+    struct ToLeader *to_leader = SrUtil_Calloc(1, sizeof(*to_leader));
+    *to_leader = (struct ToLeader){
+        .gate = gate,
+        .call = SrCall_Create(gate->bus, message->u.envelope),
+        .changes = method->changes,
+        .method = method->name,
+    };
+    send_to_leader(to_leader, message->u.envelope->call, false);
+}
+
+static bool
+start(void *context, struct SrDaemon *daemon)
+{
+    struct Gate *gate = context;
+    gate->daemon = daemon;
+    gate->kernel = SrDaemon_Kernel(daemon);
+    gate->bus = SrKernel_Find(gate->kernel, SR_BUS_SERVICE);
+    gate->config = SrKernel_Find(gate->kernel, SR_CONFIG_SERVICE);
+    gate->relay = SrRelay_Create(gate->kernel, SrDaemon_Http(daemon));
+    gate->vms = SrVms_Create(gate->kernel, SrDaemon_Http(daemon));
+    gate->service = (struct SrService){
+        .name = "gate",
+        .self = gate,
+        .handle = on_message,
+    };
+    SrKernel_Register(gate->kernel, &gate->service);
+    return true;
+}
+
+static void
+stop(void *context)
+{
+    struct Gate *gate = context;
+    SrKernel_Unregister(&gate->service);
+    SrVms_Destroy(gate->vms);
+    SrRelay_Destroy(gate->relay);
+}
+
+static bool
+is_ready(void *context)
+{
+    const struct Gate *gate = context;
+    return SrConfig_Version(gate->config) > 0;
+}
+
+static bool
+is_idle(void *context)
+{
+    const struct Gate *gate = context;
+    return SrRelay_InProgress(gate->relay) == 0;
+}
+
+int
+SrGate_Run(const struct SrSettings *settings)
+{
+    struct Gate gate = {.settings = settings};
+    return SrDaemon_Run(&(struct SrDaemonOptions){
+        .settings = settings,
+        .role = SR__ROLE__ROLE_GATE,
+        .handle = on_request,
+        .is_ready = is_ready,
+        .is_idle = is_idle,
+        .start = start,
+        .stop = stop,
+        .context = &gate,
+    });
+}
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,379 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "list.h"
+#include "os.h"
+#include "util.h"
+
+#define FIRST_ANSWER_BYTES 1024
+#define IDLE_HANDLES_MAX 256
+#define CONNECT_TIMEOUT_MS 1000
+#define CONNECTIONS_KEPT 4096
+#define NOT_STARTED "Not-Started:"
+
+struct SrHttpClient {
+    struct ev_loop *loop;
+    CURLM *multi;
+    ev_timer timer;
+    struct SrList calls;
+    CURL *idle[IDLE_HANDLES_MAX];
+    size_t idle_count;
+    uint64_t bytes;
+};
+
+struct SrHttpCall {
+    struct SrList link;
+    struct SrHttpClient *client;
+    CURL *easy;
+    struct curl_slist *headers;
+    uint8_t *answer;
+    size_t size;
+    size_t capacity;
+    size_t answer_max;
+    bool too_large;
+    char not_started[16];
+    void (*done)(void *context, const struct SrHttpAnswer *answer);
+    void *context;
+};
+
+struct Socket {
+    ev_io watcher;
+    struct SrHttpClient *client;
+};
+
+static const char *const error_texts[] = {
+    [SR_HTTP_CLIENT_OK] = "no error",
+    [SR_HTTP_CLIENT_NO_CONNECTION] = "no connection",
+    [SR_HTTP_CLIENT_TIMEOUT] = "timeout",
+    [SR_HTTP_CLIENT_TRUNCATED] = "truncated answer",
+    [SR_HTTP_CLIENT_TOO_LARGE] = "answer too large",
+    [SR_HTTP_CLIENT_FAILED] = "transfer failed",
+};
+
+const char *
+SrHttpClient_ErrorText(enum SrHttpClientError error)
+{
+    return error_texts[error];
+}
+
+static enum SrHttpClientError
+error_of(const struct SrHttpCall *call, CURLcode code)
+{
+    if (call->too_large) {
+        return SR_HTTP_CLIENT_TOO_LARGE;
+    }
+    switch (code) {
+    case CURLE_OK:
+        return SR_HTTP_CLIENT_OK;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+        return SR_HTTP_CLIENT_NO_CONNECTION;
+    case CURLE_OPERATION_TIMEDOUT:
+        return SR_HTTP_CLIENT_TIMEOUT;
+    case CURLE_PARTIAL_FILE:
+    case CURLE_GOT_NOTHING:
+    case CURLE_RECV_ERROR:
+        return SR_HTTP_CLIENT_TRUNCATED;
+    default:
+        return SR_HTTP_CLIENT_FAILED;
+    }
+}
+
+static void
+free_call(struct SrHttpCall *call)
+{
+    struct SrHttpClient *client = call->client;
+    SrList_Remove(&call->link);
+    curl_multi_remove_handle(client->multi, call->easy);
+    if (client->idle_count < IDLE_HANDLES_MAX) {
+        curl_easy_reset(call->easy);
+        client->idle[client->idle_count++] = call->easy;
+    }
+    else {
+        curl_easy_cleanup(call->easy);
+    }
+    curl_slist_free_all(call->headers);
+    free(call->answer);
+    free(call);
+}
+
+static void
+count_bytes(struct SrHttpCall *call, long request_size)
+{
+    curl_off_t up = 0;
+    curl_off_t down = 0;
+    long head = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+    curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+    curl_easy_getinfo(call->easy, CURLINFO_HEADER_SIZE, &head);
+    call->client->bytes += (uint64_t)(up + down + head + request_size);
+}
+
+static void
+finish_call(struct SrHttpCall *call, CURLcode code)
+{
+    long status = 0;
+    long request_size = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+    count_bytes(call, request_size);
+    struct SrHttpAnswer answer = {
+        .error = error_of(call, code),
+        .sent = request_size > 0,
+        .status = (unsigned)status,
+        .body = call->answer,
+        .size = call->size,
+    };
+    memcpy(answer.not_started, call->not_started, sizeof(answer.not_started));
+    uint8_t *body = call->answer;
+    void (*done)(void *, const struct SrHttpAnswer *) = call->done;
+    void *context = call->context;
+    call->answer = NULL;
+    free_call(call);
+    done(context, &answer);
+    free(body);
+}
+
+static void
+collect_finished(struct SrHttpClient *client)
+{
+    CURLMsg *message;
+    int left;
+    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        struct SrHttpCall *call;
+        CURLcode code = message->data.result;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+                          (char **)&call);
+        finish_call(call, code);
+    }
+}
+
+static void
+on_socket_event(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    struct Socket *socket = watcher->data;
+    struct SrHttpClient *client = socket->client;
+    int running;
+    int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
+               ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+    curl_multi_socket_action(client->multi, watcher->fd, mask, &running);
+    collect_finished(client);
+}
+
+static void
+on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct SrHttpClient *client = watcher->data;
+    int running;
+    curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    collect_finished(client);
+}
+
+static int
+set_timer(CURLM *multi, long wait_ms, void *context)
+{
+    (void)multi;
+    struct SrHttpClient *client = context;
+    ev_timer_stop(client->loop, &client->timer);
+    if (wait_ms >= 0) {
+        ev_timer_set(&client->timer, (double)wait_ms / SR_MS_PER_SECOND, 0);
+        ev_timer_start(client->loop, &client->timer);
+    }
+    return 0;
+}
+
+static int
+watch_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+             void *socket_context)
+{
+    (void)easy;
+    struct SrHttpClient *client = context;
+    struct Socket *socket = socket_context;
+    if (what == CURL_POLL_REMOVE) {
+        if (socket != NULL) {
+            ev_io_stop(client->loop, &socket->watcher);
+            curl_multi_assign(client->multi, fd, NULL);
+            free(socket);
+        }
+        return 0;
+    }
+    int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) |
+                 ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+    if (socket == NULL) {
+        socket = SrUtil_Calloc(1, sizeof(*socket));
+        socket->client = client;
+        curl_multi_assign(client->multi, fd, socket);
+    }
+    else {
+        ev_io_stop(client->loop, &socket->watcher);
+    }
+    ev_io_init(&socket->watcher, on_socket_event, fd, events);
+    socket->watcher.data = socket;
+    ev_io_start(client->loop, &socket->watcher);
+    return 0;
+}
+
+struct SrHttpClient *
+SrHttpClient_Create(struct ev_loop *loop, long per_host)
+{
+    struct SrHttpClient *client = SrUtil_Calloc(1, sizeof(*client));
+    client->loop = loop;
+    SrList_Init(&client->calls);
+    client->multi = curl_multi_init();
+    if (client->multi == NULL) {
+        free(client);
+        return NULL;
+    }
+    ev_timer_init(&client->timer, on_timer, 0, 0);
+    client->timer.data = client;
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+                      (long)CONNECTIONS_KEPT);
+    curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
+    return client;
+}
+
+void
+SrHttpClient_Destroy(struct SrHttpClient *client)
+{
+    if (client == NULL) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &client->calls)
+    {
+        free_call(SR_CONTAINER(link, struct SrHttpCall, link));
+    }
+    for (size_t i = 0; i < client->idle_count; i++) {
+        curl_easy_cleanup(client->idle[i]);
+    }
+    curl_multi_cleanup(client->multi);
+    ev_timer_stop(client->loop, &client->timer);
+    free(client);
+}
+
+static size_t
+on_answer(char *data, size_t unit, size_t count, void *context)
+{
+    struct SrHttpCall *call = context;
+    size_t size = unit * count;
+    if (call->size + size > call->answer_max) {
+        call->too_large = true;
+        return 0;
+    }
+    if (call->size + size > call->capacity) {
+        size_t capacity = call->capacity * 2;
+        if (capacity < call->size + size) {
+            capacity = call->size + size;
+        }
+        if (capacity < FIRST_ANSWER_BYTES) {
+            capacity = FIRST_ANSWER_BYTES;
+        }
+        call->answer = SrUtil_Realloc(call->answer, capacity);
+        call->capacity = capacity;
+    }
+    memcpy(call->answer + call->size, data, size);
+    call->size += size;
+    return size;
+}
+
+static size_t
+on_header(char *data, size_t unit, size_t count, void *context)
+{
+    struct SrHttpCall *call = context;
+    size_t size = unit * count;
+    size_t name = strlen(NOT_STARTED);
+    if (size > name && strncasecmp(data, NOT_STARTED, name) == 0) {
+        char value[32];
+        size_t length =
+            size - name < sizeof(value) ? size - name : sizeof(value) - 1;
+        memcpy(value, data + name, length);
+        value[length] = '\0';
+        sscanf(value, " %15[a-z]", call->not_started);
+    }
+    return size;
+}
+
+static CURL *
+take_handle(struct SrHttpClient *client)
+{
+    if (client->idle_count > 0) {
+        return client->idle[--client->idle_count];
+    }
+    return curl_easy_init();
+}
+
+static void
+set_options(struct SrHttpCall *call, const struct SrHttpPost *post)
+{
+    char url[512];
+    CURL *easy = call->easy;
+    snprintf(url, sizeof(url), "http://%s%s", post->address, post->path);
+    call->headers = curl_slist_append(call->headers, "Expect:");
+    call->headers = curl_slist_append(call->headers,
+                                      "Content-Type: application/x-protobuf");
+    for (size_t i = 0; i < SR_LENGTH(post->headers); i++) {
+        if (post->headers[i] != NULL) {
+            call->headers = curl_slist_append(call->headers, post->headers[i]);
+        }
+    }
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)post->size);
+    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+                     post->size > 0 ? post->body : "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)post->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, post->once ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_answer);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+}
+
+struct SrHttpCall *
+SrHttpClient_Post(struct SrHttpClient *client, const struct SrHttpPost *post)
+{
+    struct SrHttpCall *call = SrUtil_Calloc(1, sizeof(*call));
+    call->client = client;
+    call->easy = take_handle(client);
+    call->answer_max = post->answer_max;
+    call->done = post->done;
+    call->context = post->context;
+    SrList_Append(&client->calls, &call->link);
+    set_options(call, post);
+    curl_multi_add_handle(client->multi, call->easy);
+    return call;
+}
+
+void
+SrHttpClient_Cancel(struct SrHttpCall *call)
+{
+    if (call != NULL) {
+        free_call(call);
+    }
+}
+
+uint64_t
+SrHttpClient_Bytes(const struct SrHttpClient *client)
+{
+    return client->bytes;
+}
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,480 @@
+#include "http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "list.h"
+#include "os.h"
+#include "util.h"
+
+#define FIRST_BODY_BYTES 4096
+#define SWEEP_SECONDS 0.25
+#define CLOSE_SECONDS 1
+/* libmicrohttpd's memory for one connection: headers and buffers. */
+#define CONNECTION_BYTES (8 * 1024)
+
+struct SrHttpServer {
+    struct ev_loop *loop;
+    struct MHD_Daemon *daemon;
+    struct SrHttpServerOptions options;
+    ev_io readable;
+    ev_prepare prepare;
+    ev_timer timeout;
+    ev_timer sweep;
+    struct SrList receiving;
+    struct SrList handled;
+    bool has_resumed;
+    size_t in_progress;
+};
+
+enum RequestState {
+    REQUEST_RECEIVING,
+    REQUEST_HANDLED,
+    REQUEST_ANSWERED,
+    REQUEST_REJECTED,
+};
+
+struct SrHttpRequest {
+    struct SrList link;
+    struct SrHttpServer *server;
+    struct MHD_Connection *connection;
+    enum RequestState state;
+    char *method;
+    char *path;
+    uint8_t *body;
+    size_t size;
+    size_t capacity;
+    bool too_large;
+    int64_t started_ms;
+    struct MHD_Response *response;
+    unsigned status;
+};
+
+static const char *const error_texts[] = {
+    [SR_HTTP_SERVER_OK] = "no error",
+    [SR_HTTP_SERVER_BAD_ADDRESS] = "malformed address",
+    [SR_HTTP_SERVER_CANNOT_LISTEN] = "cannot listen",
+};
+
+const char *
+SrHttpServer_ErrorText(enum SrHttpServerError error)
+{
+    return error_texts[error];
+}
+
+static void
+run_daemon(struct SrHttpServer *server)
+{
+    server->has_resumed = false;
+    MHD_run(server->daemon);
+}
+
+static void
+on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    run_daemon(watcher->data);
+}
+
+static void
+on_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    run_daemon(watcher->data);
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+    (void)events;
+    struct SrHttpServer *server = watcher->data;
+    MHD_UNSIGNED_LONG_LONG wait_ms;
+    /* Resuming does not make the epoll descriptor readable. */
+    while (server->has_resumed) {
+        run_daemon(server);
+    }
+    ev_timer_stop(loop, &server->timeout);
+    if (MHD_get_timeout(server->daemon, &wait_ms) == MHD_YES) {
+        ev_timer_set(&server->timeout, (double)wait_ms / SR_MS_PER_SECOND, 0);
+        ev_timer_start(loop, &server->timeout);
+    }
+}
+
+/* libmicrohttpd takes no answer in the middle of an upload, so the answer to
+ * a slow sender goes to the socket itself before the connection times out. */
+static void
+reject_slow_sender(struct SrHttpRequest *request)
+{
+    struct SrHttpServer *server = request->server;
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct SrHttpBody body = server->options.reject(server->options.context,
+                                                    SR_HTTP_SENDER_TOO_SLOW);
+    char head[256];
+    int length = snprintf(head, sizeof(head),
+                          "HTTP/1.1 408 Request Timeout\r\nConnection: close"
+                          "\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+                          "\r\n",
+                          body.type, body.size);
+    if (info != NULL) {
+        send(info->connect_fd, head, (size_t)length,
+             MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE);
+        send(info->connect_fd, body.data, body.size,
+             MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    free(body.data);
+    request->state = REQUEST_REJECTED;
+    SrList_Remove(&request->link);
+    MHD_set_connection_option(request->connection,
+                              MHD_CONNECTION_OPTION_TIMEOUT,
+                              (unsigned)CLOSE_SECONDS);
+}
+
+static void
+on_sweep(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct SrHttpServer *server = watcher->data;
+    int64_t oldest = SrOs_MonotonicMs() - server->options.read_timeout_ms;
+    SR_LIST_EACH_SAFE(link, &server->receiving)
+    {
+        struct SrHttpRequest *request =
+            SR_CONTAINER(link, struct SrHttpRequest, link);
+        if (request->started_ms > oldest) {
+            break;
+        }
+        reject_slow_sender(request);
+    }
+}
+
+static struct SrHttpRequest *
+begin_request(struct SrHttpServer *server, struct MHD_Connection *connection,
+              const char *method, const char *path)
+{
+    struct SrHttpRequest *request = SrUtil_Calloc(1, sizeof(*request));
+    request->server = server;
+    request->connection = connection;
+    request->method = SrUtil_Strdup(method);
+    request->path = SrUtil_Strdup(path);
+    request->started_ms = SrOs_MonotonicMs();
+    SrList_Append(&server->receiving, &request->link);
+    return request;
+}
+
+static enum MHD_Result
+reject_large(struct SrHttpRequest *request)
+{
+    struct SrHttpServer *server = request->server;
+    struct SrHttpBody body = server->options.reject(server->options.context,
+                                                    SR_HTTP_BODY_TOO_LARGE);
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        body.size, body.data, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(response, "Content-Type", body.type);
+    MHD_add_response_header(response, "Connection", "close");
+    request->state = REQUEST_REJECTED;
+    SrList_Remove(&request->link);
+    enum MHD_Result result = MHD_queue_response(
+        request->connection, MHD_HTTP_CONTENT_TOO_LARGE, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static bool
+announces_too_much(const struct SrHttpRequest *request)
+{
+    const char *length = SrHttpRequest_Header(request, "Content-Length");
+    return length != NULL &&
+           strtoull(length, NULL, 10) > request->server->options.body_max;
+}
+
+static void
+append_body(struct SrHttpRequest *request, const char *data, size_t size)
+{
+    if (request->size + size > request->server->options.body_max) {
+        request->too_large = true;
+        free(request->body);
+        request->body = NULL;
+        request->size = 0;
+        request->capacity = 0;
+        return;
+    }
+    if (request->size + size > request->capacity) {
+        size_t capacity = request->capacity * 2;
+        if (capacity < request->size + size) {
+            capacity = request->size + size;
+        }
+        if (capacity < FIRST_BODY_BYTES) {
+            capacity = FIRST_BODY_BYTES;
+        }
+        request->body = SrUtil_Realloc(request->body, capacity);
+        request->capacity = capacity;
+    }
+    memcpy(request->body + request->size, data, size);
+    request->size += size;
+}
+
+static enum MHD_Result
+finish_receiving(struct SrHttpRequest *request)
+{
+    if (request->too_large) {
+        return reject_large(request);
+    }
+    struct SrHttpServer *server = request->server;
+    SrList_Remove(&request->link);
+    SrList_Append(&server->handled, &request->link);
+    request->state = REQUEST_HANDLED;
+    server->in_progress++;
+    MHD_suspend_connection(request->connection);
+    server->options.handle(server->options.context, request);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+on_access(void *context, struct MHD_Connection *connection, const char *path,
+          const char *method, const char *version, const char *data,
+          size_t *size, void **state)
+{
+    (void)version;
+    struct SrHttpRequest *request = *state;
+    if (request == NULL) {
+        request = begin_request(context, connection, method, path);
+        *state = request;
+        return announces_too_much(request) ? reject_large(request) : MHD_YES;
+    }
+    switch (request->state) {
+    case REQUEST_RECEIVING:
+        break;
+    case REQUEST_ANSWERED: {
+        enum MHD_Result result =
+            MHD_queue_response(connection, request->status, request->response);
+        MHD_destroy_response(request->response);
+        request->response = NULL;
+        return result;
+    }
+    case REQUEST_HANDLED:
+        return MHD_YES;
+    case REQUEST_REJECTED:
+        *size = 0;
+        return MHD_YES;
+    }
+    if (*size == 0) {
+        return finish_receiving(request);
+    }
+    if (!request->too_large) {
+        append_body(request, data, *size);
+    }
+    *size = 0;
+    return MHD_YES;
+}
+
+static void
+on_completed(void *context, struct MHD_Connection *connection, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    (void)context;
+    (void)connection;
+    (void)code;
+    struct SrHttpRequest *request = *state;
+    if (request == NULL) {
+        return;
+    }
+    SrList_Remove(&request->link);
+    if (request->response != NULL) {
+        MHD_destroy_response(request->response);
+    }
+    free(request->method);
+    free(request->path);
+    free(request->body);
+    free(request);
+    *state = NULL;
+}
+
+static bool
+parse_address(const char *text, struct sockaddr_in *address)
+{
+    char host[64];
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    memset(address, 0, sizeof(*address));
+    address->sin_family = AF_INET;
+    address->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+    return inet_pton(AF_INET, host, &address->sin_addr) == 1;
+}
+
+static void
+watch_daemon(struct SrHttpServer *server)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    ev_io_init(&server->readable, on_readable, info->listen_fd, EV_READ);
+    ev_prepare_init(&server->prepare, on_prepare);
+    ev_timer_init(&server->timeout, on_timeout, 0, 0);
+    ev_timer_init(&server->sweep, on_sweep, SWEEP_SECONDS, SWEEP_SECONDS);
+    server->readable.data = server;
+    server->prepare.data = server;
+    server->timeout.data = server;
+    server->sweep.data = server;
+    ev_io_start(server->loop, &server->readable);
+    ev_prepare_start(server->loop, &server->prepare);
+    ev_timer_start(server->loop, &server->sweep);
+}
+
+enum SrHttpServerError
+SrHttpServer_Create(struct ev_loop *loop,
+                    const struct SrHttpServerOptions *options,
+                    struct SrHttpServer **result)
+{
+    struct sockaddr_in address;
+    if (!parse_address(options->address, &address)) {
+        return SR_HTTP_SERVER_BAD_ADDRESS;
+    }
+    struct SrHttpServer *server = SrUtil_Calloc(1, sizeof(*server));
+    server->loop = loop;
+    server->options = *options;
+    SrList_Init(&server->receiving);
+    SrList_Init(&server->handled);
+    unsigned idle_seconds =
+        (unsigned)((options->read_timeout_ms + SR_MS_PER_SECOND) /
+                   SR_MS_PER_SECOND) +
+        CLOSE_SECONDS;
+    server->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+        server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, server, MHD_OPTION_CONNECTION_LIMIT,
+        options->connections_max, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (server->daemon == NULL) {
+        free(server);
+        return SR_HTTP_SERVER_CANNOT_LISTEN;
+    }
+    watch_daemon(server);
+    *result = server;
+    return SR_HTTP_SERVER_OK;
+}
+
+void
+SrHttpServer_Destroy(struct SrHttpServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    ev_io_stop(server->loop, &server->readable);
+    ev_prepare_stop(server->loop, &server->prepare);
+    ev_timer_stop(server->loop, &server->timeout);
+    ev_timer_stop(server->loop, &server->sweep);
+    /* libmicrohttpd does not stop while connections are suspended. */
+    while (!SrList_IsEmpty(&server->handled)) {
+        SrHttpRequest_Reply(
+            SR_CONTAINER(server->handled.next, struct SrHttpRequest, link),
+            &(struct SrHttpReply){
+                .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                .close = true,
+            });
+    }
+    MHD_run(server->daemon);
+    MHD_stop_daemon(server->daemon);
+    free(server);
+}
+
+size_t
+SrHttpServer_InProgress(const struct SrHttpServer *server)
+{
+    return server->in_progress;
+}
+
+const char *
+SrHttpRequest_Method(const struct SrHttpRequest *request)
+{
+    return request->method;
+}
+
+const char *
+SrHttpRequest_Path(const struct SrHttpRequest *request)
+{
+    return request->path;
+}
+
+const char *
+SrHttpRequest_Header(const struct SrHttpRequest *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
+                                       name);
+}
+
+const uint8_t *
+SrHttpRequest_Body(const struct SrHttpRequest *request, size_t *size)
+{
+    *size = request->size;
+    return request->body;
+}
+
+static ssize_t
+read_truncated(void *context, uint64_t position, char *to, size_t size)
+{
+    const struct SrHttpReply *reply = context;
+    if (position >= reply->size) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    size_t left = reply->size - (size_t)position;
+    size_t part = left < size ? left : size;
+    memcpy(to, reply->body + position, part);
+    return (ssize_t)part;
+}
+
+static void
+free_truncated(void *context)
+{
+    struct SrHttpReply *reply = context;
+    free(reply->body);
+    free(reply);
+}
+
+static struct MHD_Response *
+make_response(const struct SrHttpReply *reply)
+{
+    if (reply->missing == 0) {
+        return MHD_create_response_from_buffer(reply->size, reply->body,
+                                               MHD_RESPMEM_MUST_FREE);
+    }
+    struct SrHttpReply *kept = SrUtil_Memdup(reply, sizeof(*reply));
+    return MHD_create_response_from_callback(reply->size + reply->missing,
+                                             FIRST_BODY_BYTES, read_truncated,
+                                             kept, free_truncated);
+}
+
+void
+SrHttpRequest_Reply(struct SrHttpRequest *request,
+                    const struct SrHttpReply *reply)
+{
+    struct SrHttpServer *server = request->server;
+    struct MHD_Response *response = make_response(reply);
+    SrList_Remove(&request->link);
+    if (reply->type != NULL) {
+        MHD_add_response_header(response, "Content-Type", reply->type);
+    }
+    if (reply->header != NULL) {
+        MHD_add_response_header(response, reply->header, reply->header_value);
+    }
+    if (reply->close) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+    request->response = response;
+    request->status = reply->status;
+    request->state = REQUEST_ANSWERED;
+    server->in_progress--;
+    server->has_resumed = true;
+    MHD_resume_connection(request->connection);
+}
--- /dev/null
+++ b/src/job_api.c
@@ -0,0 +1,778 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "job.h"
+#include "jobs.h"
+#include "job_spec.h"
+#include "log.h"
+#include "os.h"
+
+#define JOB_ID_BYTES 10
+#define TEXT_SIZE 256
+#define RETRY_AFTER_MS 500
+#define LIST_DEFAULT 100
+#define LIST_MAX 500
+#define SCAN_ROWS 500
+#define SCAN_PAGES_MAX 40
+#define FORWARDS_MAX 16
+
+/* A call that is tried at the leaders of other domains in turn. */
+struct Forward {
+    struct SrJobs *jobs;
+    struct SrCall *call;
+    char tried[FORWARDS_MAX][SR_ID_SIZE];
+    unsigned tried_count;
+    /* What the caller is told if no other domain helps. */
+    struct SrFailure failure;
+    char text[TEXT_SIZE];
+};
+
+static void try_next(struct Forward *forward);
+
+static void
+fail(struct SrCall *call, Sr__ErrorCode code, const char *text)
+{
+    SrCall_Fail(call, &(struct SrFailure){
+                          .code = code,
+                          .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                          .text = text,
+                          .retry_after_ms = RETRY_AFTER_MS,
+                      });
+}
+
+static void
+fail_field(struct SrCall *call, const char *field, const char *text)
+{
+    SrCall_Fail(call, &(struct SrFailure){
+                          .code = SR__ERROR_CODE__ERROR_INVALID,
+                          .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                          .text = text,
+                          .field = field,
+                      });
+}
+
+static void
+fail_unknown(struct SrCall *call)
+{
+    SrCall_Fail(call,
+                &(struct SrFailure){
+                    .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                    .outcome = SR__OUTCOME__OUTCOME_UNKNOWN,
+                    .text = "the store's answer is still awaited; repeat the "
+                            "call with the same key",
+                    .retry_after_ms = RETRY_AFTER_MS,
+                });
+}
+
+static bool
+is_tried(const struct Forward *forward, const char *peer)
+{
+    for (unsigned i = 0; i < forward->tried_count; i++) {
+        if (strcmp(forward->tried[i], peer) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static const struct SrPeer *
+choose_leader(const struct Forward *forward)
+{
+    const struct SrMembership *membership =
+        SrBus_Membership(forward->jobs->bus);
+    const struct SrPeer *best = NULL;
+    int64_t now_ms = SrOs_MonotonicMs();
+    SR_LIST_EACH(link, &membership->peers)
+    {
+        const struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        if (peer->role == SR__ROLE__ROLE_SCHEDULER &&
+            strcmp(peer->domain, membership->domain) != 0 &&
+            !is_tried(forward, peer->name) &&
+            SrMembership_Leader(membership, peer->domain, now_ms) == peer &&
+            (best == NULL ||
+             peer->free_accelerators > best->free_accelerators)) {
+            best = peer;
+        }
+    }
+    return best;
+}
+
+static void
+end_forward(struct Forward *forward)
+{
+    SrCall_Fail(forward->call, &forward->failure);
+    free(forward);
+}
+
+/* True if the answer says that another domain may still help. */
+static bool
+is_declined(const Sr__ApiReply *reply)
+{
+    Sr__Error *error = SrCodec_Unpack(&sr__error__descriptor, reply->body.data,
+                                      reply->body.len);
+    bool declined = reply->status != 200 && error != NULL &&
+                    error->outcome == SR__OUTCOME__OUTCOME_NOT_RUN &&
+                    error->code != SR__ERROR_CODE__ERROR_INVALID &&
+                    error->code != SR__ERROR_CODE__ERROR_CONFLICT;
+    SrCodec_Free(error);
+    return declined;
+}
+
+static void
+on_forwarded(void *context, const Sr__Envelope *reply)
+{
+    struct Forward *forward = context;
+    if (reply == NULL || reply->body_case != SR__ENVELOPE__BODY_REPLY) {
+        fail_unknown(forward->call);
+        free(forward);
+        return;
+    }
+    if (is_declined(reply->reply)) {
+        try_next(forward);
+        return;
+    }
+    SrCall_Pass(forward->call, reply->reply);
+    free(forward);
+}
+
+static void
+try_next(struct Forward *forward)
+{
+    struct SrCall *call = forward->call;
+    int64_t left_ms = call->deadline_ms - SrOs_MonotonicMs();
+    for (;;) {
+        const struct SrPeer *peer = choose_leader(forward);
+        if (peer == NULL || forward->tried_count == FORWARDS_MAX ||
+            left_ms <= 0) {
+            end_forward(forward);
+            return;
+        }
+        SrUtil_Copy(forward->tried[forward->tried_count++], SR_ID_SIZE,
+                    peer->name);
+        Sr__Envelope envelope = SR__ENVELOPE__INIT;
+        Sr__ApiCall message = SR__API_CALL__INIT;
+        message.method = call->method;
+        message.account = call->account;
+        message.deadline_ms = (uint32_t)left_ms;
+        message.body.data = call->body;
+        message.body.len = call->size;
+        message.forwarded = true;
+        envelope.body_case = SR__ENVELOPE__BODY_CALL;
+        envelope.call = &message;
+        if (SrBus_Request(forward->jobs->bus, peer->name, &envelope, left_ms,
+                          on_forwarded, forward) == SR_BUS_OK) {
+            return;
+        }
+    }
+}
+
+static void
+forward_call(struct SrJobs *jobs, struct SrCall *call, Sr__ErrorCode code,
+             const char *text)
+{
+    if (call->forwarded) {
+        fail(call, code, text);
+        return;
+    }
+    struct Forward *forward = SrUtil_Calloc(1, sizeof(*forward));
+    forward->jobs = jobs;
+    forward->call = call;
+    SrUtil_Copy(forward->text, sizeof(forward->text), text);
+    forward->failure = (struct SrFailure){
+        .code = code,
+        .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+        .text = forward->text,
+        .retry_after_ms = RETRY_AFTER_MS,
+    };
+    try_next(forward);
+}
+
+static void
+reply_accepted(struct SrCall *call, const char *id, const char *domain,
+               bool duplicate)
+{
+    Sr__SubmitReply reply = SR__SUBMIT_REPLY__INIT;
+    reply.job_id = (char *)id;
+    reply.domain = (char *)domain;
+    reply.duplicate = duplicate;
+    SrCall_Reply(call, &reply);
+}
+
+static void
+reply_duplicate(struct SrCall *call, const char *id, bool same_spec)
+{
+    if (same_spec) {
+        reply_accepted(call, id, "", true);
+        return;
+    }
+    SrCall_Fail(call, &(struct SrFailure){
+                          .code = SR__ERROR_CODE__ERROR_CONFLICT,
+                          .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                          .text = "the idempotency key stands for another job",
+                          .field = "idempotency_key",
+                      });
+}
+
+/* True if another domain has free what this one has not. */
+static bool
+is_better_elsewhere(const struct SrJobs *jobs, const struct SrCall *call,
+                    const Sr__JobSpec *spec)
+{
+    struct SrNeed need = SrJobSpec_Need(spec);
+    struct SrPlacerStatus status;
+    unsigned total = need.tasks * need.accelerators;
+    if (call->forwarded || total == 0 ||
+        SrPlacer_IsCovered(jobs->placer, call->account, &need)) {
+        return false;
+    }
+    SrPlacer_GetStatus(jobs->placer, &status);
+    unsigned level = (unsigned)SrCells_Level(need.accelerators) + 1;
+    if (status.free_accelerators >= total && status.free_level >= level) {
+        return false;
+    }
+    struct Forward probe = {.jobs = (struct SrJobs *)jobs};
+    const struct SrPeer *peer = choose_leader(&probe);
+    return peer != NULL && peer->free_accelerators >= total &&
+           peer->free_cell_level >= level &&
+           SrConfig_DomainState(jobs->config, peer->domain) ==
+               SR__DOMAIN_STATE__DOMAIN_IN;
+}
+
+static Sr__Job *
+new_record(const struct SrJobs *jobs, const struct SrCall *call,
+           const Sr__SubmitRequest *request)
+{
+    char id[JOB_ID_BYTES * 2 + 1];
+    Sr__Job *record = SrUtil_Calloc(1, sizeof(*record));
+    sr__job__init(record);
+    SrUtil_RandomHex(id, JOB_ID_BYTES);
+    SrUtil_SetText(&record->id, id);
+    SrUtil_SetText(&record->account, call->account);
+    SrUtil_SetText(&record->idempotency_key, request->idempotency_key);
+    SrUtil_SetText(&record->domain, jobs->kernel->settings->domain);
+    record->spec = SrCodec_Clone(request->spec);
+    record->state = SR__JOB_STATE__JOB_QUEUED;
+    record->submitted_unix_ms = (uint64_t)SrOs_UnixMs();
+    return record;
+}
+
+static struct SrJob *
+find_by_key(struct SrJobs *jobs, const char *account, const char *key)
+{
+    char text[SR_JOB_KEY_SIZE];
+    SrJobStore_IdempotencyKey(account, key, text, sizeof(text));
+    struct SrMapEntry *entry = SrMap_Find(&jobs->by_key, text);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrJob, key_entry) : NULL;
+}
+
+static void
+repeat_submission(struct SrCall *call, const struct SrJob *job,
+                  const Sr__JobSpec *spec)
+{
+    if (job->phase == SR_JOB_ACCEPTING) {
+        fail_unknown(call);
+        return;
+    }
+    reply_duplicate(call, job->record->id,
+                    SrJobSpec_Hash(job->record->spec) == SrJobSpec_Hash(spec));
+}
+
+static void
+accept_job(struct SrJobs *jobs, struct SrCall *call,
+           const Sr__SubmitRequest *request)
+{
+    struct SrPlacerStatus status;
+    struct SrNeed need = SrJobSpec_Need(request->spec);
+    struct SrJob *known =
+        find_by_key(jobs, call->account, request->idempotency_key);
+    SrPlacer_GetStatus(jobs->placer, &status);
+    if (known != NULL) {
+        repeat_submission(call, known, request->spec);
+    }
+    else if (!jobs->loaded || !SrStore_IsReachable(jobs->store)) {
+        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "the table service cannot be reached at present");
+    }
+    else if (status.workers == 0) {
+        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                     "no workers are known yet");
+    }
+    else if (!SrJobs_IsDomainIn(jobs)) {
+        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                     "the failure domain is out of service");
+    }
+    else if (!SrPlacer_CanEver(jobs->placer, &need)) {
+        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNSATISFIABLE,
+                     "no failure domain can ever hold this job: too many "
+                     "tasks, accelerators, cores or memory");
+    }
+    else if (is_better_elsewhere(jobs, call, request->spec)) {
+        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                     "a better placed failure domain refused; repeat");
+    }
+    else {
+        struct SrJob *job =
+            SrJobs_Add(jobs, new_record(jobs, call, request), 0);
+        job->phase = SR_JOB_ACCEPTING;
+        job->submitter = call;
+        SrJobs_Save(job);
+    }
+}
+
+static void
+submit(struct SrJobs *jobs, struct SrCall *call)
+{
+    char text[TEXT_SIZE];
+    Sr__SubmitRequest *request = SrCodec_Unpack(
+        &sr__submit_request__descriptor, call->body, call->size);
+    if (request == NULL) {
+        fail_field(call, "", "the body is not a SubmitRequest");
+        return;
+    }
+    const char *field = SrJobSpec_Check(request, text, sizeof(text));
+    if (field != NULL) {
+        fail_field(call, field, text);
+    }
+    else if (call->account[0] == '\0') {
+        fail(call, SR__ERROR_CODE__ERROR_FORBIDDEN,
+             "jobs are submitted with a client account's key");
+    }
+    else {
+        accept_job(jobs, call, request);
+    }
+    SrCodec_Free(request);
+}
+
+static void
+on_key_row(void *context, const struct SrStoreRows *rows)
+{
+    struct SrCall *call = context;
+    Sr__KeyRow *row = NULL;
+    Sr__SubmitRequest *request = SrCodec_Unpack(
+        &sr__submit_request__descriptor, call->body, call->size);
+    if (rows->error == SR_STORE_OK && rows->count == 1) {
+        row =
+            SrCodec_Unpack(&sr__key_row__descriptor, rows->rows[0]->value.data,
+                           rows->rows[0]->value.len);
+    }
+    if (row == NULL) {
+        fail_unknown(call);
+    }
+    else {
+        reply_duplicate(call, row->job_id,
+                        row->spec_hash == SrJobSpec_Hash(request->spec));
+    }
+    SrCodec_Free(row);
+    SrCodec_Free(request);
+}
+
+static void
+look_up_key(struct SrJob *job)
+{
+    const char *keys[] = {job->key};
+    struct SrCall *call = job->submitter;
+    if (call != NULL) {
+        job->submitter = NULL;
+        SrStore_Read(job->owner->store, SR_STORE_NORMAL, keys, 1, on_key_row,
+                     call);
+    }
+}
+
+void
+SrJobApi_OnSaved(struct SrJob *job, enum SrJobSave result)
+{
+    struct SrCall *call = job->submitter;
+    switch (result) {
+    case SR_JOB_SAVED:
+        job->submitter = NULL;
+        if (call != NULL) {
+            reply_accepted(call, job->record->id, job->record->domain, false);
+        }
+        SR_INFO("jobs", "accepted", "job=%s account=%s", job->record->id,
+                job->record->account);
+        SrMetrics_Count(job->owner->kernel->metrics, "sr_jobs_accepted_total",
+                        "account", job->record->account, 1);
+        SrJobs_Enqueue(job);
+        return;
+    case SR_JOB_KEY_TAKEN:
+        look_up_key(job);
+        break;
+    case SR_JOB_ROW_CHANGED:
+    case SR_JOB_NOT_SAVED:
+        job->submitter = NULL;
+        if (call != NULL) {
+            fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                 "the job was not written to the table service");
+        }
+        break;
+    }
+    SrJobs_Remove(job);
+}
+
+void
+SrJobApi_Abandon(struct SrJob *job)
+{
+    struct SrCall *call = job->submitter;
+    job->submitter = NULL;
+    if (call != NULL && job->row.in_flight) {
+        fail_unknown(call);
+    }
+    else if (call != NULL) {
+        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "the job was not accepted in time");
+    }
+    if (job->canceller != NULL) {
+        fail_unknown(job->canceller);
+        job->canceller = NULL;
+    }
+}
+
+void
+SrJobApi_Tick(struct SrJob *job, int64_t now_ms)
+{
+    if (job->canceller != NULL && job->canceller->deadline_ms <= now_ms) {
+        fail_unknown(job->canceller);
+        job->canceller = NULL;
+    }
+    if (job->submitter == NULL || job->submitter->deadline_ms > now_ms) {
+        return;
+    }
+    bool in_flight = job->row.in_flight;
+    SrJobApi_Abandon(job);
+    if (!in_flight) {
+        SrJobs_Remove(job);
+    }
+}
+
+void
+SrJobApi_OnAllSaved(struct SrJob *job)
+{
+    struct SrCall *call = job->canceller;
+    if (call != NULL) {
+        job->canceller = NULL;
+        SrCall_Reply(call, job->record);
+    }
+}
+
+static bool
+may_see(const struct SrCall *call, const Sr__Job *record)
+{
+    return call->account[0] == '\0' ||
+           strcmp(call->account, record->account) == 0;
+}
+
+static void
+on_status_rows(void *context, const struct SrStoreRows *rows)
+{
+    struct SrCall *call = context;
+    Sr__Job *record = NULL;
+    if (rows->error != SR_STORE_OK) {
+        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "the table service cannot be reached at present");
+        return;
+    }
+    if (rows->count > 0) {
+        record =
+            SrCodec_Unpack(&sr__job__descriptor, rows->rows[0]->value.data,
+                           rows->rows[0]->value.len);
+    }
+    if (record == NULL || !may_see(call, record)) {
+        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+    }
+    else {
+        SrCall_Reply(call, record);
+    }
+    SrCodec_Free(record);
+}
+
+static void
+read_status(struct SrJobs *jobs, struct SrCall *call, const char *id)
+{
+    char job_key[SR_JOB_KEY_SIZE];
+    char done_key[SR_JOB_KEY_SIZE];
+    const char *keys[] = {job_key, done_key};
+    SrJobStore_JobKey(id, job_key, sizeof(job_key));
+    SrJobStore_DoneKey(id, done_key, sizeof(done_key));
+    SrStore_Read(jobs->store, SR_STORE_NORMAL, keys, SR_LENGTH(keys),
+                 on_status_rows, call);
+}
+
+static void
+status(struct SrJobs *jobs, struct SrCall *call, const char *id)
+{
+    const struct SrJob *job = SrJobs_Find(jobs, id);
+    if (job == NULL || job->phase == SR_JOB_ACCEPTING) {
+        read_status(jobs, call, id);
+        return;
+    }
+    if (!may_see(call, job->record)) {
+        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+        return;
+    }
+    SrCall_Reply(call, job->record);
+}
+
+static void
+cancel(struct SrJobs *jobs, struct SrCall *call, const char *id)
+{
+    struct SrJob *job = SrJobs_Find(jobs, id);
+    if (job == NULL || job->phase == SR_JOB_ACCEPTING) {
+        forward_call(jobs, call, SR__ERROR_CODE__ERROR_NOT_FOUND,
+                     "no such job is live here");
+        return;
+    }
+    if (!may_see(call, job->record)) {
+        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+        return;
+    }
+    if (SrJobSpec_IsFinal(job->record->state) || job->canceller != NULL) {
+        SrCall_Reply(call, job->record);
+        return;
+    }
+    if (!SrStore_IsReachable(jobs->store) || job->phase == SR_JOB_LEAVING) {
+        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "the cancellation cannot be recorded at present");
+        return;
+    }
+    job->canceller = call;
+    job->record->cancel_requested = true;
+    if (job->phase == SR_JOB_WAITING) {
+        SrJobs_End(job, SR__JOB_STATE__JOB_CANCELLED, "cancelled");
+        return;
+    }
+    SrJobs_Save(job);
+    SrJobRun_Stop(job, SR_JOB_CANCELLED);
+}
+
+/* A listing in progress: pages are read until enough jobs are found. */
+struct List {
+    struct SrJobs *jobs;
+    struct SrCall *call;
+    uint32_t limit;
+    unsigned pages;
+    Sr__Job *found[LIST_MAX];
+    size_t count;
+};
+
+static void on_list_page(void *context, const struct SrStoreRows *rows);
+
+static void
+end_list(struct List *list, bool more)
+{
+    Sr__JobsReply reply = SR__JOBS_REPLY__INIT;
+    reply.jobs = list->found;
+    reply.n_jobs = list->count;
+    reply.more = more;
+    SrCall_Reply(list->call, &reply);
+    for (size_t i = 0; i < list->count; i++) {
+        SrCodec_Free(list->found[i]);
+    }
+    free(list);
+}
+
+static void
+add_to_list(struct List *list, const SrPlatform__TableRow *row)
+{
+    Sr__Job *record =
+        SrCodec_Unpack(&sr__job__descriptor, row->value.data, row->value.len);
+    if (record == NULL || !may_see(list->call, record)) {
+        SrCodec_Free(record);
+        return;
+    }
+    list->found[list->count++] = record;
+}
+
+static void
+on_list_page(void *context, const struct SrStoreRows *rows)
+{
+    struct List *list = context;
+    if (rows->error != SR_STORE_OK) {
+        fail(list->call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "the table service cannot be reached at present");
+        list->call = NULL;
+        for (size_t i = 0; i < list->count; i++) {
+            SrCodec_Free(list->found[i]);
+        }
+        free(list);
+        return;
+    }
+    for (size_t i = 0; i < rows->count; i++) {
+        if (list->count == list->limit) {
+            end_list(list, true);
+            return;
+        }
+        add_to_list(list, rows->rows[i]);
+    }
+    if (!rows->more || rows->count == 0 || ++list->pages == SCAN_PAGES_MAX) {
+        end_list(list, rows->more);
+        return;
+    }
+    SrStore_Scan(list->jobs->store, "job/", rows->rows[rows->count - 1]->key,
+                 SCAN_ROWS, on_list_page, list);
+}
+
+static void
+list_jobs(struct SrJobs *jobs, struct SrCall *call)
+{
+    char after[SR_JOB_KEY_SIZE] = "";
+    Sr__JobsRequest *request =
+        SrCodec_Unpack(&sr__jobs_request__descriptor, call->body, call->size);
+    if (request == NULL || request->limit > LIST_MAX) {
+        fail_field(call, "limit", "limit must be 0 to 500");
+        SrCodec_Free(request);
+        return;
+    }
+    struct List *list = SrUtil_Calloc(1, sizeof(*list));
+    list->jobs = jobs;
+    list->call = call;
+    list->limit = request->limit > 0 ? request->limit : LIST_DEFAULT;
+    if (request->after[0] != '\0') {
+        SrJobStore_JobKey(request->after, after, sizeof(after));
+    }
+    SrStore_Scan(jobs->store, "job/", after, SCAN_ROWS, on_list_page, list);
+    SrCodec_Free(request);
+}
+
+static void
+list_workers(struct SrJobs *jobs, struct SrCall *call)
+{
+    size_t total = jobs->vms != NULL ? jobs->vms->n_vms : 0;
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__WorkerStatus *statuses =
+        SrUtil_Calloc(total, sizeof(Sr__WorkerStatus));
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__WorkerStatus **list = SrUtil_Calloc(total, sizeof(Sr__WorkerStatus *));
+    Sr__WorkersReply reply = SR__WORKERS_REPLY__INIT;
+    for (size_t i = 0; i < total; i++) {
+        const SrPlatform__Vm *vm = jobs->vms->vms[i];
+        const char *state = SrWorkers_State(jobs->workers, vm->id);
+        if (vm->kind != SR_PLATFORM__VM_KIND__VM_WORKER || state == NULL) {
+            continue;
+        }
+        Sr__WorkerStatus *worker = &statuses[reply.n_workers];
+        sr__worker_status__init(worker);
+        bool sick =
+            SrHealth_IsQuarantined(jobs->health, vm->id, SrOs_MonotonicMs());
+        worker->id = vm->id;
+        worker->domain = vm->domain;
+        worker->rack = vm->rack;
+        worker->accelerators = vm->accelerators;
+        worker->state = (char *)(sick ? "quarantined" : state);
+        SrPlacer_GetWorker(jobs->placer, vm->id, &worker->free_accelerators,
+                           &worker->tasks);
+        list[reply.n_workers++] = worker;
+    }
+    reply.workers = list;
+    SrCall_Reply(call, &reply);
+}
+
+/* Could the account's cells in this domain be carved out with all others? */
+static void
+check_guarantee(struct SrJobs *jobs, struct SrCall *call)
+{
+    Sr__Account *account =
+        SrCodec_Unpack(&sr__account__descriptor, call->body, call->size);
+    if (account == NULL) {
+        fail_field(call, "", "the body is not an Account");
+        return;
+    }
+    char text[TEXT_SIZE];
+    if (SrJobs_CheckGuarantee(jobs, account, text, sizeof(text))) {
+        SrCall_Reply(call, account);
+    }
+    else {
+        fail(call, SR__ERROR_CODE__ERROR_UNSATISFIABLE, text);
+    }
+    SrCodec_Free(account);
+}
+
+static void
+with_job_id(struct SrJobs *jobs, struct SrCall *call,
+            void (*act)(struct SrJobs *jobs, struct SrCall *call,
+                        const char *id))
+{
+    Sr__JobRequest *request =
+        SrCodec_Unpack(&sr__job_request__descriptor, call->body, call->size);
+    if (request == NULL || !SrUtil_IsId(request->job_id)) {
+        fail_field(call, "job_id", "job_id is malformed");
+    }
+    else {
+        act(jobs, call, request->job_id);
+    }
+    SrCodec_Free(request);
+}
+
+enum Method {
+    METHOD_SUBMIT,
+    METHOD_STATUS,
+    METHOD_CANCEL,
+    METHOD_JOBS,
+    METHOD_WORKERS,
+    METHOD_CHECK_GUARANTEE,
+    METHOD_JOBS_MOVED,
+    METHOD_OTHER,
+};
+
+static const char *const method_names[] = {
+    [METHOD_SUBMIT] = "submit",
+    [METHOD_STATUS] = "status",
+    [METHOD_CANCEL] = "cancel",
+    [METHOD_JOBS] = "jobs",
+    [METHOD_WORKERS] = "workers",
+    [METHOD_CHECK_GUARANTEE] = "check-guarantee",
+    [METHOD_JOBS_MOVED] = "jobs-moved",
+};
+
+static enum Method
+method_of(const char *name)
+{
+    for (size_t i = 0; i < SR_LENGTH(method_names); i++) {
+        if (strcmp(method_names[i], name) == 0) {
+            return (enum Method)i;
+        }
+    }
+    return METHOD_OTHER;
+}
+
+void
+SrJobApi_Take(struct SrJobs *jobs, const Sr__Envelope *envelope)
+{
+    enum Method method = method_of(envelope->call->method);
+    if (method == METHOD_OTHER) {
+        return;
+    }
+    struct SrCall *call = SrCall_Create(jobs->bus, envelope);
+    if (!jobs->leading) {
+        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+             "this scheduler does not lead its failure domain");
+        return;
+    }
+    switch (method) {
+    case METHOD_SUBMIT:
+        submit(jobs, call);
+        break;
+    case METHOD_STATUS:
+        with_job_id(jobs, call, status);
+        break;
+    case METHOD_CANCEL:
+        with_job_id(jobs, call, cancel);
+        break;
+    case METHOD_JOBS:
+        list_jobs(jobs, call);
+        break;
+    case METHOD_WORKERS:
+        list_workers(jobs, call);
+        break;
+    case METHOD_CHECK_GUARANTEE:
+        check_guarantee(jobs, call);
+        break;
+    case METHOD_JOBS_MOVED:
+        jobs->loaded_ms = 0;
+        SrCall_Destroy(call);
+        break;
+    case METHOD_OTHER:
+        break;
+    }
+}
--- /dev/null
+++ b/src/job_move.c
@@ -0,0 +1,106 @@
+#include <string.h>
+
+#include "codec.h"
+#include "job.h"
+#include "job_spec.h"
+#include "log.h"
+#include "os.h"
+
+#define TELL_TIMEOUT_MS 1000
+
+/* A domain that is in, has a live leader and most accelerators free. */
+static const struct SrPeer *
+choose_domain(const struct SrJobs *jobs)
+{
+    const struct SrMembership *membership = SrBus_Membership(jobs->bus);
+    const struct SrPeer *best = NULL;
+    int64_t now_ms = SrOs_MonotonicMs();
+    SR_LIST_EACH(link, &membership->peers)
+    {
+        const struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        if (peer->role != SR__ROLE__ROLE_SCHEDULER ||
+            strcmp(peer->domain, membership->domain) == 0 ||
+            SrMembership_Leader(membership, peer->domain, now_ms) != peer ||
+            SrConfig_DomainState(jobs->config, peer->domain) !=
+                SR__DOMAIN_STATE__DOMAIN_IN) {
+            continue;
+        }
+        if (best == NULL ||
+            peer->free_accelerators > best->free_accelerators) {
+            best = peer;
+        }
+    }
+    return best;
+}
+
+static void
+move(struct SrJob *job, const struct SrPeer *target)
+{
+    SrQueue_Remove(job->owner->queue, &job->queued);
+    SrTimer_Stop(&job->timer);
+    SrUtil_SetText(&job->record->domain, target->domain);
+    job->phase = SR_JOB_LEAVING;
+    SrJobs_Save(job);
+    SR_INFO("jobs", "moving", "job=%s to=%s", job->record->id, target->domain);
+}
+
+static void
+leave(struct SrJob *job, const struct SrPeer *target)
+{
+    switch (job->phase) {
+    case SR_JOB_WAITING:
+        if (target != NULL) {
+            move(job, target);
+        }
+        break;
+    case SR_JOB_AWAITING_VICTIMS:
+        SrJobRun_Stop(job, SR_JOB_DOMAIN_OUT);
+        break;
+    case SR_JOB_ACTIVE:
+        /* What must not be started again runs to its end. */
+        if (job->record->spec->repeatable || !job->gang.released) {
+            SrJobRun_Stop(job, SR_JOB_DOMAIN_OUT);
+        }
+        break;
+    case SR_JOB_ACCEPTING:
+    case SR_JOB_ADOPTING:
+    case SR_JOB_LEAVING:
+    case SR_JOB_OVER:
+        break;
+    }
+}
+
+void
+SrJobMove_LeaveDomain(struct SrJobs *jobs)
+{
+    const struct SrPeer *target = choose_domain(jobs);
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        leave(SR_CONTAINER(link, struct SrJob, link), target);
+    }
+}
+
+static void
+tell(struct SrJobs *jobs, const char *domain)
+{
+    const struct SrPeer *peer = SrMembership_Leader(
+        SrBus_Membership(jobs->bus), domain, SrOs_MonotonicMs());
+    if (peer == NULL) {
+        /* It finds the row when it next reads its jobs. */
+        return;
+    }
+    Sr__Envelope envelope = SR__ENVELOPE__INIT;
+    Sr__ApiCall call = SR__API_CALL__INIT;
+    call.method = "jobs-moved";
+    call.deadline_ms = TELL_TIMEOUT_MS;
+    envelope.body_case = SR__ENVELOPE__BODY_CALL;
+    envelope.call = &call;
+    SrBus_Send(jobs->bus, peer->name, &envelope);
+}
+
+void
+SrJobMove_OnSaved(struct SrJob *job)
+{
+    tell(job->owner, job->record->domain);
+    SrJobs_Remove(job);
+}
--- /dev/null
+++ b/src/job_run.c
@@ -0,0 +1,724 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "job.h"
+#include "job_spec.h"
+#include "log.h"
+#include "os.h"
+
+#define STEP_TIMEOUT_MS 5000
+#define RETRY_MS 200
+/* A worker may take this much longer to free what a victim held. */
+#define RESERVE_TIMEOUT_MS 3000
+
+/* Names the gang a step was sent for; the job may be gone when the answer
+ * comes. */
+struct Step {
+    struct SrJobs *jobs;
+    char job[SR_ID_SIZE];
+    uint32_t attempt;
+    int member;
+    SrPlatform__Action action;
+    int64_t give_up_ms;
+};
+
+static void run_command(struct SrJob *job, enum SrGangCommand command);
+static void send_step(struct SrJob *job, int member, int64_t give_up_ms);
+
+static bool
+holds_task(const struct SrJob *job, unsigned task, int member)
+{
+    return strcmp(job->tasks[task].worker, job->gang.members[member].worker) ==
+           0;
+}
+
+static struct SrJob *
+find_for(const struct Step *step)
+{
+    struct SrJob *job = SrJobs_Find(step->jobs, step->job);
+    if (job == NULL || job->phase != SR_JOB_ACTIVE ||
+        job->record->attempt != step->attempt) {
+        return NULL;
+    }
+    return job;
+}
+
+static void
+on_step(void *context, enum SrWorkersError error, const char *reason)
+{
+    struct Step step = *(struct Step *)context;
+    free(context);
+    struct SrJob *job = error != SR_WORKERS_FENCED ? find_for(&step) : NULL;
+    if (job == NULL) {
+        return;
+    }
+    bool reserving = step.action == SR_PLATFORM__ACTION__ACTION_RESERVE;
+    if (error == SR_WORKERS_REFUSED && reserving &&
+        job->gang.phase == SR_GANG_RESERVING &&
+        SrOs_MonotonicMs() < step.give_up_ms) {
+        send_step(job, step.member, step.give_up_ms);
+        return;
+    }
+    SR_DEBUG("jobs", "step", "job=%s worker=%s action=%d error=%s",
+             job->record->id, job->gang.members[step.member].worker,
+             (int)step.action, SrWorkers_ErrorText(error));
+    run_command(job, SrGang_OnStep(&job->gang, step.member, step.action,
+                                   error == SR_WORKERS_OK, reason));
+}
+
+static void
+send_step(struct SrJob *job, int member, int64_t give_up_ms)
+{
+    const Sr__Job *record = job->record;
+    SrPlatform__TaskNeed needs[SR_PLACER_TASKS_MAX];
+    SrPlatform__TaskNeed *list[SR_PLACER_TASKS_MAX];
+    SrPlatform__Step message = SR_PLATFORM__STEP__INIT;
+    message.job = record->id;
+    message.attempt = record->attempt;
+    message.action = SrGang_Action(&job->gang);
+    message.tasks = list;
+    if (message.action == SR_PLATFORM__ACTION__ACTION_HOLD) {
+        message.payload = record->spec->payload;
+    }
+    for (unsigned task = 0; task < record->spec->tasks; task++) {
+        if (message.action != SR_PLATFORM__ACTION__ACTION_RESERVE ||
+            !holds_task(job, task, member)) {
+            continue;
+        }
+        SrPlatform__TaskNeed *need = &needs[message.n_tasks];
+        sr_platform__task_need__init(need);
+        need->task = task;
+        need->accelerator_mask = job->tasks[task].mask;
+        need->cores = record->spec->cores_per_task;
+        need->memory_mb = record->spec->memory_mb_per_task;
+        list[message.n_tasks++] = need;
+    }
+    struct Step *step = SrUtil_Calloc(1, sizeof(*step));
+    *step = (struct Step){
+        .jobs = job->owner,
+        .attempt = record->attempt,
+        .member = member,
+        .action = message.action,
+        .give_up_ms = give_up_ms,
+    };
+    SrUtil_Copy(step->job, SR_ID_SIZE, record->id);
+    SrWorkers_Send(job->owner->workers, job->gang.members[member].worker,
+                   &message, STEP_TIMEOUT_MS, on_step, step);
+}
+
+static void
+send_to_all(struct SrJob *job)
+{
+    int64_t give_up_ms = SrOs_MonotonicMs() + RESERVE_TIMEOUT_MS;
+    enum SrGangPhase phase = job->gang.phase;
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        /* A step that is refused at once may end the phase. */
+        if (job->gang.phase == phase && !job->gang.members[i].done) {
+            send_step(job, (int)i, give_up_ms);
+        }
+    }
+}
+
+/* Asks a worker to drop what it remembers of the attempt. */
+static void
+forget_on(struct SrJobs *jobs, const char *worker, const char *id,
+          uint32_t attempt, SrPlatform__Action action)
+{
+    SrPlatform__Step step = SR_PLATFORM__STEP__INIT;
+    step.job = (char *)id;
+    step.attempt = attempt;
+    step.action = action;
+    SrWorkers_Send(jobs->workers, worker, &step, STEP_TIMEOUT_MS, NULL, NULL);
+}
+
+static void
+forget_everywhere(struct SrJob *job)
+{
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        forget_on(job->owner, job->gang.members[i].worker, job->record->id,
+                  job->record->attempt, SR_PLATFORM__ACTION__ACTION_FORGET);
+    }
+}
+
+static bool
+waits_for(const struct SrJob *job, const char *victim)
+{
+    for (unsigned i = 0; i < job->victim_count; i++) {
+        if (strcmp(job->victims[i], victim) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+start_gang(struct SrJob *job)
+{
+    SrGang_Init(&job->gang);
+    job->phase = SR_JOB_ACTIVE;
+    job->stop = SR_JOB_NOT_STOPPING;
+    job->record->attempt++;
+    for (unsigned task = 0; task < job->record->spec->tasks; task++) {
+        SrGang_AddMember(&job->gang, job->tasks[task].worker);
+    }
+    run_command(job, SrGang_Start(&job->gang));
+}
+
+static void
+drop_victim(struct SrJob *job, const char *victim)
+{
+    for (unsigned i = 0; i < job->victim_count; i++) {
+        if (strcmp(job->victims[i], victim) == 0) {
+            free(job->victims[i]);
+            job->victims[i] = job->victims[--job->victim_count];
+            return;
+        }
+    }
+}
+
+/* Gives the cells back and starts what waited for them. */
+static void
+free_cells(struct SrJob *job)
+{
+    struct SrJobs *jobs = job->owner;
+    SrPlacer_Free(jobs->placer, job->record->id);
+    SR_LIST_EACH(link, &jobs->all)
+    {
+        struct SrJob *other = SR_CONTAINER(link, struct SrJob, link);
+        if (other->phase == SR_JOB_AWAITING_VICTIMS &&
+            waits_for(other, job->record->id)) {
+            drop_victim(other, job->record->id);
+            if (other->victim_count == 0) {
+                start_gang(other);
+            }
+        }
+    }
+    SrJobs_PlanPass(jobs);
+}
+
+static void
+retry_later(void *context)
+{
+    struct SrJob *job = context;
+    if (job->phase == SR_JOB_ACTIVE && job->gang.phase == SR_GANG_ENDED) {
+        SrJobs_Enqueue(job);
+    }
+}
+
+static void
+requeue(struct SrJob *job, const char *reason)
+{
+    Sr__Job *record = job->record;
+    SR_INFO("jobs", "requeued", "job=%s attempt=%u reason=%s", record->id,
+            record->attempt, reason);
+    forget_everywhere(job);
+    record->state = SR__JOB_STATE__JOB_QUEUED;
+    SrUtil_SetText(&record->reason, reason);
+    SrJobs_Save(job);
+    SrTimer_Start(&job->timer, job->owner->kernel, RETRY_MS, 0, retry_later,
+                  job);
+}
+
+static bool
+add_failed_worker(Sr__Job *record, const char *worker)
+{
+    for (size_t i = 0; i < record->n_failed_workers; i++) {
+        if (strcmp(record->failed_workers[i], worker) == 0) {
+            return false;
+        }
+    }
+    record->failed_workers =
+        SrUtil_Realloc(record->failed_workers,
+                       (record->n_failed_workers + 1) * sizeof(char *));
+    record->failed_workers[record->n_failed_workers++] = SrUtil_Strdup(worker);
+    return true;
+}
+
+static void
+on_failed(struct SrJob *job)
+{
+    struct SrJobs *jobs = job->owner;
+    Sr__Job *record = job->record;
+    const char *worker = job->gang.culprit;
+    if (SrHealth_OnFailure(jobs->health, worker, record->id,
+                           SrOs_MonotonicMs())) {
+        SR_WARN("jobs", "worker-quarantined", "worker=%s", worker);
+        SrPlacer_SetUsable(jobs->placer, worker, false);
+    }
+    add_failed_worker(record, worker);
+    bool again = record->spec->repeatable &&
+                 (int64_t)record->n_failed_workers <
+                     jobs->kernel->settings->job_failures_max;
+    if (again) {
+        requeue(job, job->gang.reason);
+        return;
+    }
+    SrJobs_End(job, SR__JOB_STATE__JOB_FAILED, job->gang.reason);
+}
+
+static void
+on_finished(struct SrJob *job)
+{
+    struct SrJobs *jobs = job->owner;
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        SrHealth_OnSuccess(jobs->health, job->gang.members[i].worker);
+    }
+    SrQueue_OnRunTime(jobs->queue, job->record->account,
+                      (int64_t)job->record->spec->expected_run_ms,
+                      SrOs_MonotonicMs() - job->running_since_ms);
+    SrJobs_End(job, SR__JOB_STATE__JOB_FINISHED, "finished");
+}
+
+static void
+on_gang_end(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    bool cancelled = record->cancel_requested;
+    bool repeatable = record->spec->repeatable;
+    free_cells(job);
+    switch (job->gang.end) {
+    case SR_GANG_FINISHED:
+        on_finished(job);
+        break;
+    case SR_GANG_FAILED:
+        on_failed(job);
+        break;
+    case SR_GANG_ABORTED:
+        if (cancelled) {
+            SrJobs_End(job, SR__JOB_STATE__JOB_CANCELLED, "cancelled");
+        }
+        else {
+            requeue(job, job->gang.reason);
+        }
+        break;
+    case SR_GANG_LOST:
+    case SR_GANG_STOPPED:
+        if (cancelled) {
+            SrJobs_End(job, SR__JOB_STATE__JOB_CANCELLED, "cancelled");
+        }
+        else if (repeatable) {
+            requeue(job, job->gang.reason);
+        }
+        else {
+            SrJobs_End(job, SR__JOB_STATE__JOB_OUTCOME_UNKNOWN,
+                       job->gang.reason);
+        }
+        break;
+    case SR_GANG_END_NONE:
+        SR_ERROR("jobs", "gang-without-end", "job=%s", record->id);
+        break;
+    }
+}
+
+static void
+free_placements(Sr__Job *record)
+{
+    for (size_t i = 0; i < record->n_placements; i++) {
+        SrCodec_Free(record->placements[i]);
+    }
+    free(record->placements);
+    record->placements = NULL;
+    record->n_placements = 0;
+}
+
+static void
+set_placements(struct SrJob *job)
+{
+    Sr__Job *record = job->record;
+    unsigned members = job->gang.member_count;
+    free_placements(record);
+    record->placements = SrUtil_Calloc(members, sizeof(Sr__Placement *));
+    record->n_placements = members;
+    for (unsigned i = 0; i < members; i++) {
+        Sr__Placement *placement = SrUtil_Calloc(1, sizeof(*placement));
+        sr__placement__init(placement);
+        SrUtil_SetText(&placement->worker, job->gang.members[i].worker);
+        placement->tasks =
+            SrUtil_Calloc(record->spec->tasks, sizeof(uint32_t));
+        placement->masks =
+            SrUtil_Calloc(record->spec->tasks, sizeof(uint32_t));
+        for (unsigned task = 0; task < record->spec->tasks; task++) {
+            if (holds_task(job, task, (int)i)) {
+                placement->tasks[placement->n_tasks++] = task;
+                placement->masks[placement->n_masks++] = job->tasks[task].mask;
+            }
+        }
+        record->placements[i] = placement;
+    }
+}
+
+/* The release is the start: it needs the configuration to be in force. */
+static bool
+may_release(const struct SrJob *job)
+{
+    const struct SrJobs *jobs = job->owner;
+    return SrLeadership_MayStart(jobs->leadership) && SrJobs_IsDomainIn(jobs);
+}
+
+static void
+go_on_after_record(struct SrJob *job)
+{
+    if (!may_release(job)) {
+        run_command(job, SrGang_Stop(&job->gang, false,
+                                     "starts are not allowed at present"));
+        return;
+    }
+    run_command(job, SrGang_OnRecorded(&job->gang, true));
+}
+
+static void
+record_placement(struct SrJob *job)
+{
+    Sr__Job *record = job->record;
+    set_placements(job);
+    record->state = SR__JOB_STATE__JOB_PLACED;
+    record->placed_unix_ms = (uint64_t)SrOs_UnixMs();
+    record->term = SrLeadership_Election(job->owner->leadership)->term;
+    SrJobs_Save(job);
+    SrJobRun_Tick(job);
+}
+
+static void
+run_command(struct SrJob *job, enum SrGangCommand command)
+{
+    switch (command) {
+    case SR_GANG_NOTHING:
+        break;
+    case SR_GANG_SEND:
+        if (job->gang.phase == SR_GANG_RELEASING) {
+            job->running_since_ms = SrOs_MonotonicMs();
+        }
+        send_to_all(job);
+        break;
+    case SR_GANG_RECORD:
+        record_placement(job);
+        break;
+    case SR_GANG_END:
+        on_gang_end(job);
+        break;
+    }
+}
+
+void
+SrJobRun_OnDecision(struct SrJob *job, const struct SrDecision *decision)
+{
+    struct SrJobs *jobs = job->owner;
+    memcpy(job->tasks, decision->tasks, sizeof(job->tasks));
+    SR_INFO("jobs", "placed", "job=%s charged=%d victims=%u", job->record->id,
+            decision->charged, decision->victim_count);
+    job->phase = SR_JOB_AWAITING_VICTIMS;
+    job->victim_count = decision->victim_count;
+    for (unsigned i = 0; i < decision->victim_count; i++) {
+        job->victims[i] = SrUtil_Strdup(decision->victims[i]);
+    }
+    for (unsigned i = 0; i < decision->victim_count; i++) {
+        struct SrJob *victim = SrJobs_Find(jobs, decision->victims[i]);
+        if (victim != NULL) {
+            SrJobRun_Stop(victim, SR_JOB_EVICTED);
+        }
+    }
+    if (decision->victim_count == 0) {
+        start_gang(job);
+    }
+}
+
+void
+SrJobRun_OnSaved(struct SrJob *job)
+{
+    if (job->phase == SR_JOB_ACTIVE && job->gang.phase == SR_GANG_RECORDING) {
+        go_on_after_record(job);
+        return;
+    }
+    if (job->phase == SR_JOB_OVER) {
+        forget_everywhere(job);
+    }
+}
+
+static void
+on_grace(void *context)
+{
+    struct SrJob *job = context;
+    run_command(job, SrGang_OnGrace(&job->gang));
+}
+
+void
+SrJobRun_Stop(struct SrJob *job, enum SrJobStop why)
+{
+    static const char *const reasons[] = {
+        [SR_JOB_NOT_STOPPING] = "",
+        [SR_JOB_CANCELLED] = "cancelled",
+        [SR_JOB_EVICTED] = "gave way to a guarantee or urgent work",
+        [SR_JOB_DOMAIN_OUT] = "its failure domain was taken out",
+    };
+    if (job->phase == SR_JOB_AWAITING_VICTIMS) {
+        job->phase = SR_JOB_ACTIVE;
+        SrGang_Init(&job->gang);
+    }
+    if (job->phase != SR_JOB_ACTIVE) {
+        return;
+    }
+    job->stop = why;
+    enum SrGangCommand command =
+        SrGang_Stop(&job->gang, why != SR_JOB_CANCELLED, reasons[why]);
+    if (job->gang.phase == SR_GANG_CHECKPOINTING) {
+        SrTimer_Start(&job->timer, job->owner->kernel,
+                      job->owner->kernel->settings->checkpoint_grace_ms, 0,
+                      on_grace, job);
+    }
+    run_command(job, command);
+}
+
+void
+SrJobRun_Tick(struct SrJob *job)
+{
+    struct SrJobs *jobs = job->owner;
+    if (job->phase != SR_JOB_ACTIVE) {
+        return;
+    }
+    /* Without the store a repeatable job may start: at worst a successor that
+     * does not know of it starts it again. */
+    if (job->gang.phase == SR_GANG_RECORDING &&
+        job->record->spec->repeatable && !SrStore_IsReachable(jobs->store)) {
+        go_on_after_record(job);
+        return;
+    }
+    /* A stop or release that got no answer is sent again. */
+    bool repeats = job->gang.phase == SR_GANG_STOPPING;
+    if (repeats) {
+        send_to_all(job);
+    }
+}
+
+static const SrPlatform__Lease *
+find_lease(const struct SrMessage *message, const struct SrJob *job)
+{
+    for (size_t i = 0; i < message->u.leases.count; i++) {
+        const SrPlatform__Lease *lease = message->u.leases.leases[i];
+        if (strcmp(lease->job, job->record->id) == 0 &&
+            lease->attempt == job->record->attempt) {
+            return lease;
+        }
+    }
+    return NULL;
+}
+
+static bool
+all_reported(const struct SrJob *job)
+{
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        if (!job->reported[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+restore_tasks(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    for (size_t i = 0; i < record->n_placements; i++) {
+        const Sr__Placement *placement = record->placements[i];
+        for (size_t j = 0; j < placement->n_tasks; j++) {
+            unsigned task = placement->tasks[j];
+            if (task < SR_PLACER_TASKS_MAX && j < placement->n_masks) {
+                job->tasks[task] = (struct SrPlacedTask){
+                    .worker = placement->worker,
+                    .mask = placement->masks[j],
+                };
+            }
+        }
+    }
+}
+
+static bool
+may_adopt(const struct SrJob *job)
+{
+    bool held = false;
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        switch (job->found[i]) {
+        case SR_PLATFORM__LEASE_STATE__LEASE_HELD:
+            held = true;
+            break;
+        case SR_PLATFORM__LEASE_STATE__LEASE_RUNNING:
+        case SR_PLATFORM__LEASE_STATE__LEASE_FINISHED:
+        case SR_PLATFORM__LEASE_STATE__LEASE_FAILED:
+            break;
+        default:
+            return false;
+        }
+    }
+    /* Releasing the held ones would be a start. */
+    return !held || may_release(job);
+}
+
+static void
+enter_placer(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    struct SrPlacerRequest request = {
+        .gang = record->id,
+        .account = record->account,
+        .need = job->queued.need,
+        .urgent = record->spec->urgent,
+        .pinned = !record->spec->repeatable,
+        .now_ms = SrOs_UnixMs(),
+        .may_charge = true,
+    };
+    enum SrPlacerError error =
+        SrPlacer_Adopt(job->owner->placer, &request, job->tasks);
+    if (error != SR_PLACER_OK) {
+        SR_WARN("jobs", "not-in-placer", "job=%s error=%s", record->id,
+                SrPlacer_ErrorText(error));
+    }
+}
+
+static void
+adopt(struct SrJob *job)
+{
+    bool whole = may_adopt(job);
+    SrPlatform__LeaseState found[SR_GANG_MEMBERS_MAX];
+    memcpy(found, job->found, sizeof(found));
+    restore_tasks(job);
+    enter_placer(job);
+    job->phase = SR_JOB_ACTIVE;
+    job->running_since_ms = SrOs_MonotonicMs();
+    SR_INFO("jobs", whole ? "adopted" : "not-adopted", "job=%s attempt=%u",
+            job->record->id, job->record->attempt);
+    if (!whole) {
+        job->gang.released = true;
+        job->gang.phase = SR_GANG_RELEASING;
+        run_command(
+            job, SrGang_Stop(&job->gang, false, "not all tasks were found"));
+        return;
+    }
+    run_command(job, SrGang_Adopt(&job->gang));
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        if (job->phase == SR_JOB_ACTIVE) {
+            run_command(job, SrGang_OnLease(&job->gang, (int)i, found[i]));
+        }
+    }
+}
+
+static void
+report_member(struct SrJob *job, int member, SrPlatform__LeaseState state)
+{
+    job->reported[member] = true;
+    job->found[member] = state;
+    if (all_reported(job)) {
+        adopt(job);
+    }
+}
+
+static void
+take_report(struct SrJob *job, int member, const struct SrMessage *message)
+{
+    const SrPlatform__Lease *lease = find_lease(message, job);
+    if (job->phase == SR_JOB_ADOPTING) {
+        report_member(job, member,
+                      lease != NULL
+                          ? lease->state
+                          : SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
+        return;
+    }
+    if (job->phase != SR_JOB_ACTIVE) {
+        return;
+    }
+    if (lease != NULL) {
+        run_command(job, SrGang_OnLease(&job->gang, member, lease->state));
+        return;
+    }
+    /* A report asked for before the gang ran may be older than its leases. */
+    if (job->gang.phase >= SR_GANG_RUNNING &&
+        message->u.leases.sent_ms > job->running_since_ms) {
+        run_command(job, SrGang_OnLost(&job->gang, member));
+    }
+}
+
+static bool
+is_over(SrPlatform__LeaseState state)
+{
+    return state == SR_PLATFORM__LEASE_STATE__LEASE_FINISHED ||
+           state == SR_PLATFORM__LEASE_STATE__LEASE_FAILED ||
+           state == SR_PLATFORM__LEASE_STATE__LEASE_STOPPED;
+}
+
+/* True if the lease is one that this leader has given or will adopt. */
+static bool
+is_wanted(struct SrJobs *jobs, const char *worker,
+          const SrPlatform__Lease *lease)
+{
+    const struct SrJob *job = SrJobs_Find(jobs, lease->job);
+    if (job == NULL || job->record->attempt != lease->attempt) {
+        return false;
+    }
+    bool running =
+        job->phase == SR_JOB_ACTIVE || job->phase == SR_JOB_ADOPTING;
+    return running && SrGang_FindMember(&job->gang, worker) >= 0 &&
+           job->gang.phase != SR_GANG_ENDED;
+}
+
+static void
+drop_strays(struct SrJobs *jobs, const struct SrMessage *message)
+{
+    const char *worker = message->u.leases.worker;
+    for (size_t i = 0; i < message->u.leases.count; i++) {
+        const SrPlatform__Lease *lease = message->u.leases.leases[i];
+        const struct SrJob *job = SrJobs_Find(jobs, lease->job);
+        if (is_wanted(jobs, worker, lease)) {
+            continue;
+        }
+        if (job != NULL && job->phase == SR_JOB_OVER && job->row.queued) {
+            /* Its end is not yet recorded; the worker is to remember it. */
+            continue;
+        }
+        forget_on(jobs, worker, lease->job, lease->attempt,
+                  is_over(lease->state) ? SR_PLATFORM__ACTION__ACTION_FORGET
+                                        : SR_PLATFORM__ACTION__ACTION_STOP);
+    }
+}
+
+void
+SrJobRun_OnLeases(struct SrJobs *jobs, const struct SrMessage *message)
+{
+    const char *worker = message->u.leases.worker;
+    if (!jobs->loaded) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        if (job->phase != SR_JOB_ACTIVE && job->phase != SR_JOB_ADOPTING) {
+            continue;
+        }
+        int member = SrGang_FindMember(&job->gang, worker);
+        if (member >= 0) {
+            take_report(job, member, message);
+        }
+    }
+    drop_strays(jobs, message);
+}
+
+void
+SrJobRun_OnWorker(struct SrJobs *jobs, const char *worker, bool silent)
+{
+    if (!silent || !jobs->loaded) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        int member = SrGang_FindMember(&job->gang, worker);
+        if (member < 0) {
+            continue;
+        }
+        if (job->phase == SR_JOB_ADOPTING) {
+            report_member(job, member,
+                          SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
+        }
+        else if (job->phase == SR_JOB_ACTIVE) {
+            run_command(job, SrGang_OnLost(&job->gang, member));
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs.c
@@ -0,0 +1,585 @@
+#include "jobs.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "job.h"
+#include "job_spec.h"
+#include "log.h"
+#include "os.h"
+
+#define TICK_MS 500
+#define LOAD_PAGE_ROWS 200
+#define LOAD_RETRY_MS 500
+#define RESCAN_MS 15000
+/* After a return of the domain, starts grow over this time. */
+#define RAMP_MS 10000
+#define RAMP_STARTS 2
+
+static const struct SrPlacerPolicy placer_policy = {
+    .fit = SR_PLACER_BEST_FIT,
+    .victims = SR_PLACER_LEAST_LOST,
+    .reclaim = true,
+};
+
+static const struct SrQueuePolicy queue_policy = {
+    .order = SR_QUEUE_FAIR,
+    .reserve = true,
+};
+
+struct Load {
+    struct SrJobs *jobs;
+    uint64_t round;
+    bool first;
+};
+
+static void load_page(struct SrJobs *jobs, uint64_t round, bool first,
+                      const char *after);
+
+struct SrJob *
+SrJobs_Find(struct SrJobs *jobs, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&jobs->by_id, id);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrJob, entry) : NULL;
+}
+
+bool
+SrJobs_IsDomainIn(const struct SrJobs *jobs)
+{
+    return SrConfig_DomainState(jobs->config,
+                                jobs->kernel->settings->domain) ==
+           SR__DOMAIN_STATE__DOMAIN_IN;
+}
+
+struct SrJob *
+SrJobs_Add(struct SrJobs *jobs, Sr__Job *record, uint64_t version)
+{
+    struct SrJob *job = SrUtil_Calloc(1, sizeof(*job));
+    job->owner = jobs;
+    job->record = record;
+    job->row.record = record;
+    job->row.version = version;
+    job->queued = (struct SrQueueEntry){
+        .id = record->id,
+        .need = SrJobSpec_Need(record->spec),
+        .urgent = record->spec->urgent,
+        .non_repeatable = !record->spec->repeatable,
+        .run_ms = (int64_t)record->spec->expected_run_ms,
+        .submitted_ms = (int64_t)record->submitted_unix_ms,
+    };
+    SrList_Init(&job->queued.link);
+    SrList_Init(&job->queued.order_link);
+    SrGang_Init(&job->gang);
+    SrList_Append(&jobs->all, &job->link);
+    SrMap_Add(&jobs->by_id, &job->entry, record->id);
+    SrJobStore_IdempotencyKey(record->account, record->idempotency_key,
+                              job->key, sizeof(job->key));
+    SrMap_Add(&jobs->by_key, &job->key_entry, job->key);
+    return job;
+}
+
+void
+SrJobs_Remove(struct SrJob *job)
+{
+    struct SrJobs *jobs = job->owner;
+    SrJobApi_Abandon(job);
+    if (job->phase == SR_JOB_OVER) {
+        jobs->ended_count--;
+    }
+    SrTimer_Stop(&job->timer);
+    SrQueue_Remove(jobs->queue, &job->queued);
+    SrJobStore_Drop(jobs->rows, &job->row);
+    for (unsigned i = 0; i < job->victim_count; i++) {
+        free(job->victims[i]);
+    }
+    SrList_Remove(&job->link);
+    SrMap_Remove(&jobs->by_id, &job->entry);
+    SrMap_Remove(&jobs->by_key, &job->key_entry);
+    SrCodec_Free(job->record);
+    free(job);
+}
+
+void
+SrJobs_Save(struct SrJob *job)
+{
+    SrJobStore_Save(job->owner->rows, &job->row);
+}
+
+static void
+on_decided(void *context, struct SrQueueEntry *entry,
+           const struct SrDecision *decision)
+{
+    (void)context;
+    struct SrJob *job = SR_CONTAINER(entry, struct SrJob, queued);
+    SrJobRun_OnDecision(job, decision);
+}
+
+/* Starts allowed in this pass: a domain that has just come back takes on
+ * more with each second. */
+static unsigned
+allowed_starts(const struct SrJobs *jobs)
+{
+    int64_t age_ms = SrOs_MonotonicMs() - jobs->ramp_since_ms;
+    if (jobs->ramp_since_ms == 0 || age_ms >= RAMP_MS) {
+        return UINT32_MAX;
+    }
+    return (unsigned)(RAMP_STARTS << (age_ms / SR_MS_PER_SECOND));
+}
+
+static void
+report_status(struct SrJobs *jobs)
+{
+    const struct SrPlacer *placer = jobs->placer;
+    struct SrPlacerStatus status;
+    SrPlacer_GetStatus(placer, &status);
+    Sr__Heartbeat *heartbeat = SrBus_Heartbeat(jobs->bus);
+    heartbeat->free_cell_level = status.free_level;
+    heartbeat->free_accelerators = status.free_accelerators;
+    struct SrMetrics *metrics = jobs->kernel->metrics;
+    SrMetrics_Set(metrics, "sr_accelerators", NULL, NULL, status.accelerators);
+    SrMetrics_Set(metrics, "sr_accelerators_free", NULL, NULL,
+                  status.free_accelerators);
+    SrMetrics_Set(metrics, "sr_queue_length", NULL, NULL,
+                  SrQueue_Length(jobs->queue));
+    SrMetrics_Set(metrics, "sr_guarantee_unmet_accelerators", NULL, NULL,
+                  SrPlacer_Unmet(placer));
+}
+
+static void
+on_pass(void *context)
+{
+    struct SrJobs *jobs = context;
+    jobs->pass_planned = false;
+    if (!jobs->loaded || !SrLeadership_MayStart(jobs->leadership) ||
+        !SrJobs_IsDomainIn(jobs)) {
+        return;
+    }
+    int64_t started_us = SrOs_MonotonicUs();
+    SrQueue_Pass(jobs->queue, SrOs_UnixMs(), allowed_starts(jobs), on_decided,
+                 jobs);
+    SrMetrics_Observe(jobs->kernel->metrics, "sr_pass_seconds", "class", "all",
+                      (uint64_t)(SrOs_MonotonicUs() - started_us));
+    report_status(jobs);
+}
+
+void
+SrJobs_PlanPass(struct SrJobs *jobs)
+{
+    if (!jobs->pass_planned) {
+        jobs->pass_planned = true;
+        SrTimer_Start(&jobs->pass, jobs->kernel, 0, 0, on_pass, jobs);
+    }
+}
+
+void
+SrJobs_Enqueue(struct SrJob *job)
+{
+    job->phase = SR_JOB_WAITING;
+    SrQueue_Add(job->owner->queue, &job->queued, job->record->account);
+    SrJobs_PlanPass(job->owner);
+}
+
+static void
+forget_oldest(struct SrJobs *jobs)
+{
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        if (jobs->ended_count <= SR_JOBS_ENDED_MAX) {
+            return;
+        }
+        if (job->phase == SR_JOB_OVER && !job->row.queued) {
+            SrJobs_Remove(job);
+        }
+    }
+}
+
+void
+SrJobs_End(struct SrJob *job, Sr__JobState state, const char *reason)
+{
+    struct SrJobs *jobs = job->owner;
+    Sr__Job *record = job->record;
+    record->state = state;
+    record->ended_unix_ms = (uint64_t)SrOs_UnixMs();
+    SrUtil_SetText(&record->reason, reason);
+    job->phase = SR_JOB_OVER;
+    jobs->ended_count++;
+    SrTimer_Stop(&job->timer);
+    SrQueue_Remove(jobs->queue, &job->queued);
+    SrMetrics_Count(jobs->kernel->metrics, "sr_jobs_ended_total", "state",
+                    SrJobSpec_StateName(state), 1);
+    SrMetrics_Observe(
+        jobs->kernel->metrics, "sr_job_completion_seconds", "account",
+        record->account,
+        (uint64_t)(record->ended_unix_ms - record->submitted_unix_ms) * 1000);
+    SR_INFO("jobs", "ended", "job=%s state=%s reason=%s", record->id,
+            SrJobSpec_StateName(state), reason);
+    SrJobs_Save(job);
+}
+
+static void
+on_row_done(void *context, struct SrJobRow *row, enum SrJobSave result)
+{
+    (void)context;
+    struct SrJob *job = SR_CONTAINER(row, struct SrJob, row);
+    if (job->phase == SR_JOB_ACCEPTING) {
+        SrJobApi_OnSaved(job, result);
+        return;
+    }
+    if (result == SR_JOB_ROW_CHANGED) {
+        /* Only another leader writes this row. */
+        SR_WARN("jobs", "row-changed", "job=%s", job->record->id);
+        SrLeadership_Refresh(job->owner->leadership);
+        return;
+    }
+    if (result != SR_JOB_SAVED || row->generation != row->saved) {
+        return;
+    }
+    SrJobApi_OnAllSaved(job);
+    if (job->phase == SR_JOB_LEAVING) {
+        SrJobMove_OnSaved(job);
+        return;
+    }
+    SrJobRun_OnSaved(job);
+}
+
+/* Members of a job that an earlier leader placed. */
+static void
+prepare_adoption(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    job->phase = SR_JOB_ADOPTING;
+    for (size_t i = 0; i < record->n_placements; i++) {
+        SrGang_AddMember(&job->gang, record->placements[i]->worker);
+    }
+}
+
+static void
+take_row(struct SrJobs *jobs, const SrPlatform__TableRow *row)
+{
+    Sr__Job *record =
+        SrCodec_Unpack(&sr__job__descriptor, row->value.data, row->value.len);
+    if (record == NULL || record->spec == NULL) {
+        SR_ERROR("jobs", "bad-row", "key=%s", row->key);
+        SrCodec_Free(record);
+        return;
+    }
+    if (strcmp(record->domain, jobs->kernel->settings->domain) != 0 ||
+        SrJobs_Find(jobs, record->id) != NULL) {
+        SrCodec_Free(record);
+        return;
+    }
+    struct SrJob *job = SrJobs_Add(jobs, record, row->version);
+    if (record->state == SR__JOB_STATE__JOB_PLACED) {
+        prepare_adoption(job);
+    }
+    else if (record->cancel_requested) {
+        SrJobs_End(job, SR__JOB_STATE__JOB_CANCELLED, "cancelled");
+    }
+    else {
+        SrJobs_Enqueue(job);
+    }
+}
+
+static void
+on_loaded(struct SrJobs *jobs, bool first)
+{
+    if (!first) {
+        return;
+    }
+    jobs->loaded = true;
+    jobs->loaded_ms = SrOs_MonotonicMs();
+    SR_INFO("jobs", "loaded", "count=%lu", (unsigned long)jobs->by_id.count);
+    SrWorkers_Resync(jobs->workers);
+    SrJobs_PlanPass(jobs);
+}
+
+static void
+on_page(void *context, const struct SrStoreRows *rows)
+{
+    struct Load *load = context;
+    struct SrJobs *jobs = load->jobs;
+    uint64_t round = load->round;
+    bool first = load->first;
+    free(load);
+    if (round != jobs->load_round || !jobs->leading) {
+        return;
+    }
+    if (rows->error != SR_STORE_OK) {
+        /* The tick tries again. */
+        jobs->load_round++;
+        return;
+    }
+    for (size_t i = 0; i < rows->count; i++) {
+        take_row(jobs, rows->rows[i]);
+    }
+    if (rows->more && rows->count > 0) {
+        load_page(jobs, round, first, rows->rows[rows->count - 1]->key);
+        return;
+    }
+    on_loaded(jobs, first);
+}
+
+static void
+load_page(struct SrJobs *jobs, uint64_t round, bool first, const char *after)
+{
+    struct Load *load = SrUtil_Calloc(1, sizeof(*load));
+    *load = (struct Load){.jobs = jobs, .round = round, .first = first};
+    SrStore_Scan(jobs->store, "job/", after, LOAD_PAGE_ROWS, on_page, load);
+}
+
+static void
+start_load(struct SrJobs *jobs)
+{
+    jobs->load_round++;
+    jobs->loaded_ms = SrOs_MonotonicMs();
+    load_page(jobs, jobs->load_round, !jobs->loaded, "");
+}
+
+static bool
+is_usable(const struct SrJobs *jobs, const char *worker)
+{
+    const char *state = SrWorkers_State(jobs->workers, worker);
+    return state != NULL && strcmp(state, "live") == 0 &&
+           !SrHealth_IsQuarantined(jobs->health, worker, SrOs_MonotonicMs());
+}
+
+static void
+add_workers(struct SrJobs *jobs)
+{
+    for (size_t i = 0; i < jobs->vms->n_vms; i++) {
+        const SrPlatform__Vm *vm = jobs->vms->vms[i];
+        if (vm->kind != SR_PLATFORM__VM_KIND__VM_WORKER) {
+            continue;
+        }
+        struct SrPlacerWorker worker = {
+            .id = vm->id,
+            .rack = vm->rack,
+            .accelerators = vm->accelerators,
+            .cores = vm->cores,
+            .memory_mb = vm->memory_mb,
+            .usable = is_usable(jobs, vm->id),
+        };
+        SrPlacer_SetWorker(jobs->placer, &worker);
+    }
+}
+
+static void
+drop_all(struct SrJobs *jobs)
+{
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        SrJobs_Remove(SR_CONTAINER(link, struct SrJob, link));
+    }
+    SrQueue_Destroy(jobs->queue);
+    SrPlacer_Destroy(jobs->placer);
+    jobs->placer = SrPlacer_Create(&placer_policy);
+    jobs->queue = SrQueue_Create(&queue_policy, jobs->placer);
+    jobs->loaded = false;
+    jobs->load_round++;
+    if (jobs->vms != NULL) {
+        add_workers(jobs);
+    }
+}
+
+/* Cells of each level that the account is guaranteed in this domain. */
+static void
+count_cells(const struct SrJobs *jobs, const Sr__Account *account,
+            unsigned cells[SR_CELLS_LEVELS])
+{
+    memset(cells, 0, SR_CELLS_LEVELS * sizeof(cells[0]));
+    for (size_t i = 0; account != NULL && i < account->n_guarantees; i++) {
+        const Sr__Guarantee *guarantee = account->guarantees[i];
+        if (strcmp(guarantee->domain, jobs->kernel->settings->domain) == 0) {
+            cells[SrCells_Level(guarantee->accelerators)] += guarantee->cells;
+        }
+    }
+}
+
+static void
+take_guarantees(struct SrJobs *jobs, const Sr__Account *account)
+{
+    unsigned cells[SR_CELLS_LEVELS];
+    count_cells(jobs, account, cells);
+    SrPlacer_SetGuarantee(jobs->placer, account->name, cells, true);
+    SrQueue_SetWeight(jobs->queue, account->name, account->weight);
+}
+
+bool
+SrJobs_CheckGuarantee(struct SrJobs *jobs, const Sr__Account *account,
+                      char *text, size_t size)
+{
+    unsigned wanted[SR_CELLS_LEVELS];
+    unsigned present[SR_CELLS_LEVELS];
+    count_cells(jobs, account, wanted);
+    count_cells(
+        jobs, SrConfig_FindAccount(SrConfig_Get(jobs->config), account->name),
+        present);
+    enum SrPlacerError error =
+        SrPlacer_SetGuarantee(jobs->placer, account->name, wanted, false);
+    SrPlacer_SetGuarantee(jobs->placer, account->name, present, true);
+    if (error != SR_PLACER_OK) {
+        snprintf(text, size, "failure domain %s: %s",
+                 jobs->kernel->settings->domain, SrPlacer_ErrorText(error));
+    }
+    return error == SR_PLACER_OK;
+}
+
+static void
+take_config(struct SrJobs *jobs)
+{
+    const Sr__Config *config = SrConfig_Get(jobs->config);
+    for (size_t i = 0; config != NULL && i < config->n_accounts; i++) {
+        take_guarantees(jobs, config->accounts[i]);
+    }
+    bool in = SrJobs_IsDomainIn(jobs);
+    if (in && jobs->was_out) {
+        jobs->ramp_since_ms = SrOs_MonotonicMs();
+    }
+    jobs->was_out = !in;
+    if (!in) {
+        SrJobMove_LeaveDomain(jobs);
+        return;
+    }
+    SrJobs_PlanPass(jobs);
+}
+
+static void
+take_vms(struct SrJobs *jobs, const SrPlatform__VmListReply *list)
+{
+    SrCodec_Free(jobs->vms);
+    jobs->vms = SrCodec_Clone(list);
+    add_workers(jobs);
+    take_config(jobs);
+}
+
+static void
+set_usable(struct SrJobs *jobs, const char *worker)
+{
+    SrPlacer_SetUsable(jobs->placer, worker, is_usable(jobs, worker));
+    SrJobs_PlanPass(jobs);
+}
+
+static void
+take_leadership(struct SrJobs *jobs, bool leading)
+{
+    drop_all(jobs);
+    jobs->leading = leading;
+    if (leading) {
+        start_load(jobs);
+    }
+}
+
+static void
+on_tick(void *context)
+{
+    struct SrJobs *jobs = context;
+    if (!jobs->leading) {
+        return;
+    }
+    int64_t age_ms = SrOs_MonotonicMs() - jobs->loaded_ms;
+    if (SrStore_IsReachable(jobs->store) &&
+        age_ms > (jobs->loaded ? RESCAN_MS : LOAD_RETRY_MS)) {
+        start_load(jobs);
+    }
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        SrJobRun_Tick(job);
+        SrJobApi_Tick(job, SrOs_MonotonicMs());
+    }
+    forget_oldest(jobs);
+    if (!SrJobs_IsDomainIn(jobs)) {
+        SrJobMove_LeaveDomain(jobs);
+    }
+    if (jobs->vms != NULL) {
+        add_workers(jobs);
+    }
+    SrJobStore_Flush(jobs->rows);
+    SrJobs_PlanPass(jobs);
+}
+
+static void
+handle(void *self, const struct SrMessage *message)
+{
+    struct SrJobs *jobs = self;
+    switch (message->kind) {
+    case SR_MESSAGE_LEADERSHIP:
+        take_leadership(jobs, message->u.leadership.leading);
+        break;
+    case SR_MESSAGE_CONFIG:
+        take_config(jobs);
+        break;
+    case SR_MESSAGE_VMS:
+        take_vms(jobs, message->u.vms);
+        break;
+    case SR_MESSAGE_LEASES:
+        set_usable(jobs, message->u.leases.worker);
+        SrJobRun_OnLeases(jobs, message);
+        break;
+    case SR_MESSAGE_WORKER:
+        set_usable(jobs, message->u.worker.worker);
+        SrJobRun_OnWorker(jobs, message->u.worker.worker,
+                          message->u.worker.silent);
+        break;
+    case SR_MESSAGE_ENVELOPE:
+        if (message->u.envelope->body_case == SR__ENVELOPE__BODY_CALL) {
+            SrJobApi_Take(jobs, message->u.envelope);
+        }
+        break;
+    case SR_MESSAGE_STOP:
+        break;
+    }
+}
+
+struct SrJobs *
+SrJobs_Create(struct SrKernel *kernel)
+{
+    struct SrJobs *jobs = SrUtil_Calloc(1, sizeof(*jobs));
+    jobs->kernel = kernel;
+    jobs->bus = SrKernel_Find(kernel, SR_BUS_SERVICE);
+    jobs->config = SrKernel_Find(kernel, SR_CONFIG_SERVICE);
+    jobs->store = SrKernel_Find(kernel, SR_STORE_SERVICE);
+    jobs->leadership = SrKernel_Find(kernel, SR_LEADERSHIP_SERVICE);
+    jobs->workers = SrKernel_Find(kernel, SR_WORKERS_SERVICE);
+    jobs->rows = SrJobStore_Create(kernel, on_row_done, jobs);
+    jobs->placer = SrPlacer_Create(&placer_policy);
+    jobs->queue = SrQueue_Create(&queue_policy, jobs->placer);
+    jobs->health = SrHealth_Create(kernel->settings->quarantine_ms);
+    SrMap_Init(&jobs->by_id);
+    SrMap_Init(&jobs->by_key);
+    SrList_Init(&jobs->all);
+    jobs->service = (struct SrService){
+        .name = SR_JOBS_SERVICE,
+        .self = jobs,
+        .handle = handle,
+    };
+    SrKernel_Register(kernel, &jobs->service);
+    SrTimer_Start(&jobs->tick, kernel, TICK_MS, TICK_MS, on_tick, jobs);
+    return jobs;
+}
+
+void
+SrJobs_Destroy(struct SrJobs *jobs)
+{
+    if (jobs == NULL) {
+        return;
+    }
+    SrKernel_Unregister(&jobs->service);
+    SrTimer_Stop(&jobs->tick);
+    SrTimer_Stop(&jobs->pass);
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        SrJobs_Remove(SR_CONTAINER(link, struct SrJob, link));
+    }
+    SrMap_Clear(&jobs->by_id);
+    SrMap_Clear(&jobs->by_key);
+    SrJobStore_Destroy(jobs->rows);
+    SrQueue_Destroy(jobs->queue);
+    SrPlacer_Destroy(jobs->placer);
+    SrHealth_Destroy(jobs->health);
+    SrCodec_Free(jobs->vms);
+    free(jobs);
+}
--- /dev/null
+++ b/src/leadership.c
@@ -0,0 +1,613 @@
+#include "leadership.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "log.h"
+#include "os.h"
+
+/* Parts by which clocks of two VMs may differ in rate, and a promise must
+ * outlast the lease that it backs. */
+#define PROMISE_PERCENT 110
+#define KEY_SIZE (SR_ID_SIZE + 16)
+
+struct SrLeadership {
+    struct SrKernel *kernel;
+    struct SrService service;
+    struct SrBus *bus;
+    struct SrStore *store;
+    struct SrConfig *config;
+    struct SrElection election;
+    struct SrTimer timer;
+    char leader_key[KEY_SIZE];
+    char term_key[KEY_SIZE];
+    uint64_t leader_version;
+    uint64_t term_version;
+    uint64_t config_version;
+    uint64_t renewals;
+    bool busy;
+    int64_t sent_ms;
+    int64_t config_lease_until_ms;
+    int64_t promised_until_ms;
+    /* From here on no earlier leader's config lease can run. */
+    int64_t alone_from_ms;
+    /* Round of requests for a config lease from the other schedulers. */
+    unsigned round;
+    unsigned granted;
+    unsigned asked;
+    int64_t round_sent_ms;
+};
+
+static void refresh(struct SrLeadership *leadership);
+
+const struct SrElection *
+SrLeadership_Election(const struct SrLeadership *leadership)
+{
+    return &leadership->election;
+}
+
+bool
+SrLeadership_MayStart(const struct SrLeadership *leadership)
+{
+    return leadership->election.leading &&
+           SrOs_MonotonicMs() < leadership->config_lease_until_ms;
+}
+
+int64_t
+SrLeadership_PromisedMs(const struct SrLeadership *leadership)
+{
+    int64_t left_ms = leadership->promised_until_ms - SrOs_MonotonicMs();
+    return left_ms > 0 ? left_ms : 0;
+}
+
+const char *
+SrLeadership_TermKey(const struct SrLeadership *leadership)
+{
+    return leadership->term_key;
+}
+
+uint64_t
+SrLeadership_TermVersion(const struct SrLeadership *leadership)
+{
+    return leadership->term_version;
+}
+
+uint64_t
+SrLeadership_ConfigRow(const struct SrLeadership *leadership)
+{
+    return leadership->config_version;
+}
+
+void
+SrLeadership_OnConfigRow(struct SrLeadership *leadership, uint64_t version)
+{
+    if (version > leadership->config_version) {
+        leadership->config_version = version;
+    }
+}
+
+static void
+update_confirmed(struct SrLeadership *leadership)
+{
+    bool alone = leadership->election.leading &&
+                 SrOs_MonotonicMs() >= leadership->alone_from_ms;
+    SrBus_Heartbeat(leadership->bus)->confirmed_version =
+        alone ? SrConfig_Version(leadership->config) : 0;
+}
+
+static void
+publish(struct SrLeadership *leadership)
+{
+    const struct SrElection *election = &leadership->election;
+    Sr__Heartbeat *heartbeat = SrBus_Heartbeat(leadership->bus);
+    heartbeat->leading = election->leading;
+    heartbeat->term = election->term;
+    heartbeat->succession = election->succession;
+    SR_INFO("leadership", election->leading ? "elected" : "stepped-down",
+            "term=%llu succession=%llu", (unsigned long long)election->term,
+            (unsigned long long)election->succession);
+    struct SrMessage message = {
+        .kind = SR_MESSAGE_LEADERSHIP,
+        .u.leadership =
+            {
+                .leading = election->leading,
+                .term = election->term,
+                .succession = election->succession,
+            },
+    };
+    SrKernel_Publish(leadership->kernel, &message);
+    SrMetrics_Set(leadership->kernel->metrics, "sr_leading", NULL, NULL,
+                  election->leading);
+    SrBus_Announce(leadership->bus);
+}
+
+static void
+step_down(struct SrLeadership *leadership, uint64_t term, uint64_t succession)
+{
+    bool led = leadership->election.leading;
+    SrElection_StepDown(&leadership->election, term, succession,
+                        SrOs_MonotonicMs());
+    leadership->config_lease_until_ms = 0;
+    if (led) {
+        publish(leadership);
+    }
+}
+
+void
+SrLeadership_OnFence(struct SrLeadership *leadership, uint64_t term,
+                     uint64_t succession)
+{
+    step_down(leadership, term, succession);
+}
+
+static void
+grant_lease(struct SrLeadership *leadership, int64_t sent_ms)
+{
+    int64_t until_ms = sent_ms + leadership->kernel->settings->config_lease_ms;
+    if (until_ms > leadership->config_lease_until_ms) {
+        leadership->config_lease_until_ms = until_ms;
+    }
+}
+
+static void
+elect(struct SrLeadership *leadership, uint64_t term, uint64_t succession)
+{
+    const struct SrSettings *settings = leadership->kernel->settings;
+    SrElection_OnElected(&leadership->election, term, succession);
+    leadership->alone_from_ms = 0;
+    if (term > 1) {
+        /* Promises of an earlier life of this process may still bind, and the
+         * earlier leader's config lease may still run. */
+        int64_t until_ms = SrOs_MonotonicMs() + settings->config_lease_ms;
+        leadership->alone_from_ms = until_ms;
+        if (until_ms > leadership->promised_until_ms) {
+            leadership->promised_until_ms = until_ms;
+        }
+    }
+    update_confirmed(leadership);
+    publish(leadership);
+}
+
+static const SrPlatform__TableRow *
+find_row(const struct SrStoreRows *rows, const char *key)
+{
+    for (size_t i = 0; i < rows->count; i++) {
+        if (strcmp(rows->rows[i]->key, key) == 0) {
+            return rows->rows[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+take_config_row(struct SrLeadership *leadership,
+                const SrPlatform__TableRow *row)
+{
+    if (row == NULL || row->version <= leadership->config_version) {
+        return;
+    }
+    Sr__Config *config = SrCodec_Unpack(&sr__config__descriptor,
+                                        row->value.data, row->value.len);
+    if (config == NULL) {
+        SR_ERROR("leadership", "bad-config-row", "version=%llu",
+                 (unsigned long long)row->version);
+        return;
+    }
+    leadership->config_version = row->version;
+    if (SrConfig_Apply(leadership->config, config)) {
+        SrConfig_Push(leadership->config);
+    }
+    SrCodec_Free(config);
+}
+
+static void
+take_term_row(struct SrLeadership *leadership,
+              const SrPlatform__TableRow *leader,
+              const SrPlatform__TableRow *term_row)
+{
+    uint64_t term = 0;
+    if (term_row != NULL) {
+        Sr__TermRow *row =
+            SrCodec_Unpack(&sr__term_row__descriptor, term_row->value.data,
+                           term_row->value.len);
+        if (row != NULL) {
+            term = row->term;
+        }
+        SrCodec_Free(row);
+    }
+    struct SrElection *election = &leadership->election;
+    bool replaced = election->leading && election->succession == 0 &&
+                    term_row != NULL &&
+                    term_row->version != leadership->term_version;
+    leadership->leader_version = leader != NULL ? leader->version : 0;
+    leadership->term_version = term_row != NULL ? term_row->version : 0;
+    if (replaced || (election->leading && term > election->term)) {
+        step_down(leadership, term, 0);
+    }
+    SrElection_OnRow(election, leadership->leader_version, term,
+                     SrOs_MonotonicMs());
+}
+
+static void
+commit_rows(struct SrLeadership *leadership, uint64_t term, bool claim,
+            SrStore_CommitDone *done)
+{
+    Sr__LeaderRow leader_row = SR__LEADER_ROW__INIT;
+    Sr__TermRow term_row = SR__TERM_ROW__INIT;
+    leader_row.holder = leadership->kernel->settings->name;
+    leader_row.term = term;
+    leader_row.config_version = SrConfig_Version(leadership->config);
+    leader_row.renewals = ++leadership->renewals;
+    term_row.holder = leadership->kernel->settings->name;
+    term_row.term = term;
+    SrPlatform__TablePut put_leader = SR_PLATFORM__TABLE_PUT__INIT;
+    SrPlatform__TablePut put_term = SR_PLATFORM__TABLE_PUT__INIT;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *leader_data = SrCodec_Pack(&leader_row, &put_leader.value.len);
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *term_data = SrCodec_Pack(&term_row, &put_term.value.len);
+    put_leader.key = leadership->leader_key;
+    put_leader.value.data = leader_data;
+    put_term.key = leadership->term_key;
+    put_term.value.data = term_data;
+    SrPlatform__TableCondition same_leader =
+        SR_PLATFORM__TABLE_CONDITION__INIT;
+    SrPlatform__TableCondition same_term = SR_PLATFORM__TABLE_CONDITION__INIT;
+    SrPlatform__TableCondition same_config =
+        SR_PLATFORM__TABLE_CONDITION__INIT;
+    same_leader.key = leadership->leader_key;
+    same_leader.version = leadership->leader_version;
+    same_term.key = leadership->term_key;
+    same_term.version = leadership->term_version;
+    same_config.key = SR_CONFIG_KEY;
+    same_config.version = leadership->config_version;
+    SrPlatform__TableCondition *conditions[] = {&same_leader, &same_term,
+                                                &same_config};
+    SrPlatform__TablePut *puts[] = {&put_leader, &put_term};
+    SrPlatform__TableCommitRequest request =
+        SR_PLATFORM__TABLE_COMMIT_REQUEST__INIT;
+    request.conditions = conditions;
+    request.n_conditions = SR_LENGTH(conditions);
+    request.puts = puts;
+    request.n_puts = claim ? 2 : 1;
+    leadership->busy = true;
+    leadership->sent_ms = SrOs_MonotonicMs();
+    SrStore_Commit(leadership->store, SR_STORE_FIRST, &request, done,
+                   leadership);
+}
+
+static void
+on_claimed(void *context, const struct SrStoreCommit *commit)
+{
+    struct SrLeadership *leadership = context;
+    leadership->busy = false;
+    if (commit->error != SR_STORE_OK) {
+        return;
+    }
+    leadership->leader_version = commit->version;
+    leadership->term_version = commit->version;
+    SrElection_OnRow(&leadership->election, commit->version, 0,
+                     SrOs_MonotonicMs());
+    grant_lease(leadership, leadership->sent_ms);
+    elect(leadership, leadership->election.term + 1, 0);
+}
+
+static void
+on_renewed(void *context, const struct SrStoreCommit *commit)
+{
+    struct SrLeadership *leadership = context;
+    leadership->busy = false;
+    if (commit->error == SR_STORE_OK) {
+        leadership->leader_version = commit->version;
+        SrElection_OnRow(&leadership->election, commit->version, 0,
+                         SrOs_MonotonicMs());
+        grant_lease(leadership, leadership->sent_ms);
+    }
+    else if (commit->error == SR_STORE_CONFLICT) {
+        refresh(leadership);
+    }
+}
+
+static void
+renew(struct SrLeadership *leadership)
+{
+    commit_rows(leadership, leadership->election.term, false, on_renewed);
+}
+
+static void
+claim(struct SrLeadership *leadership)
+{
+    SR_INFO("leadership", "claiming", "term=%llu",
+            (unsigned long long)leadership->election.term + 1);
+    commit_rows(leadership, leadership->election.term + 1, true, on_claimed);
+}
+
+static void
+act(struct SrLeadership *leadership)
+{
+    struct SrElection *election = &leadership->election;
+    switch (SrElection_Next(election, SrOs_MonotonicMs())) {
+    case SR_ELECTION_WAIT:
+        break;
+    case SR_ELECTION_CLAIM:
+        claim(leadership);
+        break;
+    case SR_ELECTION_SUCCEED:
+        elect(leadership, election->term, election->succession + 1);
+        break;
+    }
+}
+
+static void
+on_rows(void *context, const struct SrStoreRows *rows)
+{
+    struct SrLeadership *leadership = context;
+    leadership->busy = false;
+    if (rows->error != SR_STORE_OK) {
+        act(leadership);
+        return;
+    }
+    take_config_row(leadership, find_row(rows, SR_CONFIG_KEY));
+    take_term_row(leadership, find_row(rows, leadership->leader_key),
+                  find_row(rows, leadership->term_key));
+    if (leadership->kernel->stopping) {
+        return;
+    }
+    const struct SrElection *election = &leadership->election;
+    if (election->leading && election->succession == 0) {
+        renew(leadership);
+        return;
+    }
+    if (election->leading) {
+        /* The store is back: turn the succession into a term. */
+        claim(leadership);
+        return;
+    }
+    act(leadership);
+}
+
+static void
+refresh(struct SrLeadership *leadership)
+{
+    const char *keys[] = {SR_CONFIG_KEY, leadership->leader_key,
+                          leadership->term_key};
+    if (leadership->busy) {
+        return;
+    }
+    leadership->busy = true;
+    SrStore_Read(leadership->store, SR_STORE_FIRST, keys, SR_LENGTH(keys),
+                 on_rows, leadership);
+}
+
+void
+SrLeadership_Refresh(struct SrLeadership *leadership)
+{
+    refresh(leadership);
+}
+
+struct LeaseAsk {
+    struct SrLeadership *leadership;
+    unsigned round;
+};
+
+static void
+on_lease_answer(void *context, const Sr__Envelope *reply)
+{
+    struct LeaseAsk *ask = context;
+    struct SrLeadership *leadership = ask->leadership;
+    bool granted = reply != NULL &&
+                   reply->body_case == SR__ENVELOPE__BODY_LEASE_REPLY &&
+                   reply->lease_reply->granted;
+    if (granted && ask->round == leadership->round) {
+        leadership->granted++;
+        if (leadership->granted == leadership->asked) {
+            grant_lease(leadership, leadership->round_sent_ms);
+        }
+    }
+    free(ask);
+}
+
+/* Asks every other scheduler, leading or not, since any of them may come to
+ * lead and commit a change. */
+static void
+ask_peers(struct SrLeadership *leadership)
+{
+    Sr__ConfigLeaseRequest request = SR__CONFIG_LEASE_REQUEST__INIT;
+    request.version = SrConfig_Version(leadership->config);
+    request.lease_ms = (uint32_t)leadership->kernel->settings->config_lease_ms;
+    leadership->round++;
+    leadership->granted = 0;
+    leadership->asked = 0;
+    leadership->round_sent_ms = SrOs_MonotonicMs();
+    SR_LIST_EACH(link, &SrBus_Membership(leadership->bus)->peers)
+    {
+        struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        if (peer->role != SR__ROLE__ROLE_SCHEDULER) {
+            continue;
+        }
+        Sr__Envelope envelope = SR__ENVELOPE__INIT;
+        envelope.body_case = SR__ENVELOPE__BODY_LEASE_REQUEST;
+        envelope.lease_request = &request;
+        struct LeaseAsk *ask = SrUtil_Calloc(1, sizeof(*ask));
+        ask->leadership = leadership;
+        ask->round = leadership->round;
+        leadership->asked++;
+        if (SrBus_Request(leadership->bus, peer->name, &envelope,
+                          leadership->kernel->settings->term_renew_ms,
+                          on_lease_answer, ask) != SR_BUS_OK) {
+            free(ask);
+        }
+    }
+}
+
+static void
+answer_lease(struct SrLeadership *leadership, const Sr__Envelope *envelope)
+{
+    const Sr__ConfigLeaseRequest *request = envelope->lease_request;
+    Sr__ConfigLeaseReply reply = SR__CONFIG_LEASE_REPLY__INIT;
+    Sr__Envelope answer = SR__ENVELOPE__INIT;
+    reply.version = SrConfig_Version(leadership->config);
+    reply.granted = request->version == reply.version;
+    if (reply.granted) {
+        int64_t until_ms = SrOs_MonotonicMs() +
+                           (int64_t)request->lease_ms * PROMISE_PERCENT / 100;
+        if (until_ms > leadership->promised_until_ms) {
+            leadership->promised_until_ms = until_ms;
+        }
+    }
+    answer.body_case = SR__ENVELOPE__BODY_LEASE_REPLY;
+    answer.lease_reply = &reply;
+    SrBus_Reply(leadership->bus, envelope, &answer);
+}
+
+static void
+on_timer(void *context)
+{
+    struct SrLeadership *leadership = context;
+    struct SrElection *election = &leadership->election;
+    bool reachable = SrStore_IsReachable(leadership->store);
+    update_confirmed(leadership);
+    if (leadership->kernel->stopping) {
+        return;
+    }
+    if (election->leading && !reachable) {
+        ask_peers(leadership);
+    }
+    if (leadership->busy) {
+        if (!reachable && !election->leading) {
+            act(leadership);
+        }
+        return;
+    }
+    if (election->leading && election->succession == 0 && reachable) {
+        renew(leadership);
+        return;
+    }
+    refresh(leadership);
+}
+
+static void
+take_heartbeat(struct SrLeadership *leadership, const Sr__Envelope *envelope)
+{
+    const Sr__Heartbeat *heartbeat = envelope->heartbeat;
+    if (!heartbeat->leading || heartbeat->role != SR__ROLE__ROLE_SCHEDULER ||
+        strcmp(heartbeat->domain, leadership->kernel->settings->domain) != 0) {
+        return;
+    }
+    if (SrElection_OnLeader(&leadership->election, heartbeat->term,
+                            heartbeat->succession, SrOs_MonotonicMs())) {
+        leadership->config_lease_until_ms = 0;
+        publish(leadership);
+    }
+}
+
+static void
+on_resigned(void *context, const struct SrStoreCommit *commit)
+{
+    (void)context;
+    SR_INFO("leadership", "resigned", "error=%s",
+            SrStore_ErrorText(commit->error));
+}
+
+/* Deletes the leader's row, so that a standby need not wait for its end. */
+static void
+resign(struct SrLeadership *leadership)
+{
+    if (!leadership->election.leading || leadership->election.succession > 0) {
+        return;
+    }
+    SrPlatform__TableCommitRequest request =
+        SR_PLATFORM__TABLE_COMMIT_REQUEST__INIT;
+    SrPlatform__TableCondition same = SR_PLATFORM__TABLE_CONDITION__INIT;
+    SrPlatform__TableCondition *conditions[] = {&same};
+    char *deletes[] = {leadership->leader_key};
+    same.key = leadership->leader_key;
+    same.version = leadership->leader_version;
+    request.conditions = conditions;
+    request.n_conditions = 1;
+    request.deletes = deletes;
+    request.n_deletes = 1;
+    uint64_t term = leadership->election.term;
+    step_down(leadership, term, 0);
+    SrStore_Commit(leadership->store, SR_STORE_FIRST, &request, on_resigned,
+                   leadership);
+}
+
+static void
+handle(void *self, const struct SrMessage *message)
+{
+    struct SrLeadership *leadership = self;
+    if (message->kind == SR_MESSAGE_CONFIG) {
+        update_confirmed(leadership);
+    }
+    if (message->kind == SR_MESSAGE_STOP) {
+        resign(leadership);
+    }
+    if (message->kind != SR_MESSAGE_ENVELOPE) {
+        return;
+    }
+    switch (message->u.envelope->body_case) {
+    case SR__ENVELOPE__BODY_HEARTBEAT:
+        take_heartbeat(leadership, message->u.envelope);
+        break;
+    case SR__ENVELOPE__BODY_LEASE_REQUEST:
+        answer_lease(leadership, message->u.envelope);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Schedulers of the domain whose names sort before this one's. */
+static unsigned
+rank_of(struct SrBus *bus, const struct SrSettings *settings)
+{
+    unsigned rank = 0;
+    SR_LIST_EACH(link, &SrBus_Membership(bus)->peers)
+    {
+        struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
+        if (peer->role == SR__ROLE__ROLE_SCHEDULER &&
+            strcmp(peer->domain, settings->domain) == 0 &&
+            strcmp(peer->name, settings->name) < 0) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+struct SrLeadership *
+SrLeadership_Create(struct SrKernel *kernel)
+{
+    const struct SrSettings *settings = kernel->settings;
+    struct SrLeadership *leadership = SrUtil_Calloc(1, sizeof(*leadership));
+    leadership->kernel = kernel;
+    leadership->bus = SrKernel_Find(kernel, SR_BUS_SERVICE);
+    leadership->store = SrKernel_Find(kernel, SR_STORE_SERVICE);
+    leadership->config = SrKernel_Find(kernel, SR_CONFIG_SERVICE);
+    snprintf(leadership->leader_key, KEY_SIZE, "leader/%s", settings->domain);
+    snprintf(leadership->term_key, KEY_SIZE, "term/%s", settings->domain);
+    SrElection_Init(&leadership->election, settings->term_ttl_ms,
+                    rank_of(leadership->bus, settings), SrOs_MonotonicMs());
+    leadership->service = (struct SrService){
+        .name = SR_LEADERSHIP_SERVICE,
+        .self = leadership,
+        .handle = handle,
+    };
+    SrKernel_Register(kernel, &leadership->service);
+    SrTimer_Start(&leadership->timer, kernel, 0, settings->term_renew_ms,
+                  on_timer, leadership);
+    return leadership;
+}
+
+void
+SrLeadership_Destroy(struct SrLeadership *leadership)
+{
+    if (leadership == NULL) {
+        return;
+    }
+    SrKernel_Unregister(&leadership->service);
+    SrTimer_Stop(&leadership->timer);
+    free(leadership);
+}
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,197 @@
+#include "log.h"
+
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "util.h"
+
+#define LINE_SIZE 2048
+#define VALUE_SIZE 512
+
+static enum SrLogLevel lowest_level = SR_LOG_INFO;
+static char process_name[SR_ID_SIZE] = "-";
+static uint64_t dropped_lines;
+
+static const char *const level_names[] = {
+    [SR_LOG_DEBUG] = "debug",
+    [SR_LOG_INFO] = "info",
+    [SR_LOG_WARN] = "warn",
+    [SR_LOG_ERROR] = "error",
+};
+
+struct Line {
+    char text[LINE_SIZE];
+    size_t length;
+};
+
+static void
+put_char(struct Line *line, char c)
+{
+    if (line->length < LINE_SIZE - 1) {
+        line->text[line->length++] = c;
+    }
+}
+
+static void
+put_text(struct Line *line, const char *text)
+{
+    while (*text != '\0') {
+        put_char(line, *text++);
+    }
+}
+
+static bool
+needs_quotes(const char *value)
+{
+    if (*value == '\0') {
+        return true;
+    }
+    for (; *value != '\0'; value++) {
+        unsigned char c = (unsigned char)*value;
+        if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c >= 127) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+put_escaped(struct Line *line, const char *value)
+{
+    char code[8];
+    for (; *value != '\0'; value++) {
+        unsigned char c = (unsigned char)*value;
+        if (c == '"' || c == '\\') {
+            put_char(line, '\\');
+            put_char(line, (char)c);
+        }
+        else if (c < ' ' || c == 127) {
+            snprintf(code, sizeof(code), "\\x%02x", c);
+            put_text(line, code);
+        }
+        else {
+            put_char(line, (char)c);
+        }
+    }
+}
+
+static void
+put_value(struct Line *line, const char *value)
+{
+    if (!needs_quotes(value)) {
+        put_text(line, value);
+        return;
+    }
+    put_char(line, '"');
+    put_escaped(line, value);
+    put_char(line, '"');
+}
+
+/* Formats one conversion and returns the place behind it. */
+static const char *
+put_conversion(struct Line *line, const char *at, va_list *arguments)
+{
+    char value[VALUE_SIZE];
+    int longs = 0;
+    at++;
+    while (*at == 'l') {
+        longs++;
+        at++;
+    }
+    switch (*at) {
+    case 's':
+        SrUtil_Copy(value, sizeof(value), va_arg(*arguments, const char *));
+        break;
+    case 'd':
+        snprintf(value, sizeof(value), "%lld",
+                 longs == 0   ? (long long)va_arg(*arguments, int)
+                 : longs == 1 ? (long long)va_arg(*arguments, long)
+                              : va_arg(*arguments, long long));
+        break;
+    case 'u':
+        snprintf(value, sizeof(value), "%llu",
+                 longs == 0 ? (unsigned long long)va_arg(*arguments, unsigned)
+                 : longs == 1
+                     ? (unsigned long long)va_arg(*arguments, unsigned long)
+                     : va_arg(*arguments, unsigned long long));
+        break;
+    default:
+        SrUtil_Copy(value, sizeof(value), "?");
+        break;
+    }
+    put_value(line, value);
+    return *at != '\0' ? at + 1 : at;
+}
+
+static void
+put_time(struct Line *line)
+{
+    struct timespec now;
+    struct tm parts;
+    char text[48];
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &parts);
+    size_t length = strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+    snprintf(text + length, sizeof(text) - length, ".%03ldZ",
+             now.tv_nsec / 1000000);
+    put_text(line, text);
+}
+
+void
+SrLog_Start(enum SrLogLevel level, const char *process)
+{
+    struct stat status;
+    lowest_level = level;
+    SrUtil_Copy(process_name, sizeof(process_name), process);
+    if (fstat(STDERR_FILENO, &status) == 0 && S_ISFIFO(status.st_mode)) {
+        int flags = fcntl(STDERR_FILENO, F_GETFL);
+        fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+}
+
+uint64_t
+SrLog_Dropped(void)
+{
+    return dropped_lines;
+}
+
+void
+SrLog_Write(enum SrLogLevel level, const char *service, const char *event,
+            const char *format, ...)
+{
+    if (level < lowest_level) {
+        return;
+    }
+    struct Line line = {.length = 0};
+    put_time(&line);
+    put_text(&line, " level=");
+    put_text(&line, level_names[level]);
+    put_text(&line, " process=");
+    put_value(&line, process_name);
+    put_text(&line, " service=");
+    put_value(&line, service);
+    put_text(&line, " event=");
+    put_value(&line, event);
+    put_char(&line, ' ');
+    va_list arguments;
+    va_start(arguments, format);
+    while (*format != '\0') {
+        if (*format == '%') {
+            format = put_conversion(&line, format, &arguments);
+        }
+        else {
+            put_char(&line, *format++);
+        }
+    }
+    va_end(arguments);
+    line.text[line.length++] = '\n';
+    if (write(STDERR_FILENO, line.text, line.length) < 0) {
+        dropped_lines++;
+    }
+}
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,145 @@
+/* The one binary: two daemons and the operators' command line. */
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+#include "gate.h"
+#include "scheduler.h"
+#include "settings.h"
+#include "util.h"
+
+#define KEY_MARKDOWN 0x3000
+
+struct Daemon {
+    struct SrSettings settings;
+    bool markdown;
+};
+
+static error_t
+parse_option(int key, char *text, struct argp_state *state)
+{
+    struct Daemon *daemon = state->input;
+    if (key == KEY_MARKDOWN) {
+        daemon->markdown = true;
+        return 0;
+    }
+    switch (SrSettings_SetByKey(&daemon->settings, key, text, stderr)) {
+    case SR_SETTINGS_OK:
+        return 0;
+    case SR_SETTINGS_UNKNOWN_NAME:
+        return ARGP_ERR_UNKNOWN;
+    default:
+        exit(SR_EXIT_USAGE);
+    }
+}
+
+static struct argp_option *
+list_options(void)
+{
+    struct argp_option *options = SrSettings_Options();
+    size_t count = 0;
+    while (options[count].name != NULL) {
+        count++;
+    }
+    options = SrUtil_Realloc(options, (count + 2) * sizeof(*options));
+    memset(&options[count], 0, 2 * sizeof(*options));
+    options[count].name = "markdown";
+    options[count].key = KEY_MARKDOWN;
+    options[count].doc = "with check-settings: print the table of settings";
+    return options;
+}
+
+/* Reads and checks the settings; exits if they are wrong. */
+static void
+read_settings(struct Daemon *daemon, int argc, char **argv)
+{
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct argp_option *options = list_options();
+    struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .doc = "Settings; each has an environment variable too, see "
+               "docs/SETTINGS.md.",
+    };
+    argp_err_exit_status = SR_EXIT_USAGE;
+    if (SrSettings_Load(&daemon->settings, stderr) != SR_SETTINGS_OK) {
+        exit(SR_EXIT_USAGE);
+    }
+    argp_parse(&argp, argc, argv, 0, NULL, daemon);
+    if (!daemon->markdown &&
+        SrSettings_Check(&daemon->settings, stderr) != SR_SETTINGS_OK) {
+        exit(SR_EXIT_USAGE);
+    }
+}
+
+static int
+check_settings(const struct Daemon *daemon)
+{
+    if (daemon->markdown) {
+        SrSettings_PrintMarkdown(stdout);
+        return SR_EXIT_OK;
+    }
+    SrSettings_Print(&daemon->settings, stdout);
+    return SR_EXIT_OK;
+}
+
+static int
+run_daemon(const char *command, int argc, char **argv)
+{
+    struct Daemon daemon = {.markdown = false};
+    int code;
+    read_settings(&daemon, argc, argv);
+    if (strcmp(command, "gate") == 0) {
+        code = SrGate_Run(&daemon.settings);
+    }
+    else if (strcmp(command, "scheduler") == 0) {
+        code = SrScheduler_Run(&daemon.settings);
+    }
+    else {
+        code = check_settings(&daemon);
+    }
+    SrSettings_Clear(&daemon.settings);
+    return code;
+}
+
+static void
+print_usage(void)
+{
+    puts("usage: sassafrasrelay COMMAND [OPTION...]\n\n"
+         "daemons:\n"
+         "  gate            Take callers' requests and relay them.\n"
+         "  scheduler       Lead a failure domain, or stand by.\n"
+         "  check-settings  Check and print a daemon's settings.\n\n"
+         "commands:");
+    SrCli_PrintCommands();
+    puts("\nexit codes: 0 done, 1 refused and not run, 2 outcome unknown,\n"
+         "3 a daemon could not start, 4 it ran but the answer is lost,\n"
+         "64 usage. `COMMAND --help` shows the options.");
+}
+
+static bool
+is_daemon(const char *command)
+{
+    return strcmp(command, "gate") == 0 || strcmp(command, "scheduler") == 0 ||
+           strcmp(command, "check-settings") == 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 2 || strcmp(argv[1], "--help") == 0) {
+        print_usage();
+        return argc < 2 ? SR_EXIT_USAGE : SR_EXIT_OK;
+    }
+    if (is_daemon(argv[1])) {
+        return run_daemon(argv[1], argc - 1, argv + 1);
+    }
+    int code = SrCli_Run(argc - 1, argv + 1);
+    if (code >= 0) {
+        return code;
+    }
+    fprintf(stderr, "no such command: '%s'; see --help\n", argv[1]);
+    return SR_EXIT_USAGE;
+}
--- /dev/null
+++ b/src/queue.c
@@ -0,0 +1,487 @@
+#include "queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A queued job gains one accelerator of share for each such wait. */
+#define AGEING_MS (60 * 1000)
+/* A gang this large may have a rack set aside after such a wait. */
+#define RESERVE_ACCELERATORS 8
+#define RESERVE_AFTER_MS 5000
+#define RATIO_MIN 0.1
+#define RATIO_MAX 20.0
+#define RATIO_GAIN 0.2
+#define FAILED_SHAPES_MAX 64
+
+struct SrQueueAccount {
+    struct SrMapEntry entry;
+    struct SrList link;
+    char name[SR_ID_SIZE];
+    unsigned weight;
+    /* Observed over declared run time. */
+    double ratio;
+    bool has_ratio;
+    struct SrList entries;
+    /* Next entry of this pass, and the account's present score. */
+    struct SrList *next;
+    double score;
+};
+
+struct SrQueue {
+    struct SrQueuePolicy policy;
+    struct SrPlacer *placer;
+    struct SrMap accounts_by_name;
+    struct SrList accounts;
+    struct SrList by_time;
+    struct SrList urgent;
+    size_t length;
+    char reserved_for[SR_ID_SIZE];
+    /* Needs that found no place in this pass. */
+    struct SrNeed failed[FAILED_SHAPES_MAX];
+    bool failed_urgent[FAILED_SHAPES_MAX];
+    size_t failed_count;
+    struct SrDecision decision;
+    unsigned starts_left;
+    /* Accounts in order of score, as a heap. */
+    struct SrQueueAccount **heap;
+    size_t heap_size;
+};
+
+struct SrQueue *
+SrQueue_Create(const struct SrQueuePolicy *policy, struct SrPlacer *placer)
+{
+    struct SrQueue *queue = SrUtil_Calloc(1, sizeof(*queue));
+    queue->policy = *policy;
+    queue->placer = placer;
+    SrMap_Init(&queue->accounts_by_name);
+    SrList_Init(&queue->accounts);
+    SrList_Init(&queue->by_time);
+    SrList_Init(&queue->urgent);
+    return queue;
+}
+
+void
+SrQueue_Destroy(struct SrQueue *queue)
+{
+    if (queue == NULL) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &queue->accounts)
+    {
+        free(SR_CONTAINER(link, struct SrQueueAccount, link));
+    }
+    SrMap_Clear(&queue->accounts_by_name);
+    free(queue->heap);
+    free(queue);
+}
+
+static struct SrQueueAccount *
+look_up(const struct SrQueue *queue, const char *name)
+{
+    struct SrMapEntry *entry = SrMap_Find(&queue->accounts_by_name, name);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrQueueAccount, entry)
+                         : NULL;
+}
+
+static struct SrQueueAccount *
+find_account(struct SrQueue *queue, const char *name)
+{
+    struct SrQueueAccount *account = look_up(queue, name);
+    if (account != NULL) {
+        return account;
+    }
+    account = SrUtil_Calloc(1, sizeof(*account));
+    SrUtil_Copy(account->name, SR_ID_SIZE, name);
+    account->weight = 1;
+    account->ratio = 1;
+    SrList_Init(&account->entries);
+    SrMap_Add(&queue->accounts_by_name, &account->entry, account->name);
+    SrList_Append(&queue->accounts, &account->link);
+    queue->heap =
+        SrUtil_Realloc(queue->heap, queue->accounts_by_name.count *
+                                        sizeof(struct SrQueueAccount *));
+    return account;
+}
+
+void
+SrQueue_SetWeight(struct SrQueue *queue, const char *account, unsigned weight)
+{
+    find_account(queue, account)->weight = weight > 0 ? weight : 1;
+}
+
+/* Keeps the account's list in order of submission, so that a job that comes
+ * back after a failure does not go to the end. */
+static void
+insert_by_time(struct SrList *list, struct SrQueueEntry *entry)
+{
+    struct SrList *at = list;
+    while (at->prev != list) {
+        const struct SrQueueEntry *other =
+            SR_CONTAINER(at->prev, struct SrQueueEntry, link);
+        if (other->submitted_ms <= entry->submitted_ms) {
+            break;
+        }
+        at = at->prev;
+    }
+    SrList_Append(at, &entry->link);
+}
+
+static void
+insert_in_order(struct SrList *list, struct SrQueueEntry *entry)
+{
+    struct SrList *at = list;
+    while (at->prev != list) {
+        const struct SrQueueEntry *other =
+            SR_CONTAINER(at->prev, struct SrQueueEntry, order_link);
+        if (other->submitted_ms <= entry->submitted_ms) {
+            break;
+        }
+        at = at->prev;
+    }
+    SrList_Append(at, &entry->order_link);
+}
+
+void
+SrQueue_Add(struct SrQueue *queue, struct SrQueueEntry *entry,
+            const char *account)
+{
+    entry->account = find_account(queue, account);
+    insert_by_time(&entry->account->entries, entry);
+    insert_in_order(entry->urgent ? &queue->urgent : &queue->by_time, entry);
+    queue->length++;
+}
+
+void
+SrQueue_Remove(struct SrQueue *queue, struct SrQueueEntry *entry)
+{
+    if (entry->account == NULL) {
+        return;
+    }
+    if (entry->account->next == &entry->link) {
+        entry->account->next = entry->link.next;
+    }
+    if (strcmp(queue->reserved_for, entry->id) == 0) {
+        queue->reserved_for[0] = '\0';
+        SrPlacer_DropReservation(queue->placer);
+    }
+    SrList_Remove(&entry->link);
+    SrList_Remove(&entry->order_link);
+    entry->account = NULL;
+    queue->length--;
+}
+
+void
+SrQueue_OnRunTime(struct SrQueue *queue, const char *name, int64_t declared_ms,
+                  int64_t observed_ms)
+{
+    if (declared_ms <= 0 || observed_ms <= 0) {
+        return;
+    }
+    struct SrQueueAccount *account = find_account(queue, name);
+    double ratio = (double)observed_ms / (double)declared_ms;
+    if (ratio < RATIO_MIN) {
+        ratio = RATIO_MIN;
+    }
+    if (ratio > RATIO_MAX) {
+        ratio = RATIO_MAX;
+    }
+    if (!account->has_ratio) {
+        account->ratio = ratio;
+        account->has_ratio = true;
+        return;
+    }
+    account->ratio += RATIO_GAIN * (ratio - account->ratio);
+}
+
+int64_t
+SrQueue_ExpectedMs(const struct SrQueue *queue, const char *name,
+                   int64_t declared_ms)
+{
+    const struct SrQueueAccount *account = look_up(queue, name);
+    if (declared_ms <= 0 || account == NULL) {
+        return declared_ms;
+    }
+    return (int64_t)((double)declared_ms * account->ratio);
+}
+
+size_t
+SrQueue_Length(const struct SrQueue *queue)
+{
+    return queue->length;
+}
+
+static bool
+is_at_least(const struct SrNeed *need, const struct SrNeed *failed)
+{
+    return need->tasks >= failed->tasks &&
+           need->accelerators >= failed->accelerators &&
+           need->cores >= failed->cores &&
+           need->memory_mb >= failed->memory_mb &&
+           (need->accelerators > 0) == (failed->accelerators > 0);
+}
+
+/* A need no smaller than one that found no place in this pass finds none. */
+static bool
+is_hopeless(const struct SrQueue *queue, const struct SrQueueEntry *entry)
+{
+    for (size_t i = 0; i < queue->failed_count; i++) {
+        if (queue->failed_urgent[i] >= entry->urgent &&
+            is_at_least(&entry->need, &queue->failed[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+remember_failure(struct SrQueue *queue, const struct SrQueueEntry *entry)
+{
+    if (queue->failed_count < FAILED_SHAPES_MAX) {
+        queue->failed_urgent[queue->failed_count] = entry->urgent;
+        queue->failed[queue->failed_count++] = entry->need;
+    }
+}
+
+static struct SrPlacerRequest
+make_request(const struct SrQueue *queue, const struct SrQueueEntry *entry,
+             int64_t now_ms, bool may_charge, bool may_borrow)
+{
+    const char *account = entry->account->name;
+    return (struct SrPlacerRequest){
+        .gang = entry->id,
+        .account = account,
+        .need = entry->need,
+        .urgent = entry->urgent,
+        .pinned = entry->non_repeatable,
+        .run_ms = SrQueue_ExpectedMs(queue, account, entry->run_ms),
+        .now_ms = now_ms,
+        .may_charge = may_charge,
+        .may_borrow = may_borrow,
+    };
+}
+
+static enum SrPlacement
+try_entry(struct SrQueue *queue, struct SrQueueEntry *entry, int64_t now_ms,
+          bool may_charge, bool may_borrow, SrQueue_Decided *decided,
+          void *context)
+{
+    struct SrPlacerRequest request =
+        make_request(queue, entry, now_ms, may_charge, may_borrow);
+    struct SrDecision *decision = &queue->decision;
+    SrPlacer_Place(queue->placer, &request, decision);
+    if (decision->placement == SR_PLACEMENT_NEVER) {
+        /* Refused at submission; here the domain's workers have changed. */
+        return SR_PLACEMENT_WAIT;
+    }
+    if (decision->placement == SR_PLACEMENT_WAIT) {
+        return SR_PLACEMENT_WAIT;
+    }
+    queue->starts_left--;
+    SrQueue_Remove(queue, entry);
+    decided(context, entry, decision);
+    return SR_PLACED;
+}
+
+static void
+place_covered_of(struct SrQueue *queue, struct SrQueueAccount *account,
+                 int64_t now_ms, SrQueue_Decided *decided, void *context)
+{
+    struct SrNeed last = {0};
+    SR_LIST_EACH_SAFE(link, &account->entries)
+    {
+        struct SrQueueEntry *entry =
+            SR_CONTAINER(link, struct SrQueueEntry, link);
+        bool same = memcmp(&last, &entry->need, sizeof(last)) == 0;
+        if (queue->starts_left == 0) {
+            return;
+        }
+        if (same ||
+            !SrPlacer_IsCovered(queue->placer, account->name, &entry->need)) {
+            continue;
+        }
+        if (try_entry(queue, entry, now_ms, true, false, decided, context) ==
+            SR_PLACEMENT_WAIT) {
+            last = entry->need;
+        }
+    }
+}
+
+static bool
+has_guarantee(const struct SrQueue *queue,
+              const struct SrQueueAccount *account)
+{
+    static const struct SrNeed smallest = {
+        .tasks = 1,
+        .accelerators = 1,
+    };
+    return SrPlacer_IsCovered(queue->placer, account->name, &smallest);
+}
+
+static void
+place_covered(struct SrQueue *queue, int64_t now_ms, SrQueue_Decided *decided,
+              void *context)
+{
+    SR_LIST_EACH(link, &queue->accounts)
+    {
+        struct SrQueueAccount *account =
+            SR_CONTAINER(link, struct SrQueueAccount, link);
+        if (has_guarantee(queue, account)) {
+            place_covered_of(queue, account, now_ms, decided, context);
+        }
+    }
+}
+
+static void
+place_list(struct SrQueue *queue, struct SrList *list, int64_t now_ms,
+           bool strict, SrQueue_Decided *decided, void *context)
+{
+    SR_LIST_EACH_SAFE(link, list)
+    {
+        struct SrQueueEntry *entry =
+            SR_CONTAINER(link, struct SrQueueEntry, order_link);
+        if (queue->starts_left == 0) {
+            return;
+        }
+        if (is_hopeless(queue, entry)) {
+            continue;
+        }
+        if (try_entry(queue, entry, now_ms,
+                      queue->policy.order != SR_QUEUE_FIFO, true, decided,
+                      context) == SR_PLACEMENT_WAIT) {
+            remember_failure(queue, entry);
+            if (strict) {
+                return;
+            }
+        }
+    }
+}
+
+/* Share in use for each unit of weight, less what the oldest job has gained
+ * by waiting; the lowest goes first. */
+static void
+compute_score(const struct SrQueue *queue, struct SrQueueAccount *account,
+              int64_t now_ms)
+{
+    const struct SrQueueEntry *entry =
+        SR_CONTAINER(account->next, struct SrQueueEntry, link);
+    double usage = SrPlacer_Usage(queue->placer, account->name);
+    account->score = usage / account->weight;
+    if (queue->policy.order == SR_QUEUE_FAIR) {
+        account->score -= (double)(now_ms - entry->submitted_ms) / AGEING_MS;
+    }
+}
+
+static void
+sift_down(struct SrQueue *queue, size_t at)
+{
+    for (;;) {
+        size_t best = at;
+        for (size_t child = 2 * at + 1;
+             child <= 2 * at + 2 && child < queue->heap_size; child++) {
+            if (queue->heap[child]->score < queue->heap[best]->score) {
+                best = child;
+            }
+        }
+        if (best == at) {
+            return;
+        }
+        struct SrQueueAccount *other = queue->heap[best];
+        queue->heap[best] = queue->heap[at];
+        queue->heap[at] = other;
+        at = best;
+    }
+}
+
+static void
+build_heap(struct SrQueue *queue, int64_t now_ms)
+{
+    queue->heap_size = 0;
+    SR_LIST_EACH(link, &queue->accounts)
+    {
+        struct SrQueueAccount *account =
+            SR_CONTAINER(link, struct SrQueueAccount, link);
+        account->next = account->entries.next;
+        if (account->next != &account->entries) {
+            compute_score(queue, account, now_ms);
+            queue->heap[queue->heap_size++] = account;
+        }
+    }
+    for (size_t i = queue->heap_size; i > 0; i--) {
+        sift_down(queue, i - 1);
+    }
+}
+
+/* Sets a rack aside for the first large gang that has waited; the
+ * reservation lasts until that gang starts or leaves the queue. */
+static void
+reserve_for(struct SrQueue *queue, const struct SrQueueEntry *entry,
+            int64_t now_ms)
+{
+    unsigned total = entry->need.tasks * entry->need.accelerators;
+    bool same = strcmp(queue->reserved_for, entry->id) == 0;
+    if (!queue->policy.reserve || total < RESERVE_ACCELERATORS || same ||
+        queue->reserved_for[0] != '\0' ||
+        now_ms - entry->submitted_ms < RESERVE_AFTER_MS) {
+        return;
+    }
+    struct SrPlacerRequest request =
+        make_request(queue, entry, now_ms, false, true);
+    if (SrPlacer_Reserve(queue->placer, &request)) {
+        SrUtil_Copy(queue->reserved_for, SR_ID_SIZE, entry->id);
+    }
+}
+
+/* Advances the account past the entry it has just tried. */
+static void
+advance(struct SrQueue *queue, struct SrQueueAccount *account, int64_t now_ms)
+{
+    if (account->next == &account->entries) {
+        queue->heap[0] = queue->heap[--queue->heap_size];
+    }
+    else {
+        compute_score(queue, account, now_ms);
+    }
+    sift_down(queue, 0);
+}
+
+static void
+place_fair(struct SrQueue *queue, int64_t now_ms, SrQueue_Decided *decided,
+           void *context)
+{
+    build_heap(queue, now_ms);
+    while (queue->heap_size > 0 && queue->starts_left > 0) {
+        struct SrQueueAccount *account = queue->heap[0];
+        struct SrQueueEntry *entry =
+            SR_CONTAINER(account->next, struct SrQueueEntry, link);
+        account->next = entry->link.next;
+        if (!entry->urgent && !is_hopeless(queue, entry) &&
+            try_entry(queue, entry, now_ms, true, true, decided, context) ==
+                SR_PLACEMENT_WAIT) {
+            reserve_for(queue, entry, now_ms);
+            remember_failure(queue, entry);
+        }
+        advance(queue, account, now_ms);
+    }
+}
+
+void
+SrQueue_Pass(struct SrQueue *queue, int64_t now_ms, unsigned starts_max,
+             SrQueue_Decided *decided, void *context)
+{
+    queue->failed_count = 0;
+    queue->starts_left = starts_max;
+    if (queue->policy.order != SR_QUEUE_FIFO) {
+        place_covered(queue, now_ms, decided, context);
+    }
+    place_list(queue, &queue->urgent, now_ms, false, decided, context);
+    switch (queue->policy.order) {
+    case SR_QUEUE_FAIR:
+    case SR_QUEUE_FAIR_UNAGED:
+        place_fair(queue, now_ms, decided, context);
+        break;
+    case SR_QUEUE_FIFO:
+        place_list(queue, &queue->by_time, now_ms, queue->policy.strict,
+                   decided, context);
+        break;
+    }
+}
