--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,596 @@
+#include "settings.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "util.h"
+
+enum SettingKind {
+    SETTING_ID,
+    SETTING_ADDRESS,
+    SETTING_PEERS,
+    SETTING_SECRET,
+    SETTING_HEX,
+    SETTING_LEVEL,
+    SETTING_NUMBER,
+};
+
+struct Setting {
+    const char *flag;
+    enum SettingKind kind;
+    size_t offset;
+    const char *unit;
+    int64_t low;
+    int64_t high;
+    const char *preset;
+    bool required;
+    const char *doc;
+};
+
+#define FIELD(name) offsetof(struct SrSettings, name)
+#define HOUR_MS (60 * 60 * 1000)
+
+static const struct Setting table[] = {
+    {.flag = "name",
+     .kind = SETTING_ID,
+     .offset = FIELD(name),
+     .required = true,
+     .doc = "name of this process, unique among all of its peers"},
+    {.flag = "domain",
+     .kind = SETTING_ID,
+     .offset = FIELD(domain),
+     .required = true,
+     .doc = "failure domain of this process"},
+    {.flag = "region",
+     .kind = SETTING_ID,
+     .offset = FIELD(region),
+     .preset = "default",
+     .doc = "region of the failure domain"},
+    {.flag = "listen",
+     .kind = SETTING_ADDRESS,
+     .offset = FIELD(listen),
+     .required = true,
+     .doc = "address of the HTTP service, host:port"},
+    {.flag = "bus-listen",
+     .kind = SETTING_ADDRESS,
+     .offset = FIELD(bus_listen),
+     .required = true,
+     .doc = "address for the other processes, host:port"},
+    {.flag = "peers",
+     .kind = SETTING_PEERS,
+     .offset = FIELD(peers),
+     .preset = "",
+     .doc = "other processes, comma separated, each as "
+            "name/gate|scheduler/domain/region/host:port"},
+    {.flag = "platform",
+     .kind = SETTING_ADDRESS,
+     .offset = FIELD(platform),
+     .required = true,
+     .doc = "address of the platform's table service and VM list"},
+    {.flag = "bus-secret",
+     .kind = SETTING_SECRET,
+     .offset = FIELD(bus_secret),
+     .required = true,
+     .doc = "secret from which the keys between processes are derived, "
+            "at least 16 characters"},
+    {.flag = "operator-key-hash",
+     .kind = SETTING_HEX,
+     .offset = FIELD(operator_key_hash),
+     .required = true,
+     .doc = "hash of the operators' key, as printed by `hash-key`"},
+    {.flag = "log-level",
+     .kind = SETTING_LEVEL,
+     .offset = FIELD(log_level),
+     .preset = "info",
+     .doc = "lowest level written: debug, info, warn or error"},
+    {.flag = "lease-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(lease_ms),
+     .unit = "ms",
+     .low = 500,
+     .high = HOUR_MS,
+     .preset = "30000",
+     .doc = "length of a lease on a worker"},
+    {.flag = "renew-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(renew_ms),
+     .unit = "ms",
+     .low = 50,
+     .high = HOUR_MS,
+     .preset = "10000",
+     .doc = "interval between renewals at a worker; under half of lease-ms"},
+    {.flag = "term-ttl-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(term_ttl_ms),
+     .unit = "ms",
+     .low = 300,
+     .high = 60000,
+     .preset = "5000",
+     .doc = "time after which an unrenewed leader may be replaced"},
+    {.flag = "term-renew-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(term_renew_ms),
+     .unit = "ms",
+     .low = 50,
+     .high = 30000,
+     .preset = "1500",
+     .doc = "interval between renewals of the leadership; under half of "
+            "term-ttl-ms"},
+    {.flag = "config-lease-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(config_lease_ms),
+     .unit = "ms",
+     .low = 500,
+     .high = 15000,
+     .preset = "8000",
+     .doc = "time for which a leader may start gangs on the configuration "
+            "that it last confirmed"},
+    {.flag = "store-timeout-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(store_timeout_ms),
+     .unit = "ms",
+     .low = 50,
+     .high = 60000,
+     .preset = "1000",
+     .doc = "time allowed for one request to the table service"},
+    {.flag = "vm-poll-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(vm_poll_ms),
+     .unit = "ms",
+     .low = 50,
+     .high = 60000,
+     .preset = "1000",
+     .doc = "interval between readings of the VM list"},
+    {.flag = "heartbeat-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(heartbeat_ms),
+     .unit = "ms",
+     .low = 20,
+     .high = 60000,
+     .preset = "1000",
+     .doc = "mean interval between heartbeats to a peer"},
+    {.flag = "suspect-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(suspect_ms),
+     .unit = "ms",
+     .low = 100,
+     .high = 60000,
+     .preset = "3500",
+     .doc = "silence after which a peer is passed over; over twice "
+            "heartbeat-ms"},
+    {.flag = "slots",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(slots),
+     .unit = "requests",
+     .low = 1,
+     .high = 1024,
+     .preset = "8",
+     .doc = "slots of a backend server that the VM list gives none for"},
+    {.flag = "connections",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(connections),
+     .unit = "connections",
+     .low = 1,
+     .high = 1024,
+     .preset = "12",
+     .doc = "connections to one backend server at the most"},
+    {.flag = "queue-per-account",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(queue_per_account),
+     .unit = "requests",
+     .low = 1,
+     .high = 100000,
+     .preset = "256",
+     .doc = "calls of one client account that may wait"},
+    {.flag = "queue-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(queue_ms),
+     .unit = "ms",
+     .low = 10,
+     .high = 600000,
+     .preset = "5000",
+     .doc = "longest wait of a call before it is refused"},
+    {.flag = "retry-percent",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(retry_percent),
+     .unit = "%",
+     .low = 0,
+     .high = 100,
+     .preset = "10",
+     .doc = "retries of a client account's calls per hundred successes"},
+    {.flag = "window-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(window_ms),
+     .unit = "ms",
+     .low = 1000,
+     .high = HOUR_MS,
+     .preset = "300000",
+     .doc = "time for which ids of non-repeatable calls are kept"},
+    {.flag = "body-max-kib",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(body_max_kib),
+     .unit = "KiB",
+     .low = 1,
+     .high = 16384,
+     .preset = "8256",
+     .doc = "largest body of a call"},
+    {.flag = "read-timeout-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(read_timeout_ms),
+     .unit = "ms",
+     .low = 1000,
+     .high = HOUR_MS,
+     .preset = "15000",
+     .doc = "silence after which a caller's connection is closed"},
+    {.flag = "drain-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(drain_ms),
+     .unit = "ms",
+     .low = 0,
+     .high = HOUR_MS,
+     .preset = "30000",
+     .doc = "longest wait for requests in progress during a stop"},
+    {.flag = "unready-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(unready_ms),
+     .unit = "ms",
+     .low = 0,
+     .high = 60000,
+     .preset = "2000",
+     .doc = "time for which a stopping process still takes requests, until "
+            "the balancer has seen that it is not ready"},
+    {.flag = "checkpoint-grace-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(checkpoint_grace_ms),
+     .unit = "ms",
+     .low = 0,
+     .high = 600000,
+     .preset = "1000",
+     .doc = "time between checkpoint and stop of a gang that gives way"},
+    {.flag = "job-failures-max",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(job_failures_max),
+     .unit = "workers",
+     .low = 1,
+     .high = 100,
+     .preset = "3",
+     .doc = "distinct workers on which a job may fail before it ends"},
+    {.flag = "quarantine-ms",
+     .kind = SETTING_NUMBER,
+     .offset = FIELD(quarantine_ms),
+     .unit = "ms",
+     .low = 100,
+     .high = 24 * HOUR_MS,
+     .preset = "60000",
+     .doc = "first quarantine of a failing worker; doubles each time"},
+};
+
+static const char *const error_texts[] = {
+    [SR_SETTINGS_OK] = "no error",
+    [SR_SETTINGS_UNKNOWN_NAME] = "unknown setting",
+    [SR_SETTINGS_NOT_A_NUMBER] = "not a whole number",
+    [SR_SETTINGS_OUT_OF_RANGE] = "out of range",
+    [SR_SETTINGS_BAD_TEXT] = "malformed",
+    [SR_SETTINGS_MISSING] = "missing",
+    [SR_SETTINGS_INCONSISTENT] = "inconsistent",
+};
+
+const char *
+SrSettings_ErrorText(enum SrSettingsError error)
+{
+    return error_texts[error];
+}
+
+static char **
+text_of(const struct SrSettings *settings, const struct Setting *setting)
+{
+    return (char **)((char *)settings + setting->offset);
+}
+
+static int64_t *
+number_of(const struct SrSettings *settings, const struct Setting *setting)
+{
+    return (int64_t *)((char *)settings + setting->offset);
+}
+
+static void
+variable_name(const struct Setting *setting, char *to, size_t size)
+{
+    snprintf(to, size, "SASSAFRASRELAY_%s", setting->flag);
+    for (char *at = to; *at != '\0'; at++) {
+        *at = (char)(*at == '-' ? '_' : toupper((unsigned char)*at));
+    }
+}
+
+static bool
+is_address(const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || colon == text) {
+        return false;
+    }
+    char *end;
+    long port = strtol(colon + 1, &end, 10);
+    return *end == '\0' && end != colon + 1 && port > 0 && port < 65536;
+}
+
+static bool
+is_peer(char *text)
+{
+    char *save = NULL;
+    char *parts[5];
+    size_t count = 0;
+    for (char *part = strtok_r(text, "/", &save); part != NULL;
+         part = strtok_r(NULL, "/", &save)) {
+        if (count == SR_LENGTH(parts)) {
+            return false;
+        }
+        parts[count++] = part;
+    }
+    if (count != SR_LENGTH(parts)) {
+        return false;
+    }
+    bool role =
+        strcmp(parts[1], "gate") == 0 || strcmp(parts[1], "scheduler") == 0;
+    return role && SrUtil_IsId(parts[0]) && SrUtil_IsId(parts[2]) &&
+           SrUtil_IsId(parts[3]) && is_address(parts[4]);
+}
+
+static bool
+are_peers(const char *text)
+{
+    SR_CLEANUP(SrUtil_FreePointer) char *copy = SrUtil_Strdup(text);
+    char *save = NULL;
+    for (char *peer = strtok_r(copy, ",", &save); peer != NULL;
+         peer = strtok_r(NULL, ",", &save)) {
+        if (!is_peer(peer)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_level(const char *text)
+{
+    static const char *const levels[] = {"debug", "info", "warn", "error"};
+    for (size_t i = 0; i < SR_LENGTH(levels); i++) {
+        if (strcmp(text, levels[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_text_valid(const struct Setting *setting, const char *value)
+{
+    switch (setting->kind) {
+    case SETTING_ID:
+        return SrUtil_IsId(value);
+    case SETTING_ADDRESS:
+        return is_address(value);
+    case SETTING_PEERS:
+        return are_peers(value);
+    case SETTING_SECRET:
+        return strlen(value) >= 16;
+    case SETTING_HEX:
+        return strlen(value) == 64 && strspn(value, "0123456789abcdef") == 64;
+    case SETTING_LEVEL:
+        return is_level(value);
+    case SETTING_NUMBER:
+        break;
+    }
+    return false;
+}
+
+static const char *
+shown_value(const struct Setting *setting, const char *value)
+{
+    return setting->kind == SETTING_SECRET ? "(secret)" : value;
+}
+
+static enum SrSettingsError
+set_number(struct SrSettings *settings, const struct Setting *setting,
+           const char *value, FILE *errors)
+{
+    char *end;
+    errno = 0;
+    long long number = strtoll(value, &end, 10);
+    if (end == value || *end != '\0' || errno != 0) {
+        fprintf(errors, "setting %s: value '%s' is not a whole number\n",
+                setting->flag, value);
+        return SR_SETTINGS_NOT_A_NUMBER;
+    }
+    if (number < setting->low || number > setting->high) {
+        fprintf(errors,
+                "setting %s: value %s is outside the range %lld to %lld %s\n",
+                setting->flag, value, (long long)setting->low,
+                (long long)setting->high, setting->unit);
+        return SR_SETTINGS_OUT_OF_RANGE;
+    }
+    *number_of(settings, setting) = number;
+    return SR_SETTINGS_OK;
+}
+
+static enum SrSettingsError
+set_value(struct SrSettings *settings, const struct Setting *setting,
+          const char *value, FILE *errors)
+{
+    if (setting->kind == SETTING_NUMBER) {
+        return set_number(settings, setting, value, errors);
+    }
+    if (!is_text_valid(setting, value)) {
+        fprintf(errors, "setting %s: value '%s' is malformed; expected: %s\n",
+                setting->flag, shown_value(setting, value), setting->doc);
+        return SR_SETTINGS_BAD_TEXT;
+    }
+    char **slot = text_of(settings, setting);
+    free(*slot);
+    *slot = SrUtil_Strdup(value);
+    return SR_SETTINGS_OK;
+}
+
+enum SrSettingsError
+SrSettings_Load(struct SrSettings *settings, FILE *errors)
+{
+    char variable[96];
+    memset(settings, 0, sizeof(*settings));
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        variable_name(&table[i], variable, sizeof(variable));
+        const char *value = getenv(variable);
+        if (value == NULL) {
+            value = table[i].preset;
+        }
+        if (value == NULL) {
+            continue;
+        }
+        enum SrSettingsError error =
+            set_value(settings, &table[i], value, errors);
+        if (error != SR_SETTINGS_OK) {
+            return error;
+        }
+    }
+    return SR_SETTINGS_OK;
+}
+
+enum SrSettingsError
+SrSettings_Set(struct SrSettings *settings, const char *flag,
+               const char *value, FILE *errors)
+{
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        if (strcmp(table[i].flag, flag) == 0) {
+            return set_value(settings, &table[i], value, errors);
+        }
+    }
+    fprintf(errors, "setting %s: no such setting\n", flag);
+    return SR_SETTINGS_UNKNOWN_NAME;
+}
+
+enum SrSettingsError
+SrSettings_SetByKey(struct SrSettings *settings, int key, const char *value,
+                    FILE *errors)
+{
+    size_t index = (size_t)(key - SR_SETTINGS_KEY);
+    if (key < SR_SETTINGS_KEY || index >= SR_LENGTH(table)) {
+        return SR_SETTINGS_UNKNOWN_NAME;
+    }
+    return set_value(settings, &table[index], value, errors);
+}
+
+static enum SrSettingsError
+check_order(const char *small, int64_t small_ms, const char *large,
+            int64_t large_ms, FILE *errors)
+{
+    if (small_ms * 2 < large_ms) {
+        return SR_SETTINGS_OK;
+    }
+    fprintf(errors,
+            "setting %s: value %lld is not under half of %s, which is %lld\n",
+            small, (long long)small_ms, large, (long long)large_ms);
+    return SR_SETTINGS_INCONSISTENT;
+}
+
+enum SrSettingsError
+SrSettings_Check(const struct SrSettings *settings, FILE *errors)
+{
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        if (table[i].required && *text_of(settings, &table[i]) == NULL) {
+            char variable[96];
+            variable_name(&table[i], variable, sizeof(variable));
+            fprintf(errors, "setting %s: missing; set --%s or %s\n",
+                    table[i].flag, table[i].flag, variable);
+            return SR_SETTINGS_MISSING;
+        }
+    }
+    enum SrSettingsError error =
+        check_order("renew-ms", settings->renew_ms, "lease-ms",
+                    settings->lease_ms, errors);
+    if (error == SR_SETTINGS_OK) {
+        error = check_order("term-renew-ms", settings->term_renew_ms,
+                            "term-ttl-ms", settings->term_ttl_ms, errors);
+    }
+    if (error == SR_SETTINGS_OK) {
+        error = check_order("heartbeat-ms", settings->heartbeat_ms,
+                            "suspect-ms", settings->suspect_ms, errors);
+    }
+    if (error == SR_SETTINGS_OK) {
+        error =
+            check_order("term-renew-ms", settings->term_renew_ms,
+                        "config-lease-ms", settings->config_lease_ms, errors);
+    }
+    return error;
+}
+
+void
+SrSettings_Clear(struct SrSettings *settings)
+{
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        if (table[i].kind != SETTING_NUMBER) {
+            free(*text_of(settings, &table[i]));
+        }
+    }
+    memset(settings, 0, sizeof(*settings));
+}
+
+struct argp_option *
+SrSettings_Options(void)
+{
+    struct argp_option *options =
+        SrUtil_Calloc(SR_LENGTH(table) + 1, sizeof(*options));
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        options[i] = (struct argp_option){
+            .name = table[i].flag,
+            .key = SR_SETTINGS_KEY + (int)i,
+            .arg = table[i].unit != NULL ? table[i].unit : "TEXT",
+            .doc = table[i].doc,
+        };
+    }
+    return options;
+}
+
+void
+SrSettings_Print(const struct SrSettings *settings, FILE *out)
+{
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        const struct Setting *setting = &table[i];
+        if (setting->kind == SETTING_NUMBER) {
+            fprintf(out, "%s=%lld %s\n", setting->flag,
+                    (long long)*number_of(settings, setting), setting->unit);
+            continue;
+        }
+        const char *value = *text_of(settings, setting);
+        fprintf(out, "%s=%s\n", setting->flag,
+                shown_value(setting, value != NULL ? value : ""));
+    }
+}
+
+void
+SrSettings_PrintMarkdown(FILE *out)
+{
+    char variable[96];
+    fputs("# Settings\n\nMade by `make settings-doc`. A flag beats the "
+          "environment variable, which beats the default.\n\n"
+          "| flag | variable | unit | range | default | meaning |\n"
+          "| --- | --- | --- | --- | --- | --- |\n",
+          out);
+    for (size_t i = 0; i < SR_LENGTH(table); i++) {
+        const struct Setting *setting = &table[i];
+        char range[64] = "";
+        if (setting->kind == SETTING_NUMBER) {
+            snprintf(range, sizeof(range), "%lld to %lld",
+                     (long long)setting->low, (long long)setting->high);
+        }
+        variable_name(setting, variable, sizeof(variable));
+        fprintf(
+            out, "| `--%s` | `%s` | %s | %s | %s | %s |\n", setting->flag,
+            variable, setting->unit != NULL ? setting->unit : "text", range,
+            setting->required
+                ? "required"
+                : (setting->preset[0] != '\0' ? setting->preset : "(empty)"),
+            setting->doc);
+    }
+}
--- /dev/null
+++ b/standin/backend.c
@@ -0,0 +1,140 @@
+/* Role backend: backend servers, one a port, each with its slots.
+ *
+ * The answer is the request's body, after service_ms or, if the body begins
+ * with "ms=N;", after N ms. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+struct Backend {
+    char id[SR_ID_SIZE];
+    unsigned in_use;
+};
+
+struct Serving {
+    ev_timer timer;
+    struct Standin *standin;
+    struct Backend *backend;
+    struct SrHttpRequest *request;
+    char id[SR_ID_SIZE];
+};
+
+static struct Backend *backends;
+
+static void
+finish(struct Serving *serving)
+{
+    struct Standin *standin = serving->standin;
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(serving->request, &size);
+    serving->backend->in_use--;
+    Standin_Record(standin, "served request=%s backend=%s", serving->id,
+                   serving->backend->id);
+    Standin_ReplyRaw(standin, serving->request, 200, body, size, NULL, NULL);
+    free(serving);
+}
+
+static void
+on_served(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    finish(watcher->data);
+}
+
+static int64_t
+service_time(const struct Standin *standin, struct SrHttpRequest *request)
+{
+    char text[16] = "";
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(request, &size);
+    if (size < 4 || memcmp(body, "ms=", 3) != 0) {
+        return standin->service_ms;
+    }
+    memcpy(text, body + 3, size - 3 < 15 ? size - 3 : 15);
+    return strtoll(text, NULL, 10);
+}
+
+static void
+refuse(struct Standin *standin, struct SrHttpRequest *request,
+       const char *reason)
+{
+    Standin_ReplyRaw(standin, request, 503, reason, strlen(reason),
+                     "Not-Started", reason);
+}
+
+static void
+handle(struct Standin *standin, struct SrHttpRequest *request, int port)
+{
+    struct Backend *backend = &backends[port - standin->port];
+    if (strcmp(standin->faults.dead, backend->id) == 0 ||
+        strcmp(standin->faults.dead, "*") == 0) {
+        return;
+    }
+    if (strcmp(standin->faults.leaving, backend->id) == 0) {
+        refuse(standin, request, "leaving");
+        return;
+    }
+    if (backend->in_use >= standin->slots) {
+        refuse(standin, request, "full");
+        return;
+    }
+    struct Serving *serving = SrUtil_Calloc(1, sizeof(*serving));
+    const char *id = SrHttpRequest_Header(request, "Request-Id");
+    serving->standin = standin;
+    serving->backend = backend;
+    serving->request = request;
+    SrUtil_Copy(serving->id, SR_ID_SIZE, id != NULL ? id : "-");
+    backend->in_use++;
+    Standin_Record(standin, "serve request=%s backend=%s", serving->id,
+                   backend->id);
+    int64_t wait_ms = service_time(standin, request);
+    if (wait_ms == 0) {
+        finish(serving);
+        return;
+    }
+    ev_timer_init(&serving->timer, on_served, (double)wait_ms / 1000, 0);
+    serving->timer.data = serving;
+    ev_timer_start(standin->loop, &serving->timer);
+}
+
+static void
+announce(struct Standin *standin)
+{
+    SrPlatform__Vm *vms = SrUtil_Calloc(standin->count, sizeof(*vms));
+    SrPlatform__Vm **list =
+        SrUtil_Calloc(standin->count, sizeof(SrPlatform__Vm *));
+    for (unsigned i = 0; i < standin->count; i++) {
+        char address[2 * SR_ID_SIZE];
+        sr_platform__vm__init(&vms[i]);
+        snprintf(address, sizeof(address), "%s:%d", standin->host,
+                 standin->port + (int)i);
+        vms[i].id = backends[i].id;
+        vms[i].kind = SR_PLATFORM__VM_KIND__VM_BACKEND;
+        vms[i].address = SrUtil_Strdup(address);
+        vms[i].domain = standin->domain;
+        vms[i].slots = standin->slots;
+        vms[i].leaving = strcmp(standin->faults.leaving, backends[i].id) == 0;
+        list[i] = &vms[i];
+    }
+    if (!Standin_Register(standin, list, standin->count)) {
+        fputs("cannot register at the platform\n", stderr);
+    }
+    for (unsigned i = 0; i < standin->count; i++) {
+        free(vms[i].address);
+    }
+    free(vms);
+    free(list);
+}
+
+void
+Backend_Start(struct Standin *standin)
+{
+    standin->handle = handle;
+    backends = SrUtil_Calloc(standin->count, sizeof(struct Backend));
+    for (unsigned i = 0; i < standin->count; i++) {
+        snprintf(backends[i].id, SR_ID_SIZE, "%.40s-b%u", standin->prefix, i);
+    }
+    announce(standin);
+}
--- /dev/null
+++ b/standin/main.c
@@ -0,0 +1,421 @@
+/* The stand-ins' command line, faults and record. */
+#include "standin.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "os.h"
+
+#define BODY_MAX (16 * 1024 * 1024)
+#define CONNECTIONS_MAX 4000
+#define READ_TIMEOUT_MS 60000
+
+struct Port {
+    struct Standin *standin;
+    int port;
+    struct SrHttpServer *server;
+};
+
+struct Late {
+    ev_timer timer;
+    struct SrHttpRequest *request;
+    struct SrHttpReply reply;
+};
+
+struct Arguments {
+    const char *role;
+    struct Standin standin;
+};
+
+int64_t
+Standin_Now(void)
+{
+    return SrOs_MonotonicMs();
+}
+
+void
+Standin_Record(struct Standin *standin, const char *format, ...)
+{
+    va_list arguments;
+    fprintf(standin->record_file, "%lld ", (long long)Standin_Now());
+    va_start(arguments, format);
+    vfprintf(standin->record_file, format, arguments);
+    va_end(arguments);
+    fputc('\n', standin->record_file);
+}
+
+static void
+on_late(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct Late *late = watcher->data;
+    SrHttpRequest_Reply(late->request, &late->reply);
+    free(late);
+}
+
+static void
+reply_late(struct Standin *standin, struct SrHttpRequest *request,
+           const struct SrHttpReply *reply)
+{
+    struct Late *late = SrUtil_Calloc(1, sizeof(*late));
+    late->request = request;
+    late->reply = *reply;
+    ev_timer_init(&late->timer, on_late,
+                  (double)standin->faults.slow_ms / 1000, 0);
+    late->timer.data = late;
+    ev_timer_start(standin->loop, &late->timer);
+}
+
+static bool
+is_lost(struct Standin *standin, const struct SrHttpRequest *request)
+{
+    struct Faults *faults = &standin->faults;
+    if (faults->lose == 0 ||
+        strncmp(SrHttpRequest_Path(request), faults->lose_path,
+                strlen(faults->lose_path)) != 0) {
+        return false;
+    }
+    faults->lose--;
+    return true;
+}
+
+void
+Standin_ReplyRaw(struct Standin *standin, struct SrHttpRequest *request,
+                 unsigned status, const void *body, size_t size,
+                 const char *header, const char *value)
+{
+    if (is_lost(standin, request)) {
+        /* The caller's time runs out, although the request took effect. */
+        return;
+    }
+    struct SrHttpReply reply = {
+        .status = status,
+        .body = SrUtil_Memdup(body, size),
+        .size = size,
+        .header = header,
+        .header_value = value,
+    };
+    if (standin->faults.truncate > 0 && size > 0) {
+        standin->faults.truncate--;
+        reply.size = size / 2;
+        reply.missing = size - reply.size;
+    }
+    if (standin->faults.slow_ms > 0) {
+        reply_late(standin, request, &reply);
+        return;
+    }
+    SrHttpRequest_Reply(request, &reply);
+}
+
+void
+Standin_Reply(struct Standin *standin, struct SrHttpRequest *request,
+              const void *message)
+{
+    size_t size;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *body = SrCodec_Pack(message, &size);
+    Standin_ReplyRaw(standin, request, 200, body, size, NULL, NULL);
+}
+
+bool
+Standin_Register(struct Standin *standin, SrPlatform__Vm **vms, size_t count)
+{
+    char url[2 * SR_ID_SIZE];
+    SrPlatform__VmListReply list = SR_PLATFORM__VM_LIST_REPLY__INIT;
+    size_t size;
+    long status = 0;
+    list.vms = vms;
+    list.n_vms = count;
+    SR_CLEANUP(SrUtil_FreePointer) uint8_t *body = SrCodec_Pack(&list, &size);
+    snprintf(url, sizeof(url), "http://%s/vms/register", standin->platform);
+    CURL *easy = curl_easy_init();
+    FILE *nowhere = fopen("/dev/null", "w");
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)size);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, nowhere);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 5000L);
+    CURLcode code = curl_easy_perform(easy);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(easy);
+    fclose(nowhere);
+    return code == CURLE_OK && status == 200;
+}
+
+static bool
+set_fault(struct Faults *faults, const char *name, const char *value)
+{
+    if (strcmp(name, "down") == 0) {
+        faults->down = strcmp(value, "0") != 0;
+    }
+    else if (strcmp(name, "slow_ms") == 0) {
+        faults->slow_ms = strtoll(value, NULL, 10);
+    }
+    else if (strcmp(name, "lose") == 0) {
+        faults->lose = (unsigned)strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "lose_path") == 0) {
+        SrUtil_Copy(faults->lose_path, SR_ID_SIZE, value);
+    }
+    else if (strcmp(name, "fail_worker") == 0) {
+        SrUtil_Copy(faults->fail_worker, SR_ID_SIZE, value);
+    }
+    else if (strcmp(name, "dead") == 0) {
+        SrUtil_Copy(faults->dead, SR_ID_SIZE, value);
+    }
+    else if (strcmp(name, "leaving") == 0) {
+        SrUtil_Copy(faults->leaving, SR_ID_SIZE, value);
+    }
+    else if (strcmp(name, "truncate") == 0) {
+        faults->truncate = (unsigned)strtoul(value, NULL, 10);
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static void
+reply_text(struct SrHttpRequest *request, unsigned status, const char *text,
+           size_t size)
+{
+    SrHttpRequest_Reply(request, &(struct SrHttpReply){
+                                     .status = status,
+                                     .body = SrUtil_Memdup(text, size),
+                                     .size = size,
+                                 });
+}
+
+/* Takes "name=value" words, as in "slow_ms=200 lose=1". */
+static void
+take_faults(struct Standin *standin, struct SrHttpRequest *request)
+{
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(request, &size);
+    SR_CLEANUP(SrUtil_FreePointer) char *text = SrUtil_Calloc(1, size + 1);
+    char *save = NULL;
+    if (size > 0) {
+        memcpy(text, body, size);
+    }
+    for (char *word = strtok_r(text, " \n&", &save); word != NULL;
+         word = strtok_r(NULL, " \n&", &save)) {
+        char *equals = strchr(word, '=');
+        if (equals == NULL) {
+            reply_text(request, 400, "no value\n", 9);
+            return;
+        }
+        *equals = '\0';
+        if (!set_fault(&standin->faults, word, equals + 1)) {
+            reply_text(request, 400, "unknown fault\n", 14);
+            return;
+        }
+        Standin_Record(standin, "fault %s=%s", word, equals + 1);
+    }
+    reply_text(request, 200, "", 0);
+}
+
+static void
+on_request(void *context, struct SrHttpRequest *request)
+{
+    struct Port *port = context;
+    struct Standin *standin = port->standin;
+    const char *path = SrHttpRequest_Path(request);
+    if (strcmp(path, "/fault") == 0) {
+        take_faults(standin, request);
+        return;
+    }
+    if (strcmp(path, "/record") == 0) {
+        fflush(standin->record_file);
+        reply_text(request, 200, standin->record, standin->record_size);
+        return;
+    }
+    if (standin->faults.down) {
+        return;
+    }
+    standin->handle(standin, request, port->port);
+}
+
+static struct SrHttpBody
+on_rejection(void *context, enum SrHttpRejection reason)
+{
+    (void)context;
+    (void)reason;
+    return (struct SrHttpBody){.type = "text/plain"};
+}
+
+static void
+listen_on(struct Standin *standin, int number)
+{
+    char address[2 * SR_ID_SIZE];
+    struct Port *port = SrUtil_Calloc(1, sizeof(*port));
+    port->standin = standin;
+    port->port = number;
+    snprintf(address, sizeof(address), "%s:%d", standin->host, number);
+    struct SrHttpServerOptions options = {
+        .address = address,
+        .body_max = BODY_MAX,
+        .connections_max = CONNECTIONS_MAX,
+        .read_timeout_ms = READ_TIMEOUT_MS,
+        .handle = on_request,
+        .reject = on_rejection,
+        .context = port,
+    };
+    if (SrHttpServer_Create(standin->loop, &options, &port->server) !=
+        SR_HTTP_SERVER_OK) {
+        fprintf(stderr, "cannot listen on %s\n", address);
+        exit(3);
+    }
+}
+
+static const struct argp_option options[] = {
+    {.name = "listen", .key = 'l', .arg = "HOST:PORT", .doc = "first address"},
+    {.name = "platform", .key = 'p', .arg = "HOST:PORT", .doc = "platform"},
+    {.name = "domain", .key = 'd', .arg = "NAME", .doc = "failure domain"},
+    {.name = "prefix", .key = 'x', .arg = "TEXT", .doc = "begins all names"},
+    {.name = "count", .key = 'c', .arg = "N", .doc = "workers or servers"},
+    {.name = "accelerators", .key = 'a', .arg = "N", .doc = "of each worker"},
+    {.name = "cores", .key = 'k', .arg = "N", .doc = "of each worker"},
+    {.name = "memory-mb", .key = 'm', .arg = "MIB", .doc = "of each worker"},
+    {.name = "rack-size", .key = 'r', .arg = "N", .doc = "workers a rack"},
+    {.name = "slots", .key = 's', .arg = "N", .doc = "of each server"},
+    {.name = "service-ms", .key = 't', .arg = "MS", .doc = "of a request"},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *text, struct argp_state *state)
+{
+    struct Arguments *arguments = state->input;
+    struct Standin *standin = &arguments->standin;
+    switch (key) {
+    case 'l': {
+        char *colon = strrchr(text, ':');
+        if (colon == NULL) {
+            argp_error(state, "listen: '%s' is not HOST:PORT", text);
+            return EINVAL;
+        }
+        *colon = '\0';
+        SrUtil_Copy(standin->host, SR_ID_SIZE, text);
+        standin->port = (int)strtol(colon + 1, NULL, 10);
+        return 0;
+    }
+    case 'p':
+        SrUtil_Copy(standin->platform, SR_ID_SIZE, text);
+        return 0;
+    case 'd':
+        SrUtil_Copy(standin->domain, SR_ID_SIZE, text);
+        return 0;
+    case 'x':
+        SrUtil_Copy(standin->prefix, SR_ID_SIZE, text);
+        return 0;
+    case 'c':
+        standin->count = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 'a':
+        standin->accelerators = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 'k':
+        standin->cores = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 'm':
+        standin->memory_mb = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 'r':
+        standin->rack_size = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 's':
+        standin->slots = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case 't':
+        standin->service_ms = (unsigned)strtoul(text, NULL, 10);
+        return 0;
+    case ARGP_KEY_ARG:
+        arguments->role = text;
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)watcher;
+    (void)events;
+    ev_break(loop, EVBREAK_ALL);
+}
+
+static int
+start_role(struct Standin *standin, const char *role)
+{
+    unsigned ports = 1;
+    if (strcmp(role, "platform") == 0) {
+        Table_Start(standin);
+    }
+    else if (strcmp(role, "workers") == 0) {
+        Workers_Start(standin);
+    }
+    else if (strcmp(role, "backend") == 0) {
+        Backend_Start(standin);
+        ports = standin->count;
+    }
+    else {
+        fprintf(stderr, "role '%s' is not platform, workers or backend\n",
+                role);
+        return 64;
+    }
+    for (unsigned i = 0; i < ports; i++) {
+        listen_on(standin, standin->port + (int)i);
+    }
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct Arguments arguments = {
+        .role = "",
+        .standin =
+            {
+                .domain = "d1",
+                .prefix = "d1",
+                .host = "127.0.0.1",
+                .port = 9000,
+                .count = 1,
+                .accelerators = 8,
+                .cores = 130,
+                .memory_mb = 500000,
+                .rack_size = 8,
+                .slots = 8,
+            },
+    };
+    struct Standin *standin = &arguments.standin;
+    struct argp argp = {
+        .options = options,
+        .parser = parse_option,
+        .args_doc = "platform|workers|backend",
+        .doc = "Stand-ins for tests.",
+    };
+    ev_signal terminate;
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    standin->loop = ev_default_loop(0);
+    standin->record_file =
+        open_memstream(&standin->record, &standin->record_size);
+    int code = start_role(standin, arguments.role);
+    if (code != 0) {
+        return code;
+    }
+    ev_signal_init(&terminate, on_signal, SIGTERM);
+    ev_signal_start(standin->loop, &terminate);
+    ev_run(standin->loop, 0);
+    return 0;
+}
