Fault matrix with real processes, gate against bad requests; five faults mended

Each step of a job's or configuration's life is withheld in a stand-in, a fault is brought about, the answer let go, and a checker judges the stand-ins' records and the callers' answers.

Found by it, each first failing, then passing: 1. Cause: the answer to a stop did not tell a finished lease from a stopped one. The step's result now carries the lease's state, and a gang all of whose tasks finished has finished. 2. 'No leader is reachable' came as UNSATISFIABLE; it is UNAVAILABLE. 4. A sender of 100 MB was cut off in the middle and never saw the typed error (test_gate). The body is now read and dropped, memory stays flat. 5.

--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,33 @@
+/* Rows of the benches: "name value unit bound ok|MISS". */
+#ifndef BENCH_H
+#define BENCH_H
+
+#include <stdio.h>
+
+enum BenchBound {
+    BENCH_NO_BOUND,
+    BENCH_AT_MOST,
+    BENCH_AT_LEAST,
+};
+
+static inline void
+Bench_Row(const char *name, double value, const char *unit,
+          enum BenchBound kind, double bound)
+{
+    switch (kind) {
+    case BENCH_NO_BOUND:
+        printf("%-46s %12.4g %-8s %10s -\n", name, value, unit, "-");
+        break;
+    case BENCH_AT_MOST:
+        printf("%-46s %12.4g %-8s <=%8.4g %s\n", name, value, unit, bound,
+               value <= bound ? "ok" : "MISS");
+        break;
+    case BENCH_AT_LEAST:
+        printf("%-46s %12.4g %-8s >=%8.4g %s\n", name, value, unit, bound,
+               value >= bound ? "ok" : "MISS");
+        break;
+    }
+    fflush(stdout);
+}
+
+#endif
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -51,13 +51,12 @@
 }
 for test in build-asan/test_*; do
     case $test in
-    *.dir | */test_faults) continue ;;
+    *.dir | */test_faults | */test_gate) continue ;;
     esac
     run "$test"
 done
-if [ -x "$BUILD/test_faults" ]; then
-    run "$BUILD/test_faults"
-fi
+run "$BUILD/test_gate"
+run "$BUILD/test_faults"
 [ "$known" -gt 0 ] && echo "known red cases passed over: $known"
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
--- a/src/config_change.c
+++ b/src/config_change.c
@@ -27,6 +27,8 @@
     CHANGE_IDLE,
     CHANGE_APPROVING,
     CHANGE_COMMITTING,
+    /* The row had changed; whether the configuration had, is being read. */
+    CHANGE_REREADING,
     CHANGE_SPREADING,
 };
 
@@ -45,11 +47,15 @@
     unsigned approvals_left;
     unsigned round;
     bool refused;
+    Sr__ErrorCode refusal_code;
     char refusal[TEXT_SIZE];
+    uint64_t tried_row;
     uint64_t version;
     int64_t applied_ms;
 };
 
+static void commit_change(struct SrConfigChange *change);
+
 static void
 end_change(struct SrConfigChange *change)
 {
@@ -188,6 +194,23 @@
     end_change(change);
 }
 
+/* A configuration that came from a peer may be known here before its row's
+ * version is; then the same change is committed again. */
+static void
+retry_commit(struct SrConfigChange *change)
+{
+    if (SrLeadership_ConfigRow(change->leadership) == change->tried_row) {
+        SrLeadership_Refresh(change->leadership);
+        return;
+    }
+    if (SrConfig_Version(change->config) + 1 == change->next->version) {
+        commit_change(change);
+        return;
+    }
+    fail(change, SR__ERROR_CODE__ERROR_CONFLICT, SR__OUTCOME__OUTCOME_NOT_RUN,
+         "another change came first");
+}
+
 static void
 on_tick(void *context)
 {
@@ -207,6 +230,16 @@
             change->call = NULL;
         }
         break;
+    case CHANGE_REREADING:
+        if (overdue) {
+            fail(change, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                 SR__OUTCOME__OUTCOME_NOT_RUN,
+                 "the table service cannot be reached");
+        }
+        else {
+            retry_commit(change);
+        }
+        break;
     case CHANGE_SPREADING:
         if (overdue || list_waiting(change, change->version, waiting) == 0) {
             answer_spread(change);
@@ -230,9 +263,8 @@
         on_tick(change);
         break;
     case SR_STORE_CONFLICT:
+        change->phase = CHANGE_REREADING;
         SrLeadership_Refresh(change->leadership);
-        fail(change, SR__ERROR_CODE__ERROR_CONFLICT,
-             SR__OUTCOME__OUTCOME_NOT_RUN, "another change came first");
         break;
     default:
         fail(change, SR__ERROR_CODE__ERROR_UNAVAILABLE,
@@ -261,6 +293,7 @@
     request.puts = puts;
     request.n_puts = 1;
     change->phase = CHANGE_COMMITTING;
+    change->tried_row = same.version;
     SrStore_Commit(change->store, SR_STORE_FIRST, &request, on_committed,
                    change);
 }
@@ -269,8 +302,8 @@
 finish_approvals(struct SrConfigChange *change)
 {
     if (change->refused) {
-        fail(change, SR__ERROR_CODE__ERROR_UNSATISFIABLE,
-             SR__OUTCOME__OUTCOME_NOT_RUN, change->refusal);
+        fail(change, change->refusal_code, SR__OUTCOME__OUTCOME_NOT_RUN,
+             change->refusal);
         return;
     }
     if (SrConfig_Version(change->config) + 1 != change->next->version) {
@@ -295,6 +328,8 @@
                                reply->reply->body.len);
     }
     change->refused = true;
+    change->refusal_code =
+        error != NULL ? error->code : SR__ERROR_CODE__ERROR_UNAVAILABLE;
     SrUtil_Copy(change->refusal, sizeof(change->refusal),
                 error != NULL
                     ? error->text
@@ -341,6 +376,7 @@
                                         approval) != SR_BUS_OK) {
         free(approval);
         change->refused = true;
+        change->refusal_code = SR__ERROR_CODE__ERROR_UNAVAILABLE;
         snprintf(change->refusal, sizeof(change->refusal),
                  "failure domain %s cannot judge the guarantee: no leader "
                  "is reachable",
@@ -368,6 +404,7 @@
     if (!SrJobs_CheckGuarantee(jobs, change->request->put_account,
                                change->refusal, sizeof(change->refusal))) {
         change->refused = true;
+        change->refusal_code = SR__ERROR_CODE__ERROR_UNSATISFIABLE;
     }
 }
 
--- a/src/gang.c
+++ b/src/gang.c
@@ -141,11 +141,8 @@
     case SR_GANG_HOLDING:
         return enter(gang, SR_GANG_RECORDING);
     case SR_GANG_RELEASING:
-        if (all_ended(gang)) {
-            gang->end = SR_GANG_FINISHED;
-            return enter(gang, SR_GANG_ENDED);
-        }
-        return enter(gang, SR_GANG_RUNNING);
+        return all_ended(gang) ? enter(gang, SR_GANG_ENDED)
+                               : enter(gang, SR_GANG_RUNNING);
     case SR_GANG_STOPPING:
         return enter(gang, SR_GANG_ENDED);
     case SR_GANG_IDLE:
@@ -196,8 +193,19 @@
     return stop(gang, SR_GANG_ABORTED);
 }
 
+static bool
+all_finished(const struct SrGang *gang)
+{
+    for (unsigned i = 0; i < gang->member_count; i++) {
+        if (!gang->members[i].finished) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static enum SrGangCommand
-on_finished(struct SrGang *gang, struct SrGangMember *member)
+on_ended(struct SrGang *gang, struct SrGangMember *member)
 {
     member->ended = true;
     if (gang->phase == SR_GANG_STOPPING) {
@@ -207,10 +215,19 @@
     if (!all_ended(gang) || gang->phase < SR_GANG_RELEASING) {
         return SR_GANG_NOTHING;
     }
-    if (gang->end == SR_GANG_END_NONE) {
+    return enter(gang, SR_GANG_ENDED);
+}
+
+/* A gang whose tasks have all finished has finished, even if it was being
+ * stopped. */
+static enum SrGangCommand
+on_finished(struct SrGang *gang, struct SrGangMember *member)
+{
+    member->finished = true;
+    if (all_finished(gang)) {
         gang->end = SR_GANG_FINISHED;
     }
-    return enter(gang, SR_GANG_ENDED);
+    return on_ended(gang, member);
 }
 
 enum SrGangCommand
@@ -227,7 +244,7 @@
     case SR_PLATFORM__LEASE_STATE__LEASE_FAILED:
         member->ended = true;
         if (gang->phase == SR_GANG_STOPPING) {
-            return on_finished(gang, member);
+            return on_ended(gang, member);
         }
         SrUtil_Copy(gang->culprit, SR_ID_SIZE, member->worker);
         SrUtil_Copy(gang->reason, SR_ID_SIZE, "a task failed");
--- a/src/gang.h
+++ b/src/gang.h
@@ -54,6 +54,7 @@
     bool done;
     /* Its tasks have ended: stopped, finished, failed or lost. */
     bool ended;
+    bool finished;
 };
 
 struct SrGang {
--- a/src/gen/platform.pb-c.c
+++ b/src/gen/platform.pb-c.c
@@ -1976,7 +1976,7 @@
   (ProtobufCMessageInit) sr_platform__apply_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr_platform__step_result__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sr_platform__step_result__field_descriptors[3] =
 {
   {
     "done",
@@ -2002,15 +2002,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(SrPlatform__StepResult, state),
+    &sr_platform__lease_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr_platform__step_result__field_indices_by_name[] = {
   0,   /* field[0] = done */
   1,   /* field[1] = reason */
+  2,   /* field[2] = state */
 };
 static const ProtobufCIntRange sr_platform__step_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor sr_platform__step_result__descriptor =
 {
@@ -2020,7 +2033,7 @@
   "SrPlatform__StepResult",
   "sr_platform",
   sizeof(SrPlatform__StepResult),
-  2,
+  3,
   sr_platform__step_result__field_descriptors,
   sr_platform__step_result__field_indices_by_name,
   1,  sr_platform__step_result__number_ranges,
--- a/src/gen/platform.pb-c.h
+++ b/src/gen/platform.pb-c.h
@@ -347,10 +347,14 @@
   ProtobufCMessage base;
   protobuf_c_boolean done;
   char *reason;
+  /*
+   * State of the lease after the step; unspecified if there is none.
+   */
+  SrPlatform__LeaseState state;
 };
 #define SR_PLATFORM__STEP_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr_platform__step_result__descriptor) \
-    , 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED }
 
 
 struct  SrPlatform__ApplyReply
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -247,7 +247,10 @@
     if (request == NULL) {
         request = begin_request(context, connection, method, path);
         *state = request;
-        return announces_too_much(request) ? reject_large(request) : MHD_YES;
+        /* The body is read and dropped: a sender that is cut off in the middle
+         * of it would not see the answer. */
+        request->too_large = announces_too_much(request);
+        return MHD_YES;
     }
     switch (request->state) {
     case REQUEST_RECEIVING:
--- a/src/job_run.c
+++ b/src/job_run.c
@@ -45,7 +45,8 @@
 }
 
 static void
-on_step(void *context, enum SrWorkersError error, const char *reason)
+on_step(void *context, enum SrWorkersError error, const char *reason,
+        SrPlatform__LeaseState state)
 {
     struct Step step = *(struct Step *)context;
     free(context);
@@ -63,6 +64,11 @@
     SR_DEBUG("jobs", "step", "job=%s worker=%s action=%d error=%s",
              job->record->id, job->gang.members[step.member].worker,
              (int)step.action, SrWorkers_ErrorText(error));
+    bool finished = state == SR_PLATFORM__LEASE_STATE__LEASE_FINISHED;
+    if (finished && step.action == SR_PLATFORM__ACTION__ACTION_STOP) {
+        run_command(job, SrGang_OnLease(&job->gang, step.member, state));
+        return;
+    }
     run_command(job, SrGang_OnStep(&job->gang, step.member, step.action,
                                    error == SR_WORKERS_OK, reason));
 }
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -27,6 +27,8 @@
 static const struct SrQueuePolicy queue_policy = {
     .order = SR_QUEUE_FAIR,
     .reserve = true,
+    .short_first = true,
+    .evict = true,
 };
 
 struct Load {
--- a/src/placer.c
+++ b/src/placer.c
@@ -486,6 +486,22 @@
            memory <= worker->memory_mb * cell;
 }
 
+/* Which borrowers may be evicted. */
+struct Eviction {
+    bool for_charged;
+    /* Only those with fewer accelerators. */
+    unsigned below;
+};
+
+static struct Eviction
+eviction_for(const struct SrPlacerRequest *request, bool charged)
+{
+    return (struct Eviction){
+        .for_charged = charged,
+        .below = request->urgent ? UINT_MAX : request->evicts_below,
+    };
+}
+
 static int64_t
 eviction_cost(const struct SrPlacer *placer, const struct Gang *gang,
               int64_t now_ms)
@@ -504,10 +520,13 @@
 }
 
 static bool
-is_evictable(const struct Gang *gang, bool for_charged)
+is_evictable(const struct Gang *gang, const struct Eviction *eviction)
 {
-    return !gang->charged && !gang->pinned && !gang->leaving &&
-           (for_charged || !gang->urgent);
+    if (gang->charged || gang->pinned || gang->leaving) {
+        return false;
+    }
+    return eviction->for_charged ||
+           (!gang->urgent && gang->accelerators < eviction->below);
 }
 
 static void
@@ -524,7 +543,7 @@
 struct Clearing {
     const struct SrPlacer *placer;
     int64_t now_ms;
-    bool for_charged;
+    struct Eviction eviction;
     unsigned mark;
     struct SrDecision *decision;
     int64_t cost;
@@ -540,7 +559,7 @@
         struct Part *part = SR_CONTAINER(link, struct Part, link);
         struct Gang *gang = part->gang;
         if (gang->mark == clearing->mark ||
-            !is_evictable(gang, clearing->for_charged)) {
+            !is_evictable(gang, &clearing->eviction)) {
             continue;
         }
         int64_t cost = eviction_cost(clearing->placer, gang, clearing->now_ms);
@@ -571,7 +590,7 @@
             continue;
         }
         if (gang->mark != clearing->mark && (part->mask & blocked) != 0) {
-            if (!is_evictable(gang, clearing->for_charged)) {
+            if (!is_evictable(gang, &clearing->eviction)) {
                 return false;
             }
             mark_victim(gang, clearing->mark, clearing->decision);
@@ -599,12 +618,12 @@
 
 static struct Clearing
 start_clearing(struct SrPlacer *placer, const struct SrPlacerRequest *request,
-               bool for_charged, struct SrDecision *decision)
+               bool charged, struct SrDecision *decision)
 {
     return (struct Clearing){
         .placer = placer,
         .now_ms = request->now_ms,
-        .for_charged = for_charged,
+        .eviction = eviction_for(request, charged),
         .mark = ++placer->mark,
         .decision = decision,
     };
@@ -1274,7 +1293,8 @@
     if (request->may_borrow && place_in_free(placer, request, decision)) {
         return;
     }
-    if (request->urgent && request->may_borrow && total > 0 &&
+    bool evicts = request->urgent || request->evicts_below > 0;
+    if (evicts && request->may_borrow && total > 0 &&
         total <= SR_CELLS_GANG_MAX && placer->policy.reclaim &&
         place_at_candidate(placer, request, false, decision)) {
         return;
--- a/src/placer.h
+++ b/src/placer.h
@@ -77,6 +77,9 @@
     /* True if the gang must never be evicted; uncharged, it starts only where
      * it is in the way of no guarantee. */
     bool pinned;
+    /* Borrowers of fewer accelerators than this give way to the gang even if
+     * it is neither charged nor urgent; 0 for none. */
+    unsigned evicts_below;
     /* Estimate of the run time, ms; 0 if not known. */
     int64_t run_ms;
     int64_t now_ms;
--- a/src/queue.c
+++ b/src/queue.c
@@ -8,10 +8,17 @@
 /* A gang this large may have a rack set aside after such a wait. */
 #define RESERVE_ACCELERATORS 8
 #define RESERVE_AFTER_MS 5000
+/* After this wait it may evict borrowers of a quarter of its size. */
+#define EVICT_AFTER_MS (20 * 60 * 1000)
+#define EVICT_SHARE 4
 #define RATIO_MIN 0.1
 #define RATIO_MAX 20.0
 #define RATIO_GAIN 0.2
 #define FAILED_SHAPES_MAX 64
+/* A job is put back by this part of its work in accelerator-time, up to a
+ * limit. */
+#define PUT_BACK_SHARE 16
+#define PUT_BACK_MAX_MS (60 * 60 * 1000)
 
 struct SrQueueAccount {
     struct SrMapEntry entry;
@@ -118,7 +125,7 @@
     while (at->prev != list) {
         const struct SrQueueEntry *other =
             SR_CONTAINER(at->prev, struct SrQueueEntry, link);
-        if (other->submitted_ms <= entry->submitted_ms) {
+        if (other->order_ms <= entry->order_ms) {
             break;
         }
         at = at->prev;
@@ -141,11 +148,26 @@
     SrList_Append(at, &entry->order_link);
 }
 
+static int64_t
+order_of(const struct SrQueue *queue, const struct SrQueueEntry *entry)
+{
+    if (!queue->policy.short_first) {
+        return entry->submitted_ms;
+    }
+    int64_t run_ms =
+        SrQueue_ExpectedMs(queue, entry->account->name, entry->run_ms);
+    int64_t back_ms =
+        run_ms * entry->need.tasks * entry->need.accelerators / PUT_BACK_SHARE;
+    return entry->submitted_ms +
+           (back_ms < PUT_BACK_MAX_MS ? back_ms : PUT_BACK_MAX_MS);
+}
+
 void
 SrQueue_Add(struct SrQueue *queue, struct SrQueueEntry *entry,
             const char *account)
 {
     entry->account = find_account(queue, account);
+    entry->order_ms = order_of(queue, entry);
     insert_by_time(&entry->account->entries, entry);
     insert_in_order(entry->urgent ? &queue->urgent : &queue->by_time, entry);
     queue->length++;
@@ -247,12 +269,16 @@
              int64_t now_ms, bool may_charge, bool may_borrow)
 {
     const char *account = entry->account->name;
+    unsigned total = entry->need.tasks * entry->need.accelerators;
+    bool evicts = queue->policy.evict && total >= RESERVE_ACCELERATORS &&
+                  now_ms - entry->submitted_ms >= EVICT_AFTER_MS;
     return (struct SrPlacerRequest){
         .gang = entry->id,
         .account = account,
         .need = entry->need,
         .urgent = entry->urgent,
         .pinned = entry->non_repeatable,
+        .evicts_below = evicts ? total / EVICT_SHARE + 1 : 0,
         .run_ms = SrQueue_ExpectedMs(queue, account, entry->run_ms),
         .now_ms = now_ms,
         .may_charge = may_charge,
@@ -444,6 +470,29 @@
     sift_down(queue, 0);
 }
 
+/* True if the entry may do more than a smaller one that found no place. */
+static bool
+may_evict(const struct SrQueue *queue, const struct SrQueueEntry *entry,
+          int64_t now_ms)
+{
+    return make_request(queue, entry, now_ms, true, true).evicts_below > 0;
+}
+
+static void
+place_in_turn(struct SrQueue *queue, struct SrQueueEntry *entry,
+              int64_t now_ms, SrQueue_Decided *decided, void *context)
+{
+    if (is_hopeless(queue, entry) && !may_evict(queue, entry, now_ms)) {
+        reserve_for(queue, entry, now_ms);
+        return;
+    }
+    if (try_entry(queue, entry, now_ms, true, true, decided, context) ==
+        SR_PLACEMENT_WAIT) {
+        reserve_for(queue, entry, now_ms);
+        remember_failure(queue, entry);
+    }
+}
+
 static void
 place_fair(struct SrQueue *queue, int64_t now_ms, SrQueue_Decided *decided,
            void *context)
@@ -454,11 +503,8 @@
         struct SrQueueEntry *entry =
             SR_CONTAINER(account->next, struct SrQueueEntry, link);
         account->next = entry->link.next;
-        if (!entry->urgent && !is_hopeless(queue, entry) &&
-            try_entry(queue, entry, now_ms, true, true, decided, context) ==
-                SR_PLACEMENT_WAIT) {
-            reserve_for(queue, entry, now_ms);
-            remember_failure(queue, entry);
+        if (!entry->urgent) {
+            place_in_turn(queue, entry, now_ms, decided, context);
         }
         advance(queue, account, now_ms);
     }
--- a/src/queue.h
+++ b/src/queue.h
@@ -22,6 +22,11 @@
     enum SrQueueOrder order;
     /* True sets a rack aside for a large gang that waits. */
     bool reserve;
+    /* True lets an account's small, short jobs pass its large, long ones, by
+     * a bounded time. */
+    bool short_first;
+    /* True lets a large gang that has waited long evict small borrowers. */
+    bool evict;
     /* Stop at the first job that does not fit. */
     bool strict;
 };
@@ -38,6 +43,8 @@
     /* Declared run time, ms; 0 if not known. */
     int64_t run_ms;
     int64_t submitted_ms;
+    /* Set by the queue: its place among the account's entries. */
+    int64_t order_ms;
 };
 
 struct SrQueue;
--- a/src/workers.c
+++ b/src/workers.c
@@ -83,7 +83,7 @@
 
 static void
 end_step(struct PendingStep *pending, enum SrWorkersError error,
-         const char *reason)
+         const char *reason, SrPlatform__LeaseState state)
 {
     SrList_Remove(&pending->link);
     SrWorkers_StepDone *done = pending->done;
@@ -91,7 +91,7 @@
     SrCodec_Free(pending->step);
     free(pending);
     if (done != NULL) {
-        done(context, error, reason);
+        done(context, error, reason, state);
     }
 }
 
@@ -108,7 +108,8 @@
     }
     while (!SrList_IsEmpty(&ended)) {
         end_step(SR_CONTAINER(ended.next, struct PendingStep, link), error,
-                 error_texts[error]);
+                 error_texts[error],
+                 SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
     }
 }
 
@@ -280,7 +281,7 @@
         /* The analyser takes the list's head for the step just freed. */
         /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
         end_step(pending, result->done ? SR_WORKERS_OK : SR_WORKERS_REFUSED,
-                 result->reason);
+                 result->reason, result->state);
     }
 }
 
@@ -363,7 +364,8 @@
         enum SrWorkersError error =
             worker == NULL ? SR_WORKERS_UNKNOWN : SR_WORKERS_FENCED;
         if (done != NULL) {
-            done(context, error, error_texts[error]);
+            done(context, error, error_texts[error],
+                 SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
         }
         return;
     }
--- a/src/workers.h
+++ b/src/workers.h
@@ -25,8 +25,10 @@
 
 struct SrWorkers;
 
+/* `state` is the lease's state after the step, as far as it is known. */
 typedef void SrWorkers_StepDone(void *context, enum SrWorkersError error,
-                                const char *reason);
+                                const char *reason,
+                                SrPlatform__LeaseState state);
 
 const char *SrWorkers_ErrorText(enum SrWorkersError error);
 
--- a/standin/main.c
+++ b/standin/main.c
@@ -113,6 +113,38 @@
     SrHttpRequest_Reply(request, &reply);
 }
 
+bool
+Standin_IsPaused(struct Standin *standin, const char *step)
+{
+    struct Faults *faults = &standin->faults;
+    if (faults->pause[0] == '\0' || standin->pausing ||
+        strncmp(step, faults->pause, strlen(faults->pause)) != 0) {
+        return false;
+    }
+    if (faults->pause_skip > 0) {
+        faults->pause_skip--;
+        return false;
+    }
+    Standin_Record(standin, "paused step=%s", faults->pause);
+    faults->pause[0] = '\0';
+    standin->pausing = true;
+    return true;
+}
+
+static void
+resume(struct Standin *standin)
+{
+    struct SrHttpRequest *request = standin->paused;
+    standin->pausing = false;
+    if (request == NULL) {
+        return;
+    }
+    standin->paused = NULL;
+    Standin_ReplyRaw(standin, request, 200, standin->paused_body,
+                     standin->paused_size, NULL, NULL);
+    free(standin->paused_body);
+}
+
 void
 Standin_Reply(struct Standin *standin, struct SrHttpRequest *request,
               const void *message)
@@ -120,6 +152,12 @@
     size_t size;
     SR_CLEANUP(SrUtil_FreePointer)
     uint8_t *body = SrCodec_Pack(message, &size);
+    if (standin->pausing && standin->paused == NULL) {
+        standin->paused = request;
+        standin->paused_body = SrUtil_Memdup(body, size);
+        standin->paused_size = size;
+        return;
+    }
     Standin_ReplyRaw(standin, request, 200, body, size, NULL, NULL);
 }
 
@@ -176,6 +214,15 @@
     else if (strcmp(name, "truncate") == 0) {
         faults->truncate = (unsigned)strtoul(value, NULL, 10);
     }
+    else if (strcmp(name, "pause") == 0) {
+        SrUtil_Copy(faults->pause, SR_ID_SIZE, value);
+    }
+    else if (strcmp(name, "pause_skip") == 0) {
+        faults->pause_skip = (unsigned)strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "cut") == 0) {
+        SrUtil_Copy(faults->cut, sizeof(faults->cut), value);
+    }
     else {
         return false;
     }
@@ -217,6 +264,12 @@
             return;
         }
         Standin_Record(standin, "fault %s=%s", word, equals + 1);
+        if (strcmp(word, "pause") == 0 && equals[1] == '\0') {
+            resume(standin);
+        }
+    }
+    if (standin->on_fault != NULL) {
+        standin->on_fault(standin);
     }
     reply_text(request, 200, "", 0);
 }
@@ -284,6 +337,7 @@
     {.name = "cores", .key = 'k', .arg = "N", .doc = "of each worker"},
     {.name = "memory-mb", .key = 'm', .arg = "MIB", .doc = "of each worker"},
     {.name = "rack-size", .key = 'r', .arg = "N", .doc = "workers a rack"},
+    {.name = "pairs", .key = 'f', .arg = "L=T,...", .doc = "links"},
     {.name = "slots", .key = 's', .arg = "N", .doc = "of each server"},
     {.name = "service-ms", .key = 't', .arg = "MS", .doc = "of a request"},
     {0},
@@ -330,6 +384,9 @@
     case 'r':
         standin->rack_size = (unsigned)strtoul(text, NULL, 10);
         return 0;
+    case 'f':
+        standin->pairs = text;
+        return 0;
     case 's':
         standin->slots = (unsigned)strtoul(text, NULL, 10);
         return 0;
@@ -366,8 +423,12 @@
         Backend_Start(standin);
         ports = standin->count;
     }
+    else if (strcmp(role, "forward") == 0) {
+        Forward_Start(standin);
+    }
     else {
-        fprintf(stderr, "role '%s' is not platform, workers or backend\n",
+        fprintf(stderr,
+                "role '%s' is not platform, workers, backend or forward\n",
                 role);
         return 64;
     }
@@ -400,7 +461,7 @@
     struct argp argp = {
         .options = options,
         .parser = parse_option,
-        .args_doc = "platform|workers|backend",
+        .args_doc = "platform|workers|backend|forward",
         .doc = "Stand-ins for tests.",
     };
     ev_signal terminate;
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -33,6 +33,13 @@
     char leaving[SR_ID_SIZE];
     /* Number of answers to cut short. */
     unsigned truncate;
+    /* Step whose next answer is withheld until `pause` is set anew: the name
+     * of a worker's action, or the beginning of a commit's first key. */
+    char pause[SR_ID_SIZE];
+    /* Matching steps to let pass first. */
+    unsigned pause_skip;
+    /* Links that carry nothing: their numbers, as in ",3,5,". */
+    char cut[4 * SR_ID_SIZE];
 };
 
 struct Standin {
@@ -46,6 +53,13 @@
     void (*handle)(struct Standin *standin, struct SrHttpRequest *request,
                    int port);
     void (*on_fault)(struct Standin *standin);
+    /* Request whose answer is withheld, and that answer. */
+    bool pausing;
+    struct SrHttpRequest *paused;
+    uint8_t *paused_body;
+    size_t paused_size;
+    /* With role forward: "listen=target" pairs, comma separated. */
+    char *pairs;
     char platform[SR_ID_SIZE];
     char domain[SR_ID_SIZE];
     char prefix[SR_ID_SIZE];
@@ -67,6 +81,10 @@
 void Standin_Record(struct Standin *standin, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* True if the step is the one whose answer is to be withheld; the next
+ * Standin_Reply is then withheld. */
+bool Standin_IsPaused(struct Standin *standin, const char *step);
+
 /* Answers with a message, subject to the faults. */
 void Standin_Reply(struct Standin *standin, struct SrHttpRequest *request,
                    const void *message);
@@ -84,5 +102,6 @@
 void Table_Start(struct Standin *standin);
 void Workers_Start(struct Standin *standin);
 void Backend_Start(struct Standin *standin);
+void Forward_Start(struct Standin *standin);
 
 #endif
--- a/standin/workers.c
+++ b/standin/workers.c
@@ -44,6 +44,11 @@
     int64_t waiting_until_ms;
 };
 
+static const char *const action_names[] = {
+    "unspecified", "reserve", "hold",   "release",
+    "checkpoint",  "stop",    "forget",
+};
+
 static struct Worker *workers;
 static struct Standin *shared;
 static ev_timer sweep;
@@ -284,12 +289,18 @@
         worker->lease_ms = apply->lease_ms;
     }
     for (size_t i = 0; reply.accepted && i < apply->n_steps; i++) {
+        Standin_IsPaused(shared, action_names[apply->steps[i]->action]);
         const char *reason = apply_step(worker, apply->steps[i]);
         sr_platform__step_result__init(&results[i]);
         results[i].done = reason == NULL;
         if (reason != NULL) {
             results[i].reason = (char *)reason;
         }
+        const struct Lease *lease =
+            find_lease(worker, apply->steps[i]->job, apply->steps[i]->attempt);
+        if (lease != NULL) {
+            results[i].state = lease->state;
+        }
         list[reply.n_results++] = &results[i];
     }
     reply.results = list;
--- /dev/null
+++ b/tests/harness.c
@@ -0,0 +1,616 @@
+#include "harness.h"
+
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "auth.h"
+#include "os.h"
+#include "util.h"
+
+#define ARGUMENTS_MAX 48
+#define TEXT_MAX 4096
+#define HTTP_PORT 7100
+#define BUS_PORT 7200
+#define POLL_MS 10
+#define START_LIMIT_MS 8000
+#define STOP_LIMIT_MS 3000
+#define DAEMONS 6
+
+static char binary_path[512];
+static char standin_path[512];
+
+static const char *const names[] = {
+    [HARNESS_PLATFORM] = "platform",
+    [HARNESS_FORWARD] = "forward",
+    [HARNESS_WORKERS1] = "workers1",
+    [HARNESS_WORKERS2] = "workers2",
+    [HARNESS_BACKEND1] = "backend1",
+    [HARNESS_BACKEND2] = "backend2",
+    [HARNESS_S11] = "s11",
+    [HARNESS_S12] = "s12",
+    [HARNESS_G1] = "g1",
+    [HARNESS_S21] = "s21",
+    [HARNESS_S22] = "s22",
+    [HARNESS_G2] = "g2",
+};
+
+static const enum HarnessProcess daemons[DAEMONS] = {
+    HARNESS_S11, HARNESS_S12, HARNESS_G1, HARNESS_S21, HARNESS_S22, HARNESS_G2,
+};
+
+static int
+domain_of(enum HarnessProcess process)
+{
+    return process == HARNESS_S11 || process == HARNESS_S12 ||
+                   process == HARNESS_G1
+               ? 1
+               : 2;
+}
+
+static bool
+is_gate(enum HarnessProcess process)
+{
+    return process == HARNESS_G1 || process == HARNESS_G2;
+}
+
+int64_t
+Harness_Now(void)
+{
+    return SrOs_MonotonicMs();
+}
+
+void
+Harness_Sleep(int64_t wait_ms)
+{
+    struct timespec wait = {
+        .tv_sec = wait_ms / 1000,
+        .tv_nsec = wait_ms % 1000 * 1000000,
+    };
+    nanosleep(&wait, NULL);
+}
+
+void
+Harness_SetUp(const char *program)
+{
+    char folder[256];
+    SrUtil_Copy(folder, sizeof(folder), program);
+    char *slash = strrchr(folder, '/');
+    if (slash != NULL) {
+        *slash = '\0';
+    }
+    snprintf(binary_path, sizeof(binary_path), "%s/sassafrasrelay", folder);
+    snprintf(standin_path, sizeof(standin_path), "%s/standin", folder);
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+}
+
+static void
+host_of(const struct Harness *harness, enum HarnessProcess process, char *to,
+        size_t size)
+{
+    snprintf(to, size, "127.0.%u.%u", 100 + harness->instance,
+             10 + (unsigned)process);
+}
+
+void
+Harness_Address(const struct Harness *harness, enum HarnessProcess process,
+                char *to, size_t size)
+{
+    char host[32];
+    host_of(harness, process, host, sizeof(host));
+    snprintf(to, size, "%s:%d", host, HTTP_PORT);
+}
+
+static pid_t
+spawn(const char *log, char *const *arguments)
+{
+    pid_t pid = fork();
+    if (pid != 0) {
+        return pid;
+    }
+    int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    execv(arguments[0], arguments);
+    _exit(127);
+}
+
+static size_t
+take_text(char *data, size_t unit, size_t count, void *context)
+{
+    return fwrite(data, unit, count, context) * unit;
+}
+
+static char *
+request(const struct Harness *harness, enum HarnessProcess process,
+        const char *path, const char *body)
+{
+    char address[64];
+    char url[256];
+    char *text = NULL;
+    size_t size = 0;
+    long status = 0;
+    Harness_Address(harness, process, address, sizeof(address));
+    snprintf(url, sizeof(url), "http://%s%s", address, path);
+    FILE *out = open_memstream(&text, &size);
+    CURL *easy = curl_easy_init();
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 1000L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_text);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, out);
+    if (body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+    }
+    CURLcode code = curl_easy_perform(easy);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(easy);
+    fclose(out);
+    if (code != CURLE_OK || status != 200) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
+char *
+Harness_Get(const struct Harness *harness, enum HarnessProcess process,
+            const char *path)
+{
+    return request(harness, process, path, NULL);
+}
+
+bool
+Harness_Fault(const struct Harness *harness, enum HarnessProcess process,
+              const char *faults)
+{
+    char *text = request(harness, process, "/fault", faults);
+    free(text);
+    return text != NULL;
+}
+
+static bool
+answers(const struct Harness *harness, enum HarnessProcess process,
+        const char *path)
+{
+    char *text = Harness_Get(harness, process, path);
+    free(text);
+    return text != NULL;
+}
+
+static bool
+wait_answer(const struct Harness *harness, enum HarnessProcess process,
+            const char *path)
+{
+    int64_t end_ms = Harness_Now() + START_LIMIT_MS;
+    while (Harness_Now() < end_ms) {
+        if (answers(harness, process, path)) {
+            return true;
+        }
+        Harness_Sleep(POLL_MS);
+    }
+    fprintf(stderr, "%s does not come up\n", names[process]);
+    return false;
+}
+
+static void
+start_standin(struct Harness *harness, enum HarnessProcess process,
+              const char *role, const char *more)
+{
+    char log[128];
+    char listen[64];
+    char address[48];
+    char platform[64];
+    char *copy = SrUtil_Strdup(more);
+    char *arguments[ARGUMENTS_MAX] = {standin_path, (char *)role, listen,
+                                      platform};
+    size_t count = 4;
+    char *save = NULL;
+    snprintf(log, sizeof(log), "%s/%s.log", harness->out, names[process]);
+    Harness_Address(harness, process, address, sizeof(address));
+    snprintf(listen, sizeof(listen), "--listen=%s", address);
+    Harness_Address(harness, HARNESS_PLATFORM, address, sizeof(address));
+    snprintf(platform, sizeof(platform), "--platform=%s", address);
+    for (char *word = strtok_r(copy, " ", &save); word != NULL;
+         word = strtok_r(NULL, " ", &save)) {
+        arguments[count++] = word;
+    }
+    harness->pids[process] = spawn(log, arguments);
+    free(copy);
+}
+
+/* Ports on which the forwarding stand-in listens for a link. */
+static int
+platform_port(size_t daemon)
+{
+    return 7300 + (int)daemon;
+}
+
+static int
+bus_port(size_t from, size_t to)
+{
+    return 7400 + (int)(from * DAEMONS + to);
+}
+
+static void
+start_forward(struct Harness *harness)
+{
+    char pairs[TEXT_MAX] = "--pairs=";
+    char forward[32];
+    char host[32];
+    size_t length = strlen(pairs);
+    host_of(harness, HARNESS_FORWARD, forward, sizeof(forward));
+    for (size_t i = 0; i < DAEMONS; i++) {
+        host_of(harness, HARNESS_PLATFORM, host, sizeof(host));
+        length += (size_t)snprintf(pairs + length, sizeof(pairs) - length,
+                                   "%s%s:%d=%s:%d", i > 0 ? "," : "", forward,
+                                   platform_port(i), host, HTTP_PORT);
+    }
+    for (size_t from = 0; from < DAEMONS; from++) {
+        for (size_t to = 0; to < DAEMONS; to++) {
+            host_of(harness, daemons[to], host, sizeof(host));
+            length += (size_t)snprintf(pairs + length, sizeof(pairs) - length,
+                                       ",%s:%d=%s:%d", forward,
+                                       bus_port(from, to), host, BUS_PORT);
+        }
+    }
+    start_standin(harness, HARNESS_FORWARD, "forward", pairs);
+}
+
+static void
+list_peers(const struct Harness *harness, size_t from, char *to, size_t size)
+{
+    char forward[32];
+    size_t length = (size_t)snprintf(to, size, "--peers=");
+    host_of(harness, HARNESS_FORWARD, forward, sizeof(forward));
+    for (size_t i = 0; i < DAEMONS; i++) {
+        if (i != from) {
+            length += (size_t)snprintf(
+                to + length, size - length, "%s%s/%s/d%d/r1/%s:%d",
+                length > 8 ? "," : "", names[daemons[i]],
+                is_gate(daemons[i]) ? "gate" : "scheduler",
+                domain_of(daemons[i]), forward, bus_port(from, i));
+        }
+    }
+}
+
+static size_t
+daemon_index(enum HarnessProcess process)
+{
+    size_t i = 0;
+    while (daemons[i] != process) {
+        i++;
+    }
+    return i;
+}
+
+void
+Harness_Restart(struct Harness *harness, enum HarnessProcess process)
+{
+    char texts[12][TEXT_MAX];
+    char hash[SR_AUTH_HEX_SIZE];
+    char host[32];
+    char log[128];
+    size_t index = daemon_index(process);
+    static const char *const fast[] = {
+        "--lease-ms=3000",
+        "--renew-ms=500",
+        "--term-ttl-ms=1000",
+        "--term-renew-ms=200",
+        "--config-lease-ms=1500",
+        "--store-timeout-ms=300",
+        "--vm-poll-ms=200",
+        "--heartbeat-ms=100",
+        "--suspect-ms=400",
+        "--unready-ms=100",
+        "--drain-ms=2000",
+        "--checkpoint-grace-ms=100",
+        "--quarantine-ms=1500",
+        "--read-timeout-ms=1500",
+        "--bus-secret=harness-secret-0123456789",
+        "--log-level=debug",
+    };
+    char *arguments[ARGUMENTS_MAX];
+    size_t count = 0;
+    size_t text = 0;
+    SrAuth_HashHex(HARNESS_OPERATOR_KEY, hash);
+    host_of(harness, process, host, sizeof(host));
+    arguments[count++] = binary_path;
+    arguments[count++] = is_gate(process) ? "gate" : "scheduler";
+    snprintf(texts[text++], TEXT_MAX, "--name=%s", names[process]);
+    snprintf(texts[text++], TEXT_MAX, "--domain=d%d", domain_of(process));
+    snprintf(texts[text++], TEXT_MAX, "--listen=%s:%d", host, HTTP_PORT);
+    snprintf(texts[text++], TEXT_MAX, "--bus-listen=%s:%d", host, BUS_PORT);
+    snprintf(texts[text++], TEXT_MAX, "--operator-key-hash=%s", hash);
+    list_peers(harness, index, texts[text++], TEXT_MAX);
+    host_of(harness, HARNESS_FORWARD, host, sizeof(host));
+    snprintf(texts[text++], TEXT_MAX, "--platform=%s:%d", host,
+             platform_port(index));
+    for (size_t i = 0; i < text; i++) {
+        arguments[count++] = texts[i];
+    }
+    for (size_t i = 0; i < SR_LENGTH(fast); i++) {
+        arguments[count++] = (char *)fast[i];
+    }
+    arguments[count] = NULL;
+    snprintf(log, sizeof(log), "%s/%s.log", harness->out, names[process]);
+    harness->pids[process] = spawn(log, arguments);
+}
+
+static bool
+create_account(const struct Harness *harness)
+{
+    struct HarnessCommand command;
+    char *output = NULL;
+    Harness_Run(harness, &command, true, "account", "put", HARNESS_ACCOUNT,
+                "--account-key=" HARNESS_ACCOUNT_KEY, "--guarantee=d1:16:1",
+                "--timeout-ms=8000", NULL);
+    int code = Harness_Wait(&command, &output);
+    if (code != 0) {
+        fprintf(stderr, "no account: exit %d %s\n", code, output);
+    }
+    free(output);
+    return code == 0;
+}
+
+/* An accepted change has reached every leader; gates follow at once, but not
+ * at the same instant. */
+static bool
+wait_config(const struct Harness *harness)
+{
+    int64_t end_ms = Harness_Now() + START_LIMIT_MS;
+    for (size_t i = 0; i < DAEMONS;) {
+        char *text = Harness_Get(harness, daemons[i], "/metrics");
+        bool has =
+            text != NULL && strstr(text, "\nsr_config_version ") != NULL;
+        free(text);
+        if (has) {
+            i++;
+        }
+        else if (Harness_Now() >= end_ms) {
+            return false;
+        }
+        else {
+            Harness_Sleep(POLL_MS);
+        }
+    }
+    return true;
+}
+
+bool
+Harness_Start(struct Harness *harness, unsigned instance)
+{
+    memset(harness, 0, sizeof(*harness));
+    harness->instance = instance;
+    snprintf(harness->out, sizeof(harness->out), "/tmp/sr-test-%d-%u",
+             (int)getpid(), instance);
+    mkdir(harness->out, 0755);
+    start_standin(harness, HARNESS_PLATFORM, "platform", "");
+    if (!wait_answer(harness, HARNESS_PLATFORM, "/record")) {
+        return false;
+    }
+    start_forward(harness);
+    start_standin(harness, HARNESS_WORKERS1, "workers",
+                  "--domain=d1 --prefix=d1 --count=4 --rack-size=4");
+    start_standin(harness, HARNESS_WORKERS2, "workers",
+                  "--domain=d2 --prefix=d2 --count=4 --rack-size=4");
+    start_standin(harness, HARNESS_BACKEND1, "backend",
+                  "--domain=d1 --prefix=d1 --count=2 --service-ms=2");
+    start_standin(harness, HARNESS_BACKEND2, "backend",
+                  "--domain=d2 --prefix=d2 --count=2 --service-ms=2");
+    for (int i = HARNESS_FORWARD; i <= HARNESS_BACKEND2; i++) {
+        if (!wait_answer(harness, (enum HarnessProcess)i, "/record")) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < DAEMONS; i++) {
+        Harness_Restart(harness, daemons[i]);
+    }
+    for (size_t i = 0; i < DAEMONS; i++) {
+        if (!wait_answer(harness, daemons[i], "/healthz")) {
+            return false;
+        }
+    }
+    return Harness_Leader(harness, 1, START_LIMIT_MS) >= 0 &&
+           Harness_Leader(harness, 2, START_LIMIT_MS) >= 0 &&
+           create_account(harness) && wait_config(harness);
+}
+
+static void
+end_process(pid_t pid)
+{
+    int status;
+    if (pid <= 0) {
+        return;
+    }
+    kill(pid, SIGCONT);
+    kill(pid, SIGKILL);
+    waitpid(pid, &status, 0);
+}
+
+void
+Harness_Stop(struct Harness *harness)
+{
+    for (int i = HARNESS_PROCESSES - 1; i >= 0; i--) {
+        end_process(harness->pids[i]);
+        harness->pids[i] = 0;
+    }
+}
+
+void
+Harness_CleanUp(struct Harness *harness, bool keep)
+{
+    char path[512];
+    if (keep) {
+        fprintf(stderr, "logs are kept in %s\n", harness->out);
+        return;
+    }
+    for (int i = 0; i < HARNESS_PROCESSES; i++) {
+        snprintf(path, sizeof(path), "%s/%s.log", harness->out, names[i]);
+        unlink(path);
+    }
+    rmdir(harness->out);
+}
+
+bool
+Harness_WaitRecord(const struct Harness *harness, enum HarnessProcess process,
+                   const char *text, int64_t limit_ms)
+{
+    int64_t end_ms = Harness_Now() + limit_ms;
+    while (Harness_Now() < end_ms) {
+        char *record = Harness_Get(harness, process, "/record");
+        bool found = record != NULL && strstr(record, text) != NULL;
+        free(record);
+        if (found) {
+            return true;
+        }
+        Harness_Sleep(POLL_MS);
+    }
+    return false;
+}
+
+static bool
+leads(const struct Harness *harness, enum HarnessProcess process)
+{
+    if (harness->pids[process] == 0) {
+        return false;
+    }
+    char *text = Harness_Get(harness, process, "/metrics");
+    bool leading = text != NULL && strstr(text, "\nsr_leading 1\n") != NULL;
+    free(text);
+    return leading;
+}
+
+int
+Harness_Leader(const struct Harness *harness, int domain, int64_t limit_ms)
+{
+    int64_t end_ms = Harness_Now() + limit_ms;
+    while (Harness_Now() < end_ms) {
+        for (size_t i = 0; i < DAEMONS; i++) {
+            if (!is_gate(daemons[i]) && domain_of(daemons[i]) == domain &&
+                leads(harness, daemons[i])) {
+                return (int)daemons[i];
+            }
+        }
+        Harness_Sleep(POLL_MS);
+    }
+    return -1;
+}
+
+void
+Harness_Kill(struct Harness *harness, enum HarnessProcess process)
+{
+    end_process(harness->pids[process]);
+    harness->pids[process] = 0;
+}
+
+void
+Harness_Freeze(const struct Harness *harness, enum HarnessProcess process,
+               bool frozen)
+{
+    if (harness->pids[process] > 0) {
+        kill(harness->pids[process], frozen ? SIGSTOP : SIGCONT);
+    }
+}
+
+static void
+add_cut(struct Harness *harness, size_t number)
+{
+    size_t length = strlen(harness->cut);
+    snprintf(harness->cut + length, sizeof(harness->cut) - length, "%s%zu,",
+             length == 0 ? "," : "", number);
+}
+
+static void
+send_cuts(const struct Harness *harness)
+{
+    char fault[320];
+    snprintf(fault, sizeof(fault), "cut=%s", harness->cut);
+    Harness_Fault(harness, HARNESS_FORWARD, fault);
+}
+
+void
+Harness_CutPlatform(struct Harness *harness, enum HarnessProcess process)
+{
+    add_cut(harness, daemon_index(process));
+    send_cuts(harness);
+}
+
+void
+Harness_CutDomain(struct Harness *harness)
+{
+    for (size_t from = 0; from < DAEMONS; from++) {
+        for (size_t to = 0; to < DAEMONS; to++) {
+            if (domain_of(daemons[from]) != domain_of(daemons[to])) {
+                add_cut(harness, DAEMONS + from * DAEMONS + to);
+            }
+        }
+    }
+    send_cuts(harness);
+}
+
+void
+Harness_Mend(struct Harness *harness)
+{
+    harness->cut[0] = '\0';
+    send_cuts(harness);
+}
+
+void
+Harness_Run(const struct Harness *harness, struct HarnessCommand *command,
+            bool as_operator, const char *name, ...)
+{
+    static unsigned runs;
+    char gates[128];
+    char address[48];
+    char *arguments[ARGUMENTS_MAX] = {binary_path, (char *)name};
+    size_t count = 2;
+    va_list list;
+    va_start(list, name);
+    for (char *word = va_arg(list, char *);
+         word != NULL && count < ARGUMENTS_MAX - 6;
+         word = va_arg(list, char *)) {
+        arguments[count++] = word;
+    }
+    va_end(list);
+    Harness_Address(harness, HARNESS_G1, address, sizeof(address));
+    snprintf(gates, sizeof(gates), "--gates=%s,", address);
+    Harness_Address(harness, HARNESS_G2, address, sizeof(address));
+    strncat(gates, address, sizeof(gates) - strlen(gates) - 1);
+    arguments[count++] = gates;
+    arguments[count++] =
+        as_operator ? "--name=operator" : "--name=" HARNESS_ACCOUNT;
+    arguments[count++] = as_operator ? "--key=" HARNESS_OPERATOR_KEY
+                                     : "--key=" HARNESS_ACCOUNT_KEY;
+    arguments[count++] = "--output=json";
+    arguments[count] = NULL;
+    snprintf(command->output, sizeof(command->output), "%s/run-%u.txt",
+             harness->out, runs++);
+    command->pid = spawn(command->output, arguments);
+}
+
+int
+Harness_Wait(struct HarnessCommand *command, char **output)
+{
+    int status = 0;
+    size_t size = 0;
+    *output = SrUtil_Calloc(1, TEXT_MAX * 16);
+    waitpid(command->pid, &status, 0);
+    FILE *file = fopen(command->output, "r");
+    if (file != NULL) {
+        size = fread(*output, 1, TEXT_MAX * 16 - 1, file);
+        fclose(file);
+    }
+    (*output)[size] = '\0';
+    unlink(command->output);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
--- a/tests/test_gang.c
+++ b/tests/test_gang.c
@@ -70,7 +70,7 @@
     (void)state;
     static const struct {
         const char *name;
-        struct Event events[12];
+        struct Event events[16];
         enum SrGangEnd end;
         bool released;
     } cases[] = {
@@ -151,6 +151,28 @@
           {EVENT_LEASE, 1, FINISHED}},
          SR_GANG_FINISHED,
          true},
+        {"finished while it was being stopped",
+         {BOTH(RESERVE),
+          BOTH(HOLD),
+          {EVENT_RECORDED, 0, 0},
+          BOTH(RELEASE),
+          {EVENT_STOP, 0, 0},
+          {EVENT_LEASE, 0, FINISHED},
+          {EVENT_LEASE, 1, FINISHED}},
+         SR_GANG_FINISHED,
+         true},
+        {"half of it finished while it was being stopped",
+         {BOTH(RESERVE),
+          BOTH(HOLD),
+          {EVENT_RECORDED, 0, 0},
+          BOTH(RELEASE),
+          {EVENT_STOP, 0, 0},
+          {EVENT_LEASE, 0, FINISHED},
+          {EVENT_GRACE, 0, 0},
+          {EVENT_STEP, 0, STOP},
+          {EVENT_STEP, 1, STOP}},
+         SR_GANG_STOPPED,
+         true},
         {"stop settled by the end of a lease",
          {BOTH(RESERVE),
           BOTH(HOLD),
