--- a/bench/bench_system.c
+++ b/bench/bench_system.c
@@ -12,7 +12,8 @@
 
 #define LIMIT_MS 30000
 #define SETTLE_MS 4000
-#define IDLE_MS 15000
+/* Two intervals between renewals. */
+#define IDLE_MS 20000
 #define JOBS 40
 #define CPU_PERCENT_MAX 2.1
 #define BYTES_MAX (16 * 1024)
@@ -228,7 +229,8 @@
     return (struct Spent){
         .cpu_us = metric(process, "sr_process_cpu_us"),
         .bytes = metric(process, "sr_http_client_bytes") +
-                 metric(process, "sr_bus_sent_bytes_total"),
+                 metric(process, "sr_bus_sent_bytes_total") +
+                 metric(process, "sr_bus_received_bytes_total"),
     };
 }
 
--- a/src/bus.c
+++ b/src/bus.c
@@ -347,6 +347,8 @@
         while (has_more(&message)) {
             zmq_msg_recv(&message, bus->router.socket, ZMQ_DONTWAIT);
         }
+        SrMetrics_Count(bus->kernel->metrics, "sr_bus_received_bytes_total",
+                        NULL, NULL, zmq_msg_size(&message));
         take_message(bus, zmq_msg_data(&message), zmq_msg_size(&message));
         zmq_msg_close(&message);
     }
--- a/src/call.c
+++ b/src/call.c
@@ -6,6 +6,7 @@
 #include "os.h"
 
 #define STATUS_OK 200
+#define RETRY_AFTER_MS 500
 
 static const unsigned statuses[] = {
     [SR__ERROR_CODE__ERROR_UNSPECIFIED] = 500,
@@ -105,3 +106,27 @@
     reply.status = SrCall_Status(failure->code);
     SrCall_Pass(call, &reply);
 }
+
+void
+SrCall_Refuse(struct SrCall *call, Sr__ErrorCode code, const char *text)
+{
+    SrCall_Fail(call, &(struct SrFailure){
+                          .code = code,
+                          .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                          .text = text,
+                          .retry_after_ms = RETRY_AFTER_MS,
+                      });
+}
+
+void
+SrCall_FailUnknown(struct SrCall *call)
+{
+    SrCall_Fail(call,
+                &(struct SrFailure){
+                    .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                    .outcome = SR__OUTCOME__OUTCOME_UNKNOWN,
+                    .text = "the outcome is not settled yet; repeat the call "
+                            "with the same key",
+                    .retry_after_ms = RETRY_AFTER_MS,
+                });
+}
--- a/src/call.h
+++ b/src/call.h
@@ -35,6 +35,13 @@
 /* Each of these answers the call and frees it. */
 void SrCall_Reply(struct SrCall *call, const void *message);
 void SrCall_Fail(struct SrCall *call, const struct SrFailure *failure);
+/* Refuses: the work was not run and will not be. */
+void SrCall_Refuse(struct SrCall *call, Sr__ErrorCode code, const char *text);
+
+/* The work may have been done; repeating the call settles it. */
+void SrCall_FailUnknown(struct SrCall *call);
+
+/* Passes another process's answer on. */
 void SrCall_Pass(struct SrCall *call, const Sr__ApiReply *reply);
 
 /* Frees the call with no answer; NULL is taken. */
--- a/src/cli.c
+++ b/src/cli.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "auth.h"
+#include "cli_options.h"
 #include "codec.h"
 #include "job_spec.h"
 #include "os.h"
@@ -16,356 +17,19 @@
 #include "sassafrasrelay.h"
 #include "util.h"
 
-#define GUARANTEES_MAX 64
 #define WAIT_POLL_MS 200
 #define ID_BYTES 8
 #define BODY_MAX (8 * 1024 * 1024)
 
-enum Option {
-    OPTION_GATES = 'g',
-    OPTION_NAME = 'n',
-    OPTION_KEY = 'k',
-    OPTION_OUTPUT = 'o',
-    OPTION_TIMEOUT = 't',
-    OPTION_ID = 0x2000,
-    OPTION_BODY,
-    OPTION_BODY_FILE,
-    OPTION_NOT_REPEATABLE,
-    OPTION_TASKS,
-    OPTION_ACCELERATORS,
-    OPTION_CORES,
-    OPTION_MEMORY,
-    OPTION_RUN,
-    OPTION_URGENT,
-    OPTION_PAYLOAD,
-    OPTION_WAIT,
-    OPTION_ACCOUNT_KEY,
-    OPTION_WEIGHT,
-    OPTION_GUARANTEE,
-    OPTION_EXPECTED,
-    OPTION_AFTER,
-    OPTION_LIMIT,
-};
-
-struct Arguments {
-    const char *gates;
-    const char *name;
-    const char *key;
-    enum SrPrintFormat format;
-    int64_t timeout_ms;
-    const char *id;
-    const char *body;
-    const char *body_file;
-    bool not_repeatable;
-    bool urgent;
-    bool wait;
-    uint32_t tasks;
-    uint32_t accelerators;
-    uint32_t cores;
-    uint32_t memory_mb;
-    uint64_t run_ms;
-    const char *payload;
-    const char *account_key;
-    uint32_t weight;
-    uint64_t expected_version;
-    const char *after;
-    uint32_t limit;
-    Sr__Guarantee guarantees[GUARANTEES_MAX];
-    Sr__Guarantee *guarantee_list[GUARANTEES_MAX];
-    size_t guarantee_count;
-    char *words[2];
-    size_t word_count;
-};
-
 struct Command {
     const char *name;
     const char *words;
     size_t word_count;
     const char *doc;
     const struct argp_option *options;
-    int (*run)(struct Arguments *arguments, struct SrClient *client);
-};
-
-#define OPTIONS_COMMON                                                        \
-    {.name = "gates",                                                         \
-     .key = OPTION_GATES,                                                     \
-     .arg = "HOST:PORT,...",                                                  \
-     .doc = "gates to call (SASSAFRASRELAY_GATES)"},                          \
-        {.name = "name",                                                      \
-         .key = OPTION_NAME,                                                  \
-         .arg = "NAME",                                                       \
-         .doc = "client account, or operator (SASSAFRASRELAY_CLIENT)"},       \
-        {.name = "key",                                                       \
-         .key = OPTION_KEY,                                                   \
-         .arg = "KEY",                                                        \
-         .doc = "its key; better set SASSAFRASRELAY_KEY"},                    \
-        {.name = "output",                                                    \
-         .key = OPTION_OUTPUT,                                                \
-         .arg = "text|json",                                                  \
-         .doc = "form of the output"},                                        \
-    {                                                                         \
-        .name = "timeout-ms", .key = OPTION_TIMEOUT, .arg = "MS",             \
-        .doc = "longest wait, 1 to 600000; 30000 if not set"                  \
-    }
-
-static const struct argp_option plain_options[] = {OPTIONS_COMMON, {0}};
-
-static const struct argp_option call_options[] = {
-    OPTIONS_COMMON,
-    {.name = "id",
-     .key = OPTION_ID,
-     .arg = "ID",
-     .doc = "id of the request; random if not set"},
-    {.name = "body",
-     .key = OPTION_BODY,
-     .arg = "TEXT",
-     .doc = "body of the request"},
-    {.name = "body-file",
-     .key = OPTION_BODY_FILE,
-     .arg = "FILE",
-     .doc = "file with the body, - for standard input"},
-    {.name = "not-repeatable",
-     .key = OPTION_NOT_REPEATABLE,
-     .doc = "run at most once"},
-    {0},
+    int (*run)(struct SrCliArguments *arguments, struct SrClient *client);
 };
 
-static const struct argp_option submit_options[] = {
-    OPTIONS_COMMON,
-    {.name = "id",
-     .key = OPTION_ID,
-     .arg = "KEY",
-     .doc = "idempotency key; random if not set"},
-    {.name = "tasks",
-     .key = OPTION_TASKS,
-     .arg = "N",
-     .doc = "tasks, 1 to 64; 1 if not set"},
-    {.name = "accelerators",
-     .key = OPTION_ACCELERATORS,
-     .arg = "N",
-     .doc = "adjacent accelerators of each task: 0, 1, 2, 4 or 8"},
-    {.name = "cores",
-     .key = OPTION_CORES,
-     .arg = "N",
-     .doc = "cores of each task; 1 if not set"},
-    {.name = "memory-mb",
-     .key = OPTION_MEMORY,
-     .arg = "MIB",
-     .doc = "memory of each task; 256 if not set"},
-    {.name = "run-ms",
-     .key = OPTION_RUN,
-     .arg = "MS",
-     .doc = "declared run time"},
-    {.name = "urgent", .key = OPTION_URGENT, .doc = "start before others"},
-    {.name = "not-repeatable",
-     .key = OPTION_NOT_REPEATABLE,
-     .doc = "never start a second time"},
-    {.name = "payload",
-     .key = OPTION_PAYLOAD,
-     .arg = "TEXT",
-     .doc = "handed to each task"},
-    {.name = "wait", .key = OPTION_WAIT, .doc = "wait for the end of the job"},
-    {0},
-};
-
-static const struct argp_option account_options[] = {
-    OPTIONS_COMMON,
-    {.name = "account-key",
-     .key = OPTION_ACCOUNT_KEY,
-     .arg = "KEY",
-     .doc = "key of the account; kept if not set"},
-    {.name = "weight",
-     .key = OPTION_WEIGHT,
-     .arg = "N",
-     .doc = "share, 1 to 1000; 1 if not set"},
-    {.name = "guarantee",
-     .key = OPTION_GUARANTEE,
-     .arg = "DOMAIN:ACCELERATORS:CELLS",
-     .doc = "guaranteed cells; may be given again"},
-    {.name = "expected-version",
-     .key = OPTION_EXPECTED,
-     .arg = "VERSION",
-     .doc = "fail if the configuration has another version"},
-    {0},
-};
-
-static const struct argp_option domain_options[] = {
-    OPTIONS_COMMON,
-    {.name = "expected-version",
-     .key = OPTION_EXPECTED,
-     .arg = "VERSION",
-     .doc = "fail if the configuration has another version"},
-    {0},
-};
-
-static const struct argp_option jobs_options[] = {
-    OPTIONS_COMMON,
-    {.name = "after",
-     .key = OPTION_AFTER,
-     .arg = "ID",
-     .doc = "list the jobs behind this one"},
-    {.name = "limit", .key = OPTION_LIMIT, .arg = "N", .doc = "1 to 500"},
-    {0},
-};
-
-static uint64_t
-parse_number(struct argp_state *state, const char *name, const char *text,
-             uint64_t low, uint64_t high)
-{
-    char *end;
-    unsigned long long number = strtoull(text, &end, 10);
-    if (*text == '-' || *end != '\0' || end == text || number < low ||
-        number > high) {
-        argp_error(state, "%s: value '%s' is outside the range %llu to %llu",
-                   name, text, (unsigned long long)low,
-                   (unsigned long long)high);
-    }
-    return number;
-}
-
-static void
-parse_guarantee(struct argp_state *state, struct Arguments *arguments,
-                char *text)
-{
-    char *save = NULL;
-    char *domain = strtok_r(text, ":", &save);
-    char *accelerators = strtok_r(NULL, ":", &save);
-    char *cells = strtok_r(NULL, ":", &save);
-    if (domain == NULL || accelerators == NULL || cells == NULL ||
-        arguments->guarantee_count == GUARANTEES_MAX) {
-        argp_error(state,
-                   "guarantee: value '%s' is not "
-                   "DOMAIN:ACCELERATORS:CELLS",
-                   text);
-        return;
-    }
-    Sr__Guarantee *guarantee =
-        &arguments->guarantees[arguments->guarantee_count];
-    sr__guarantee__init(guarantee);
-    guarantee->domain = domain;
-    guarantee->accelerators =
-        (uint32_t)parse_number(state, "guarantee", accelerators, 1, 64);
-    guarantee->cells =
-        (uint32_t)parse_number(state, "guarantee", cells, 1, 10000);
-    arguments->guarantee_list[arguments->guarantee_count++] = guarantee;
-}
-
-static error_t
-parse_job_option(int key, char *text, struct argp_state *state)
-{
-    struct Arguments *arguments = state->input;
-    switch (key) {
-    case OPTION_TASKS:
-        arguments->tasks = (uint32_t)parse_number(state, "tasks", text, 1, 64);
-        return 0;
-    case OPTION_ACCELERATORS:
-        arguments->accelerators =
-            (uint32_t)parse_number(state, "accelerators", text, 0, 8);
-        return 0;
-    case OPTION_CORES:
-        arguments->cores =
-            (uint32_t)parse_number(state, "cores", text, 1, 1024);
-        return 0;
-    case OPTION_MEMORY:
-        arguments->memory_mb =
-            (uint32_t)parse_number(state, "memory-mb", text, 1, 16777216);
-        return 0;
-    case OPTION_RUN:
-        arguments->run_ms = parse_number(state, "run-ms", text, 0, INT64_MAX);
-        return 0;
-    case OPTION_URGENT:
-        arguments->urgent = true;
-        return 0;
-    case OPTION_PAYLOAD:
-        arguments->payload = text;
-        return 0;
-    case OPTION_WAIT:
-        arguments->wait = true;
-        return 0;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-}
-
-static error_t
-parse_operator_option(int key, char *text, struct argp_state *state)
-{
-    struct Arguments *arguments = state->input;
-    switch (key) {
-    case OPTION_ACCOUNT_KEY:
-        arguments->account_key = text;
-        return 0;
-    case OPTION_WEIGHT:
-        arguments->weight =
-            (uint32_t)parse_number(state, "weight", text, 1, 1000);
-        return 0;
-    case OPTION_GUARANTEE:
-        parse_guarantee(state, arguments, text);
-        return 0;
-    case OPTION_EXPECTED:
-        arguments->expected_version =
-            parse_number(state, "expected-version", text, 1, INT64_MAX);
-        return 0;
-    case OPTION_AFTER:
-        arguments->after = text;
-        return 0;
-    case OPTION_LIMIT:
-        arguments->limit =
-            (uint32_t)parse_number(state, "limit", text, 1, 500);
-        return 0;
-    default:
-        return parse_job_option(key, text, state);
-    }
-}
-
-static error_t
-parse_option(int key, char *text, struct argp_state *state)
-{
-    struct Arguments *arguments = state->input;
-    switch (key) {
-    case OPTION_GATES:
-        arguments->gates = text;
-        return 0;
-    case OPTION_NAME:
-        arguments->name = text;
-        return 0;
-    case OPTION_KEY:
-        arguments->key = text;
-        return 0;
-    case OPTION_OUTPUT:
-        if (strcmp(text, "json") != 0 && strcmp(text, "text") != 0) {
-            argp_error(state, "output: value '%s' is not text or json", text);
-        }
-        arguments->format =
-            strcmp(text, "json") == 0 ? SR_PRINT_JSON : SR_PRINT_TEXT;
-        return 0;
-    case OPTION_TIMEOUT:
-        arguments->timeout_ms =
-            (int64_t)parse_number(state, "timeout-ms", text, 1, 600000);
-        return 0;
-    case OPTION_ID:
-        arguments->id = text;
-        return 0;
-    case OPTION_BODY:
-        arguments->body = text;
-        return 0;
-    case OPTION_BODY_FILE:
-        arguments->body_file = text;
-        return 0;
-    case OPTION_NOT_REPEATABLE:
-        arguments->not_repeatable = true;
-        return 0;
-    case ARGP_KEY_ARG:
-        if (arguments->word_count == SR_LENGTH(arguments->words)) {
-            argp_usage(state);
-        }
-        arguments->words[arguments->word_count++] = text;
-        return 0;
-    default:
-        return parse_operator_option(key, text, state);
-    }
-}
-
 static int
 exit_of(enum SrClientError error)
 {
@@ -385,7 +49,7 @@
 }
 
 static int
-report(const struct Arguments *arguments, const struct SrClient *client,
+report(const struct SrCliArguments *arguments, const struct SrClient *client,
        enum SrClientError error)
 {
     const Sr__Error *failure = SrClient_Failure(client);
@@ -406,7 +70,7 @@
 
 /* Calls, prints the reply or the failure, and returns the exit code. */
 static int
-invoke(struct Arguments *arguments, struct SrClient *client,
+invoke(struct SrCliArguments *arguments, struct SrClient *client,
        const char *method, const ProtobufCMessage *request,
        const ProtobufCMessageDescriptor *reply_type)
 {
@@ -422,7 +86,7 @@
 }
 
 static const char *
-id_or_random(const struct Arguments *arguments, char *random)
+id_or_random(const struct SrCliArguments *arguments, char *random)
 {
     SrUtil_RandomHex(random, ID_BYTES);
     return arguments->id != NULL ? arguments->id : random;
@@ -448,7 +112,7 @@
 }
 
 static int
-run_call(struct Arguments *arguments, struct SrClient *client)
+run_call(struct SrCliArguments *arguments, struct SrClient *client)
 {
     char random[ID_BYTES * 2 + 1];
     Sr__CallRequest request = SR__CALL_REQUEST__INIT;
@@ -472,7 +136,7 @@
 }
 
 static int
-wait_for_end(struct Arguments *arguments, struct SrClient *client,
+wait_for_end(struct SrCliArguments *arguments, struct SrClient *client,
              const char *job_id)
 {
     int64_t end_ms = SrOs_MonotonicMs() + arguments->timeout_ms;
@@ -496,7 +160,7 @@
 }
 
 static int
-run_submit(struct Arguments *arguments, struct SrClient *client)
+run_submit(struct SrCliArguments *arguments, struct SrClient *client)
 {
     char random[ID_BYTES * 2 + 1];
     Sr__JobSpec spec = SR__JOB_SPEC__INIT;
@@ -527,7 +191,7 @@
 }
 
 static int
-run_with_job(struct Arguments *arguments, struct SrClient *client,
+run_with_job(struct SrCliArguments *arguments, struct SrClient *client,
              const char *method)
 {
     Sr__JobRequest request = SR__JOB_REQUEST__INIT;
@@ -537,19 +201,19 @@
 }
 
 static int
-run_status(struct Arguments *arguments, struct SrClient *client)
+run_status(struct SrCliArguments *arguments, struct SrClient *client)
 {
     return run_with_job(arguments, client, "status");
 }
 
 static int
-run_cancel(struct Arguments *arguments, struct SrClient *client)
+run_cancel(struct SrCliArguments *arguments, struct SrClient *client)
 {
     return run_with_job(arguments, client, "cancel");
 }
 
 static int
-run_jobs(struct Arguments *arguments, struct SrClient *client)
+run_jobs(struct SrCliArguments *arguments, struct SrClient *client)
 {
     Sr__JobsRequest request = SR__JOBS_REQUEST__INIT;
     request.limit = arguments->limit;
@@ -561,7 +225,7 @@
 }
 
 static int
-run_workers(struct Arguments *arguments, struct SrClient *client)
+run_workers(struct SrCliArguments *arguments, struct SrClient *client)
 {
     Sr__WorkersRequest request = SR__WORKERS_REQUEST__INIT;
     return invoke(arguments, client, "workers", &request.base,
@@ -569,7 +233,7 @@
 }
 
 static int
-run_config(struct Arguments *arguments, struct SrClient *client)
+run_config(struct SrCliArguments *arguments, struct SrClient *client)
 {
     Sr__ConfigRequest request = SR__CONFIG_REQUEST__INIT;
     return invoke(arguments, client, "config", &request.base,
@@ -577,7 +241,7 @@
 }
 
 static int
-change_config(struct Arguments *arguments, struct SrClient *client,
+change_config(struct SrCliArguments *arguments, struct SrClient *client,
               Sr__ConfigChange *change)
 {
     change->expected_version = arguments->expected_version;
@@ -586,7 +250,7 @@
 }
 
 static int
-run_account(struct Arguments *arguments, struct SrClient *client)
+run_account(struct SrCliArguments *arguments, struct SrClient *client)
 {
     Sr__ConfigChange change = SR__CONFIG_CHANGE__INIT;
     Sr__Account account = SR__ACCOUNT__INIT;
@@ -613,7 +277,7 @@
 }
 
 static int
-run_domain(struct Arguments *arguments, struct SrClient *client)
+run_domain(struct SrCliArguments *arguments, struct SrClient *client)
 {
     Sr__ConfigChange change = SR__CONFIG_CHANGE__INIT;
     Sr__Domain domain = SR__DOMAIN__INIT;
@@ -631,7 +295,7 @@
 }
 
 static int
-run_metrics(struct Arguments *arguments, struct SrClient *client)
+run_metrics(struct SrCliArguments *arguments, struct SrClient *client)
 {
     char url[256];
     (void)client;
@@ -653,7 +317,7 @@
 }
 
 static int
-run_hash_key(struct Arguments *arguments, struct SrClient *client)
+run_hash_key(struct SrCliArguments *arguments, struct SrClient *client)
 {
     char hex[SR_AUTH_HEX_SIZE];
     (void)client;
@@ -663,24 +327,24 @@
 }
 
 static const struct Command commands[] = {
-    {"call", "", 0, "Relay one request to a backend server.", call_options,
-     run_call},
-    {"submit", "", 0, "Submit a job.", submit_options, run_submit},
-    {"status", "JOB", 1, "Show a job.", plain_options, run_status},
-    {"jobs", "", 0, "List the live jobs.", jobs_options, run_jobs},
-    {"cancel", "JOB", 1, "Cancel a job.", plain_options, run_cancel},
+    {"call", "", 0, "Relay one request to a backend server.",
+     SrCliOptions_Call, run_call},
+    {"submit", "", 0, "Submit a job.", SrCliOptions_Submit, run_submit},
+    {"status", "JOB", 1, "Show a job.", SrCliOptions_Plain, run_status},
+    {"jobs", "", 0, "List the live jobs.", SrCliOptions_Jobs, run_jobs},
+    {"cancel", "JOB", 1, "Cancel a job.", SrCliOptions_Plain, run_cancel},
     {"workers", "", 0, "List the workers of the gate's failure domain.",
-     plain_options, run_workers},
+     SrCliOptions_Plain, run_workers},
     {"account", "put|remove NAME", 2, "Set or remove a client account.",
-     account_options, run_account},
+     SrCliOptions_Account, run_account},
     {"domain", "in|out NAME", 2,
-     "Take a failure domain out of service, or back in.", domain_options,
+     "Take a failure domain out of service, or back in.", SrCliOptions_Domain,
      run_domain},
     {"config", "", 0, "Show the configuration and whether it is accepted.",
-     plain_options, run_config},
-    {"metrics", "HOST:PORT", 1, "Print a daemon's metrics.", plain_options,
-     run_metrics},
-    {"hash-key", "KEY", 1, "Print the hash of a key.", plain_options,
+     SrCliOptions_Plain, run_config},
+    {"metrics", "HOST:PORT", 1, "Print a daemon's metrics.",
+     SrCliOptions_Plain, run_metrics},
+    {"hash-key", "KEY", 1, "Print the hash of a key.", SrCliOptions_Plain,
      run_hash_key},
 };
 
@@ -710,7 +374,7 @@
 }
 
 static int
-run_command(const struct Command *command, struct Arguments *arguments)
+run_command(const struct Command *command, struct SrCliArguments *arguments)
 {
     struct SrClient *client = NULL;
     if (needs_gates(command)) {
@@ -737,7 +401,7 @@
     if (command == NULL) {
         return -1;
     }
-    struct Arguments arguments = {
+    struct SrCliArguments arguments = {
         .gates = getenv("SASSAFRASRELAY_GATES"),
         .name = getenv("SASSAFRASRELAY_CLIENT"),
         .key = getenv("SASSAFRASRELAY_KEY"),
@@ -750,7 +414,7 @@
     };
     struct argp argp = {
         .options = command->options,
-        .parser = parse_option,
+        .parser = SrCliOptions_Parse,
         .args_doc = command->words,
         .doc = command->doc,
     };
--- a/src/job.h
+++ b/src/job.h
@@ -118,11 +118,23 @@
 /* job_run.c */
 void SrJobRun_OnDecision(struct SrJob *job, const struct SrDecision *decision);
 void SrJobRun_OnSaved(struct SrJob *job);
-void SrJobRun_OnLeases(struct SrJobs *jobs, const struct SrMessage *message);
-void SrJobRun_OnWorker(struct SrJobs *jobs, const char *worker, bool silent);
 void SrJobRun_Stop(struct SrJob *job, enum SrJobStop why);
 void SrJobRun_Tick(struct SrJob *job);
 
+/* Carries out what the gang's state machine asks for. */
+void SrJobRun_Command(struct SrJob *job, enum SrGangCommand command);
+/* The release is the start: it needs the configuration to be in force. */
+bool SrJobRun_MayRelease(const struct SrJob *job);
+/* Asks a worker to stop or forget what it remembers of an attempt. */
+void SrJobRun_ForgetOn(struct SrJobs *jobs, const char *worker, const char *id,
+                       uint32_t attempt, SrPlatform__Action action);
+
+/* job_adopt.c */
+/* A worker reported its leases: events for running gangs, adoption of those
+ * of an earlier leader, an end for strays. */
+void SrJobRun_OnLeases(struct SrJobs *jobs, const struct SrMessage *message);
+void SrJobRun_OnWorker(struct SrJobs *jobs, const char *worker, bool silent);
+
 /* job_move.c */
 /* Hands waiting jobs to other domains and stops what may be stopped, while
  * the own domain is out. */
--- /dev/null
+++ b/src/job_adopt.c
@@ -0,0 +1,241 @@
+#include <string.h>
+
+#include "job.h"
+#include "log.h"
+#include "os.h"
+
+static const SrPlatform__Lease *
+find_lease(const struct SrMessage *message, const struct SrJob *job)
+{
+    for (size_t i = 0; i < message->u.leases.count; i++) {
+        const SrPlatform__Lease *lease = message->u.leases.leases[i];
+        if (strcmp(lease->job, job->record->id) == 0 &&
+            lease->attempt == job->record->attempt) {
+            return lease;
+        }
+    }
+    return NULL;
+}
+
+static bool
+all_reported(const struct SrJob *job)
+{
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        if (!job->reported[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+restore_tasks(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    for (size_t i = 0; i < record->n_placements; i++) {
+        const Sr__Placement *placement = record->placements[i];
+        for (size_t j = 0; j < placement->n_tasks; j++) {
+            unsigned task = placement->tasks[j];
+            if (task < SR_PLACER_TASKS_MAX && j < placement->n_masks) {
+                job->tasks[task] = (struct SrPlacedTask){
+                    .worker = placement->worker,
+                    .mask = placement->masks[j],
+                };
+            }
+        }
+    }
+}
+
+static bool
+may_adopt(const struct SrJob *job)
+{
+    bool held = false;
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        switch (job->found[i]) {
+        case SR_PLATFORM__LEASE_STATE__LEASE_HELD:
+            held = true;
+            break;
+        case SR_PLATFORM__LEASE_STATE__LEASE_RUNNING:
+        case SR_PLATFORM__LEASE_STATE__LEASE_FINISHED:
+        case SR_PLATFORM__LEASE_STATE__LEASE_FAILED:
+            break;
+        default:
+            return false;
+        }
+    }
+    /* Releasing the held ones would be a start. */
+    return !held || SrJobRun_MayRelease(job);
+}
+
+static void
+enter_placer(struct SrJob *job)
+{
+    const Sr__Job *record = job->record;
+    struct SrPlacerRequest request = {
+        .gang = record->id,
+        .account = record->account,
+        .need = job->queued.need,
+        .urgent = record->spec->urgent,
+        .pinned = !record->spec->repeatable,
+        .now_ms = SrOs_UnixMs(),
+        .may_charge = true,
+    };
+    enum SrPlacerError error =
+        SrPlacer_Adopt(job->owner->placer, &request, job->tasks);
+    if (error != SR_PLACER_OK) {
+        SR_WARN("jobs", "not-in-placer", "job=%s error=%s", record->id,
+                SrPlacer_ErrorText(error));
+    }
+}
+
+static void
+adopt(struct SrJob *job)
+{
+    bool whole = may_adopt(job);
+    SrPlatform__LeaseState found[SR_GANG_MEMBERS_MAX];
+    memcpy(found, job->found, sizeof(found));
+    restore_tasks(job);
+    enter_placer(job);
+    job->phase = SR_JOB_ACTIVE;
+    job->running_since_ms = SrOs_MonotonicMs();
+    SR_INFO("jobs", whole ? "adopted" : "not-adopted", "job=%s attempt=%u",
+            job->record->id, job->record->attempt);
+    if (!whole) {
+        job->gang.released = true;
+        job->gang.phase = SR_GANG_RELEASING;
+        SrJobRun_Command(
+            job, SrGang_Stop(&job->gang, false, "not all tasks were found"));
+        return;
+    }
+    SrJobRun_Command(job, SrGang_Adopt(&job->gang));
+    for (unsigned i = 0; i < job->gang.member_count; i++) {
+        if (job->phase == SR_JOB_ACTIVE) {
+            SrJobRun_Command(job,
+                             SrGang_OnLease(&job->gang, (int)i, found[i]));
+        }
+    }
+}
+
+static void
+report_member(struct SrJob *job, int member, SrPlatform__LeaseState state)
+{
+    job->reported[member] = true;
+    job->found[member] = state;
+    if (all_reported(job)) {
+        adopt(job);
+    }
+}
+
+static void
+take_report(struct SrJob *job, int member, const struct SrMessage *message)
+{
+    const SrPlatform__Lease *lease = find_lease(message, job);
+    if (job->phase == SR_JOB_ADOPTING) {
+        report_member(job, member,
+                      lease != NULL
+                          ? lease->state
+                          : SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
+        return;
+    }
+    if (job->phase != SR_JOB_ACTIVE) {
+        return;
+    }
+    if (lease != NULL) {
+        SrJobRun_Command(job,
+                         SrGang_OnLease(&job->gang, member, lease->state));
+        return;
+    }
+    /* A report asked for before the gang ran may be older than its leases. */
+    if (job->gang.phase >= SR_GANG_RUNNING &&
+        message->u.leases.sent_ms > job->running_since_ms) {
+        SrJobRun_Command(job, SrGang_OnLost(&job->gang, member));
+    }
+}
+
+static bool
+is_over(SrPlatform__LeaseState state)
+{
+    return state == SR_PLATFORM__LEASE_STATE__LEASE_FINISHED ||
+           state == SR_PLATFORM__LEASE_STATE__LEASE_FAILED ||
+           state == SR_PLATFORM__LEASE_STATE__LEASE_STOPPED;
+}
+
+/* True if the lease is one that this leader has given or will adopt. */
+static bool
+is_wanted(struct SrJobs *jobs, const char *worker,
+          const SrPlatform__Lease *lease)
+{
+    const struct SrJob *job = SrJobs_Find(jobs, lease->job);
+    if (job == NULL || job->record->attempt != lease->attempt) {
+        return false;
+    }
+    bool running =
+        job->phase == SR_JOB_ACTIVE || job->phase == SR_JOB_ADOPTING;
+    return running && SrGang_FindMember(&job->gang, worker) >= 0 &&
+           job->gang.phase != SR_GANG_ENDED;
+}
+
+static void
+drop_strays(struct SrJobs *jobs, const struct SrMessage *message)
+{
+    const char *worker = message->u.leases.worker;
+    for (size_t i = 0; i < message->u.leases.count; i++) {
+        const SrPlatform__Lease *lease = message->u.leases.leases[i];
+        const struct SrJob *job = SrJobs_Find(jobs, lease->job);
+        if (is_wanted(jobs, worker, lease)) {
+            continue;
+        }
+        if (job != NULL && job->phase == SR_JOB_OVER && job->row.queued) {
+            /* Its end is not yet recorded; the worker is to remember it. */
+            continue;
+        }
+        SrJobRun_ForgetOn(jobs, worker, lease->job, lease->attempt,
+                          is_over(lease->state)
+                              ? SR_PLATFORM__ACTION__ACTION_FORGET
+                              : SR_PLATFORM__ACTION__ACTION_STOP);
+    }
+}
+
+void
+SrJobRun_OnLeases(struct SrJobs *jobs, const struct SrMessage *message)
+{
+    const char *worker = message->u.leases.worker;
+    if (!jobs->loaded) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        if (job->phase != SR_JOB_ACTIVE && job->phase != SR_JOB_ADOPTING) {
+            continue;
+        }
+        int member = SrGang_FindMember(&job->gang, worker);
+        if (member >= 0) {
+            take_report(job, member, message);
+        }
+    }
+    drop_strays(jobs, message);
+}
+
+void
+SrJobRun_OnWorker(struct SrJobs *jobs, const char *worker, bool silent)
+{
+    if (!silent || !jobs->loaded) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &jobs->all)
+    {
+        struct SrJob *job = SR_CONTAINER(link, struct SrJob, link);
+        int member = SrGang_FindMember(&job->gang, worker);
+        if (member < 0) {
+            continue;
+        }
+        if (job->phase == SR_JOB_ADOPTING) {
+            report_member(job, member,
+                          SR_PLATFORM__LEASE_STATE__LEASE_UNSPECIFIED);
+        }
+        else if (job->phase == SR_JOB_ACTIVE) {
+            SrJobRun_Command(job, SrGang_OnLost(&job->gang, member));
+        }
+    }
+}
--- a/src/job_api.c
+++ b/src/job_api.c
@@ -4,6 +4,7 @@
 
 #include "codec.h"
 #include "job.h"
+#include "job_forward.h"
 #include "jobs.h"
 #include "job_spec.h"
 #include "log.h"
@@ -11,36 +12,10 @@
 
 #define JOB_ID_BYTES 10
 #define TEXT_SIZE 256
-#define RETRY_AFTER_MS 500
 #define LIST_DEFAULT 100
 #define LIST_MAX 500
 #define SCAN_ROWS 500
 #define SCAN_PAGES_MAX 40
-#define FORWARDS_MAX 16
-
-/* A call that is tried at the leaders of other domains in turn. */
-struct Forward {
-    struct SrJobs *jobs;
-    struct SrCall *call;
-    char tried[FORWARDS_MAX][SR_ID_SIZE];
-    unsigned tried_count;
-    /* What the caller is told if no other domain helps. */
-    struct SrFailure failure;
-    char text[TEXT_SIZE];
-};
-
-static void try_next(struct Forward *forward);
-
-static void
-fail(struct SrCall *call, Sr__ErrorCode code, const char *text)
-{
-    SrCall_Fail(call, &(struct SrFailure){
-                          .code = code,
-                          .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
-                          .text = text,
-                          .retry_after_ms = RETRY_AFTER_MS,
-                      });
-}
 
 static void
 fail_field(struct SrCall *call, const char *field, const char *text)
@@ -53,142 +28,6 @@
                       });
 }
 
-static void
-fail_unknown(struct SrCall *call)
-{
-    SrCall_Fail(call,
-                &(struct SrFailure){
-                    .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
-                    .outcome = SR__OUTCOME__OUTCOME_UNKNOWN,
-                    .text = "the store's answer is still awaited; repeat the "
-                            "call with the same key",
-                    .retry_after_ms = RETRY_AFTER_MS,
-                });
-}
-
-static bool
-is_tried(const struct Forward *forward, const char *peer)
-{
-    for (unsigned i = 0; i < forward->tried_count; i++) {
-        if (strcmp(forward->tried[i], peer) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static const struct SrPeer *
-choose_leader(const struct Forward *forward)
-{
-    const struct SrMembership *membership =
-        SrBus_Membership(forward->jobs->bus);
-    const struct SrPeer *best = NULL;
-    int64_t now_ms = SrOs_MonotonicMs();
-    SR_LIST_EACH(link, &membership->peers)
-    {
-        const struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
-        if (peer->role == SR__ROLE__ROLE_SCHEDULER &&
-            strcmp(peer->domain, membership->domain) != 0 &&
-            !is_tried(forward, peer->name) &&
-            SrMembership_Leader(membership, peer->domain, now_ms) == peer &&
-            (best == NULL ||
-             peer->free_accelerators > best->free_accelerators)) {
-            best = peer;
-        }
-    }
-    return best;
-}
-
-static void
-end_forward(struct Forward *forward)
-{
-    SrCall_Fail(forward->call, &forward->failure);
-    free(forward);
-}
-
-/* True if the answer says that another domain may still help. */
-static bool
-is_declined(const Sr__ApiReply *reply)
-{
-    Sr__Error *error = SrCodec_Unpack(&sr__error__descriptor, reply->body.data,
-                                      reply->body.len);
-    bool declined = reply->status != 200 && error != NULL &&
-                    error->outcome == SR__OUTCOME__OUTCOME_NOT_RUN &&
-                    error->code != SR__ERROR_CODE__ERROR_INVALID &&
-                    error->code != SR__ERROR_CODE__ERROR_CONFLICT;
-    SrCodec_Free(error);
-    return declined;
-}
-
-static void
-on_forwarded(void *context, const Sr__Envelope *reply)
-{
-    struct Forward *forward = context;
-    if (reply == NULL || reply->body_case != SR__ENVELOPE__BODY_REPLY) {
-        fail_unknown(forward->call);
-        free(forward);
-        return;
-    }
-    if (is_declined(reply->reply)) {
-        try_next(forward);
-        return;
-    }
-    SrCall_Pass(forward->call, reply->reply);
-    free(forward);
-}
-
-static void
-try_next(struct Forward *forward)
-{
-    struct SrCall *call = forward->call;
-    int64_t left_ms = call->deadline_ms - SrOs_MonotonicMs();
-    for (;;) {
-        const struct SrPeer *peer = choose_leader(forward);
-        if (peer == NULL || forward->tried_count == FORWARDS_MAX ||
-            left_ms <= 0) {
-            end_forward(forward);
-            return;
-        }
-        SrUtil_Copy(forward->tried[forward->tried_count++], SR_ID_SIZE,
-                    peer->name);
-        Sr__Envelope envelope = SR__ENVELOPE__INIT;
-        Sr__ApiCall message = SR__API_CALL__INIT;
-        message.method = call->method;
-        message.account = call->account;
-        message.deadline_ms = (uint32_t)left_ms;
-        message.body.data = call->body;
-        message.body.len = call->size;
-        message.forwarded = true;
-        envelope.body_case = SR__ENVELOPE__BODY_CALL;
-        envelope.call = &message;
-        if (SrBus_Request(forward->jobs->bus, peer->name, &envelope, left_ms,
-                          on_forwarded, forward) == SR_BUS_OK) {
-            return;
-        }
-    }
-}
-
-static void
-forward_call(struct SrJobs *jobs, struct SrCall *call, Sr__ErrorCode code,
-             const char *text)
-{
-    if (call->forwarded) {
-        fail(call, code, text);
-        return;
-    }
-    struct Forward *forward = SrUtil_Calloc(1, sizeof(*forward));
-    forward->jobs = jobs;
-    forward->call = call;
-    SrUtil_Copy(forward->text, sizeof(forward->text), text);
-    forward->failure = (struct SrFailure){
-        .code = code,
-        .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
-        .text = forward->text,
-        .retry_after_ms = RETRY_AFTER_MS,
-    };
-    try_next(forward);
-}
-
 static void
 reply_accepted(struct SrCall *call, const char *id, const char *domain,
                bool duplicate)
@@ -215,31 +54,6 @@
                       });
 }
 
-/* True if another domain has free what this one has not. */
-static bool
-is_better_elsewhere(const struct SrJobs *jobs, const struct SrCall *call,
-                    const Sr__JobSpec *spec)
-{
-    struct SrNeed need = SrJobSpec_Need(spec);
-    struct SrPlacerStatus status;
-    unsigned total = need.tasks * need.accelerators;
-    if (call->forwarded || total == 0 ||
-        SrPlacer_IsCovered(jobs->placer, call->account, &need)) {
-        return false;
-    }
-    SrPlacer_GetStatus(jobs->placer, &status);
-    unsigned level = (unsigned)SrCells_Level(need.accelerators) + 1;
-    if (status.free_accelerators >= total && status.free_level >= level) {
-        return false;
-    }
-    struct Forward probe = {.jobs = (struct SrJobs *)jobs};
-    const struct SrPeer *peer = choose_leader(&probe);
-    return peer != NULL && peer->free_accelerators >= total &&
-           peer->free_cell_level >= level &&
-           SrConfig_DomainState(jobs->config, peer->domain) ==
-               SR__DOMAIN_STATE__DOMAIN_IN;
-}
-
 static Sr__Job *
 new_record(const struct SrJobs *jobs, const struct SrCall *call,
            const Sr__SubmitRequest *request)
@@ -272,7 +86,7 @@
                   const Sr__JobSpec *spec)
 {
     if (job->phase == SR_JOB_ACCEPTING) {
-        fail_unknown(call);
+        SrCall_FailUnknown(call);
         return;
     }
     reply_duplicate(call, job->record->id,
@@ -292,25 +106,25 @@
         repeat_submission(call, known, request->spec);
     }
     else if (!jobs->loaded || !SrStore_IsReachable(jobs->store)) {
-        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "the table service cannot be reached at present");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "the table service cannot be reached at present");
     }
     else if (status.workers == 0) {
-        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-                     "no workers are known yet");
+        SrJobForward_Call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                          "no workers are known yet");
     }
     else if (!SrJobs_IsDomainIn(jobs)) {
-        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-                     "the failure domain is out of service");
+        SrJobForward_Call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                          "the failure domain is out of service");
     }
     else if (!SrPlacer_CanEver(jobs->placer, &need)) {
-        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNSATISFIABLE,
-                     "no failure domain can ever hold this job: too many "
-                     "tasks, accelerators, cores or memory");
+        SrJobForward_Call(jobs, call, SR__ERROR_CODE__ERROR_UNSATISFIABLE,
+                          "no failure domain can ever hold this job: too many "
+                          "tasks, accelerators, cores or memory");
     }
-    else if (is_better_elsewhere(jobs, call, request->spec)) {
-        forward_call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-                     "a better placed failure domain refused; repeat");
+    else if (SrJobForward_IsBetterElsewhere(jobs, call, request->spec)) {
+        SrJobForward_Call(jobs, call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                          "a better placed failure domain refused; repeat");
     }
     else {
         struct SrJob *job =
@@ -336,8 +150,8 @@
         fail_field(call, field, text);
     }
     else if (call->account[0] == '\0') {
-        fail(call, SR__ERROR_CODE__ERROR_FORBIDDEN,
-             "jobs are submitted with a client account's key");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_FORBIDDEN,
+                      "jobs are submitted with a client account's key");
     }
     else {
         accept_job(jobs, call, request);
@@ -358,7 +172,7 @@
                            rows->rows[0]->value.len);
     }
     if (row == NULL) {
-        fail_unknown(call);
+        SrCall_FailUnknown(call);
     }
     else {
         reply_duplicate(call, row->job_id,
@@ -403,8 +217,8 @@
     case SR_JOB_NOT_SAVED:
         job->submitter = NULL;
         if (call != NULL) {
-            fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-                 "the job was not written to the table service");
+            SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                          "the job was not written to the table service");
         }
         break;
     }
@@ -417,14 +231,14 @@
     struct SrCall *call = job->submitter;
     job->submitter = NULL;
     if (call != NULL && job->row.in_flight) {
-        fail_unknown(call);
+        SrCall_FailUnknown(call);
     }
     else if (call != NULL) {
-        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "the job was not accepted in time");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "the job was not accepted in time");
     }
     if (job->canceller != NULL) {
-        fail_unknown(job->canceller);
+        SrCall_FailUnknown(job->canceller);
         job->canceller = NULL;
     }
 }
@@ -433,7 +247,7 @@
 SrJobApi_Tick(struct SrJob *job, int64_t now_ms)
 {
     if (job->canceller != NULL && job->canceller->deadline_ms <= now_ms) {
-        fail_unknown(job->canceller);
+        SrCall_FailUnknown(job->canceller);
         job->canceller = NULL;
     }
     if (job->submitter == NULL || job->submitter->deadline_ms > now_ms) {
@@ -469,8 +283,8 @@
     struct SrCall *call = context;
     Sr__Job *record = NULL;
     if (rows->error != SR_STORE_OK) {
-        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "the table service cannot be reached at present");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "the table service cannot be reached at present");
         return;
     }
     if (rows->count > 0) {
@@ -479,7 +293,7 @@
                            rows->rows[0]->value.len);
     }
     if (record == NULL || !may_see(call, record)) {
-        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
     }
     else {
         SrCall_Reply(call, record);
@@ -508,7 +322,7 @@
         return;
     }
     if (!may_see(call, job->record)) {
-        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
         return;
     }
     SrCall_Reply(call, job->record);
@@ -519,12 +333,12 @@
 {
     struct SrJob *job = SrJobs_Find(jobs, id);
     if (job == NULL || job->phase == SR_JOB_ACCEPTING) {
-        forward_call(jobs, call, SR__ERROR_CODE__ERROR_NOT_FOUND,
-                     "no such job is live here");
+        SrJobForward_Call(jobs, call, SR__ERROR_CODE__ERROR_NOT_FOUND,
+                          "no such job is live here");
         return;
     }
     if (!may_see(call, job->record)) {
-        fail(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_NOT_FOUND, "no such job");
         return;
     }
     if (SrJobSpec_IsFinal(job->record->state) || job->canceller != NULL) {
@@ -532,8 +346,8 @@
         return;
     }
     if (!SrStore_IsReachable(jobs->store) || job->phase == SR_JOB_LEAVING) {
-        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "the cancellation cannot be recorded at present");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "the cancellation cannot be recorded at present");
         return;
     }
     job->canceller = call;
@@ -589,8 +403,8 @@
 {
     struct List *list = context;
     if (rows->error != SR_STORE_OK) {
-        fail(list->call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "the table service cannot be reached at present");
+        SrCall_Refuse(list->call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "the table service cannot be reached at present");
         list->call = NULL;
         for (size_t i = 0; i < list->count; i++) {
             SrCodec_Free(list->found[i]);
@@ -683,7 +497,7 @@
         SrCall_Reply(call, account);
     }
     else {
-        fail(call, SR__ERROR_CODE__ERROR_UNSATISFIABLE, text);
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNSATISFIABLE, text);
     }
     SrCodec_Free(account);
 }
@@ -745,8 +559,8 @@
     }
     struct SrCall *call = SrCall_Create(jobs->bus, envelope);
     if (!jobs->leading) {
-        fail(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-             "this scheduler does not lead its failure domain");
+        SrCall_Refuse(call, SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                      "this scheduler does not lead its failure domain");
         return;
     }
     switch (method) {
--- /dev/null
+++ b/src/placer_guarantee.c
@@ -0,0 +1,178 @@
+#include "placer_state.h"
+
+#include <limits.h>
+#include <string.h>
+
+static unsigned
+unmet_for(const struct SrPlacer *placer, const unsigned need[SR_CELLS_LEVELS])
+{
+    unsigned blocks[SR_CELLS_LEVELS] = {0};
+    memset(placer->carving, 0,
+           placer->rack_count * sizeof(struct SrCellsRack));
+    SR_LIST_EACH(link, &placer->workers)
+    {
+        const struct SrRackWorker *worker =
+            SR_CONTAINER(link, struct SrRackWorker, link);
+        unsigned set = SrRackWorker_Uncharged(worker);
+        if (set == SR_CELLS_ALL) {
+            placer->carving[worker->rack->index].whole++;
+        }
+        else if (set != 0) {
+            SrCells_Count(set, blocks);
+        }
+    }
+    return SrCells_Unmet(placer->carving, placer->rack_count, blocks, need);
+}
+
+unsigned
+SrPlacer_Unmet(const struct SrPlacer *placer)
+{
+    return unmet_for(placer, placer->need);
+}
+
+/* Turns a charged gang into a borrower. */
+static void
+demote(struct SrPlacedGang *gang)
+{
+    gang->charged = false;
+    for (unsigned i = 0; i < gang->part_count; i++) {
+        struct SrGangPart *part = &gang->parts[i];
+        part->worker->charged &= ~part->mask;
+        part->worker->borrowed |= part->mask;
+    }
+}
+
+static bool
+takes_cell(const struct SrPlacedGang *gang, int level, bool pinned)
+{
+    return gang->charged && gang->level == level && gang->pinned == pinned;
+}
+
+static void
+take_cells(struct SrShare *account, int level, bool pinned)
+{
+    SR_LIST_EACH(link, &account->gangs)
+    {
+        struct SrPlacedGang *gang =
+            SR_CONTAINER(link, struct SrPlacedGang, account_link);
+        if (takes_cell(gang, level, pinned) &&
+            !SrCells_Take(account->unused, level) && !pinned) {
+            demote(gang);
+        }
+    }
+}
+
+/* Pinned gangs hold cells of just their size; the others take theirs in order
+ * of size, so that the largest find whole cells and the rest is split as
+ * little as possible. A gang for which no cell is left only borrows. */
+static void
+compute_unused(struct SrShare *account)
+{
+    memcpy(account->unused, account->guarantee, sizeof(account->unused));
+    for (int level = SR_CELLS_LEVELS - 1; level >= 0; level--) {
+        take_cells(account, level, true);
+    }
+    for (int level = SR_CELLS_LEVELS - 1; level >= 0; level--) {
+        take_cells(account, level, false);
+    }
+}
+
+void
+SrPlacer_UpdateShare(struct SrPlacer *placer, struct SrShare *account)
+{
+    for (int level = 0; level < SR_CELLS_LEVELS; level++) {
+        placer->need[level] -= account->unused[level];
+    }
+    compute_unused(account);
+    for (int level = 0; level < SR_CELLS_LEVELS; level++) {
+        placer->need[level] += account->unused[level];
+    }
+}
+
+/* Unmet accelerators if the gang were a borrower. */
+static unsigned
+unmet_without(struct SrPlacer *placer, struct SrPlacedGang *gang)
+{
+    demote(gang);
+    SrPlacer_UpdateShare(placer, gang->account);
+    unsigned unmet = SrPlacer_Unmet(placer);
+    gang->charged = true;
+    for (unsigned i = 0; i < gang->part_count; i++) {
+        struct SrGangPart *part = &gang->parts[i];
+        part->worker->borrowed &= ~part->mask;
+        part->worker->charged |= part->mask;
+    }
+    SrPlacer_UpdateShare(placer, gang->account);
+    return unmet;
+}
+
+static struct SrPlacedGang *
+best_to_demote(struct SrPlacer *placer)
+{
+    struct SrPlacedGang *best = NULL;
+    unsigned best_unmet = UINT_MAX;
+    SR_LIST_EACH(link, &placer->gangs)
+    {
+        struct SrPlacedGang *gang =
+            SR_CONTAINER(link, struct SrPlacedGang, link);
+        if (!gang->charged || gang->pinned) {
+            continue;
+        }
+        unsigned unmet = unmet_without(placer, gang);
+        if (best == NULL || unmet < best_unmet ||
+            (unmet == best_unmet && gang->level < best->level)) {
+            best = gang;
+            best_unmet = unmet;
+        }
+    }
+    return best;
+}
+
+/* When a gang ends, parts of a guaranteed cell join again, and another gang
+ * may lie where the whole cell has to be. Such a gang is made a borrower,
+ * until no more than `allowed` accelerators are unmet. */
+void
+SrPlacer_RestoreGuarantees(struct SrPlacer *placer, unsigned allowed)
+{
+    while (SrPlacer_Unmet(placer) > allowed) {
+        struct SrPlacedGang *gang = best_to_demote(placer);
+        if (gang == NULL) {
+            return;
+        }
+        demote(gang);
+        SrPlacer_UpdateShare(placer, gang->account);
+    }
+}
+
+enum SrPlacerError
+SrPlacer_SetGuarantee(struct SrPlacer *placer, const char *name,
+                      const unsigned cells[SR_CELLS_LEVELS], bool force)
+{
+    struct SrShare *account = SrPlacer_FindShare(placer, name);
+    unsigned before[SR_CELLS_LEVELS];
+    memcpy(before, account->guarantee, sizeof(before));
+    unsigned unmet_before = SrPlacer_Unmet(placer);
+    memcpy(account->guarantee, cells, sizeof(account->guarantee));
+    SrPlacer_UpdateShare(placer, account);
+    if (force || SrPlacer_Unmet(placer) <= unmet_before) {
+        SrPlacer_RestoreGuarantees(placer, unmet_before);
+        return SR_PLACER_OK;
+    }
+    memcpy(account->guarantee, before, sizeof(before));
+    SrPlacer_UpdateShare(placer, account);
+    return SR_PLACER_UNSATISFIABLE;
+}
+
+bool
+SrPlacer_IsCovered(const struct SrPlacer *placer, const char *name,
+                   const struct SrNeed *need)
+{
+    const struct SrShare *account = SrPlacer_LookUpShare(placer, name);
+    unsigned total = SrNeed_Accelerators(need);
+    if (account == NULL || total == 0 || total > SR_CELLS_GANG_MAX) {
+        return false;
+    }
+    unsigned counts[SR_CELLS_LEVELS];
+    memcpy(counts, account->unused, sizeof(counts));
+    return SrCells_Take(counts, SrCells_Level(total));
+}
--- /dev/null
+++ b/src/placer_state.c
@@ -0,0 +1,303 @@
+#include "placer_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct SrPlacer *
+SrPlacer_Create(const struct SrPlacerPolicy *policy)
+{
+    struct SrPlacer *placer = SrUtil_Calloc(1, sizeof(*placer));
+    placer->policy = *policy;
+    SrMap_Init(&placer->workers_by_id);
+    SrMap_Init(&placer->racks_by_name);
+    SrMap_Init(&placer->accounts_by_name);
+    SrMap_Init(&placer->gangs_by_id);
+    SrList_Init(&placer->workers);
+    SrList_Init(&placer->gangs);
+    return placer;
+}
+
+void
+SrPlacedGang_Destroy(struct SrPlacedGang *gang)
+{
+    free(gang->parts);
+    free(gang);
+}
+
+void
+SrPlacer_Destroy(struct SrPlacer *placer)
+{
+    if (placer == NULL) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &placer->gangs)
+    {
+        SrPlacedGang_Destroy(SR_CONTAINER(link, struct SrPlacedGang, link));
+    }
+    SR_LIST_EACH_SAFE(link, &placer->workers)
+    {
+        free(SR_CONTAINER(link, struct SrRackWorker, link));
+    }
+    SR_MAP_EACH(entry, &placer->accounts_by_name)
+    {
+        free(SR_CONTAINER(entry, struct SrShare, entry));
+    }
+    for (unsigned i = 0; i < placer->rack_count; i++) {
+        free(placer->racks[i]);
+    }
+    SrMap_Clear(&placer->workers_by_id);
+    SrMap_Clear(&placer->racks_by_name);
+    SrMap_Clear(&placer->accounts_by_name);
+    SrMap_Clear(&placer->gangs_by_id);
+    free(placer->racks);
+    free(placer->carving);
+    free(placer);
+}
+
+struct SrRackWorker *
+SrPlacer_FindWorker(const struct SrPlacer *placer, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&placer->workers_by_id, id);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrRackWorker, entry)
+                         : NULL;
+}
+
+struct SrPlacedGang *
+SrPlacer_FindGang(const struct SrPlacer *placer, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&placer->gangs_by_id, id);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrPlacedGang, entry)
+                         : NULL;
+}
+
+struct SrShare *
+SrPlacer_LookUpShare(const struct SrPlacer *placer, const char *name)
+{
+    struct SrMapEntry *entry = SrMap_Find(&placer->accounts_by_name, name);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrShare, entry) : NULL;
+}
+
+struct SrShare *
+SrPlacer_FindShare(struct SrPlacer *placer, const char *name)
+{
+    struct SrShare *account = SrPlacer_LookUpShare(placer, name);
+    if (account == NULL) {
+        account = SrUtil_Calloc(1, sizeof(*account));
+        SrUtil_Copy(account->name, SR_ID_SIZE, name);
+        SrList_Init(&account->gangs);
+        SrMap_Add(&placer->accounts_by_name, &account->entry, account->name);
+    }
+    return account;
+}
+
+static struct SrRack *
+find_rack(struct SrPlacer *placer, const char *name)
+{
+    struct SrMapEntry *entry = SrMap_Find(&placer->racks_by_name, name);
+    if (entry != NULL) {
+        return SR_CONTAINER(entry, struct SrRack, entry);
+    }
+    struct SrRack *rack = SrUtil_Calloc(1, sizeof(*rack));
+    SrUtil_Copy(rack->name, SR_ID_SIZE, name);
+    SrList_Init(&rack->workers);
+    rack->index = placer->rack_count++;
+    placer->racks = SrUtil_Realloc(placer->racks, placer->rack_count *
+                                                      sizeof(struct SrRack *));
+    placer->carving = SrUtil_Realloc(
+        placer->carving, placer->rack_count * sizeof(struct SrCellsRack));
+    placer->racks[rack->index] = rack;
+    SrMap_Add(&placer->racks_by_name, &rack->entry, rack->name);
+    return rack;
+}
+
+void
+SrPlacer_SetWorker(struct SrPlacer *placer,
+                   const struct SrPlacerWorker *settings)
+{
+    struct SrRackWorker *worker = SrPlacer_FindWorker(placer, settings->id);
+    if (worker == NULL) {
+        worker = SrUtil_Calloc(1, sizeof(*worker));
+        SrUtil_Copy(worker->id, SR_ID_SIZE, settings->id);
+        SrList_Init(&worker->parts);
+        worker->rack = find_rack(placer, settings->rack);
+        SrMap_Add(&placer->workers_by_id, &worker->entry, worker->id);
+        SrList_Append(&placer->workers, &worker->link);
+        SrList_Append(&worker->rack->workers, &worker->rack_link);
+    }
+    worker->accelerators = settings->accelerators < SR_CELLS_WORKER_SIZE
+                               ? settings->accelerators
+                               : SR_CELLS_WORKER_SIZE;
+    worker->cores = (int)settings->cores;
+    worker->memory_mb = settings->memory_mb;
+    worker->usable = settings->usable;
+}
+
+void
+SrPlacer_SetUsable(struct SrPlacer *placer, const char *id, bool usable)
+{
+    struct SrRackWorker *worker = SrPlacer_FindWorker(placer, id);
+    if (worker != NULL) {
+        worker->usable = usable;
+    }
+}
+
+unsigned
+SrRackWorker_All(const struct SrRackWorker *worker)
+{
+    return (1U << worker->accelerators) - 1;
+}
+
+/* Accelerators that hold no charged gang. */
+unsigned
+SrRackWorker_Uncharged(const struct SrRackWorker *worker)
+{
+    return worker->usable ? SrRackWorker_All(worker) & ~worker->charged : 0;
+}
+
+unsigned
+SrRackWorker_Free(const struct SrRackWorker *worker)
+{
+    return SrRackWorker_Uncharged(worker) & ~worker->borrowed &
+           ~worker->leaving;
+}
+
+int
+SrRackWorker_FreeCores(const struct SrRackWorker *worker)
+{
+    return worker->cores - worker->used_cores;
+}
+
+int64_t
+SrRackWorker_FreeMemory(const struct SrRackWorker *worker)
+{
+    return worker->memory_mb - worker->used_memory_mb;
+}
+
+unsigned
+SrNeed_Accelerators(const struct SrNeed *need)
+{
+    return need->tasks * need->accelerators;
+}
+
+struct SrGangPart *
+SrPlacedGang_AddPart(struct SrPlacedGang *gang, struct SrRackWorker *worker)
+{
+    for (unsigned i = 0; i < gang->part_count; i++) {
+        if (gang->parts[i].worker == worker) {
+            return &gang->parts[i];
+        }
+    }
+    struct SrGangPart *part = &gang->parts[gang->part_count++];
+    part->worker = worker;
+    part->gang = gang;
+    return part;
+}
+
+void
+SrGangPart_AddTasks(struct SrGangPart *part, const struct SrNeed *need,
+                    unsigned tasks)
+{
+    part->tasks += tasks;
+    part->cores += (int)(need->cores * tasks);
+    part->memory_mb += (int64_t)need->memory_mb * tasks;
+}
+
+static void
+hold_part(struct SrGangPart *part, const struct SrPlacedGang *gang)
+{
+    struct SrRackWorker *worker = part->worker;
+    if (gang->charged || gang->pinned) {
+        worker->charged |= part->mask;
+    }
+    else {
+        worker->borrowed |= part->mask;
+    }
+    worker->used_cores += part->cores;
+    worker->used_memory_mb += part->memory_mb;
+    worker->tasks += part->tasks;
+    SrList_Append(&worker->parts, &part->link);
+}
+
+struct SrPlacedGang *
+SrPlacer_NewGang(struct SrPlacer *placer,
+                 const struct SrPlacerRequest *request, bool charged)
+{
+    struct SrPlacedGang *gang = SrUtil_Calloc(1, sizeof(*gang));
+    SrUtil_Copy(gang->id, SR_ID_SIZE, request->gang);
+    gang->account = SrPlacer_FindShare(placer, request->account);
+    gang->charged = charged;
+    gang->urgent = request->urgent;
+    gang->pinned = request->pinned;
+    gang->accelerators = SrNeed_Accelerators(&request->need);
+    gang->total_cores = request->need.tasks * request->need.cores;
+    gang->level =
+        gang->accelerators > 0 ? SrCells_Level(gang->accelerators) : 0;
+    gang->started_ms = request->now_ms;
+    gang->saved_ms = request->now_ms;
+    gang->expected_end_ms =
+        request->run_ms > 0 ? request->now_ms + request->run_ms : INT64_MAX;
+    gang->parts =
+        SrUtil_Calloc(request->need.tasks, sizeof(struct SrGangPart));
+    return gang;
+}
+
+void
+SrPlacer_EnterGang(struct SrPlacer *placer, struct SrPlacedGang *gang)
+{
+    for (unsigned i = 0; i < gang->part_count; i++) {
+        hold_part(&gang->parts[i], gang);
+    }
+    gang->account->usage += gang->accelerators;
+    SrList_Append(&gang->account->gangs, &gang->account_link);
+    SrList_Append(&placer->gangs, &gang->link);
+    SrMap_Add(&placer->gangs_by_id, &gang->entry, gang->id);
+    if (gang->charged) {
+        SrPlacer_UpdateShare(placer, gang->account);
+    }
+    if (strcmp(placer->reserved_for, gang->id) == 0) {
+        SrPlacer_DropReservation(placer);
+    }
+}
+
+/* Cells that one leaving gang gives up may be another's, too. */
+static void
+count_leaving(struct SrRackWorker *worker)
+{
+    worker->leaving = 0;
+    SR_LIST_EACH(link, &worker->parts)
+    {
+        const struct SrGangPart *part =
+            SR_CONTAINER(link, struct SrGangPart, link);
+        if (part->gang->leaving) {
+            worker->leaving |= part->mask;
+        }
+    }
+}
+
+void
+SrPlacer_RemoveGang(struct SrPlacer *placer, struct SrPlacedGang *gang)
+{
+    for (unsigned i = 0; i < gang->part_count; i++) {
+        struct SrGangPart *part = &gang->parts[i];
+        struct SrRackWorker *worker = part->worker;
+        if (gang->charged || gang->pinned) {
+            worker->charged &= ~part->mask;
+        }
+        else if (!gang->leaving) {
+            worker->borrowed &= ~part->mask;
+        }
+        worker->used_cores -= part->cores;
+        worker->used_memory_mb -= part->memory_mb;
+        worker->tasks -= part->tasks;
+        SrList_Remove(&part->link);
+        count_leaving(worker);
+    }
+    gang->account->usage -= gang->accelerators;
+    SrList_Remove(&gang->account_link);
+    SrList_Remove(&gang->link);
+    SrMap_Remove(&placer->gangs_by_id, &gang->entry);
+    if (gang->charged) {
+        SrPlacer_UpdateShare(placer, gang->account);
+    }
+    SrPlacedGang_Destroy(gang);
+}
--- a/src/relay.c
+++ b/src/relay.c
@@ -1,19 +1,14 @@
-#include "relay.h"
+#include "relay_state.h"
 
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "admission.h"
 #include "budget.h"
 #include "codec.h"
-#include "config.h"
 #include "log.h"
-#include "map.h"
-#include "once.h"
 #include "os.h"
-#include "router.h"
 
 #define ANSWER_MAX (8 * 1024 * 1024)
 #define DEADLINE_MAX_MS 600000
@@ -22,12 +17,7 @@
 /* Longest part of a deadline spent waiting here while another domain has
  * slots. */
 #define REMOTE_AFTER_MS 50
-/* Time kept back from a forwarded call's deadline for the way home. */
-#define RETURN_MS 5
 #define BUSY_RETRY_MS 200
-/* Methods between gates: with and without the check of the id. */
-#define METHOD_RELAY "relay"
-#define METHOD_RUN "relay-run"
 
 struct Account {
     struct SrMapEntry entry;
@@ -35,41 +25,6 @@
     struct SrBudget budget;
 };
 
-struct Relayed {
-    struct SrList link;
-    struct SrRelay *relay;
-    struct SrAdmissionEntry waiting;
-    Sr__CallRequest *request;
-    char account[SR_ID_SIZE];
-    int64_t arrived_us;
-    int64_t deadline_ms;
-    unsigned tries;
-    /* True if the id is kept in `once` until the end. */
-    bool kept;
-    /* True if the call came from another gate and goes no further. */
-    bool forwarded;
-    struct SrRouterPick pick;
-    struct SrHttpCall *call;
-    SrRelay_Done *done;
-    void *context;
-};
-
-struct SrRelay {
-    struct SrKernel *kernel;
-    struct SrService service;
-    struct SrHttpClient *http;
-    struct SrBus *bus;
-    struct SrConfig *config;
-    struct SrAdmission *admission;
-    struct SrRouter *router;
-    struct SrOnce *once;
-    struct SrMap accounts;
-    struct SrList all;
-    size_t in_progress;
-    struct SrTimer sweep;
-    bool dispatching;
-};
-
 static void dispatch(struct SrRelay *relay);
 
 static unsigned
@@ -93,14 +48,14 @@
     return account;
 }
 
-static void
-count(struct SrRelay *relay, const char *name, const char *account)
+void
+SrRelay_Count(struct SrRelay *relay, const char *name, const char *account)
 {
     SrMetrics_Count(relay->kernel->metrics, name, "account", account, 1);
 }
 
 static void
-free_relayed(struct Relayed *relayed)
+free_relayed(struct SrRelayed *relayed)
 {
     SrAdmission_Remove(relayed->relay->admission, &relayed->waiting);
     SrList_Remove(&relayed->link);
@@ -108,9 +63,9 @@
     free(relayed);
 }
 
-static void
-end_call(struct Relayed *relayed, const Sr__ApiReply *reply,
-         enum SrOnceEnd end)
+void
+SrRelayed_End(struct SrRelayed *relayed, const Sr__ApiReply *reply,
+              enum SrOnceEnd end)
 {
     struct SrRelay *relay = relayed->relay;
     SrRelay_Done *done = relayed->done;
@@ -127,9 +82,9 @@
     done(context, reply);
 }
 
-static void
-end_failed(struct Relayed *relayed, Sr__ErrorCode code, Sr__Outcome outcome,
-           const char *text, const char *field)
+void
+SrRelayed_Fail(struct SrRelayed *relayed, Sr__ErrorCode code,
+               Sr__Outcome outcome, const char *text, const char *field)
 {
     struct SrFailure failure = {
         .code = code,
@@ -143,20 +98,22 @@
     uint8_t *body = SrCall_PackFailure(&failure, &reply.body.len);
     reply.body.data = body;
     reply.status = SrCall_Status(code);
-    count(relayed->relay, "sr_calls_failed_total", relayed->account);
-    end_call(relayed, &reply,
-             outcome == SR__OUTCOME__OUTCOME_NOT_RUN ? SR_ONCE_END_NOT_RUN
-                                                     : SR_ONCE_END_UNKNOWN);
+    SrRelay_Count(relayed->relay, "sr_calls_failed_total", relayed->account);
+    SrRelayed_End(relayed, &reply,
+                  outcome == SR__OUTCOME__OUTCOME_NOT_RUN
+                      ? SR_ONCE_END_NOT_RUN
+                      : SR_ONCE_END_UNKNOWN);
 }
 
-static void
-refuse(struct Relayed *relayed, Sr__ErrorCode code, const char *text)
+void
+SrRelayed_Refuse(struct SrRelayed *relayed, Sr__ErrorCode code,
+                 const char *text)
 {
-    end_failed(relayed, code, SR__OUTCOME__OUTCOME_NOT_RUN, text, NULL);
+    SrRelayed_Fail(relayed, code, SR__OUTCOME__OUTCOME_NOT_RUN, text, NULL);
 }
 
 static void
-succeed(struct Relayed *relayed, const struct SrHttpAnswer *answer)
+succeed(struct SrRelayed *relayed, const struct SrHttpAnswer *answer)
 {
     struct SrRelay *relay = relayed->relay;
     Sr__CallReply message = SR__CALL_REPLY__INIT;
@@ -171,12 +128,12 @@
     reply.status = 200;
     SrBudget_OnSuccess(&find_account(relay, relayed->account)->budget,
                        relay->kernel->settings->retry_percent);
-    count(relay, "sr_calls_total", relayed->account);
-    end_call(relayed, &reply, SR_ONCE_END_RAN);
+    SrRelay_Count(relay, "sr_calls_total", relayed->account);
+    SrRelayed_End(relayed, &reply, SR_ONCE_END_RAN);
 }
 
-static void
-wait_again(struct Relayed *relayed)
+void
+SrRelayed_WaitAgain(struct SrRelayed *relayed)
 {
     SrAdmission_Return(relayed->relay->admission, &relayed->waiting,
                        relayed->account);
@@ -196,7 +153,7 @@
 }
 
 static bool
-may_retry(struct Relayed *relayed, bool begun)
+may_retry(struct SrRelayed *relayed, bool begun)
 {
     struct SrRelay *relay = relayed->relay;
     if (relayed->tries >= TRIES_MAX ||
@@ -211,15 +168,16 @@
     }
     bool allowed =
         SrBudget_Spend(&find_account(relay, relayed->account)->budget);
-    count(relay, allowed ? "sr_retries_total" : "sr_retries_denied_total",
-          relayed->account);
+    SrRelay_Count(relay,
+                  allowed ? "sr_retries_total" : "sr_retries_denied_total",
+                  relayed->account);
     return allowed;
 }
 
 static void
 on_answer(void *context, const struct SrHttpAnswer *answer)
 {
-    struct Relayed *relayed = context;
+    struct SrRelayed *relayed = context;
     struct SrRelay *relay = relayed->relay;
     enum SrRouterOutcome outcome = judge(answer);
     relayed->call = NULL;
@@ -235,22 +193,22 @@
              relayed->request->request_id, relayed->pick.id,
              SrHttpClient_ErrorText(answer->error), answer->status);
     if (may_retry(relayed, begun)) {
-        wait_again(relayed);
+        SrRelayed_WaitAgain(relayed);
     }
     else if (begun) {
-        end_failed(relayed, SR__ERROR_CODE__ERROR_BACKEND,
-                   SR__OUTCOME__OUTCOME_UNKNOWN,
-                   "the backend server gave no whole answer", NULL);
+        SrRelayed_Fail(relayed, SR__ERROR_CODE__ERROR_BACKEND,
+                       SR__OUTCOME__OUTCOME_UNKNOWN,
+                       "the backend server gave no whole answer", NULL);
     }
     else {
-        refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
-               "no backend server took the request");
+        SrRelayed_Refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
+                         "no backend server took the request");
     }
     dispatch(relay);
 }
 
 static void
-send_to_backend(struct Relayed *relayed)
+send_to_backend(struct SrRelayed *relayed)
 {
     struct SrRelay *relay = relayed->relay;
     const Sr__CallRequest *request = relayed->request;
@@ -276,121 +234,6 @@
                      });
 }
 
-static void
-on_remote_reply(void *context, const Sr__Envelope *envelope)
-{
-    struct Relayed *relayed = context;
-    struct SrRelay *relay = relayed->relay;
-    if (envelope == NULL || envelope->body_case != SR__ENVELOPE__BODY_REPLY) {
-        end_failed(relayed, SR__ERROR_CODE__ERROR_DEADLINE,
-                   SR__OUTCOME__OUTCOME_UNKNOWN,
-                   "the other gate did not answer in time", NULL);
-        return;
-    }
-    enum SrOnceEnd end = SR_ONCE_END_RAN;
-    if (envelope->reply->status != 200) {
-        Sr__Error *error =
-            SrCodec_Unpack(&sr__error__descriptor, envelope->reply->body.data,
-                           envelope->reply->body.len);
-        bool not_run =
-            error != NULL && error->outcome == SR__OUTCOME__OUTCOME_NOT_RUN;
-        end = not_run ? SR_ONCE_END_NOT_RUN : SR_ONCE_END_UNKNOWN;
-        SrCodec_Free(error);
-    }
-    else {
-        count(relay, "sr_calls_remote_total", relayed->account);
-    }
-    end_call(relayed, envelope->reply, end);
-}
-
-static enum SrBusError
-send_to_gate(struct Relayed *relayed, const char *gate, const char *method)
-{
-    struct SrRelay *relay = relayed->relay;
-    int64_t left_ms = relayed->deadline_ms - SrOs_MonotonicMs();
-    Sr__Envelope envelope = SR__ENVELOPE__INIT;
-    Sr__ApiCall call = SR__API_CALL__INIT;
-    uint32_t deadline_ms = relayed->request->deadline_ms;
-    relayed->request->deadline_ms =
-        (uint32_t)(left_ms > RETURN_MS + 1 ? left_ms - RETURN_MS : 1);
-    SR_CLEANUP(SrUtil_FreePointer)
-    uint8_t *body = SrCodec_Pack(relayed->request, &call.body.len);
-    relayed->request->deadline_ms = deadline_ms;
-    call.method = (char *)method;
-    call.account = relayed->account;
-    call.deadline_ms = (uint32_t)left_ms;
-    call.body.data = body;
-    call.forwarded = true;
-    envelope.body_case = SR__ENVELOPE__BODY_CALL;
-    envelope.call = &call;
-    return SrBus_Request(relay->bus, gate, &envelope, left_ms, on_remote_reply,
-                         relayed);
-}
-
-static bool
-is_domain_in(const struct SrRelay *relay, const char *domain)
-{
-    return SrConfig_DomainState(relay->config, domain) ==
-           SR__DOMAIN_STATE__DOMAIN_IN;
-}
-
-static bool
-is_nearer(const struct SrMembership *membership, const struct SrPeer *peer,
-          const struct SrPeer *best)
-{
-    bool near = strcmp(peer->region, membership->region) == 0;
-    bool best_near = strcmp(best->region, membership->region) == 0;
-    if (near != best_near) {
-        return near;
-    }
-    return peer->free_slots > best->free_slots;
-}
-
-/* A gate of another domain with free slots, in this region if there is one. */
-static struct SrPeer *
-choose_gate(const struct SrRelay *relay)
-{
-    const struct SrMembership *membership = SrBus_Membership(relay->bus);
-    struct SrPeer *best = NULL;
-    int64_t now_ms = SrOs_MonotonicMs();
-    SR_LIST_EACH(link, &membership->peers)
-    {
-        struct SrPeer *peer = SR_CONTAINER(link, struct SrPeer, link);
-        if (peer->role != SR__ROLE__ROLE_GATE || peer->free_slots == 0 ||
-            peer->leaving || !is_domain_in(relay, peer->domain) ||
-            strcmp(peer->domain, membership->domain) == 0 ||
-            SrMembership_State(membership, peer, now_ms) != SR_PEER_ALIVE) {
-            continue;
-        }
-        if (best == NULL || is_nearer(membership, peer, best)) {
-            best = peer;
-        }
-    }
-    return best;
-}
-
-static bool
-try_remote(struct Relayed *relayed)
-{
-    struct SrRelay *relay = relayed->relay;
-    struct SrPeer *gate = relayed->forwarded ? NULL : choose_gate(relay);
-    if (gate == NULL) {
-        return false;
-    }
-    SrAdmission_Remove(relay->admission, &relayed->waiting);
-    if (send_to_gate(relayed, gate->name, METHOD_RUN) != SR_BUS_OK) {
-        wait_again(relayed);
-        return false;
-    }
-    gate->free_slots--;
-    if (strcmp(gate->region, SrBus_Membership(relay->bus)->region) != 0) {
-        SrMetrics_Count(relay->kernel->metrics, "sr_cross_region_bytes_total",
-                        "account", relayed->account,
-                        relayed->request->body.len);
-    }
-    return true;
-}
-
 static void
 dispatch(struct SrRelay *relay)
 {
@@ -411,7 +254,8 @@
             SrRouter_Done(relay->router, pick.id, SR_ROUTER_NEUTRAL, now_ms);
             break;
         }
-        struct Relayed *relayed = SR_CONTAINER(entry, struct Relayed, waiting);
+        struct SrRelayed *relayed =
+            SR_CONTAINER(entry, struct SrRelayed, waiting);
         relayed->pick = pick;
         send_to_backend(relayed);
     }
@@ -424,10 +268,11 @@
     struct SrAdmissionEntry *entry;
     while ((entry = SrAdmission_NextExpired(relay->admission,
                                             SrOs_MonotonicMs())) != NULL) {
-        struct Relayed *relayed = SR_CONTAINER(entry, struct Relayed, waiting);
-        count(relay, "sr_calls_expired_total", relayed->account);
-        refuse(relayed, SR__ERROR_CODE__ERROR_DEADLINE,
-               "the request waited too long and was not started");
+        struct SrRelayed *relayed =
+            SR_CONTAINER(entry, struct SrRelayed, waiting);
+        SrRelay_Count(relay, "sr_calls_expired_total", relayed->account);
+        SrRelayed_Refuse(relayed, SR__ERROR_CODE__ERROR_DEADLINE,
+                         "the request waited too long and was not started");
     }
 }
 
@@ -436,16 +281,16 @@
 {
     int64_t waited_us =
         SrRouter_Count(relay->router) > 0 &&
-                is_domain_in(relay, relay->kernel->settings->domain)
+                SrRelay_IsDomainIn(relay, relay->kernel->settings->domain)
             ? REMOTE_AFTER_MS * 1000
             : 0;
     int64_t now_us = SrOs_MonotonicUs();
     SR_LIST_EACH_SAFE(link, &relay->all)
     {
-        struct Relayed *relayed = SR_CONTAINER(link, struct Relayed, link);
+        struct SrRelayed *relayed = SR_CONTAINER(link, struct SrRelayed, link);
         if (relayed->waiting.account != NULL &&
             now_us - relayed->arrived_us >= waited_us &&
-            !try_remote(relayed)) {
+            !SrRelayed_TryRemote(relayed)) {
             return;
         }
     }
@@ -489,46 +334,46 @@
 }
 
 static void
-admit(struct Relayed *relayed)
+admit(struct SrRelayed *relayed)
 {
     struct SrRelay *relay = relayed->relay;
     if (SrAdmission_Add(relay->admission, &relayed->waiting,
                         relayed->account) != SR_ADMISSION_OK) {
-        refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
-               "the client account's queue is full");
+        SrRelayed_Refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
+                         "the client account's queue is full");
         return;
     }
     dispatch(relay);
 }
 
 static void
-refuse_verdict(struct Relayed *relayed, enum SrOnceVerdict verdict)
+refuse_verdict(struct SrRelayed *relayed, enum SrOnceVerdict verdict)
 {
     switch (verdict) {
     case SR_ONCE_RAN:
-        end_failed(relayed, SR__ERROR_CODE__ERROR_CONFLICT,
-                   SR__OUTCOME__OUTCOME_RAN,
-                   "the request has run; its answer is not kept", NULL);
+        SrRelayed_Fail(relayed, SR__ERROR_CODE__ERROR_CONFLICT,
+                       SR__OUTCOME__OUTCOME_RAN,
+                       "the request has run; its answer is not kept", NULL);
         break;
     case SR_ONCE_RUNNING:
     case SR_ONCE_MAY_HAVE_RUN:
     case SR_ONCE_TOO_OLD:
-        end_failed(relayed, SR__ERROR_CODE__ERROR_CONFLICT,
-                   SR__OUTCOME__OUTCOME_UNKNOWN,
-                   verdict == SR_ONCE_TOO_OLD
-                       ? "the request is older than the ids kept; it may "
-                         "have run"
-                       : "the request is running or may have run",
-                   NULL);
+        SrRelayed_Fail(relayed, SR__ERROR_CODE__ERROR_CONFLICT,
+                       SR__OUTCOME__OUTCOME_UNKNOWN,
+                       verdict == SR_ONCE_TOO_OLD
+                           ? "the request is older than the ids kept; it may "
+                             "have run"
+                           : "the request is running or may have run",
+                       NULL);
         break;
     case SR_ONCE_BAD_TIME:
-        end_failed(relayed, SR__ERROR_CODE__ERROR_INVALID,
-                   SR__OUTCOME__OUTCOME_NOT_RUN,
-                   "created_unix_ms is in the future", "created_unix_ms");
+        SrRelayed_Fail(relayed, SR__ERROR_CODE__ERROR_INVALID,
+                       SR__OUTCOME__OUTCOME_NOT_RUN,
+                       "created_unix_ms is in the future", "created_unix_ms");
         break;
     case SR_ONCE_FULL:
-        refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
-               "too many ids are kept at present");
+        SrRelayed_Refuse(relayed, SR__ERROR_CODE__ERROR_OVERLOADED,
+                         "too many ids are kept at present");
         break;
     case SR_ONCE_RUN:
         break;
@@ -536,7 +381,7 @@
 }
 
 static void
-admit_once(struct Relayed *relayed)
+admit_once(struct SrRelayed *relayed)
 {
     const Sr__CallRequest *request = relayed->request;
     enum SrOnceVerdict verdict = SrOnce_Begin(
@@ -550,17 +395,6 @@
     admit(relayed);
 }
 
-/* Sends a non-repeatable call to the gate that keeps its id. */
-static void
-send_home(struct Relayed *relayed, const char *home)
-{
-    if (send_to_gate(relayed, home, METHOD_RELAY) != SR_BUS_OK) {
-        refuse(relayed, SR__ERROR_CODE__ERROR_UNAVAILABLE,
-               "the gate that keeps this id cannot be reached; a new id may "
-               "go to another gate");
-    }
-}
-
 enum Stage {
     /* From a caller. */
     STAGE_NEW,
@@ -574,7 +408,7 @@
 take(struct SrRelay *relay, const char *account, const void *body, size_t size,
      enum Stage stage, SrRelay_Done *done, void *context)
 {
-    struct Relayed *relayed = SrUtil_Calloc(1, sizeof(*relayed));
+    struct SrRelayed *relayed = SrUtil_Calloc(1, sizeof(*relayed));
     const char *text = "the body is not a CallRequest";
     const char *field = "";
     relayed->relay = relay;
@@ -591,8 +425,8 @@
         field = check_request(relayed->request, &text);
     }
     if (field != NULL) {
-        end_failed(relayed, SR__ERROR_CODE__ERROR_INVALID,
-                   SR__OUTCOME__OUTCOME_NOT_RUN, text, field);
+        SrRelayed_Fail(relayed, SR__ERROR_CODE__ERROR_INVALID,
+                       SR__OUTCOME__OUTCOME_NOT_RUN, text, field);
         return;
     }
     int64_t now_ms = SrOs_MonotonicMs();
@@ -613,7 +447,7 @@
         admit_once(relayed);
         return;
     }
-    send_home(relayed, home);
+    SrRelayed_SendHome(relayed, home);
 }
 
 void
@@ -636,8 +470,8 @@
         return;
     }
     const Sr__ApiCall *call = envelope->call;
-    bool home = strcmp(call->method, METHOD_RELAY) == 0;
-    if (!home && strcmp(call->method, METHOD_RUN) != 0) {
+    bool home = strcmp(call->method, SR_RELAY_METHOD_HOME) == 0;
+    if (!home && strcmp(call->method, SR_RELAY_METHOD_RUN) != 0) {
         return;
     }
     take(relay, call->account, call->body.data, call->body.len,
@@ -748,7 +582,7 @@
     SrTimer_Stop(&relay->sweep);
     SR_LIST_EACH_SAFE(link, &relay->all)
     {
-        struct Relayed *relayed = SR_CONTAINER(link, struct Relayed, link);
+        struct SrRelayed *relayed = SR_CONTAINER(link, struct SrRelayed, link);
         SrHttpClient_Cancel(relayed->call);
         free_relayed(relayed);
     }
