--- a/src/bus.c
+++ b/src/bus.c
@@ -277,9 +277,8 @@
 take_heartbeat(struct SrBus *bus, struct SrPeer *peer,
                const Sr__Envelope *envelope)
 {
-    bool current =
-        SrMembership_Hear(&bus->membership, peer, envelope->incarnation,
-                          envelope->heartbeat, SrOs_MonotonicMs());
+    bool current = SrMembership_Hear(peer, envelope->incarnation,
+                                     envelope->heartbeat, SrOs_MonotonicMs());
     if (!current) {
         return;
     }
--- a/src/gate.c
+++ b/src/gate.c
@@ -275,6 +275,11 @@
                "the Authorization header is missing or wrong");
         return;
     }
+    if (strcmp(SrHttpRequest_Method(request), "POST") != 0) {
+        refuse(gate, request, SR__ERROR_CODE__ERROR_INVALID,
+               "methods are called by POST");
+        return;
+    }
     const struct Method *method = find_method(path + strlen(PREFIX));
     switch (method->kind) {
     case METHOD_RELAYED:
--- a/src/job_adopt.c
+++ b/src/job_adopt.c
@@ -140,6 +140,10 @@
     if (job->phase != SR_JOB_ACTIVE) {
         return;
     }
+    if (lease != NULL && lease->unsaved_ms > 0) {
+        SrPlacer_NoteCheckpoint(job->owner->placer, job->record->id,
+                                SrOs_UnixMs() - (int64_t)lease->unsaved_ms);
+    }
     if (lease != NULL) {
         SrJobRun_Command(job,
                          SrGang_OnLease(&job->gang, member, lease->state));
--- a/src/job_store.c
+++ b/src/job_store.c
@@ -279,9 +279,8 @@
 }
 
 void
-SrJobStore_Drop(struct SrJobStore *jobs, struct SrJobRow *row)
+SrJobStore_Drop(struct SrJobRow *row)
 {
-    (void)jobs;
     if (row->queued) {
         SrList_Remove(&row->link);
         row->queued = false;
--- a/src/job_store.h
+++ b/src/job_store.h
@@ -48,7 +48,7 @@
 void SrJobStore_Save(struct SrJobStore *jobs, struct SrJobRow *row);
 
 /* Forgets the row; a write on its way is no longer told of. */
-void SrJobStore_Drop(struct SrJobStore *jobs, struct SrJobRow *row);
+void SrJobStore_Drop(struct SrJobRow *row);
 
 /* Writes what waits; call about once a second beside the changes. */
 void SrJobStore_Flush(struct SrJobStore *jobs);
--- a/src/jobs.c
+++ b/src/jobs.c
@@ -95,7 +95,7 @@
     }
     SrTimer_Stop(&job->timer);
     SrQueue_Remove(jobs->queue, &job->queued);
-    SrJobStore_Drop(jobs->rows, &job->row);
+    SrJobStore_Drop(&job->row);
     for (unsigned i = 0; i < job->victim_count; i++) {
         free(job->victims[i]);
     }
--- a/src/membership.c
+++ b/src/membership.c
@@ -115,11 +115,9 @@
 }
 
 bool
-SrMembership_Hear(struct SrMembership *membership, struct SrPeer *peer,
-                  uint64_t incarnation, const Sr__Heartbeat *heartbeat,
-                  int64_t now_ms)
+SrMembership_Hear(struct SrPeer *peer, uint64_t incarnation,
+                  const Sr__Heartbeat *heartbeat, int64_t now_ms)
 {
-    (void)membership;
     if (incarnation < peer->incarnation) {
         return false;
     }
--- a/src/membership.h
+++ b/src/membership.h
@@ -64,9 +64,8 @@
                                  const char *name);
 
 /* Takes a heartbeat; false if it is from an earlier life of the peer. */
-bool SrMembership_Hear(struct SrMembership *membership, struct SrPeer *peer,
-                       uint64_t incarnation, const Sr__Heartbeat *heartbeat,
-                       int64_t now_ms);
+bool SrMembership_Hear(struct SrPeer *peer, uint64_t incarnation,
+                       const Sr__Heartbeat *heartbeat, int64_t now_ms);
 
 enum SrPeerState SrMembership_State(const struct SrMembership *membership,
                                     const struct SrPeer *peer, int64_t now_ms);
--- a/src/placer.c
+++ b/src/placer.c
@@ -121,21 +121,6 @@
     }
 }
 
-void
-SrPlacer_EachBorrower(const struct SrPlacer *placer,
-                      void (*visit)(void *context, const char *gang),
-                      void *context)
-{
-    SR_LIST_EACH_SAFE(link, &placer->gangs)
-    {
-        const struct SrPlacedGang *gang =
-            SR_CONTAINER(link, struct SrPlacedGang, link);
-        if (!gang->charged && !gang->pinned && !gang->leaving) {
-            visit(context, gang->id);
-        }
-    }
-}
-
 static unsigned
 largest_free_level(const struct SrPlacer *placer)
 {
--- a/src/placer.h
+++ b/src/placer.h
@@ -176,11 +176,6 @@
                       const struct SrPlacerRequest *request);
 void SrPlacer_DropReservation(struct SrPlacer *placer);
 
-/* Calls `visit` for each placed gang that is neither charged nor leaving. */
-void SrPlacer_EachBorrower(const struct SrPlacer *placer,
-                           void (*visit)(void *context, const char *gang),
-                           void *context);
-
 struct SrPlacerStatus {
     unsigned workers;
     unsigned usable_workers;
--- a/src/workers.c
+++ b/src/workers.c
@@ -396,13 +396,6 @@
     }
 }
 
-bool
-SrWorkers_IsKnown(const struct SrWorkers *workers, const char *id)
-{
-    const struct Worker *worker = find_worker(workers, id);
-    return worker != NULL && worker->known && !worker->silent;
-}
-
 const char *
 SrWorkers_State(const struct SrWorkers *workers, const char *id)
 {
--- a/src/workers.h
+++ b/src/workers.h
@@ -45,9 +45,6 @@
 /* Asks every worker for all of its leases again. */
 void SrWorkers_Resync(struct SrWorkers *workers);
 
-/* True once the worker has reported its leases under the present fence. */
-bool SrWorkers_IsKnown(const struct SrWorkers *workers, const char *worker);
-
 /* "live", "silent" or "leaving", or NULL for an unknown worker. */
 const char *SrWorkers_State(const struct SrWorkers *workers,
                             const char *worker);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -37,7 +37,7 @@
     return size;
 }
 
-/* Posts a body; returns the decoded error, or NULL. */
+/* Posts a body, or gets if it is NULL; returns the decoded error, or NULL. */
 static Sr__Error *
 post(const char *path, const char *authorization, const void *body,
      size_t size)
@@ -55,8 +55,10 @@
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)size);
+    if (body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)size);
+    }
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, 10000L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer);
@@ -85,6 +87,8 @@
     } cases[] = {
         {"unknown method", "/v1/dance", ACCOUNT, "", 0,
          SR__ERROR_CODE__ERROR_NOT_FOUND, ""},
+        {"a method by GET", "/v1/status", ACCOUNT, NULL, 0,
+         SR__ERROR_CODE__ERROR_INVALID, ""},
         {"unknown path", "/dance", ACCOUNT, "", 0,
          SR__ERROR_CODE__ERROR_NOT_FOUND, ""},
         {"no key", "/v1/submit", NULL, "", 0,
@@ -193,14 +197,21 @@
     free(health);
 }
 
+/* Folder of this program, where the binary lies too. */
+static void
+find_folder(char *to, size_t size)
+{
+    ssize_t length = readlink("/proc/self/exe", to, size - 1);
+    to[length] = '\0';
+    *strrchr(to, '/') = '\0';
+}
+
 static int
 run_binary(const char *arguments, char *output, size_t size)
 {
     char command[1024];
     char binary[512];
-    ssize_t length = readlink("/proc/self/exe", binary, sizeof(binary) - 1);
-    binary[length] = '\0';
-    *strrchr(binary, '/') = '\0';
+    find_folder(binary, sizeof(binary));
     snprintf(command, sizeof(command), "env -i %s/sassafrasrelay %s 2>&1",
              binary, arguments);
     FILE *pipe = popen(command, "r");
@@ -239,6 +250,24 @@
     }
 }
 
+static void
+example_settings_pass(void **state)
+{
+    (void)state;
+    static const char *const names[] = {"jandi", "majlis"};
+    for (size_t i = 0; i < SR_LENGTH(names); i++) {
+        char command[1200];
+        char binary[512];
+        find_folder(binary, sizeof(binary));
+        snprintf(command, sizeof(command),
+                 "set -a && . ./examples/%s.env && "
+                 "%s/sassafrasrelay check-settings >/dev/null",
+                 names[i], binary);
+        FILE *shell = popen(command, "r");
+        assert_int_equal(pclose(shell), 0);
+    }
+}
+
 static int
 set_up(void **state)
 {
@@ -261,6 +290,7 @@
     (void)argc;
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(wrong_settings_stop_the_start),
+        cmocka_unit_test(example_settings_pass),
         cmocka_unit_test(bad_requests_get_typed_errors),
         cmocka_unit_test(a_large_body_is_refused_and_not_kept),
         cmocka_unit_test(a_slow_sender_is_told),
