--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,4 @@
 
 # Needs protobuf-c-compiler; the generated files are committed.
 proto:
-	@cd proto && protoc-c --c_out=../src/gen sassafrasrelay.proto internal.proto platform.proto
+	@cd proto && protoc-c --c_out=../src/gen sassafrasrelay.proto internal.proto platform.proto flow.proto
--- /dev/null
+++ b/src/engine.c
@@ -0,0 +1,587 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "engine_state.h"
+#include "log.h"
+#include "plan.h"
+
+/* A new leader waits this long for its workers' answers before it places, so
+ * that gangs see most of the room: two exchanges between regions. */
+#define SETTLE_MS 250
+/* A run whose progress stands still for this long is taken as stuck: the
+ * slowest worker seen moves on by a percent in under a second. */
+#define STUCK_MS 3500
+
+struct SrEngine *
+SrEngine_Create(const struct SrEngineOptions *options, uint64_t term,
+                int64_t now_ms)
+{
+    struct SrEngine *engine = SrUtil_Calloc(1, sizeof(*engine));
+    engine->options = *options;
+    engine->term = term;
+    engine->created_ms = now_ms;
+    SrFleet_Init(&engine->fleet, options->lease_ms);
+    SrMap_Init(&engine->flows_by_id);
+    SrList_Init(&engine->flows);
+    SrList_Init(&engine->dirty);
+    return engine;
+}
+
+static void
+remove_flow(struct SrEngine *engine, struct SrFlow *flow)
+{
+    SrMap_Remove(&engine->flows_by_id, &flow->entry);
+    SrFlow_Destroy(flow);
+}
+
+void
+SrEngine_Destroy(struct SrEngine *engine)
+{
+    if (engine == NULL) {
+        return;
+    }
+    SrFleet_Clear(&engine->fleet);
+    SR_LIST_EACH_SAFE(link, &engine->flows)
+    {
+        remove_flow(engine, SR_CONTAINER(link, struct SrFlow, link));
+    }
+    SrMap_Clear(&engine->flows_by_id);
+    free(engine);
+}
+
+void
+SrEngine_SetCatalog(struct SrEngine *engine, const struct SrCatalog *catalog)
+{
+    engine->catalog = catalog;
+}
+
+bool
+SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain)
+{
+    for (size_t i = 0; i < engine->domains_out_count; i++) {
+        if (strcmp(engine->domains_out[i], domain) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+SrEngine_SetDomainOut(struct SrEngine *engine, const char *domain, bool out)
+{
+    if (SrEngine_IsDomainOut(engine, domain) == out) {
+        return;
+    }
+    if (out && engine->domains_out_count == SR_DOMAINS_OUT_MAX) {
+        SR_ERROR("engine", "too-many-domains-out", "domain=%s", domain);
+        return;
+    }
+    if (out) {
+        SrUtil_Copy(engine->domains_out[engine->domains_out_count++],
+                    SR_ID_SIZE, domain);
+        return;
+    }
+    size_t kept = 0;
+    for (size_t i = 0; i < engine->domains_out_count; i++) {
+        if (strcmp(engine->domains_out[i], domain) != 0) {
+            memmove(engine->domains_out[kept++], engine->domains_out[i],
+                    SR_ID_SIZE);
+        }
+    }
+    engine->domains_out_count = kept;
+}
+
+void
+SrEngine_Touch(struct SrEngine *engine, struct SrFlow *flow)
+{
+    flow->changed = ++engine->change;
+    if (SrList_IsEmpty(&flow->dirty)) {
+        flow->dirty_since = flow->changed;
+        SrList_Append(&engine->dirty, &flow->dirty);
+    }
+}
+
+static struct SrFlow *
+find_flow(const struct SrEngine *engine, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&engine->flows_by_id, id);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrFlow, entry) : NULL;
+}
+
+/* Books the runs that an earlier leader ordered. */
+static void
+inherit_runs(struct SrEngine *engine, struct SrFlow *flow,
+             const Sr__FlowProgress *progress, int64_t now_ms)
+{
+    for (size_t i = 0; i < progress->n_tasks; i++) {
+        const Sr__FlowTask *from = progress->tasks[i];
+        if (from->worker[0] == '\0') {
+            continue;
+        }
+        struct SrWorker *worker =
+            SrFleet_FindOrAdd(&engine->fleet, from->worker);
+        struct SrRun *run =
+            SrFleet_Book(worker, &flow->tasks[i], from->run, now_ms);
+        run->state = SR_RUNSTATE_INHERITED;
+        run->born = from->born;
+        worker->granted_ms = now_ms;
+    }
+}
+
+void
+SrEngine_AddFlow(struct SrEngine *engine, const char *id,
+                 Sr__FlowRecord *record, const Sr__FlowProgress *progress,
+                 int64_t now_ms)
+{
+    const char *field;
+    enum SrFlowError error = SrFlow_Check(record, &field);
+    if (find_flow(engine, id) != NULL || error != SR_FLOW_OK) {
+        if (error != SR_FLOW_OK) {
+            SR_ERROR("engine", "bad-job", "id=%s field=%s error=%s", id, field,
+                     SrFlow_ErrorText(error));
+        }
+        SrCodec_Free(record);
+        return;
+    }
+    struct SrFlow *flow = SrFlow_Create(id, record);
+    flow->arrived_ms = now_ms;
+    SrList_Append(&engine->flows, &flow->link);
+    SrMap_Add(&engine->flows_by_id, &flow->entry, flow->id);
+    if (progress == NULL) {
+        return;
+    }
+    error = SrFlow_Load(flow, progress);
+    if (error != SR_FLOW_OK) {
+        SR_ERROR("engine", "bad-progress", "id=%s error=%s", id,
+                 SrFlow_ErrorText(error));
+        return;
+    }
+    inherit_runs(engine, flow, progress, now_ms);
+    if (SrFlow_HasEnded(flow)) {
+        flow->ended_ms = now_ms;
+    }
+    flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
+}
+
+static void
+stop_runs(struct SrEngine *engine, struct SrFlow *flow, const char *reason,
+          int64_t now_ms)
+{
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    for (size_t i = 0; i < count && flow->outstanding > 0; i++) {
+        if (flow->tasks[i].running != NULL) {
+            SrEngine_StopRun(engine, flow->tasks[i].running, reason, now_ms);
+        }
+    }
+}
+
+void
+SrEngine_CancelFlow(struct SrEngine *engine, const char *id, int64_t now_ms)
+{
+    struct SrFlow *flow = find_flow(engine, id);
+    if (flow == NULL || flow->cancelled) {
+        return;
+    }
+    flow->cancelled = true;
+    if (!SrFlow_HasEnded(flow)) {
+        flow->status = SR__FLOW_STATUS__FLOW_CANCELLED;
+        flow->ended_ms = now_ms;
+        SrEngine_Touch(engine, flow);
+    }
+    SR_INFO("engine", "cancelled", "id=%s outstanding=%u", id,
+            flow->outstanding);
+    stop_runs(engine, flow, "cancelled", now_ms);
+}
+
+static bool
+has_other_life(const struct SrWorker *worker, int64_t born)
+{
+    return worker->info.born != 0 && born != 0 && worker->info.born != born;
+}
+
+void
+SrEngine_SetWorker(struct SrEngine *engine, const char *id,
+                   const struct SrWorkerEntry *entry, int64_t now_ms)
+{
+    struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
+    if (entry == NULL) {
+        if (worker != NULL && worker->present) {
+            worker->present = false;
+            SR_INFO("engine", "worker-gone", "worker=%s", id);
+        }
+        return;
+    }
+    if (worker == NULL) {
+        worker = SrFleet_FindOrAdd(&engine->fleet, id);
+    }
+    if (has_other_life(worker, entry->born)) {
+        SrEngine_OnNewLife(engine, worker, entry->born, now_ms);
+    }
+    if (entry->draining && !worker->info.draining) {
+        worker->draining_ms = now_ms;
+        SR_INFO("engine", "worker-draining", "worker=%s remaining-ms=%ld", id,
+                (long)entry->remaining_ms);
+    }
+    if (!worker->present) {
+        SR_INFO("engine", "worker-seen", "worker=%s domain=%s rack=%s", id,
+                entry->domain, entry->rack);
+    }
+    worker->info = *entry;
+    worker->present = true;
+}
+
+static void
+settle_status(struct SrEngine *engine, struct SrFlow *flow, int64_t now_ms)
+{
+    if (SrFlow_HasEnded(flow) || !SrFlow_IsDone(flow)) {
+        return;
+    }
+    flow->status = SR__FLOW_STATUS__FLOW_COMPLETED;
+    flow->ended_ms = now_ms;
+    SrEngine_Touch(engine, flow);
+    SR_INFO("engine", "completed", "id=%s queue=%s after-ms=%ld", flow->id,
+            flow->record->queue, (long)(now_ms - flow->arrived_ms));
+}
+
+static void
+fail_flow(struct SrEngine *engine, struct SrFlow *flow,
+          const struct SrFlowTask *task, int64_t now_ms)
+{
+    if (SrFlow_HasEnded(flow)) {
+        return;
+    }
+    flow->status = SR__FLOW_STATUS__FLOW_FAILED;
+    flow->ended_ms = now_ms;
+    SrEngine_Touch(engine, flow);
+    SR_INFO("engine", "failed", "id=%s step=%u index=%u failures=%u max=%u",
+            flow->id, task->step, task->index, task->failures,
+            flow->record->max_attempts);
+    stop_runs(engine, flow, "job-failed", now_ms);
+}
+
+/* A gang's run is over when one member's is. */
+static void
+stop_members(struct SrEngine *engine, const struct SrFlowTask *task,
+             uint32_t number, int64_t now_ms)
+{
+    struct SrFlowTask *first =
+        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
+    for (uint32_t i = 0; i < SrFlow_StepOf(task)->count; i++) {
+        struct SrRun *run = first[i].running;
+        if (run != NULL && run->number == number) {
+            SrEngine_StopRun(engine, run, "gang-ended", now_ms);
+        }
+    }
+}
+
+static void
+note_failure(struct SrEngine *engine, struct SrFlowTask *task,
+             struct SrWorker *worker, uint32_t number, int64_t now_ms)
+{
+    SrUtil_Copy(task->failed_on, sizeof(task->failed_on), worker->info.id);
+    SrFleet_NoteFailure(worker, now_ms);
+    if (SrFlow_NoteFailure(task, number)) {
+        fail_flow(engine, task->flow, task, now_ms);
+    }
+}
+
+void
+SrEngine_EndRun(struct SrEngine *engine, struct SrRun *run, enum SrRunEnd how,
+                const char *checkpoint, int64_t now_ms)
+{
+    struct SrFlowTask *task = run->task;
+    struct SrWorker *worker = run->worker;
+    uint32_t number = run->number;
+    const Sr__FlowStep *step = SrFlow_StepOf(task);
+    SR_INFO("engine", "run-ended",
+            "id=%s step=%u index=%u run=%u worker=%s how=%s percent=%d "
+            "after-ms=%ld",
+            task->flow->id, task->step, task->index, number, worker->info.id,
+            SrRun_EndText(how), run->percent,
+            (long)(now_ms - run->booked_ms));
+    SrFleet_Release(run);
+    SrFlow_NoteCheckpoint(task, checkpoint);
+    if (how == SR_RUN_DONE && !step->continuous) {
+        SrFleet_NoteSuccess(worker);
+        SrFlow_NoteDone(task);
+    }
+    else if (how == SR_RUN_FAILED && !task->done) {
+        note_failure(engine, task, worker, number, now_ms);
+    }
+    if (step->gang && !task->done) {
+        stop_members(engine, task, number, now_ms);
+    }
+    SrEngine_Touch(engine, task->flow);
+    settle_status(engine, task->flow, now_ms);
+}
+
+void
+SrEngine_StopRun(struct SrEngine *engine, struct SrRun *run,
+                 const char *reason, int64_t now_ms)
+{
+    if (run->stopping) {
+        return;
+    }
+    SR_INFO("engine", "stop", "id=%s step=%u index=%u run=%u worker=%s "
+            "reason=%s percent=%d",
+            run->task->flow->id, run->task->step, run->task->index,
+            run->number, run->worker->info.id, reason, run->percent);
+    if (run->state == SR_RUNSTATE_PLANNED ||
+        (run->state == SR_RUNSTATE_ORDERED && run->sends == 0)) {
+        SrEngine_Touch(engine, run->task->flow);
+        SrFleet_Release(run);
+        return;
+    }
+    run->stopping = true;
+    run->next_send_ms = now_ms;
+}
+
+static void
+end_leases(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        if (SrList_IsEmpty(&worker->runs)) {
+            if (!worker->present && !worker->look_in_flight &&
+                !worker->quick_in_flight) {
+                SrFleet_Remove(&engine->fleet, worker);
+            }
+            continue;
+        }
+        if (!SrFleet_IsLeaseOut(&engine->fleet, worker, now_ms)) {
+            continue;
+        }
+        SR_WARN("engine", "lease-out", "worker=%s silent-ms=%ld",
+                worker->info.id, (long)(now_ms - worker->answered_ms));
+        worker->fenced = false;
+        while (!SrList_IsEmpty(&worker->runs)) {
+            SrEngine_EndRun(
+                engine, SR_CONTAINER(worker->runs.next, struct SrRun, link),
+                SR_RUN_LAPSED, "", now_ms);
+        }
+    }
+}
+
+static void
+stop_stuck(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_LIST_EACH(worker_link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker =
+            SR_CONTAINER(worker_link, struct SrWorker, link);
+        SR_LIST_EACH_SAFE(link, &worker->runs)
+        {
+            struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+            if (run->state != SR_RUNSTATE_STARTED || run->stopping ||
+                SrFlow_StepOf(run->task)->continuous ||
+                worker->answered_ms - run->percent_ms < STUCK_MS) {
+                continue;
+            }
+            SrFleet_NoteFailure(worker, now_ms);
+            SrEngine_StopRun(engine, run, "stands-still", now_ms);
+        }
+    }
+}
+
+static void
+ack_ends(struct SrEngine *engine)
+{
+    uint64_t oldest = UINT64_MAX;
+    SR_LIST_EACH(link, &engine->dirty)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
+        if (flow->dirty_since < oldest) {
+            oldest = flow->dirty_since;
+        }
+    }
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        if (worker->ends_acked < worker->ends_seen &&
+            worker->ends_change < oldest) {
+            worker->ends_acked = worker->ends_seen;
+            worker->next_look_ms = 0;
+        }
+    }
+}
+
+void
+SrEngine_Pump(struct SrEngine *engine, bool writable, int64_t now_ms,
+              int64_t unix_ms)
+{
+    engine->unix_ms = unix_ms;
+    end_leases(engine, now_ms);
+    stop_stuck(engine, now_ms);
+    ack_ends(engine);
+    if (writable && !engine->fenced && engine->catalog != NULL &&
+        now_ms - engine->created_ms >= SETTLE_MS) {
+        SrPlan_Pass(engine, now_ms);
+    }
+    SrEngine_SendOrders(engine, now_ms);
+}
+
+static Sr__FlowTask *
+pack_task(const struct SrFlowTask *from, Sr__FlowTask *to)
+{
+    sr__flow_task__init(to);
+    to->run = from->run;
+    to->failures = from->failures;
+    to->done = from->done;
+    if (!from->done) {
+        to->checkpoint = (char *)from->checkpoint;
+    }
+    if (from->running != NULL) {
+        to->worker = from->running->worker->info.id;
+        to->born = from->running->born;
+    }
+    return to;
+}
+
+static uint8_t *
+pack_progress(const struct SrFlow *flow, size_t *size)
+{
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__FlowTask *tasks = SrUtil_Calloc(count, sizeof(*tasks));
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__FlowTask **pointers = SrUtil_Calloc(count, sizeof(*pointers));
+    progress.status = flow->status;
+    progress.begun = flow->begun;
+    if (flow->begun) {
+        for (size_t i = 0; i < count; i++) {
+            pointers[i] = pack_task(&flow->tasks[i], &tasks[i]);
+        }
+        progress.n_tasks = count;
+        progress.tasks = pointers;
+    }
+    return SrCodec_Pack(&progress, size);
+}
+
+static void
+note_expired(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &engine->flows)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
+            SrList_IsEmpty(&flow->dirty) &&
+            now_ms - flow->ended_ms > engine->options.keep_ms) {
+            SrEngine_Touch(engine, flow);
+        }
+    }
+}
+
+size_t
+SrEngine_TakeChanges(struct SrEngine *engine, struct SrEngineChange *changes,
+                     size_t max, int64_t now_ms)
+{
+    size_t count = 0;
+    note_expired(engine, now_ms);
+    SR_LIST_EACH(link, &engine->dirty)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
+        if (count == max) {
+            break;
+        }
+        struct SrEngineChange *change = &changes[count++];
+        *change = (struct SrEngineChange){
+            .id = flow->id,
+            .change = flow->changed,
+        };
+        bool expired = SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
+                       now_ms - flow->ended_ms > engine->options.keep_ms;
+        if (!expired) {
+            change->progress = pack_progress(flow, &change->size);
+        }
+    }
+    return count;
+}
+
+bool
+SrEngine_HasChanges(const struct SrEngine *engine)
+{
+    return !SrList_IsEmpty(&engine->dirty);
+}
+
+static void
+release_starts(struct SrFlow *flow)
+{
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    for (size_t i = 0; i < count; i++) {
+        struct SrRun *run = flow->tasks[i].running;
+        if (run != NULL && run->state == SR_RUNSTATE_PLANNED &&
+            run->change <= flow->written) {
+            run->state = SR_RUNSTATE_ORDERED;
+        }
+    }
+}
+
+void
+SrEngine_OnWritten(struct SrEngine *engine, const char *id, uint64_t change)
+{
+    struct SrFlow *flow = find_flow(engine, id);
+    if (flow == NULL) {
+        return;
+    }
+    flow->written = change;
+    if (flow->changed > change) {
+        flow->dirty_since = change + 1;
+    }
+    else {
+        SrList_Remove(&flow->dirty);
+    }
+    release_starts(flow);
+}
+
+void
+SrEngine_Forget(struct SrEngine *engine, const char *id)
+{
+    struct SrFlow *flow = find_flow(engine, id);
+    if (flow != NULL && flow->outstanding == 0) {
+        remove_flow(engine, flow);
+    }
+}
+
+bool
+SrEngine_IsFenced(const struct SrEngine *engine)
+{
+    return engine->fenced;
+}
+
+unsigned
+SrEngine_Waiting(const struct SrEngine *engine, const char *queue)
+{
+    unsigned count = 0;
+    SR_LIST_EACH(link, &engine->flows)
+    {
+        const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (!flow->begun && !SrFlow_HasEnded(flow) &&
+            strcmp(flow->record->queue, queue) == 0) {
+            count++;
+        }
+    }
+    return count;
+}
+
+struct SrEngineFigures
+SrEngine_Figures(const struct SrEngine *engine, int64_t now_ms)
+{
+    struct SrEngineFigures figures = {0};
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        figures.workers++;
+        figures.usable += SrFleet_IsUsable(worker, now_ms) ? 1 : 0;
+    }
+    SR_LIST_EACH(link, &engine->flows)
+    {
+        const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        figures.flows++;
+        figures.running += flow->outstanding;
+        figures.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
+    }
+    return figures;
+}
--- /dev/null
+++ b/src/engine.h
@@ -0,0 +1,102 @@
+/* The leader's decisions: what runs, what is stopped, what is written.
+ *
+ * Pure state machine: events and the time go in; orders to workers come out
+ * by a callback, and changed progress is taken by the ledger. An order that
+ * starts a task is only made once the row that books it is written. */
+#ifndef SR_ENGINE_H
+#define SR_ENGINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "catalog.h"
+#include "flow.h"
+#include "orders.h"
+#include "worker_entry.h"
+
+struct SrEngine;
+
+struct SrEngineOptions {
+    /* Largest lease that workers accept, ms. */
+    int64_t lease_ms;
+    /* Time that a stop may take, ms. */
+    int64_t stop_ms;
+    /* Time for which an ended job stays known, ms. */
+    int64_t keep_ms;
+    /* Slowdown of a task away from its rack. */
+    double remote_factor;
+    /* Gets each order; must not call the engine. */
+    void (*send)(void *context, const struct SrOrder *order);
+    void *context;
+};
+
+/* A changed flow, for the ledger. */
+struct SrEngineChange {
+    const char *id;
+    /* Packed progress; the caller frees it. NULL: the job's rows go. */
+    uint8_t *progress;
+    size_t size;
+    uint64_t change;
+};
+
+struct SrEngine *SrEngine_Create(const struct SrEngineOptions *options,
+                                 uint64_t term, int64_t now_ms);
+void SrEngine_Destroy(struct SrEngine *engine);
+
+/* The configuration in force; kept by the caller until the next one. */
+void SrEngine_SetCatalog(struct SrEngine *engine,
+                         const struct SrCatalog *catalog);
+
+/* Takes a domain out of use for new work, or back. */
+void SrEngine_SetDomainOut(struct SrEngine *engine, const char *domain,
+                           bool out);
+
+/* A stored job; takes the record over. `progress` may be NULL. A job that is
+ * known already is left as it is. */
+void SrEngine_AddFlow(struct SrEngine *engine, const char *id,
+                      Sr__FlowRecord *record,
+                      const Sr__FlowProgress *progress, int64_t now_ms);
+void SrEngine_CancelFlow(struct SrEngine *engine, const char *id,
+                         int64_t now_ms);
+
+/* A worker's entry, or NULL for one that is gone. */
+void SrEngine_SetWorker(struct SrEngine *engine, const char *id,
+                        const struct SrWorkerEntry *entry, int64_t now_ms);
+
+void SrEngine_OnAnswer(struct SrEngine *engine, const struct SrOrder *order,
+                       const struct SrOrderAnswer *answer, int64_t now_ms);
+
+/* Decides and sends. `writable` is false while the store takes no writes:
+ * what runs is then held, and nothing new is booked. */
+void SrEngine_Pump(struct SrEngine *engine, bool writable, int64_t now_ms,
+                   int64_t unix_ms);
+
+/* Changes to be written, up to `max`; they stay due until confirmed. */
+size_t SrEngine_TakeChanges(struct SrEngine *engine,
+                            struct SrEngineChange *changes, size_t max,
+                            int64_t now_ms);
+void SrEngine_OnWritten(struct SrEngine *engine, const char *id,
+                        uint64_t change);
+bool SrEngine_HasChanges(const struct SrEngine *engine);
+
+/* The rows of an expired job are gone from the store. */
+void SrEngine_Forget(struct SrEngine *engine, const char *id);
+
+/* True once a worker has answered that a newer leader gave orders there. */
+bool SrEngine_IsFenced(const struct SrEngine *engine);
+
+/* Accepted jobs of a queue of which nothing has started. */
+unsigned SrEngine_Waiting(const struct SrEngine *engine, const char *queue);
+
+struct SrEngineFigures {
+    unsigned workers;
+    unsigned usable;
+    unsigned flows;
+    unsigned running;
+    unsigned waiting;
+};
+struct SrEngineFigures SrEngine_Figures(const struct SrEngine *engine,
+                                        int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/engine_answers.c
@@ -0,0 +1,370 @@
+#include <string.h>
+
+#include "engine_state.h"
+#include "log.h"
+
+/* An order without an answer may be carried out up to 12 s later, as the
+ * platform's contract says; one second more for the exchange. */
+#define LOOSE_MS 13000
+/* Starts without an answer after which the run is given up. */
+#define START_SENDS_MAX 4
+#define RETRY_MS 60
+/* A worker that turned an order away is left alone for a moment. */
+#define TURNED_AWAY_MS 1500
+
+static struct SrFlowTask *
+find_task(const struct SrEngine *engine, const char *name)
+{
+    char id[SR_ID_SIZE];
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+    if (!SrFlow_ParseTaskName(name, id, &occurrence, &step, &index)) {
+        return NULL;
+    }
+    struct SrMapEntry *entry = SrMap_Find(&engine->flows_by_id, id);
+    if (entry == NULL) {
+        return NULL;
+    }
+    return SrFlow_FindTask(SR_CONTAINER(entry, struct SrFlow, entry),
+                           occurrence, step, index);
+}
+
+static struct SrRun *
+find_run(const struct SrEngine *engine, const struct SrWorker *worker,
+         const char *name, uint32_t number)
+{
+    const struct SrFlowTask *task = find_task(engine, name);
+    return task != NULL ? SrFleet_FindRun(worker, task, number) : NULL;
+}
+
+void
+SrEngine_OnNewLife(struct SrEngine *engine, struct SrWorker *worker,
+                   int64_t born, int64_t now_ms)
+{
+    SR_INFO("engine", "worker-reborn", "worker=%s born=%ld", worker->info.id,
+            (long)born);
+    worker->info.born = born;
+    worker->ends_seen = 0;
+    worker->ends_acked = 0;
+    worker->clock_ms = -1;
+    worker->fenced = false;
+    worker->next_look_ms = now_ms;
+    SR_LIST_EACH_SAFE(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->born == born) {
+            continue;
+        }
+        /* A start without an answer may still reach the new life. */
+        if (run->loose_until_ms > now_ms) {
+            SrEngine_StopRun(engine, run, "worker-reborn", now_ms);
+            continue;
+        }
+        SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
+        link_next = worker->runs.next;
+    }
+}
+
+static void
+stop_unknown(struct SrEngine *engine, const struct SrWorker *worker,
+             const struct SrRunningReport *report)
+{
+    struct SrOrder order = {
+        .kind = SR_ORDER_STOP,
+        .term = engine->term,
+        .timeout_ms = 1000,
+    };
+    SR_WARN("engine", "unknown-run", "worker=%s task=%s run=%u",
+            worker->info.id, report->task, report->run);
+    SrUtil_Copy(order.worker, sizeof(order.worker), worker->info.id);
+    SrUtil_Copy(order.address, sizeof(order.address), worker->info.address);
+    SrUtil_Copy(order.u.stop.task, sizeof(order.u.stop.task), report->task);
+    order.u.stop.run = report->run;
+    engine->options.send(engine->options.context, &order);
+}
+
+static void
+note_running(struct SrEngine *engine, struct SrWorker *worker,
+             const struct SrRunningReport *report, int64_t now_ms)
+{
+    struct SrRun *run =
+        find_run(engine, worker, report->task, report->run);
+    if (run == NULL) {
+        stop_unknown(engine, worker, report);
+        return;
+    }
+    run->listed = engine->look_number;
+    if (run->state != SR_RUNSTATE_STARTED) {
+        run->state = SR_RUNSTATE_STARTED;
+        run->answered_ms = now_ms;
+        run->percent_ms = now_ms;
+    }
+    if (report->percent != run->percent) {
+        run->percent = report->percent;
+        run->percent_ms = now_ms;
+    }
+    SrFlow_NoteCheckpoint(run->task, report->checkpoint);
+}
+
+static void
+note_ended(struct SrEngine *engine, struct SrWorker *worker,
+           const struct SrEndedReport *report, int64_t now_ms)
+{
+    struct SrRun *run =
+        find_run(engine, worker, report->task, report->run);
+    if (run == NULL) {
+        SR_INFO("engine", "end-of-unknown-run",
+                "worker=%s task=%s run=%u how=%s", worker->info.id,
+                report->task, report->run, SrRun_EndText(report->how));
+        return;
+    }
+    SrEngine_EndRun(engine, run, report->how, report->checkpoint, now_ms);
+}
+
+static void
+note_ends(struct SrEngine *engine, struct SrWorker *worker,
+          const struct SrOrderAnswer *answer, int64_t now_ms)
+{
+    uint64_t seen = worker->ends_seen;
+    for (size_t i = 0; i < answer->ended_count; i++) {
+        const struct SrEndedReport *report = &answer->ended[i];
+        if (report->number <= worker->ends_seen) {
+            continue;
+        }
+        note_ended(engine, worker, report, now_ms);
+        if (report->number > seen) {
+            seen = report->number;
+        }
+    }
+    if (seen > worker->ends_seen) {
+        worker->ends_seen = seen;
+        worker->ends_change = engine->change;
+    }
+}
+
+/* True if a look sent at `sent_ms` that does not list the run proves that it
+ * is over. */
+static bool
+is_over(const struct SrRun *run, int64_t sent_ms)
+{
+    switch (run->state) {
+    case SR_RUNSTATE_PLANNED:
+        return false;
+    case SR_RUNSTATE_INHERITED:
+        /* The look's token keeps out the earlier leader's orders. */
+        return true;
+    case SR_RUNSTATE_STARTED:
+        return run->answered_ms < sent_ms;
+    case SR_RUNSTATE_ORDERED:
+        return run->stop_answered && run->answered_ms < sent_ms;
+    }
+    return false;
+}
+
+static void
+end_unlisted(struct SrEngine *engine, struct SrWorker *worker, int64_t sent_ms,
+             int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->listed == engine->look_number || !is_over(run, sent_ms)) {
+            continue;
+        }
+        SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
+        /* Ending one run may release other members of its gang. */
+        link_next = worker->runs.next;
+    }
+}
+
+static void
+note_clock(struct SrWorker *worker, const struct SrOrderAnswer *answer,
+           int64_t now_ms)
+{
+    if (answer->clock_ms >= 0) {
+        worker->clock_ms = answer->clock_ms;
+        worker->answered_ms = now_ms;
+    }
+}
+
+static void
+on_look(struct SrEngine *engine, struct SrWorker *worker,
+        const struct SrOrder *order, const struct SrOrderAnswer *answer,
+        int64_t now_ms)
+{
+    bool quick = order->u.look.wait_ms == 0;
+    int64_t sent_ms = quick ? worker->quick_sent_ms : worker->look_sent_ms;
+    if (quick) {
+        worker->quick_in_flight = false;
+    }
+    else {
+        worker->look_in_flight = false;
+    }
+    switch (answer->result) {
+    case SR_ORDER_DONE:
+        break;
+    case SR_ORDER_FENCED:
+        SR_WARN("engine", "fenced", "worker=%s term=%lu", worker->info.id,
+                (unsigned long)engine->term);
+        engine->fenced = true;
+        return;
+    default:
+        worker->silent_looks++;
+        worker->next_look_ms = now_ms + RETRY_MS * worker->silent_looks;
+        worker->next_quick_ms = now_ms + RETRY_MS * worker->silent_looks;
+        if (worker->silent_looks == 1) {
+            SR_INFO("engine", "look-unanswered", "worker=%s result=%s",
+                    worker->info.id, SrOrder_ResultText(answer->result));
+        }
+        return;
+    }
+    if (answer->born != 0 && worker->info.born != 0 &&
+        answer->born != worker->info.born) {
+        SrEngine_OnNewLife(engine, worker, answer->born, now_ms);
+    }
+    worker->silent_looks = 0;
+    worker->fenced = true;
+    note_clock(worker, answer, now_ms);
+    engine->look_number++;
+    note_ends(engine, worker, answer, now_ms);
+    for (size_t i = 0; i < answer->running_count; i++) {
+        note_running(engine, worker, &answer->running[i], now_ms);
+    }
+    end_unlisted(engine, worker, sent_ms, now_ms);
+}
+
+/* The start did nothing. */
+static void
+on_not_started(struct SrEngine *engine, struct SrRun *run, const char *reason,
+               int64_t now_ms)
+{
+    run->worker->avoid_until_ms = now_ms + TURNED_AWAY_MS;
+    SR_INFO("engine", "start-turned-away",
+            "id=%s step=%u index=%u run=%u worker=%s reason=%s",
+            run->task->flow->id, run->task->step, run->task->index,
+            run->number, run->worker->info.id, reason);
+    if (run->loose_until_ms > now_ms) {
+        SrEngine_StopRun(engine, run, reason, now_ms);
+        return;
+    }
+    SrEngine_EndRun(engine, run, SR_RUN_STOPPED, "", now_ms);
+}
+
+static void
+on_start_silent(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
+{
+    run->loose_until_ms = now_ms + LOOSE_MS;
+    run->next_send_ms = now_ms + RETRY_MS;
+    SR_INFO("engine", "start-unanswered",
+            "id=%s step=%u index=%u run=%u worker=%s sends=%u",
+            run->task->flow->id, run->task->step, run->task->index,
+            run->number, run->worker->info.id, run->sends);
+    if (run->sends >= START_SENDS_MAX) {
+        SrFleet_NoteFailure(run->worker, now_ms);
+        SrEngine_StopRun(engine, run, "no-answer", now_ms);
+    }
+}
+
+static void
+on_start(struct SrEngine *engine, struct SrWorker *worker,
+         const struct SrOrder *order, const struct SrOrderAnswer *answer,
+         int64_t now_ms)
+{
+    struct SrRun *run = find_run(engine, worker, order->u.start.task,
+                                 order->u.start.run);
+    if (run == NULL) {
+        return;
+    }
+    run->start_in_flight = false;
+    if (run->state != SR_RUNSTATE_ORDERED) {
+        return;
+    }
+    switch (answer->result) {
+    case SR_ORDER_DONE:
+        run->state = SR_RUNSTATE_STARTED;
+        run->answered_ms = now_ms;
+        run->percent_ms = now_ms;
+        break;
+    case SR_ORDER_SILENT:
+        on_start_silent(engine, run, now_ms);
+        break;
+    case SR_ORDER_OLD:
+        run->stopping = true;
+        run->stop_answered = true;
+        run->answered_ms = now_ms;
+        break;
+    case SR_ORDER_FENCED:
+        engine->fenced = true;
+        break;
+    case SR_ORDER_LATE:
+        run->next_send_ms = now_ms + RETRY_MS;
+        if (run->sends >= START_SENDS_MAX) {
+            on_not_started(engine, run, "late", now_ms);
+        }
+        break;
+    case SR_ORDER_NOT_DONE:
+    case SR_ORDER_NO_ROOM:
+    case SR_ORDER_NO_TICKET:
+    case SR_ORDER_OTHER_LIFE:
+    case SR_ORDER_INVALID:
+        on_not_started(engine, run, SrOrder_ResultText(answer->result),
+                       now_ms);
+        break;
+    }
+}
+
+static void
+on_stop(struct SrEngine *engine, struct SrWorker *worker,
+        const struct SrOrder *order, const struct SrOrderAnswer *answer,
+        int64_t now_ms)
+{
+    struct SrRun *run =
+        find_run(engine, worker, order->u.stop.task, order->u.stop.run);
+    if (run == NULL) {
+        return;
+    }
+    run->stop_in_flight = false;
+    switch (answer->result) {
+    case SR_ORDER_DONE:
+    case SR_ORDER_OLD:
+    case SR_ORDER_INVALID:
+        run->stop_answered = true;
+        run->answered_ms = now_ms;
+        worker->next_quick_ms = now_ms;
+        if (run->born != 0 && worker->info.born != 0 &&
+            run->born != worker->info.born) {
+            SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
+        }
+        break;
+    case SR_ORDER_FENCED:
+        engine->fenced = true;
+        break;
+    default:
+        run->next_send_ms = now_ms + RETRY_MS;
+        break;
+    }
+}
+
+void
+SrEngine_OnAnswer(struct SrEngine *engine, const struct SrOrder *order,
+                  const struct SrOrderAnswer *answer, int64_t now_ms)
+{
+    struct SrWorker *worker = SrFleet_Find(&engine->fleet, order->worker);
+    if (worker == NULL || order->term != engine->term) {
+        return;
+    }
+    switch (order->kind) {
+    case SR_ORDER_LOOK:
+        on_look(engine, worker, order, answer, now_ms);
+        break;
+    case SR_ORDER_START:
+        on_start(engine, worker, order, answer, now_ms);
+        break;
+    case SR_ORDER_STOP:
+        on_stop(engine, worker, order, answer, now_ms);
+        break;
+    case SR_ORDER_ADVISE:
+        break;
+    }
+}
--- /dev/null
+++ b/src/engine_orders.c
@@ -0,0 +1,193 @@
+#include <string.h>
+
+#include "engine_state.h"
+#include "log.h"
+
+/* A look waits for an end this long; progress and silence of a worker are
+ * seen at this pace. */
+#define LOOK_WAIT_MS 1000
+/* An exchange between regions takes 60 ms, and the slowest seen 500 ms. */
+#define EXCHANGE_MS 700
+/* Least time between two looks that settle stopped runs. */
+#define QUICK_GAP_MS 100
+/* While ends wait to be written, a worker is only held. */
+#define HOLD_GAP_MS 500
+
+static void
+address_order(const struct SrEngine *engine, const struct SrWorker *worker,
+              struct SrOrder *order)
+{
+    order->term = engine->term;
+    SrUtil_Copy(order->worker, sizeof(order->worker), worker->info.id);
+    SrUtil_Copy(order->address, sizeof(order->address), worker->info.address);
+}
+
+static void
+send_look(struct SrEngine *engine, struct SrWorker *worker, int64_t wait_ms,
+          int64_t now_ms)
+{
+    struct SrOrder order = {
+        .kind = SR_ORDER_LOOK,
+        .timeout_ms = wait_ms + EXCHANGE_MS,
+        .u.look =
+            {
+                .deadline_ms =
+                    SrFleet_Deadline(&engine->fleet, worker, now_ms),
+                .acked = worker->ends_acked,
+                .wait_ms = wait_ms,
+            },
+    };
+    address_order(engine, worker, &order);
+    if (order.u.look.deadline_ms > 0) {
+        worker->granted_ms = now_ms;
+    }
+    engine->options.send(engine->options.context, &order);
+}
+
+static bool
+needs_quick_look(const struct SrWorker *worker)
+{
+    if (!worker->fenced || worker->clock_ms < 0) {
+        return true;
+    }
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->stop_answered || run->state == SR_RUNSTATE_INHERITED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+send_looks(struct SrEngine *engine, struct SrWorker *worker, int64_t now_ms)
+{
+    if (worker->info.address[0] == '\0' ||
+        (!worker->present && SrList_IsEmpty(&worker->runs))) {
+        return;
+    }
+    if (!worker->quick_in_flight && now_ms >= worker->next_quick_ms &&
+        needs_quick_look(worker)) {
+        worker->quick_in_flight = true;
+        worker->quick_sent_ms = now_ms;
+        worker->next_quick_ms = now_ms + QUICK_GAP_MS;
+        send_look(engine, worker, 0, now_ms);
+    }
+    if (worker->look_in_flight || now_ms < worker->next_look_ms ||
+        !worker->fenced) {
+        return;
+    }
+    bool waits = worker->ends_acked == worker->ends_seen;
+    if (!waits) {
+        /* A look that waits would return at once with the same ends. */
+        if (now_ms - worker->granted_ms >= HOLD_GAP_MS &&
+            !worker->quick_in_flight) {
+            worker->quick_in_flight = true;
+            worker->quick_sent_ms = now_ms;
+            send_look(engine, worker, 0, now_ms);
+        }
+        return;
+    }
+    worker->look_in_flight = true;
+    worker->look_sent_ms = now_ms;
+    send_look(engine, worker, LOOK_WAIT_MS, now_ms);
+}
+
+static void
+send_start(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
+{
+    struct SrWorker *worker = run->worker;
+    struct SrOrder order = {
+        .kind = SR_ORDER_START,
+        .timeout_ms = EXCHANGE_MS,
+        .u.start =
+            {
+                .run = run->number,
+                .payload = run->task->flow->record->payload,
+                .deadline_ms =
+                    SrFleet_Deadline(&engine->fleet, worker, now_ms),
+            },
+    };
+    address_order(engine, worker, &order);
+    SrFlow_TaskName(run->task, order.u.start.task);
+    SrUtil_Copy(order.u.start.checkpoint, sizeof(order.u.start.checkpoint),
+                run->task->checkpoint);
+    SrUtil_Copy(order.u.start.ticket, sizeof(order.u.start.ticket),
+                run->ticket);
+    worker->granted_ms = now_ms;
+    run->start_in_flight = true;
+    run->sends++;
+    engine->options.send(engine->options.context, &order);
+}
+
+static void
+send_stop(struct SrEngine *engine, struct SrRun *run)
+{
+    struct SrOrder order = {
+        .kind = SR_ORDER_STOP,
+        .timeout_ms = EXCHANGE_MS,
+        .u.stop = {.run = run->number},
+    };
+    address_order(engine, run->worker, &order);
+    SrFlow_TaskName(run->task, order.u.stop.task);
+    run->stop_in_flight = true;
+    engine->options.send(engine->options.context, &order);
+}
+
+/* True if the run must not be started any more. */
+static bool
+is_start_barred(const struct SrEngine *engine, const struct SrRun *run)
+{
+    const struct SrWorker *worker = run->worker;
+    return !worker->present || worker->info.draining ||
+           SrEngine_IsDomainOut(engine, worker->info.domain) ||
+           (worker->info.born != 0 && run->born != worker->info.born);
+}
+
+static void
+send_for_run(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
+{
+    if (now_ms < run->next_send_ms) {
+        return;
+    }
+    if (run->stopping) {
+        if (!run->stop_answered && !run->stop_in_flight &&
+            run->worker->info.address[0] != '\0') {
+            send_stop(engine, run);
+        }
+        return;
+    }
+    if (run->state != SR_RUNSTATE_ORDERED || run->start_in_flight) {
+        return;
+    }
+    if (is_start_barred(engine, run)) {
+        SrEngine_StopRun(engine, run, "worker-barred", now_ms);
+        return;
+    }
+    if (run->worker->clock_ms >= 0) {
+        send_start(engine, run, now_ms);
+    }
+}
+
+void
+SrEngine_SendOrders(struct SrEngine *engine, int64_t now_ms)
+{
+    if (engine->fenced) {
+        return;
+    }
+    SR_LIST_EACH(worker_link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker =
+            SR_CONTAINER(worker_link, struct SrWorker, link);
+        SR_LIST_EACH_SAFE(link, &worker->runs)
+        {
+            send_for_run(engine, SR_CONTAINER(link, struct SrRun, link),
+                         now_ms);
+        }
+    }
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        send_looks(engine, SR_CONTAINER(link, struct SrWorker, link), now_ms);
+    }
+}
--- /dev/null
+++ b/src/engine_state.h
@@ -0,0 +1,49 @@
+/* State shared by the files of the engine. */
+#ifndef SR_ENGINE_STATE_H
+#define SR_ENGINE_STATE_H
+
+#include "engine.h"
+#include "fleet.h"
+
+#define SR_DOMAINS_OUT_MAX 64
+
+struct SrEngine {
+    struct SrEngineOptions options;
+    uint64_t term;
+    int64_t created_ms;
+    const struct SrCatalog *catalog;
+    struct SrFleet fleet;
+    struct SrMap flows_by_id;
+    /* In order of arrival. */
+    struct SrList flows;
+    struct SrList dirty;
+    char domains_out[SR_DOMAINS_OUT_MAX][SR_ID_SIZE];
+    size_t domains_out_count;
+    bool fenced;
+    int64_t unix_ms;
+    uint64_t change;
+    uint64_t look_number;
+};
+
+/* Marks the flow's progress as to be written. */
+void SrEngine_Touch(struct SrEngine *engine, struct SrFlow *flow);
+
+/* Has the run stopped; a run whose start was never sent just ends. */
+void SrEngine_StopRun(struct SrEngine *engine, struct SrRun *run,
+                      const char *reason, int64_t now_ms);
+
+/* Releases a run that is known to be over, and sees to its gang. */
+void SrEngine_EndRun(struct SrEngine *engine, struct SrRun *run,
+                     enum SrRunEnd how, const char *checkpoint,
+                     int64_t now_ms);
+
+/* Another life of the worker has begun; what ran in an earlier one is over. */
+void SrEngine_OnNewLife(struct SrEngine *engine, struct SrWorker *worker,
+                        int64_t born, int64_t now_ms);
+
+/* Sends what is due: looks, starts and stops. */
+void SrEngine_SendOrders(struct SrEngine *engine, int64_t now_ms);
+
+bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
+
+#endif
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,187 @@
+#include "fleet.h"
+
+#include <stdlib.h>
+
+/* A worker that has not answered for this long gets no new work: a long look
+ * takes 1 s and one slow exchange. */
+#define ANSWER_FRESH_MS 2200
+/* Clock drift of a worker, from the platform's contract. */
+#define CLOCK_SLOW_PERCENT 2
+#define LEASE_MARGIN_MS 400
+/* Lease left unused, so that an order on its way is not shortened. */
+#define LEASE_SPARE_MS 100
+/* Failed runs in a row after which a worker is left alone for a while. */
+#define SUSPICION_STEP 2
+#define SUSPICION_MAX 6
+#define AVOID_MS 4000
+
+int64_t
+SrFleet_LeaseOutMs(int64_t lease_ms)
+{
+    return lease_ms + lease_ms * CLOCK_SLOW_PERCENT / 100 + LEASE_MARGIN_MS;
+}
+
+void
+SrFleet_Init(struct SrFleet *fleet, int64_t lease_ms)
+{
+    SrMap_Init(&fleet->by_id);
+    SrList_Init(&fleet->workers);
+    fleet->lease_ms = lease_ms;
+}
+
+static void
+free_worker(struct SrWorker *worker)
+{
+    SR_LIST_EACH_SAFE(link, &worker->runs)
+    {
+        SrFleet_Release(SR_CONTAINER(link, struct SrRun, link));
+    }
+    SrList_Remove(&worker->link);
+    free(worker);
+}
+
+void
+SrFleet_Clear(struct SrFleet *fleet)
+{
+    SR_LIST_EACH_SAFE(link, &fleet->workers)
+    {
+        free_worker(SR_CONTAINER(link, struct SrWorker, link));
+    }
+    SrMap_Clear(&fleet->by_id);
+}
+
+struct SrWorker *
+SrFleet_Find(const struct SrFleet *fleet, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&fleet->by_id, id);
+    return entry != NULL ? SR_CONTAINER(entry, struct SrWorker, entry) : NULL;
+}
+
+struct SrWorker *
+SrFleet_FindOrAdd(struct SrFleet *fleet, const char *id)
+{
+    struct SrWorker *worker = SrFleet_Find(fleet, id);
+    if (worker != NULL) {
+        return worker;
+    }
+    worker = SrUtil_Calloc(1, sizeof(*worker));
+    SrUtil_Copy(worker->info.id, sizeof(worker->info.id), id);
+    worker->clock_ms = -1;
+    SrList_Init(&worker->runs);
+    SrList_Append(&fleet->workers, &worker->link);
+    SrMap_Add(&fleet->by_id, &worker->entry, worker->info.id);
+    return worker;
+}
+
+void
+SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker)
+{
+    SrMap_Remove(&fleet->by_id, &worker->entry);
+    free_worker(worker);
+}
+
+struct SrRoom
+SrFleet_Need(const Sr__FlowStep *step)
+{
+    return (struct SrRoom){
+        .cpu_millis = step->fills ? 0 : step->cpu_millis,
+        .memory_mb = step->memory_mb,
+        .accelerators = step->accelerators,
+    };
+}
+
+static void
+add_room(struct SrRoom *to, const struct SrRoom *room, int sign)
+{
+    to->cpu_millis += sign * room->cpu_millis;
+    to->memory_mb += sign * room->memory_mb;
+    to->accelerators += sign * room->accelerators;
+}
+
+struct SrRun *
+SrFleet_Book(struct SrWorker *worker, struct SrFlowTask *task, uint32_t number,
+             int64_t now_ms)
+{
+    struct SrRun *run = SrUtil_Calloc(1, sizeof(*run));
+    struct SrRoom need = SrFleet_Need(SrFlow_StepOf(task));
+    run->task = task;
+    run->worker = worker;
+    run->number = number;
+    run->booked_ms = now_ms;
+    run->percent = -1;
+    run->percent_ms = now_ms;
+    add_room(&worker->booked, &need, 1);
+    SrList_Append(&worker->runs, &run->link);
+    task->running = run;
+    task->run = number;
+    task->flow->outstanding++;
+    return run;
+}
+
+void
+SrFleet_Release(struct SrRun *run)
+{
+    struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
+    add_room(&run->worker->booked, &need, -1);
+    SrList_Remove(&run->link);
+    if (run->task->running == run) {
+        run->task->running = NULL;
+    }
+    run->task->flow->outstanding--;
+    free(run);
+}
+
+struct SrRun *
+SrFleet_FindRun(const struct SrWorker *worker, const struct SrFlowTask *task,
+                uint32_t number)
+{
+    struct SrRun *run = task->running;
+    return run != NULL && run->worker == worker && run->number == number
+               ? run
+               : NULL;
+}
+
+bool
+SrFleet_IsLeaseOut(const struct SrFleet *fleet, const struct SrWorker *worker,
+                   int64_t now_ms)
+{
+    return now_ms - worker->granted_ms > SrFleet_LeaseOutMs(fleet->lease_ms);
+}
+
+bool
+SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms)
+{
+    return worker->present && !worker->info.draining && worker->fenced &&
+           worker->clock_ms >= 0 &&
+           now_ms - worker->answered_ms < ANSWER_FRESH_MS &&
+           now_ms >= worker->avoid_until_ms;
+}
+
+int64_t
+SrFleet_Deadline(const struct SrFleet *fleet, const struct SrWorker *worker,
+                 int64_t now_ms)
+{
+    if (worker->clock_ms < 0) {
+        return 0;
+    }
+    return worker->clock_ms + (now_ms - worker->answered_ms) +
+           fleet->lease_ms - LEASE_SPARE_MS;
+}
+
+void
+SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms)
+{
+    worker->suspicion += SUSPICION_STEP;
+    if (worker->suspicion >= SUSPICION_MAX) {
+        worker->suspicion = SUSPICION_MAX - SUSPICION_STEP;
+        worker->avoid_until_ms = now_ms + AVOID_MS;
+    }
+}
+
+void
+SrFleet_NoteSuccess(struct SrWorker *worker)
+{
+    if (worker->suspicion > 0) {
+        worker->suspicion--;
+    }
+}
--- /dev/null
+++ b/src/fleet.h
@@ -0,0 +1,161 @@
+/* Workers and the runs booked on them, as the leader believes them to be.
+ *
+ * Pure state; times are the leader's steady clock in ms. Room stays booked
+ * until a run is known to be over: its worker listed the end, a later report
+ * does not list it, its worker began another life, or its lease is out. */
+#ifndef SR_FLEET_H
+#define SR_FLEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "flow.h"
+#include "list.h"
+#include "map.h"
+#include "orders.h"
+#include "worker_entry.h"
+
+struct SrRoom {
+    int64_t cpu_millis;
+    int64_t memory_mb;
+    int64_t accelerators;
+};
+
+enum SrRunState {
+    /* Booked; the row that says so is not written yet. */
+    SR_RUNSTATE_PLANNED,
+    /* Written; the start is to be sent, or has no answer yet. */
+    SR_RUNSTATE_ORDERED,
+    /* The worker acknowledged the start or lists the run. */
+    SR_RUNSTATE_STARTED,
+    /* Ordered by an earlier leader; the worker was not asked yet. */
+    SR_RUNSTATE_INHERITED,
+};
+
+struct SrRun {
+    /* In the worker's list. */
+    struct SrList link;
+    struct SrFlowTask *task;
+    struct SrWorker *worker;
+    uint32_t number;
+    enum SrRunState state;
+    /* The flow's change that must be written before the start is sent. */
+    uint64_t change;
+    bool stopping;
+    /* The worker acknowledged the stop. */
+    bool stop_answered;
+    bool start_in_flight;
+    bool stop_in_flight;
+    unsigned sends;
+    int64_t booked_ms;
+    int64_t next_send_ms;
+    /* When the latest answer about this run came. */
+    int64_t answered_ms;
+    /* Until when a start without an answer may still be carried out. */
+    int64_t loose_until_ms;
+    int percent;
+    int64_t percent_ms;
+    /* First report of the run, for the worker's speed. */
+    int64_t started_ms;
+    /* Life of the worker in which the run was ordered; 0 if not told. */
+    int64_t born;
+    /* Number of the last look that listed the run. */
+    uint64_t listed;
+    char ticket[SR_ID_SIZE];
+};
+
+struct SrWorker {
+    struct SrMapEntry entry;
+    struct SrList link;
+    struct SrWorkerEntry info;
+    /* False if the store has no entry of it. */
+    bool present;
+    struct SrRoom booked;
+    struct SrList runs;
+    /* Its clock as of the last answer; -1 if unknown. */
+    int64_t clock_ms;
+    int64_t answered_ms;
+    /* An answer to this leader's token has come. */
+    bool fenced;
+    /* Latest time at which an order with a lease was sent. */
+    int64_t granted_ms;
+    /* Ends seen, and those of them that are written. */
+    uint64_t ends_seen;
+    uint64_t ends_acked;
+    /* The change that must be written before the ends seen are. */
+    uint64_t ends_change;
+    bool look_in_flight;
+    bool quick_in_flight;
+    int64_t look_sent_ms;
+    int64_t quick_sent_ms;
+    int64_t next_look_ms;
+    int64_t next_quick_ms;
+    unsigned silent_looks;
+    /* Grows with failed runs and shrinks with done ones. */
+    unsigned suspicion;
+    int64_t avoid_until_ms;
+    /* Draining since, 0 if not. */
+    int64_t draining_ms;
+    /* Of one placement pass: room that is free, and that which runs being
+     * stopped will free as well; the rack's number; whether it may be used. */
+    struct SrRoom free;
+    struct SrRoom soon;
+    unsigned rack;
+    bool usable;
+    /* Of one unit: tasks that fit, and tasks assigned. */
+    unsigned fit;
+    unsigned assigned;
+};
+
+struct SrFleet {
+    struct SrMap by_id;
+    struct SrList workers;
+    /* Largest lease that workers accept, ms. */
+    int64_t lease_ms;
+};
+
+/* Time after which nothing of a lease of `lease_ms` runs: the worker's clock
+ * may be 2% slow, and an order takes up to a tenth of a second. */
+int64_t SrFleet_LeaseOutMs(int64_t lease_ms);
+
+void SrFleet_Init(struct SrFleet *fleet, int64_t lease_ms);
+void SrFleet_Clear(struct SrFleet *fleet);
+
+struct SrWorker *SrFleet_Find(const struct SrFleet *fleet, const char *id);
+
+/* The worker, made if it is not known; a made one is not present. */
+struct SrWorker *SrFleet_FindOrAdd(struct SrFleet *fleet, const char *id);
+
+/* Forgets an absent worker that has no runs. */
+void SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker);
+
+/* Room that a task of the step takes. */
+struct SrRoom SrFleet_Need(const Sr__FlowStep *step);
+
+/* Books a run of the task on the worker. */
+struct SrRun *SrFleet_Book(struct SrWorker *worker, struct SrFlowTask *task,
+                           uint32_t number, int64_t now_ms);
+
+/* Ends the booking; frees the run. */
+void SrFleet_Release(struct SrRun *run);
+
+/* The run of that number booked on the worker, or NULL. */
+struct SrRun *SrFleet_FindRun(const struct SrWorker *worker,
+                              const struct SrFlowTask *task, uint32_t number);
+
+/* True if the worker's lease, and so all that runs there, is over. */
+bool SrFleet_IsLeaseOut(const struct SrFleet *fleet,
+                        const struct SrWorker *worker, int64_t now_ms);
+
+/* True if the worker answers and may be given new work. */
+bool SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms);
+
+/* Lease deadline for an order sent now, on the worker's clock; 0 if its clock
+ * is not known. */
+int64_t SrFleet_Deadline(const struct SrFleet *fleet,
+                         const struct SrWorker *worker, int64_t now_ms);
+
+void SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms);
+void SrFleet_NoteSuccess(struct SrWorker *worker);
+
+#endif
--- /dev/null
+++ b/src/flow.c
@@ -0,0 +1,319 @@
+#include "flow.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+
+static const char *const error_texts[] = {
+    [SR_FLOW_OK] = "no error",
+    [SR_FLOW_NO_STEPS] = "a job needs at least one step",
+    [SR_FLOW_TOO_MANY_STEPS] = "too many steps",
+    [SR_FLOW_TOO_MANY_TASKS] = "too many tasks",
+    [SR_FLOW_EMPTY_STEP] = "a step needs at least one task",
+    [SR_FLOW_BAD_ORDER] = "a step can only wait for earlier steps",
+    [SR_FLOW_BAD_ROW] = "the progress does not fit the job",
+};
+
+const char *
+SrFlow_ErrorText(enum SrFlowError error)
+{
+    return error_texts[error];
+}
+
+static uint32_t
+occurrences_of(const Sr__FlowRecord *record)
+{
+    return record->occurrences > 0 ? record->occurrences : 1;
+}
+
+static enum SrFlowError
+check_step(const Sr__FlowRecord *record, size_t number, const char **field)
+{
+    const Sr__FlowStep *step = record->steps[number];
+    if (step->count == 0) {
+        *field = "steps.count";
+        return SR_FLOW_EMPTY_STEP;
+    }
+    for (size_t i = 0; i < step->n_after; i++) {
+        if (step->after[i] >= number) {
+            *field = "steps.after";
+            return SR_FLOW_BAD_ORDER;
+        }
+    }
+    return SR_FLOW_OK;
+}
+
+enum SrFlowError
+SrFlow_Check(const Sr__FlowRecord *record, const char **field)
+{
+    uint64_t tasks = 0;
+    *field = "steps";
+    if (record->n_steps == 0) {
+        return SR_FLOW_NO_STEPS;
+    }
+    if (record->n_steps > SR_FLOW_STEPS_MAX) {
+        return SR_FLOW_TOO_MANY_STEPS;
+    }
+    for (size_t i = 0; i < record->n_steps; i++) {
+        enum SrFlowError error = check_step(record, i, field);
+        if (error != SR_FLOW_OK) {
+            return error;
+        }
+        tasks += record->steps[i]->count;
+    }
+    *field = "steps.count";
+    if (tasks * occurrences_of(record) > SR_FLOW_TASKS_MAX) {
+        return SR_FLOW_TOO_MANY_TASKS;
+    }
+    return SR_FLOW_OK;
+}
+
+static void
+init_tasks(struct SrFlow *flow)
+{
+    struct SrFlowTask *task = flow->tasks;
+    for (uint32_t k = 0; k < flow->occurrences; k++) {
+        for (uint32_t s = 0; s < flow->record->n_steps; s++) {
+            for (uint32_t i = 0; i < flow->record->steps[s]->count; i++) {
+                task->flow = flow;
+                task->occurrence = k;
+                task->step = s;
+                task->index = i;
+                task++;
+            }
+        }
+    }
+}
+
+struct SrFlow *
+SrFlow_Create(const char *id, Sr__FlowRecord *record)
+{
+    struct SrFlow *flow = SrUtil_Calloc(1, sizeof(*flow));
+    SrUtil_Copy(flow->id, sizeof(flow->id), id);
+    flow->record = record;
+    flow->occurrences = occurrences_of(record);
+    for (size_t i = 0; i < record->n_steps; i++) {
+        flow->tasks_each += record->steps[i]->count;
+    }
+    flow->tasks =
+        SrUtil_Calloc((size_t)flow->tasks_each * flow->occurrences,
+                      sizeof(*flow->tasks));
+    init_tasks(flow);
+    SrList_Init(&flow->link);
+    SrList_Init(&flow->dirty);
+    return flow;
+}
+
+void
+SrFlow_Destroy(struct SrFlow *flow)
+{
+    if (flow == NULL) {
+        return;
+    }
+    SrList_Remove(&flow->link);
+    SrList_Remove(&flow->dirty);
+    SrCodec_Free(flow->record);
+    free(flow->tasks);
+    free(flow);
+}
+
+enum SrFlowError
+SrFlow_Load(struct SrFlow *flow, const Sr__FlowProgress *progress)
+{
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    if (progress->n_tasks != 0 && progress->n_tasks != count) {
+        return SR_FLOW_BAD_ROW;
+    }
+    flow->status = progress->status;
+    flow->begun = progress->begun;
+    for (size_t i = 0; i < progress->n_tasks; i++) {
+        const Sr__FlowTask *from = progress->tasks[i];
+        struct SrFlowTask *to = &flow->tasks[i];
+        to->run = from->run;
+        to->failures = from->failures;
+        to->done = from->done;
+        SrUtil_Copy(to->checkpoint, sizeof(to->checkpoint), from->checkpoint);
+    }
+    return SR_FLOW_OK;
+}
+
+struct SrFlowTask *
+SrFlow_StepTasks(const struct SrFlow *flow, uint32_t occurrence,
+                 uint32_t step)
+{
+    struct SrFlowTask *task = flow->tasks;
+    task += (size_t)occurrence * flow->tasks_each;
+    for (uint32_t s = 0; s < step; s++) {
+        task += flow->record->steps[s]->count;
+    }
+    return task;
+}
+
+const Sr__FlowStep *
+SrFlow_StepOf(const struct SrFlowTask *task)
+{
+    return task->flow->record->steps[task->step];
+}
+
+struct SrFlowTask *
+SrFlow_FindTask(const struct SrFlow *flow, uint32_t occurrence, uint32_t step,
+                uint32_t index)
+{
+    if (occurrence >= flow->occurrences || step >= flow->record->n_steps ||
+        index >= flow->record->steps[step]->count) {
+        return NULL;
+    }
+    return SrFlow_StepTasks(flow, occurrence, step) + index;
+}
+
+bool
+SrFlow_ParseTaskName(const char *name, char id[SR_ID_SIZE],
+                     uint32_t *occurrence, uint32_t *step, uint32_t *index)
+{
+    int end = 0;
+    if (sscanf(name, "%64[A-Za-z0-9_-].%u.%u.%u%n", id, occurrence, step,
+               index, &end) != 4) {
+        return false;
+    }
+    return name[end] == '\0';
+}
+
+void
+SrFlow_TaskName(const struct SrFlowTask *task, char name[SR_TASK_NAME_SIZE])
+{
+    snprintf(name, SR_TASK_NAME_SIZE, "%.32s.%u.%u.%u", task->flow->id,
+             task->occurrence, task->step, task->index);
+}
+
+bool
+SrFlow_IsStepDone(const struct SrFlow *flow, uint32_t occurrence,
+                  uint32_t step)
+{
+    const struct SrFlowTask *task = SrFlow_StepTasks(flow, occurrence, step);
+    for (uint32_t i = 0; i < flow->record->steps[step]->count; i++) {
+        if (!task[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SrFlow_IsStepReady(const struct SrFlow *flow, uint32_t occurrence,
+                   uint32_t step)
+{
+    const Sr__FlowStep *spec = flow->record->steps[step];
+    for (size_t i = 0; i < spec->n_after; i++) {
+        if (!SrFlow_IsStepDone(flow, occurrence, spec->after[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SrFlow_IsDone(const struct SrFlow *flow)
+{
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    for (size_t i = 0; i < count; i++) {
+        if (!flow->tasks[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+SrFlow_HasEnded(const struct SrFlow *flow)
+{
+    return flow->status == SR__FLOW_STATUS__FLOW_COMPLETED ||
+           flow->status == SR__FLOW_STATUS__FLOW_FAILED ||
+           flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
+}
+
+int64_t
+SrFlow_DueMs(const struct SrFlow *flow, uint32_t occurrence)
+{
+    if (flow->record->occurrences == 0) {
+        return 0;
+    }
+    return flow->record->first_run_ms +
+           (int64_t)occurrence * flow->record->interval_ms;
+}
+
+bool
+SrFlow_NoteFailure(struct SrFlowTask *task, uint32_t run)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(task);
+    struct SrFlowTask *first = task;
+    uint32_t count = 1;
+    if (step->gang) {
+        first = SrFlow_StepTasks(task->flow, task->occurrence, task->step);
+        count = step->count;
+    }
+    if (first->failed_run != run) {
+        for (uint32_t i = 0; i < count; i++) {
+            first[i].failed_run = run;
+            first[i].failures++;
+        }
+    }
+    return !step->continuous &&
+           task->failures >= task->flow->record->max_attempts;
+}
+
+void
+SrFlow_NoteDone(struct SrFlowTask *task)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(task);
+    if (!step->gang) {
+        task->done = true;
+        return;
+    }
+    struct SrFlowTask *first =
+        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
+    for (uint32_t i = 0; i < step->count; i++) {
+        first[i].done = true;
+    }
+}
+
+void
+SrFlow_NoteCheckpoint(struct SrFlowTask *task, const char *checkpoint)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(task);
+    if (checkpoint[0] == '\0') {
+        return;
+    }
+    if (!step->gang) {
+        SrUtil_Copy(task->checkpoint, sizeof(task->checkpoint), checkpoint);
+        return;
+    }
+    struct SrFlowTask *first =
+        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
+    for (uint32_t i = 0; i < step->count; i++) {
+        SrUtil_Copy(first[i].checkpoint, sizeof(first[i].checkpoint),
+                    checkpoint);
+    }
+}
+
+int64_t
+SrFlow_ChainMs(const struct SrFlow *flow)
+{
+    int64_t ends[SR_FLOW_STEPS_MAX];
+    int64_t longest = 0;
+    for (size_t s = 0; s < flow->record->n_steps; s++) {
+        const Sr__FlowStep *step = flow->record->steps[s];
+        int64_t start = 0;
+        for (size_t i = 0; i < step->n_after; i++) {
+            if (ends[step->after[i]] > start) {
+                start = ends[step->after[i]];
+            }
+        }
+        ends[s] = start + step->estimated_ms;
+        if (ends[s] > longest) {
+            longest = ends[s];
+        }
+    }
+    return longest;
+}
--- /dev/null
+++ b/src/follower.c
@@ -0,0 +1,267 @@
+#include "follower.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "list.h"
+#include "log.h"
+#include "map.h"
+#include "os.h"
+#include "util.h"
+
+/* Pause before a failed call is made again: a tenth of the shortest bound. */
+#define RETRY_MS 150
+/* The store reads at most this many rows a call. */
+#define PAGE_ROWS 500
+#define READ_TIMEOUT_MS 1200
+
+/* A key that the table held when last read. */
+struct Key {
+    struct SrMapEntry entry;
+    uint64_t load;
+    char key[SR_ROWS_KEY_SIZE];
+};
+
+struct SrFollower {
+    struct SrFollowerOptions options;
+    struct SrTimer timer;
+    struct SrMap keys;
+    /* Number of the present or latest reading of the whole table. */
+    uint64_t load;
+    bool loading;
+    bool loaded;
+    char from[SR_ROWS_KEY_SIZE];
+    uint64_t load_version;
+    uint64_t version;
+    int64_t fresh_ms;
+    unsigned failures;
+    /* Answers of calls made before the destruction find this gone. */
+    struct Call *call;
+};
+
+struct Call {
+    struct SrFollower *follower;
+};
+
+static void next_call(void *context);
+
+static void
+retry_later(struct SrFollower *follower, enum SrRowsError error)
+{
+    if (follower->failures++ == 0) {
+        SR_WARN("follower", "lost", "table=%s error=%s version=%lu",
+                follower->options.table, SrRows_ErrorText(error),
+                (unsigned long)follower->version);
+    }
+    SrTimer_Start(&follower->timer, follower->options.kernel, RETRY_MS, 0,
+                  next_call, follower);
+}
+
+static void
+note_answer(struct SrFollower *follower)
+{
+    if (follower->failures > 0) {
+        SR_INFO("follower", "regained", "table=%s failures=%u version=%lu",
+                follower->options.table, follower->failures,
+                (unsigned long)follower->version);
+    }
+    follower->failures = 0;
+    follower->fresh_ms = SrOs_MonotonicMs();
+}
+
+static void
+note_key(struct SrFollower *follower, const struct SrRow *row)
+{
+    struct SrMapEntry *entry = SrMap_Find(&follower->keys, row->key);
+    struct Key *key =
+        entry != NULL ? SR_CONTAINER(entry, struct Key, entry) : NULL;
+    if (row->deleted) {
+        if (key != NULL) {
+            SrMap_Remove(&follower->keys, &key->entry);
+            free(key);
+        }
+        return;
+    }
+    if (key == NULL) {
+        key = SrUtil_Calloc(1, sizeof(*key));
+        SrUtil_Copy(key->key, sizeof(key->key), row->key);
+        SrMap_Add(&follower->keys, &key->entry, key->key);
+    }
+    key->load = follower->load;
+}
+
+static void
+hand_on(struct SrFollower *follower, const struct SrRowsAnswer *answer)
+{
+    for (size_t i = 0; i < answer->count; i++) {
+        if (strcmp(answer->rows[i].table, follower->options.table) != 0) {
+            continue;
+        }
+        note_key(follower, &answer->rows[i]);
+        follower->options.on_row(follower->options.context, &answer->rows[i]);
+    }
+}
+
+/* Rows that the last reading no longer found were dropped meanwhile. */
+static void
+drop_unseen(struct SrFollower *follower)
+{
+    SR_MAP_EACH(entry, &follower->keys)
+    {
+        struct Key *key = SR_CONTAINER(entry, struct Key, entry);
+        if (key->load == follower->load) {
+            continue;
+        }
+        struct SrRow row = {
+            .table = follower->options.table,
+            .key = key->key,
+            .deleted = true,
+        };
+        follower->options.on_row(follower->options.context, &row);
+        SrMap_Remove(&follower->keys, &key->entry);
+        free(key);
+    }
+}
+
+static void
+finish_load(struct SrFollower *follower)
+{
+    drop_unseen(follower);
+    follower->loading = false;
+    follower->loaded = true;
+    follower->version = follower->load_version;
+    if (follower->options.on_loaded != NULL) {
+        follower->options.on_loaded(follower->options.context);
+    }
+}
+
+static struct SrFollower *
+end_call(void *context)
+{
+    struct Call *call = context;
+    struct SrFollower *follower = call->follower;
+    free(call);
+    if (follower != NULL) {
+        follower->call = NULL;
+    }
+    return follower;
+}
+
+static void
+on_page(void *context, const struct SrRowsAnswer *answer)
+{
+    struct SrFollower *follower = end_call(context);
+    if (follower == NULL) {
+        return;
+    }
+    if (answer->error != SR_ROWS_OK) {
+        retry_later(follower, answer->error);
+        return;
+    }
+    note_answer(follower);
+    if (follower->from[0] == '\0') {
+        follower->load_version = answer->version;
+    }
+    hand_on(follower, answer);
+    if (answer->has_more && answer->count > 0) {
+        /* The last row comes again as the first of the next page. */
+        SrUtil_Copy(follower->from, sizeof(follower->from),
+                    answer->rows[answer->count - 1].key);
+        next_call(follower);
+        return;
+    }
+    finish_load(follower);
+    next_call(follower);
+}
+
+static void
+on_change(void *context, const struct SrRowsAnswer *answer)
+{
+    struct SrFollower *follower = end_call(context);
+    if (follower == NULL) {
+        return;
+    }
+    if (answer->error == SR_ROWS_HISTORY_GONE) {
+        SR_WARN("follower", "history-gone", "table=%s version=%lu",
+                follower->options.table, (unsigned long)follower->version);
+        follower->loading = false;
+        follower->loaded = false;
+        next_call(follower);
+        return;
+    }
+    if (answer->error != SR_ROWS_OK) {
+        retry_later(follower, answer->error);
+        return;
+    }
+    note_answer(follower);
+    hand_on(follower, answer);
+    if (answer->version > follower->version) {
+        follower->version = answer->version;
+    }
+    next_call(follower);
+}
+
+static void
+next_call(void *context)
+{
+    struct SrFollower *follower = context;
+    const struct SrFollowerOptions *options = &follower->options;
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->follower = follower;
+    follower->call = call;
+    if (follower->loaded) {
+        SrRows_Watch(options->rows, options->table, follower->version,
+                     options->wait_ms, on_change, call);
+        return;
+    }
+    if (!follower->loading) {
+        follower->loading = true;
+        follower->load++;
+        follower->from[0] = '\0';
+    }
+    SrRows_Read(options->rows, options->table, follower->from, PAGE_ROWS,
+                READ_TIMEOUT_MS, on_page, call);
+}
+
+struct SrFollower *
+SrFollower_Create(const struct SrFollowerOptions *options)
+{
+    struct SrFollower *follower = SrUtil_Calloc(1, sizeof(*follower));
+    follower->options = *options;
+    follower->fresh_ms = INT64_MIN / 2;
+    SrMap_Init(&follower->keys);
+    next_call(follower);
+    return follower;
+}
+
+void
+SrFollower_Destroy(struct SrFollower *follower)
+{
+    if (follower == NULL) {
+        return;
+    }
+    SrTimer_Stop(&follower->timer);
+    if (follower->call != NULL) {
+        follower->call->follower = NULL;
+    }
+    SR_MAP_EACH(entry, &follower->keys)
+    {
+        struct Key *key = SR_CONTAINER(entry, struct Key, entry);
+        SrMap_Remove(&follower->keys, &key->entry);
+        free(key);
+    }
+    SrMap_Clear(&follower->keys);
+    free(follower);
+}
+
+bool
+SrFollower_IsLoaded(const struct SrFollower *follower)
+{
+    return follower->load > 1 || follower->loaded;
+}
+
+int64_t
+SrFollower_AgeMs(const struct SrFollower *follower)
+{
+    return SrOs_MonotonicMs() - follower->fresh_ms;
+}
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,10 +1,13 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "list.h"
 #include "os.h"
@@ -14,6 +17,9 @@
 #define IDLE_HANDLES_MAX 256
 #define CONNECT_TIMEOUT_MS 1000
 #define CONNECTIONS_KEPT 4096
+/* Unacknowledged bytes for this long end a connection; below the shortest
+ * bound of any exchange, 3 s. */
+#define SILENT_PEER_MS 2000U
 #define NOT_STARTED "Not-Started:"
 
 struct SrHttpClient {
@@ -316,15 +322,43 @@
     return curl_easy_init();
 }
 
+/* A peer that falls silent, as behind a partition, resets nothing: the kernel
+ * gives the connection up instead. */
+static int
+set_socket(void *context, curl_socket_t fd, curlsocktype purpose)
+{
+    (void)context;
+    (void)purpose;
+    unsigned timeout_ms = SILENT_PEER_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+    return CURL_SOCKOPT_OK;
+}
+
+static void
+set_body(struct SrHttpCall *call, const struct SrHttpPost *post)
+{
+    CURL *easy = call->easy;
+    if (post->method != NULL && strcmp(post->method, "GET") == 0) {
+        curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
+        return;
+    }
+    char type[128];
+    snprintf(type, sizeof(type), "Content-Type: %s",
+             post->type != NULL ? post->type : "application/x-protobuf");
+    call->headers = curl_slist_append(call->headers, type);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)post->size);
+    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+                     post->size > 0 ? post->body : "");
+}
+
 static void
 set_options(struct SrHttpCall *call, const struct SrHttpPost *post)
 {
-    char url[512];
+    char url[1024];
     CURL *easy = call->easy;
     snprintf(url, sizeof(url), "http://%s%s", post->address, post->path);
     call->headers = curl_slist_append(call->headers, "Expect:");
-    call->headers = curl_slist_append(call->headers,
-                                      "Content-Type: application/x-protobuf");
     for (size_t i = 0; i < SR_LENGTH(post->headers); i++) {
         if (post->headers[i] != NULL) {
             call->headers = curl_slist_append(call->headers, post->headers[i]);
@@ -334,10 +368,9 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket);
+    set_body(call, post);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)post->size);
-    curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
-                     post->size > 0 ? post->body : "");
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)post->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -33,6 +33,10 @@
 };
 
 struct SrHttpPost {
+    /* NULL for POST; a GET carries no body. */
+    const char *method;
+    /* Media type of the body; NULL for protobuf. */
+    const char *type;
     /* "host:port" and path, as in "/table/read". */
     const char *address;
     const char *path;
--- /dev/null
+++ b/src/intake.c
@@ -0,0 +1,489 @@
+#include "intake.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "ledger.h"
+#include "log.h"
+#include "os.h"
+
+/* A job's id: 16 hexadecimal digits. */
+#define JOB_ID_DIGITS 16
+/* One try of a call of the store; the slowest answers seen take 500 ms. */
+#define TRY_MS 900
+/* The answer must reach the caller before its deadline. */
+#define ANSWER_MARGIN_MS 200
+/* A store that refuses is asked again within this time, then the caller is
+ * told to come back. */
+#define REFUSED_FOR_MS 500
+#define RETRY_MS 70
+/* An older configuration may have lost queues and keys since: the shortest
+ * bound for its being in force is 3 s. */
+#define CATALOG_AGE_MAX_MS 2600
+#define RETRY_AFTER_S 1
+
+enum CallStep {
+    /* Looks up the job before it is cancelled. */
+    STEP_FIND,
+    STEP_WRITE,
+    STEP_READ,
+};
+
+struct Call {
+    struct SrList link;
+    struct SrIntake *intake;
+    enum SrRequestKind kind;
+    enum CallStep step;
+    struct SrTimer timer;
+    char id[SR_ID_SIZE];
+    char queue[SR_ID_SIZE];
+    char account[SR_ID_SIZE];
+    uint8_t *value;
+    size_t size;
+    int64_t started_ms;
+    int64_t deadline_ms;
+    /* A try without an answer may still take effect. */
+    bool unsettled;
+    unsigned tries;
+    SrIntake_Done *done;
+    void *context;
+};
+
+struct SrIntake {
+    struct SrIntakeOptions options;
+    struct SrList calls;
+};
+
+static const char *const result_texts[] = {
+    [SR_RESULT_ACCEPTED] = "accepted",
+    [SR_RESULT_STATE] = "state",
+    [SR_RESULT_CANCELLED] = "cancelled",
+    [SR_RESULT_COUNT] = "count",
+    [SR_RESULT_NO_QUEUE] = "no-queue",
+    [SR_RESULT_NO_JOB] = "no-job",
+    [SR_RESULT_BAD_KEY] = "bad-key",
+    [SR_RESULT_MALFORMED] = "malformed",
+    [SR_RESULT_UNSUPPORTED] = "unsupported",
+    [SR_RESULT_REFUSED] = "refused",
+    [SR_RESULT_UNKNOWN] = "unknown",
+};
+
+static const char *const kind_texts[] = {
+    [SR_REQUEST_SUBMIT] = "submit",
+    [SR_REQUEST_STATE] = "state",
+    [SR_REQUEST_CANCEL] = "cancel",
+    [SR_REQUEST_COUNT] = "count",
+    [SR_REQUEST_UNSUPPORTED] = "unsupported",
+};
+
+static void run_try(void *context);
+
+const char *
+SrIntake_ResultText(enum SrResultKind kind)
+{
+    return result_texts[kind];
+}
+
+struct SrIntake *
+SrIntake_Create(const struct SrIntakeOptions *options)
+{
+    struct SrIntake *intake = SrUtil_Calloc(1, sizeof(*intake));
+    intake->options = *options;
+    SrList_Init(&intake->calls);
+    return intake;
+}
+
+static void
+free_call(struct Call *call)
+{
+    SrTimer_Stop(&call->timer);
+    SrList_Remove(&call->link);
+    free(call->value);
+    free(call);
+}
+
+void
+SrIntake_Destroy(struct SrIntake *intake)
+{
+    if (intake == NULL) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &intake->calls)
+    {
+        free_call(SR_CONTAINER(link, struct Call, link));
+    }
+    free(intake);
+}
+
+static void
+count_result(struct SrIntake *intake, const struct Call *call,
+             enum SrResultKind kind, int64_t us)
+{
+    struct SrMetrics *metrics = intake->options.kernel->metrics;
+    SrMetrics_Count(metrics, "sr_requests", "result",
+                    SrIntake_ResultText(kind), 1);
+    SrMetrics_Observe(metrics, "sr_request_us", "account", call->account,
+                      (uint64_t)us);
+}
+
+static void
+finish(struct Call *call, const struct SrResult *result)
+{
+    struct SrIntake *intake = call->intake;
+    int64_t took_ms = SrOs_MonotonicMs() - call->started_ms;
+    const struct SrCatalog *catalog =
+        intake->options.catalog(intake->options.context);
+    count_result(intake, call, result->kind, took_ms * 1000);
+    if (call->kind == SR_REQUEST_SUBMIT || call->kind == SR_REQUEST_CANCEL ||
+        (result->kind != SR_RESULT_STATE && result->kind != SR_RESULT_COUNT)) {
+        SR_INFO("intake", "answered",
+                "id=%s request=%s queue=%s account=%s result=%s text=%s "
+                "tries=%u took-ms=%ld config=%lu config-age-ms=%ld",
+                call->id, kind_texts[call->kind], call->queue, call->account,
+                SrIntake_ResultText(result->kind),
+                result->text != NULL ? result->text : "-", call->tries,
+                (long)took_ms,
+                (unsigned long)(catalog != NULL ? catalog->version : 0),
+                (long)intake->options.catalog_age_ms(
+                    intake->options.context));
+    }
+    SrIntake_Done *done = call->done;
+    void *context = call->context;
+    free_call(call);
+    done(context, result);
+}
+
+static void
+finish_kind(struct Call *call, enum SrResultKind kind, const char *text)
+{
+    struct SrResult result = {
+        .kind = kind,
+        .text = text,
+        .retry_after_s = kind == SR_RESULT_REFUSED ? RETRY_AFTER_S : 0,
+    };
+    finish(call, &result);
+}
+
+static int64_t
+time_left(const struct Call *call)
+{
+    return call->started_ms + call->deadline_ms - ANSWER_MARGIN_MS -
+           SrOs_MonotonicMs();
+}
+
+/* The store refused or did not answer: tries again while there is time. */
+static void
+retry(struct Call *call, enum SrRowsError error)
+{
+    int64_t age_ms = SrOs_MonotonicMs() - call->started_ms;
+    bool writes = call->step == STEP_WRITE;
+    call->unsettled |= writes && error == SR_ROWS_UNKNOWN;
+    if (!call->unsettled && error == SR_ROWS_REFUSED &&
+        age_ms >= REFUSED_FOR_MS) {
+        finish_kind(call, SR_RESULT_REFUSED, "the store refuses calls");
+        return;
+    }
+    if (time_left(call) <= RETRY_MS) {
+        finish_kind(call,
+                    call->unsettled ? SR_RESULT_UNKNOWN : SR_RESULT_REFUSED,
+                    "the store does not answer");
+        return;
+    }
+    SrTimer_Start(&call->timer, call->intake->options.kernel, RETRY_MS, 0,
+                  run_try, call);
+}
+
+static bool
+is_row(const struct SrRowsAnswer *answer, const char *table, const char *key)
+{
+    return answer->count > 0 && strcmp(answer->rows[0].table, table) == 0 &&
+           strcmp(answer->rows[0].key, key) == 0;
+}
+
+static void
+on_write(void *context, const struct SrRowsAnswer *answer)
+{
+    struct Call *call = context;
+    switch (answer->error) {
+    case SR_ROWS_OK:
+        finish_kind(call,
+                    call->kind == SR_REQUEST_CANCEL ? SR_RESULT_CANCELLED
+                                                    : SR_RESULT_ACCEPTED,
+                    NULL);
+        break;
+    case SR_ROWS_CONFLICT:
+        /* The job is stored: by an earlier try or an earlier request. */
+        finish_kind(call, SR_RESULT_ACCEPTED, "known");
+        break;
+    case SR_ROWS_INVALID:
+        finish_kind(call, SR_RESULT_MALFORMED, "the job does not fit a row");
+        break;
+    default:
+        retry(call, answer->error);
+        break;
+    }
+}
+
+static void
+answer_state(struct Call *call, const struct SrRow *row)
+{
+    Sr__FlowProgress *progress =
+        SrCodec_Unpack(&sr__flow_progress__descriptor, row->value, row->size);
+    if (progress == NULL) {
+        SR_ERROR("intake", "bad-row", "table=%s key=%s bytes=%lu", row->table,
+                 row->key, (unsigned long)row->size);
+        finish_kind(call, SR_RESULT_UNKNOWN, "the job's row is malformed");
+        return;
+    }
+    struct SrResult result = {
+        .kind = SR_RESULT_STATE,
+        .state = progress->status,
+    };
+    SrCodec_Free(progress);
+    finish(call, &result);
+}
+
+static void
+answer_count(struct Call *call, const struct SrRowsAnswer *answer)
+{
+    struct SrResult result = {.kind = SR_RESULT_COUNT};
+    if (is_row(answer, SR_TABLE_SUMMARY, SR_KEY_SUMMARY)) {
+        Sr__QueueSummary *summary =
+            SrCodec_Unpack(&sr__queue_summary__descriptor,
+                           answer->rows[0].value, answer->rows[0].size);
+        for (size_t i = 0; summary != NULL && i < summary->n_queues; i++) {
+            if (strcmp(summary->queues[i]->queue, call->queue) == 0) {
+                result.waiting = summary->queues[i]->waiting;
+            }
+        }
+        SrCodec_Free(summary);
+    }
+    finish(call, &result);
+}
+
+static void
+on_read(void *context, const struct SrRowsAnswer *answer)
+{
+    struct Call *call = context;
+    if (answer->error != SR_ROWS_OK) {
+        retry(call, answer->error);
+        return;
+    }
+    if (call->kind == SR_REQUEST_COUNT) {
+        answer_count(call, answer);
+        return;
+    }
+    if (!is_row(answer, SR_TABLE_PROGRESS, call->id)) {
+        finish_kind(call, SR_RESULT_NO_JOB, "no such job");
+        return;
+    }
+    if (call->kind == SR_REQUEST_CANCEL) {
+        call->step = STEP_WRITE;
+        run_try(call);
+        return;
+    }
+    answer_state(call, &answer->rows[0]);
+}
+
+static void
+write_job(struct Call *call, int64_t timeout_ms)
+{
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    size_t size;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *queued = SrCodec_Pack(&progress, &size);
+    struct SrRowsExpected expected = {SR_TABLE_JOBS, call->id, 0};
+    struct SrRowsWrite writes[] = {
+        {SR_TABLE_JOBS, call->id, call->value, call->size, false},
+        {SR_TABLE_PROGRESS, call->id, queued, size, false},
+    };
+    SrRows_Commit(call->intake->options.rows,
+                  &(struct SrRowsTransaction){
+                      .expected = &expected,
+                      .expected_count = 1,
+                      .writes = writes,
+                      .write_count = SR_LENGTH(writes),
+                  },
+                  timeout_ms, on_write, call);
+}
+
+static void
+write_cancel(struct Call *call, int64_t timeout_ms)
+{
+    struct SrRowsWrite write = {SR_TABLE_CANCEL, call->id,
+                                (const uint8_t *)"1", 1, false};
+    SrRows_Commit(call->intake->options.rows,
+                  &(struct SrRowsTransaction){
+                      .writes = &write,
+                      .write_count = 1,
+                  },
+                  timeout_ms, on_write, call);
+}
+
+static void
+run_try(void *context)
+{
+    struct Call *call = context;
+    int64_t left_ms = time_left(call);
+    int64_t timeout_ms = left_ms < TRY_MS ? left_ms : TRY_MS;
+    if (timeout_ms <= 0) {
+        timeout_ms = 1;
+    }
+    call->tries++;
+    if (call->step == STEP_READ || call->step == STEP_FIND) {
+        bool count = call->kind == SR_REQUEST_COUNT;
+        SrRows_Read(call->intake->options.rows,
+                    count ? SR_TABLE_SUMMARY : SR_TABLE_PROGRESS,
+                    count ? SR_KEY_SUMMARY : call->id, 1, timeout_ms, on_read,
+                    call);
+        return;
+    }
+    if (call->kind == SR_REQUEST_CANCEL) {
+        write_cancel(call, timeout_ms);
+        return;
+    }
+    write_job(call, timeout_ms);
+}
+
+static bool
+is_job_id(const char *text)
+{
+    size_t length = strlen(text);
+    for (size_t i = 0; i < length; i++) {
+        if (!isxdigit((unsigned char)text[i])) {
+            return false;
+        }
+    }
+    return length == JOB_ID_DIGITS;
+}
+
+static void
+set_text(char **slot, const char *text)
+{
+    SrUtil_SetText(slot, text);
+}
+
+/* Adds what the queue and the account say to the job. */
+static void
+complete_record(struct Call *call, Sr__FlowRecord *record,
+                const struct SrCatalogQueue *queue)
+{
+    set_text(&record->queue, queue->name);
+    set_text(&record->service, queue->service);
+    set_text(&record->account, call->account);
+    record->priority = queue->priority;
+    record->max_attempts = queue->max_attempts;
+    record->stretch = queue->stretch;
+    record->target_ms = (uint32_t)queue->target_ms;
+    record->advised = queue->advice.needed;
+    record->accepted_ms = SrOs_UnixMs();
+}
+
+/* Checks and packs the job; false if it was answered. */
+static bool
+prepare_submit(struct Call *call, const struct SrRequest *request,
+               const struct SrCatalogQueue *queue)
+{
+    const char *field = NULL;
+    if (request->record == NULL) {
+        finish_kind(call, SR_RESULT_MALFORMED, request->fault);
+        return false;
+    }
+    enum SrFlowError error = SrFlow_Check(request->record, &field);
+    if (error != SR_FLOW_OK) {
+        SR_INFO("intake", "malformed", "id=%s field=%s error=%s", call->id,
+                field, SrFlow_ErrorText(error));
+        finish_kind(call, SR_RESULT_MALFORMED, SrFlow_ErrorText(error));
+        return false;
+    }
+    complete_record(call, request->record, queue);
+    call->value = SrCodec_Pack(request->record, &call->size);
+    return true;
+}
+
+/* Finds queue and account; false if it was answered. */
+static bool
+authorize(struct Call *call, const struct SrRequest *request,
+          const struct SrCatalogQueue **queue, const char **rest)
+{
+    const struct SrIntakeOptions *options = &call->intake->options;
+    const struct SrCatalog *catalog = options->catalog(options->context);
+    if (catalog == NULL) {
+        finish_kind(call, SR_RESULT_REFUSED, "no configuration yet");
+        return false;
+    }
+    if (options->catalog_age_ms(options->context) > CATALOG_AGE_MAX_MS) {
+        finish_kind(call, SR_RESULT_REFUSED, "the configuration is old");
+        return false;
+    }
+    *queue = SrCatalog_FindQueue(catalog, request->host, request->path, rest);
+    if (*queue == NULL) {
+        finish_kind(call, SR_RESULT_NO_QUEUE, "no such queue");
+        return false;
+    }
+    SrUtil_Copy(call->queue, sizeof(call->queue), (*queue)->name);
+    const struct SrCatalogAccount *account =
+        request->key != NULL ? SrCatalog_FindAccount(catalog, request->key)
+                             : NULL;
+    if (account == NULL && !(*queue)->anonymous) {
+        finish_kind(call, SR_RESULT_BAD_KEY, "unknown key");
+        return false;
+    }
+    SrUtil_Copy(call->account, sizeof(call->account),
+                account != NULL ? account->name : "");
+    return true;
+}
+
+static void
+handle(struct Call *call, struct SrRequest *request)
+{
+    const struct SrCatalogQueue *queue = NULL;
+    const char *rest = "";
+    if (!authorize(call, request, &queue, &rest)) {
+        return;
+    }
+    if (request->kind == SR_REQUEST_UNSUPPORTED) {
+        finish_kind(call, SR_RESULT_UNSUPPORTED, "no such method");
+        return;
+    }
+    if (request->kind == SR_REQUEST_STATE && rest[0] == '\0') {
+        call->kind = SR_REQUEST_COUNT;
+        run_try(call);
+        return;
+    }
+    if (!is_job_id(rest)) {
+        enum SrResultKind kind = request->kind == SR_REQUEST_SUBMIT
+                                     ? SR_RESULT_MALFORMED
+                                     : SR_RESULT_NO_JOB;
+        finish_kind(call, kind, "a job's id has 16 hexadecimal digits");
+        return;
+    }
+    SrUtil_Copy(call->id, sizeof(call->id), rest);
+    if (request->kind == SR_REQUEST_SUBMIT) {
+        call->step = STEP_WRITE;
+        if (!prepare_submit(call, request, queue)) {
+            return;
+        }
+    }
+    run_try(call);
+}
+
+void
+SrIntake_Handle(struct SrIntake *intake, struct SrRequest *request,
+                SrIntake_Done *done, void *context)
+{
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->intake = intake;
+    call->kind = request->kind;
+    call->step = request->kind == SR_REQUEST_CANCEL ? STEP_FIND : STEP_READ;
+    call->started_ms = SrOs_MonotonicMs();
+    call->deadline_ms = request->deadline_ms;
+    call->done = done;
+    call->context = context;
+    SrList_Append(&intake->calls, &call->link);
+    handle(call, request);
+    SrCodec_Free(request->record);
+    request->record = NULL;
+}
--- /dev/null
+++ b/src/leader.c
@@ -0,0 +1,414 @@
+#include "leader.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "follower.h"
+#include "log.h"
+#include "map.h"
+#include "os.h"
+#include "util.h"
+
+/* Events within this time are decided on together. */
+#define PUMP_MS 2
+/* Time passes for leases and retries at this pace. */
+#define TICK_MS 40
+/* A silent watch is noticed after this and a grace, well inside the 3 s in
+ * which a cancel must act. */
+#define WATCH_MS 800
+/* Entries of workers change rarely. */
+#define WORKER_WATCH_MS 1200
+#define READ_TIMEOUT_MS 1200
+#define RETRY_MS 100
+#define PAGE_ROWS 500
+/* Rows are kept this much longer than a job's state must be told. */
+#define KEEP_MARGIN_MS 30000
+/* Changes written at one time: a job that goes takes three rows of a batch. */
+#define CHANGES_MAX 28
+
+/* A stored progress row, until its job is read. */
+struct Stored {
+    struct SrMapEntry entry;
+    char id[SR_ROWS_KEY_SIZE];
+    Sr__FlowProgress *progress;
+};
+
+struct SrLeader {
+    struct SrLeaderOptions options;
+    struct SrEngine *engine;
+    struct SrFollower *jobs;
+    struct SrFollower *cancels;
+    struct SrFollower *workers;
+    struct SrTimer pump;
+    struct SrTimer tick;
+    struct SrTimer retry;
+    bool loaded;
+    struct SrMap stored;
+    char from[SR_ROWS_KEY_SIZE];
+    struct Call *call;
+    struct SrEngineChange changes[CHANGES_MAX];
+    size_t change_count;
+    const struct SrCatalog *catalog;
+    uint8_t *summary;
+    size_t summary_size;
+    uint8_t *summary_in_flight;
+};
+
+struct Call {
+    struct SrLeader *leader;
+};
+
+static void read_progress(void *context);
+
+static void
+run_pump(void *context)
+{
+    struct SrLeader *leader = context;
+    if (!leader->loaded) {
+        return;
+    }
+    SrEngine_Pump(leader->engine,
+                  SrLedger_IsWritable(leader->options.ledger),
+                  SrOs_MonotonicMs(), SrOs_UnixMs());
+    if (SrEngine_HasChanges(leader->engine)) {
+        SrLedger_Wake(leader->options.ledger);
+    }
+}
+
+void
+SrLeader_Wake(struct SrLeader *leader)
+{
+    if (!ev_is_active(&leader->pump.watcher)) {
+        SrTimer_Start(&leader->pump, leader->options.kernel, PUMP_MS, 0,
+                      run_pump, leader);
+    }
+}
+
+static void
+on_cancel(void *context, const struct SrRow *row)
+{
+    struct SrLeader *leader = context;
+    if (!row->deleted) {
+        SrEngine_CancelFlow(leader->engine, row->key, SrOs_MonotonicMs());
+        SrLeader_Wake(leader);
+    }
+}
+
+static void
+on_worker(void *context, const struct SrRow *row)
+{
+    struct SrLeader *leader = context;
+    struct SrWorkerEntry entry;
+    bool names = !row->deleted && leader->options.read_worker(row, &entry);
+    SrEngine_SetWorker(leader->engine, row->key, names ? &entry : NULL,
+                       SrOs_MonotonicMs());
+    SrLeader_Wake(leader);
+}
+
+static Sr__FlowProgress *
+take_stored(struct SrLeader *leader, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&leader->stored, id);
+    if (entry == NULL) {
+        return NULL;
+    }
+    struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
+    Sr__FlowProgress *progress = stored->progress;
+    SrMap_Remove(&leader->stored, entry);
+    free(stored);
+    return progress;
+}
+
+static void
+on_job(void *context, const struct SrRow *row)
+{
+    struct SrLeader *leader = context;
+    if (row->deleted) {
+        return;
+    }
+    Sr__FlowRecord *record =
+        SrCodec_Unpack(&sr__flow_record__descriptor, row->value, row->size);
+    if (record == NULL) {
+        SR_ERROR("leader", "bad-row", "table=%s key=%s bytes=%lu", row->table,
+                 row->key, (unsigned long)row->size);
+        return;
+    }
+    Sr__FlowProgress *progress = take_stored(leader, row->key);
+    SrEngine_AddFlow(leader->engine, row->key, record, progress,
+                     SrOs_MonotonicMs());
+    SrCodec_Free(progress);
+    SrLeader_Wake(leader);
+}
+
+static struct SrFollower *
+follow(struct SrLeader *leader, const char *table, int64_t wait_ms,
+       void (*on_row)(void *, const struct SrRow *), void (*on_loaded)(void *))
+{
+    return SrFollower_Create(&(struct SrFollowerOptions){
+        .kernel = leader->options.kernel,
+        .rows = leader->options.rows,
+        .table = table,
+        .wait_ms = wait_ms,
+        .on_row = on_row,
+        .on_loaded = on_loaded,
+        .context = leader,
+    });
+}
+
+/* Cancels are read after the jobs they name. */
+static void
+on_jobs_loaded(void *context)
+{
+    struct SrLeader *leader = context;
+    if (leader->loaded) {
+        return;
+    }
+    leader->loaded = true;
+    SR_INFO("leader", "loaded", "term=%lu flows=%u",
+            (unsigned long)leader->options.term,
+            SrEngine_Figures(leader->engine, SrOs_MonotonicMs()).flows);
+    leader->cancels =
+        follow(leader, SR_TABLE_CANCEL, WATCH_MS, on_cancel, NULL);
+    leader->workers = follow(leader, leader->options.worker_table,
+                             WORKER_WATCH_MS, on_worker, NULL);
+    SrTimer_Start(&leader->tick, leader->options.kernel, TICK_MS, TICK_MS,
+                  run_pump, leader);
+}
+
+static void
+store_progress(struct SrLeader *leader, const struct SrRow *row)
+{
+    Sr__FlowProgress *progress =
+        SrCodec_Unpack(&sr__flow_progress__descriptor, row->value, row->size);
+    if (progress == NULL) {
+        SR_ERROR("leader", "bad-row", "table=%s key=%s bytes=%lu", row->table,
+                 row->key, (unsigned long)row->size);
+        return;
+    }
+    if (SrMap_Find(&leader->stored, row->key) != NULL) {
+        SrCodec_Free(progress);
+        return;
+    }
+    struct Stored *stored = SrUtil_Calloc(1, sizeof(*stored));
+    SrUtil_Copy(stored->id, sizeof(stored->id), row->key);
+    stored->progress = progress;
+    SrMap_Add(&leader->stored, &stored->entry, stored->id);
+}
+
+static void
+on_progress(void *context, const struct SrRowsAnswer *answer)
+{
+    struct Call *call = context;
+    struct SrLeader *leader = call->leader;
+    free(call);
+    if (leader == NULL) {
+        return;
+    }
+    leader->call = NULL;
+    if (answer->error != SR_ROWS_OK) {
+        SR_WARN("leader", "load-failed", "error=%s",
+                SrRows_ErrorText(answer->error));
+        SrTimer_Start(&leader->retry, leader->options.kernel, RETRY_MS, 0,
+                      read_progress, leader);
+        return;
+    }
+    for (size_t i = 0; i < answer->count; i++) {
+        store_progress(leader, &answer->rows[i]);
+    }
+    if (answer->has_more && answer->count > 0) {
+        SrUtil_Copy(leader->from, sizeof(leader->from),
+                    answer->rows[answer->count - 1].key);
+        read_progress(leader);
+        return;
+    }
+    leader->jobs =
+        follow(leader, SR_TABLE_JOBS, WATCH_MS, on_job, on_jobs_loaded);
+}
+
+static void
+read_progress(void *context)
+{
+    struct SrLeader *leader = context;
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->leader = leader;
+    leader->call = call;
+    SrRows_Read(leader->options.rows, SR_TABLE_PROGRESS, leader->from,
+                PAGE_ROWS, READ_TIMEOUT_MS, on_progress, call);
+}
+
+struct SrLeader *
+SrLeader_Create(const struct SrLeaderOptions *options)
+{
+    struct SrLeader *leader = SrUtil_Calloc(1, sizeof(*leader));
+    leader->options = *options;
+    SrMap_Init(&leader->stored);
+    leader->engine = SrEngine_Create(
+        &(struct SrEngineOptions){
+            .lease_ms = options->settings->lease_max_ms,
+            .stop_ms = options->settings->stop_ms,
+            .keep_ms = options->settings->status_ms + KEEP_MARGIN_MS,
+            .remote_factor = options->settings->remote_factor,
+            .send = options->send,
+            .context = options->context,
+        },
+        options->term, SrOs_MonotonicMs());
+    read_progress(leader);
+    return leader;
+}
+
+static void
+free_changes(struct SrLeader *leader)
+{
+    for (size_t i = 0; i < leader->change_count; i++) {
+        free(leader->changes[i].progress);
+    }
+    leader->change_count = 0;
+}
+
+void
+SrLeader_Destroy(struct SrLeader *leader)
+{
+    if (leader == NULL) {
+        return;
+    }
+    SrTimer_Stop(&leader->pump);
+    SrTimer_Stop(&leader->tick);
+    SrTimer_Stop(&leader->retry);
+    SrFollower_Destroy(leader->jobs);
+    SrFollower_Destroy(leader->cancels);
+    SrFollower_Destroy(leader->workers);
+    if (leader->call != NULL) {
+        leader->call->leader = NULL;
+    }
+    SR_MAP_EACH(entry, &leader->stored)
+    {
+        struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
+        SrMap_Remove(&leader->stored, &stored->entry);
+        SrCodec_Free(stored->progress);
+        free(stored);
+    }
+    SrMap_Clear(&leader->stored);
+    free_changes(leader);
+    free(leader->summary);
+    free(leader->summary_in_flight);
+    SrEngine_Destroy(leader->engine);
+    free(leader);
+}
+
+struct SrEngine *
+SrLeader_Engine(struct SrLeader *leader)
+{
+    return leader->engine;
+}
+
+void
+SrLeader_SetCatalog(struct SrLeader *leader, const struct SrCatalog *catalog)
+{
+    leader->catalog = catalog;
+    SrEngine_SetCatalog(leader->engine, catalog);
+    SrLeader_Wake(leader);
+}
+
+void
+SrLeader_OnAnswer(struct SrLeader *leader, const struct SrOrder *order,
+                  const struct SrOrderAnswer *answer)
+{
+    SrEngine_OnAnswer(leader->engine, order, answer, SrOs_MonotonicMs());
+    SrLeader_Wake(leader);
+}
+
+static uint8_t *
+pack_summary(struct SrLeader *leader, size_t *size)
+{
+    Sr__QueueSummary summary = SR__QUEUE_SUMMARY__INIT;
+    size_t count = leader->catalog->queue_count;
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__QueueCount *counts = SrUtil_Calloc(count, sizeof(*counts));
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__QueueCount **pointers = SrUtil_Calloc(count, sizeof(*pointers));
+    for (size_t i = 0; i < count; i++) {
+        sr__queue_count__init(&counts[i]);
+        counts[i].queue = leader->catalog->queues[i].name;
+        counts[i].waiting = SrEngine_Waiting(leader->engine, counts[i].queue);
+        if (counts[i].waiting > 0) {
+            pointers[summary.n_queues++] = &counts[i];
+        }
+    }
+    summary.queues = pointers;
+    return SrCodec_Pack(&summary, size);
+}
+
+static void
+add_write(struct SrLedgerBatch *batch, const char *table, const char *key,
+          const uint8_t *value, size_t size)
+{
+    batch->writes[batch->count++] = (struct SrRowsWrite){
+        .table = table,
+        .key = key,
+        .value = value,
+        .size = size,
+        .remove = value == NULL,
+    };
+}
+
+static void
+fill_summary(struct SrLeader *leader, struct SrLedgerBatch *batch)
+{
+    size_t size;
+    uint8_t *summary = pack_summary(leader, &size);
+    if (leader->summary != NULL && size == leader->summary_size &&
+        memcmp(summary, leader->summary, size) == 0) {
+        free(summary);
+        return;
+    }
+    free(leader->summary);
+    leader->summary = summary;
+    leader->summary_size = size;
+    free(leader->summary_in_flight);
+    leader->summary_in_flight = SrUtil_Memdup(summary, size);
+    add_write(batch, SR_TABLE_SUMMARY, SR_KEY_SUMMARY,
+              leader->summary_in_flight, size);
+}
+
+void
+SrLeader_Fill(struct SrLeader *leader, struct SrLedgerBatch *batch)
+{
+    free_changes(leader);
+    if (!leader->loaded) {
+        return;
+    }
+    leader->change_count = SrEngine_TakeChanges(
+        leader->engine, leader->changes, CHANGES_MAX, SrOs_MonotonicMs());
+    for (size_t i = 0; i < leader->change_count; i++) {
+        const struct SrEngineChange *change = &leader->changes[i];
+        add_write(batch, SR_TABLE_PROGRESS, change->id, change->progress,
+                  change->size);
+        if (change->progress == NULL) {
+            add_write(batch, SR_TABLE_JOBS, change->id, NULL, 0);
+            add_write(batch, SR_TABLE_CANCEL, change->id, NULL, 0);
+        }
+    }
+    if (leader->catalog != NULL) {
+        fill_summary(leader, batch);
+    }
+}
+
+void
+SrLeader_OnWritten(struct SrLeader *leader)
+{
+    for (size_t i = 0; i < leader->change_count; i++) {
+        const struct SrEngineChange *change = &leader->changes[i];
+        if (change->progress == NULL) {
+            SrEngine_Forget(leader->engine, change->id);
+        }
+        else {
+            SrEngine_OnWritten(leader->engine, change->id, change->change);
+        }
+    }
+    free_changes(leader);
+    SrLeader_Wake(leader);
+    if (SrEngine_HasChanges(leader->engine)) {
+        SrLedger_Wake(leader->options.ledger);
+    }
+}
--- /dev/null
+++ b/src/leader.h
@@ -0,0 +1,42 @@
+/* The leader's work in a process: loads the stored state, follows jobs,
+ * cancels and workers, runs the engine, and fills the ledger's batches. */
+#ifndef SR_LEADER_H
+#define SR_LEADER_H
+
+#include "engine.h"
+#include "kernel.h"
+#include "ledger.h"
+#include "node_settings.h"
+#include "rows.h"
+
+struct SrLeader;
+
+struct SrLeaderOptions {
+    struct SrKernel *kernel;
+    const struct SrNodeSettings *settings;
+    const struct SrRows *rows;
+    struct SrLedger *ledger;
+    uint64_t term;
+    /* Table in which the workers report, and the reader of its rows: false if
+     * the row names no worker. */
+    const char *worker_table;
+    bool (*read_worker)(const struct SrRow *row, struct SrWorkerEntry *entry);
+    void (*send)(void *context, const struct SrOrder *order);
+    void *context;
+};
+
+struct SrLeader *SrLeader_Create(const struct SrLeaderOptions *options);
+void SrLeader_Destroy(struct SrLeader *leader);
+
+struct SrEngine *SrLeader_Engine(struct SrLeader *leader);
+void SrLeader_OnAnswer(struct SrLeader *leader, const struct SrOrder *order,
+                       const struct SrOrderAnswer *answer);
+void SrLeader_Fill(struct SrLeader *leader, struct SrLedgerBatch *batch);
+void SrLeader_OnWritten(struct SrLeader *leader);
+
+/* The configuration or the domains in use have changed. */
+void SrLeader_Wake(struct SrLeader *leader);
+void SrLeader_SetCatalog(struct SrLeader *leader,
+                         const struct SrCatalog *catalog);
+
+#endif
--- /dev/null
+++ b/src/ledger.c
@@ -0,0 +1,408 @@
+#include "ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "codec.h"
+#include "flow.pb-c.h"
+#include "log.h"
+#include "os.h"
+#include "util.h"
+
+#define LEADER_KEY "leader"
+/* Candidates look at the leader's row this often. */
+#define POLL_MS 400
+/* A row that has not changed for this long has no living leader: three
+ * renewals, and one exchange with a slow store. */
+#define SILENT_LEADER_MS 1500
+/* The leader writes at least this often. */
+#define RENEW_MS 450
+#define CALL_TIMEOUT_MS 1200
+#define RETRY_MS 80
+/* Changes gather for this long before they are written together. */
+#define GATHER_MS 4
+
+enum LedgerState {
+    LEDGER_FOLLOWING,
+    LEDGER_CLAIMING,
+    LEDGER_LEADING,
+    LEDGER_RELEASED,
+};
+
+struct SrLedger {
+    struct SrLedgerOptions options;
+    enum LedgerState state;
+    struct SrTimer timer;
+    struct SrTimer gather;
+    /* The row as last seen, and since when it is so. */
+    uint64_t version;
+    uint64_t term;
+    uint64_t sequence;
+    bool row_released;
+    bool seen;
+    int64_t seen_since_ms;
+    bool in_flight;
+    bool failing;
+    bool releasing;
+    int64_t committed_ms;
+    struct SrLedgerBatch batch;
+    struct Call *call;
+};
+
+struct Call {
+    struct SrLedger *ledger;
+};
+
+static void poll_row(void *context);
+static void commit(void *context);
+
+static struct Call *
+begin_call(struct SrLedger *ledger)
+{
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->ledger = ledger;
+    ledger->call = call;
+    ledger->in_flight = true;
+    return call;
+}
+
+static struct SrLedger *
+end_call(void *context)
+{
+    struct Call *call = context;
+    struct SrLedger *ledger = call->ledger;
+    free(call);
+    if (ledger != NULL) {
+        ledger->call = NULL;
+        ledger->in_flight = false;
+    }
+    return ledger;
+}
+
+static void
+run_after(struct SrLedger *ledger, int64_t delay_ms, void (*fire)(void *))
+{
+    SrTimer_Start(&ledger->timer, ledger->options.kernel, delay_ms, 0, fire,
+                  ledger);
+}
+
+static Sr__LeaderRecord *
+unpack_row(const struct SrRowsAnswer *answer, uint64_t *version)
+{
+    for (size_t i = 0; i < answer->count; i++) {
+        const struct SrRow *row = &answer->rows[i];
+        if (strcmp(row->table, SR_TABLE_LEADER) == 0 &&
+            strcmp(row->key, LEADER_KEY) == 0) {
+            *version = row->version;
+            return SrCodec_Unpack(&sr__leader_record__descriptor, row->value,
+                                  row->size);
+        }
+    }
+    *version = 0;
+    return NULL;
+}
+
+static bool
+is_own(const struct SrLedger *ledger, const Sr__LeaderRecord *record)
+{
+    return record != NULL && record->term == ledger->term &&
+           strcmp(record->holder, ledger->options.holder) == 0;
+}
+
+static void
+send_transaction(struct SrLedger *ledger, uint64_t term, uint64_t sequence,
+                 const struct SrLedgerBatch *batch, SrRowsDone *done)
+{
+    struct SrRowsWrite writes[SR_LEDGER_WRITES_MAX + 1];
+    Sr__LeaderRecord record = SR__LEADER_RECORD__INIT;
+    struct SrRowsExpected expected = {
+        .table = SR_TABLE_LEADER,
+        .key = LEADER_KEY,
+        .version = ledger->version,
+    };
+    record.holder = (char *)ledger->options.holder;
+    record.term = term;
+    record.sequence = sequence;
+    record.released = ledger->releasing;
+    size_t size;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *value = SrCodec_Pack(&record, &size);
+    size_t count = batch != NULL ? batch->count : 0;
+    writes[0] = (struct SrRowsWrite){
+        .table = SR_TABLE_LEADER,
+        .key = LEADER_KEY,
+        .value = value,
+        .size = size,
+    };
+    for (size_t i = 0; i < count; i++) {
+        writes[i + 1] = batch->writes[i];
+    }
+    SrRows_Commit(ledger->options.rows,
+                  &(struct SrRowsTransaction){
+                      .expected = &expected,
+                      .expected_count = 1,
+                      .writes = writes,
+                      .write_count = count + 1,
+                  },
+                  CALL_TIMEOUT_MS, done, begin_call(ledger));
+}
+
+static void
+follow(struct SrLedger *ledger, int64_t delay_ms)
+{
+    ledger->state = LEDGER_FOLLOWING;
+    ledger->seen = false;
+    run_after(ledger, delay_ms, poll_row);
+}
+
+static void
+lose(struct SrLedger *ledger, const Sr__LeaderRecord *record)
+{
+    SR_WARN("ledger", "lost", "term=%lu other=%s other-term=%lu",
+            (unsigned long)ledger->term,
+            record != NULL ? record->holder : "-",
+            (unsigned long)(record != NULL ? record->term : 0));
+    ledger->options.on_lost(ledger->options.context);
+    follow(ledger, POLL_MS);
+}
+
+static void
+lead(struct SrLedger *ledger, uint64_t version, uint64_t sequence)
+{
+    ledger->state = LEDGER_LEADING;
+    ledger->version = version;
+    ledger->sequence = sequence;
+    ledger->failing = false;
+    ledger->committed_ms = SrOs_MonotonicMs();
+    SR_INFO("ledger", "elected", "term=%lu version=%lu",
+            (unsigned long)ledger->term, (unsigned long)version);
+    ledger->options.on_elected(ledger->options.context, ledger->term);
+    run_after(ledger, RENEW_MS, commit);
+}
+
+static void
+on_claimed(void *context, const struct SrRowsAnswer *answer)
+{
+    struct SrLedger *ledger = end_call(context);
+    uint64_t version;
+    if (ledger == NULL) {
+        return;
+    }
+    Sr__LeaderRecord *record = unpack_row(answer, &version);
+    switch (answer->error) {
+    case SR_ROWS_OK:
+        lead(ledger, answer->version, 1);
+        break;
+    case SR_ROWS_CONFLICT:
+        if (is_own(ledger, record)) {
+            lead(ledger, version, record->sequence);
+        }
+        else {
+            follow(ledger, POLL_MS);
+        }
+        break;
+    default:
+        /* The same claim again settles whether it was done. */
+        SR_WARN("ledger", "claim-unanswered", "term=%lu error=%s",
+                (unsigned long)ledger->term, SrRows_ErrorText(answer->error));
+        if (ledger->state == LEDGER_CLAIMING) {
+            send_transaction(ledger, ledger->term, 1, NULL, on_claimed);
+        }
+        break;
+    }
+    SrCodec_Free(record);
+}
+
+static bool
+is_claimable(const struct SrLedger *ledger, int64_t now_ms)
+{
+    if (ledger->releasing) {
+        return false;
+    }
+    if (ledger->version == 0 || ledger->row_released) {
+        return now_ms - ledger->seen_since_ms >= ledger->options.stagger_ms;
+    }
+    return now_ms - ledger->seen_since_ms >=
+           SILENT_LEADER_MS + ledger->options.stagger_ms;
+}
+
+static void
+on_polled(void *context, const struct SrRowsAnswer *answer)
+{
+    struct SrLedger *ledger = end_call(context);
+    int64_t now_ms = SrOs_MonotonicMs();
+    uint64_t version;
+    if (ledger == NULL) {
+        return;
+    }
+    if (answer->error != SR_ROWS_OK) {
+        /* While the store is away its leader cannot write either. */
+        ledger->seen = false;
+        run_after(ledger, POLL_MS, poll_row);
+        return;
+    }
+    Sr__LeaderRecord *record = unpack_row(answer, &version);
+    if (!ledger->seen || version != ledger->version) {
+        ledger->seen = true;
+        ledger->seen_since_ms = now_ms;
+    }
+    ledger->version = version;
+    ledger->term = record != NULL ? record->term : 0;
+    ledger->row_released = record != NULL && record->released;
+    SrCodec_Free(record);
+    if (!is_claimable(ledger, now_ms)) {
+        run_after(ledger, ledger->row_released || version == 0 ? POLL_MS / 4
+                                                               : POLL_MS,
+                  poll_row);
+        return;
+    }
+    SR_INFO("ledger", "claim", "term=%lu version=%lu unchanged-ms=%ld",
+            (unsigned long)ledger->term + 1, (unsigned long)version,
+            (long)(now_ms - ledger->seen_since_ms));
+    ledger->state = LEDGER_CLAIMING;
+    ledger->term++;
+    send_transaction(ledger, ledger->term, 1, NULL, on_claimed);
+}
+
+static void
+poll_row(void *context)
+{
+    struct SrLedger *ledger = context;
+    SrRows_Read(ledger->options.rows, SR_TABLE_LEADER, LEADER_KEY, 1,
+                CALL_TIMEOUT_MS, on_polled, begin_call(ledger));
+}
+
+static void
+finish_commit(struct SrLedger *ledger, uint64_t version)
+{
+    ledger->version = version;
+    ledger->sequence++;
+    ledger->committed_ms = SrOs_MonotonicMs();
+    if (ledger->failing) {
+        SR_INFO("ledger", "store-regained", "term=%lu",
+                (unsigned long)ledger->term);
+    }
+    ledger->failing = false;
+    if (ledger->releasing) {
+        SR_INFO("ledger", "released", "term=%lu", (unsigned long)ledger->term);
+        ledger->state = LEDGER_RELEASED;
+        ledger->options.on_lost(ledger->options.context);
+        return;
+    }
+    run_after(ledger, RENEW_MS, commit);
+    ledger->options.on_written(ledger->options.context);
+}
+
+static void
+on_committed(void *context, const struct SrRowsAnswer *answer)
+{
+    struct SrLedger *ledger = end_call(context);
+    uint64_t version;
+    if (ledger == NULL || ledger->state != LEDGER_LEADING) {
+        return;
+    }
+    Sr__LeaderRecord *record = unpack_row(answer, &version);
+    switch (answer->error) {
+    case SR_ROWS_OK:
+        finish_commit(ledger, answer->version);
+        break;
+    case SR_ROWS_CONFLICT:
+        if (is_own(ledger, record) &&
+            record->sequence == ledger->sequence + 1) {
+            finish_commit(ledger, version);
+        }
+        else {
+            lose(ledger, record);
+        }
+        break;
+    default:
+        if (!ledger->failing) {
+            SR_WARN("ledger", "store-lost", "term=%lu error=%s",
+                    (unsigned long)ledger->term,
+                    SrRows_ErrorText(answer->error));
+        }
+        ledger->failing = true;
+        run_after(ledger, RETRY_MS, commit);
+        break;
+    }
+    SrCodec_Free(record);
+}
+
+static void
+commit(void *context)
+{
+    struct SrLedger *ledger = context;
+    if (ledger->state != LEDGER_LEADING || ledger->in_flight) {
+        return;
+    }
+    /* A batch without an answer is sent again unchanged. */
+    if (!ledger->failing) {
+        ledger->batch.count = 0;
+        ledger->options.fill(ledger->options.context, &ledger->batch);
+    }
+    SrTimer_Stop(&ledger->gather);
+    send_transaction(ledger, ledger->term, ledger->sequence + 1,
+                     &ledger->batch, on_committed);
+}
+
+void
+SrLedger_Wake(struct SrLedger *ledger)
+{
+    if (ledger->state != LEDGER_LEADING || ledger->in_flight ||
+        ledger->failing || ev_is_active(&ledger->gather.watcher)) {
+        return;
+    }
+    SrTimer_Start(&ledger->gather, ledger->options.kernel, GATHER_MS, 0,
+                  commit, ledger);
+}
+
+void
+SrLedger_Release(struct SrLedger *ledger)
+{
+    ledger->releasing = true;
+    if (ledger->state == LEDGER_LEADING) {
+        commit(ledger);
+    }
+}
+
+struct SrLedger *
+SrLedger_Create(const struct SrLedgerOptions *options)
+{
+    struct SrLedger *ledger = SrUtil_Calloc(1, sizeof(*ledger));
+    ledger->options = *options;
+    follow(ledger, 0);
+    return ledger;
+}
+
+void
+SrLedger_Destroy(struct SrLedger *ledger)
+{
+    if (ledger == NULL) {
+        return;
+    }
+    SrTimer_Stop(&ledger->timer);
+    SrTimer_Stop(&ledger->gather);
+    if (ledger->call != NULL) {
+        ledger->call->ledger = NULL;
+    }
+    free(ledger);
+}
+
+bool
+SrLedger_IsLeading(const struct SrLedger *ledger)
+{
+    return ledger->state == LEDGER_LEADING;
+}
+
+bool
+SrLedger_IsWritable(const struct SrLedger *ledger)
+{
+    return ledger->state == LEDGER_LEADING && !ledger->failing &&
+           !ledger->releasing;
+}
+
+uint64_t
+SrLedger_Term(const struct SrLedger *ledger)
+{
+    return ledger->term;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -17,6 +17,7 @@
 static enum SrLogLevel lowest_level = SR_LOG_INFO;
 static char process_name[SR_ID_SIZE] = "-";
 static uint64_t dropped_lines;
+static int output = STDERR_FILENO;
 
 static const char *const level_names[] = {
     [SR_LOG_DEBUG] = "debug",
@@ -143,15 +144,21 @@
     put_text(line, text);
 }
 
+void
+SrLog_UseOutput(int fd)
+{
+    output = fd;
+}
+
 void
 SrLog_Start(enum SrLogLevel level, const char *process)
 {
     struct stat status;
     lowest_level = level;
     SrUtil_Copy(process_name, sizeof(process_name), process);
-    if (fstat(STDERR_FILENO, &status) == 0 && S_ISFIFO(status.st_mode)) {
-        int flags = fcntl(STDERR_FILENO, F_GETFL);
-        fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+    if (fstat(output, &status) == 0 && S_ISFIFO(status.st_mode)) {
+        int flags = fcntl(output, F_GETFL);
+        fcntl(output, F_SETFL, flags | O_NONBLOCK);
     }
 }
 
@@ -191,7 +198,7 @@
     }
     va_end(arguments);
     line.text[line.length++] = '\n';
-    if (write(STDERR_FILENO, line.text, line.length) < 0) {
+    if (write(output, line.text, line.length) < 0) {
         dropped_lines++;
     }
 }
--- a/src/log.h
+++ b/src/log.h
@@ -1,7 +1,8 @@
-/* Structured log: one line an event, written to standard error.
+/* Structured log: one line an event, written to standard error
+ * unless another descriptor is set.
  *
  * A line holds time, level, service, event and key=value pairs; values are
- * quoted and escaped where needed. Lines that standard error does not take at
+ * quoted and escaped where needed. Lines that the output does not take at
  * once are dropped and counted, so that the loop never waits. */
 #ifndef SR_LOG_H
 #define SR_LOG_H
@@ -15,8 +16,11 @@
     SR_LOG_ERROR,
 };
 
+/* Writes to the descriptor instead of standard error; before SrLog_Start. */
+void SrLog_UseOutput(int fd);
+
 /* Sets the lowest level written and the name of this process, and makes
- * standard error non-blocking if it is a pipe. */
+ * the output non-blocking if it is a pipe. */
 void SrLog_Start(enum SrLogLevel level, const char *process);
 
 /* Lines dropped since the start. */
--- a/src/main.c
+++ b/src/main.c
@@ -6,6 +6,7 @@
 
 #include "cli.h"
 #include "gate.h"
+#include "node.h"
 #include "scheduler.h"
 #include "settings.h"
 #include "util.h"
@@ -111,6 +112,9 @@
          "daemons:\n"
          "  gate            Take callers' requests and relay them.\n"
          "  scheduler       Lead a failure domain, or stand by.\n"
+         "  node            Take callers' requests, and lead when elected;\n"
+         "                  runs on the users' platform.\n"
+         "  check-node      Check a node's settings file.\n"
          "  check-settings  Check and print a daemon's settings.\n\n"
          "commands:");
     SrCli_PrintCommands();
@@ -126,6 +130,13 @@
            strcmp(command, "check-settings") == 0;
 }
 
+/* The settings file named as argument, or the one that the place names. */
+static const char *
+node_settings_path(int argc, char **argv)
+{
+    return argc > 2 ? argv[2] : getenv(SR_NODE_SETTINGS_VARIABLE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -133,6 +144,12 @@
         print_usage();
         return argc < 2 ? SR_EXIT_USAGE : SR_EXIT_OK;
     }
+    if (strcmp(argv[1], "node") == 0) {
+        return SrNode_Run(node_settings_path(argc, argv));
+    }
+    if (strcmp(argv[1], "check-node") == 0) {
+        return SrNode_Check(node_settings_path(argc, argv));
+    }
     if (is_daemon(argv[1])) {
         return run_daemon(argv[1], argc - 1, argv + 1);
     }
--- /dev/null
+++ b/src/memory_rows.c
@@ -0,0 +1,372 @@
+#include "memory_rows.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "list.h"
+#include "util.h"
+
+struct Entry {
+    struct SrList link;
+    char table[SR_ROWS_KEY_SIZE];
+    char key[SR_ROWS_KEY_SIZE];
+    uint8_t *value;
+    size_t size;
+    uint64_t version;
+    bool deleted;
+};
+
+enum CallKind {
+    CALL_COMMIT,
+    CALL_READ,
+    CALL_WATCH,
+};
+
+struct Call {
+    struct SrList link;
+    enum CallKind kind;
+    char table[SR_ROWS_KEY_SIZE];
+    char from[SR_ROWS_KEY_SIZE];
+    unsigned limit;
+    uint64_t after;
+    /* Commit: entries to write; `version` of the expected ones. */
+    struct SrList expected;
+    struct SrList writes;
+    SrRowsDone *done;
+    void *context;
+};
+
+struct SrMemoryRows {
+    /* In order of table and key. */
+    struct SrList entries;
+    struct SrList calls;
+    struct SrList late;
+    uint64_t version;
+};
+
+struct SrMemoryRows *
+SrMemoryRows_Create(void)
+{
+    struct SrMemoryRows *memory = SrUtil_Calloc(1, sizeof(*memory));
+    SrList_Init(&memory->entries);
+    SrList_Init(&memory->calls);
+    SrList_Init(&memory->late);
+    return memory;
+}
+
+static void
+free_entries(struct SrList *entries)
+{
+    SR_LIST_EACH_SAFE(link, entries)
+    {
+        struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
+        SrList_Remove(&entry->link);
+        free(entry->value);
+        free(entry);
+    }
+}
+
+static void
+free_call(struct Call *call)
+{
+    SrList_Remove(&call->link);
+    free_entries(&call->expected);
+    free_entries(&call->writes);
+    free(call);
+}
+
+static void
+free_calls(struct SrList *calls)
+{
+    SR_LIST_EACH_SAFE(link, calls)
+    {
+        free_call(SR_CONTAINER(link, struct Call, link));
+    }
+}
+
+void
+SrMemoryRows_Destroy(struct SrMemoryRows *memory)
+{
+    if (memory == NULL) {
+        return;
+    }
+    free_entries(&memory->entries);
+    free_calls(&memory->calls);
+    free_calls(&memory->late);
+    free(memory);
+}
+
+static int
+compare(const struct Entry *entry, const char *table, const char *key)
+{
+    int order = strcmp(entry->table, table);
+    return order != 0 ? order : strcmp(entry->key, key);
+}
+
+static struct Entry *
+find(const struct SrMemoryRows *memory, const char *table, const char *key)
+{
+    SR_LIST_EACH(link, &memory->entries)
+    {
+        struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
+        if (compare(entry, table, key) == 0) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+static struct Entry *
+add_entry(struct SrList *before, const char *table, const char *key)
+{
+    struct Entry *entry = SrUtil_Calloc(1, sizeof(*entry));
+    SrUtil_Copy(entry->table, sizeof(entry->table), table);
+    SrUtil_Copy(entry->key, sizeof(entry->key), key);
+    SrList_Append(before, &entry->link);
+    return entry;
+}
+
+static struct Entry *
+find_or_add(struct SrMemoryRows *memory, const char *table, const char *key)
+{
+    SR_LIST_EACH(link, &memory->entries)
+    {
+        struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
+        int order = compare(entry, table, key);
+        if (order == 0) {
+            return entry;
+        }
+        if (order > 0) {
+            return add_entry(link, table, key);
+        }
+    }
+    return add_entry(&memory->entries, table, key);
+}
+
+static struct Call *
+add_call(struct SrMemoryRows *memory, enum CallKind kind, SrRowsDone *done,
+         void *context)
+{
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->kind = kind;
+    call->done = done;
+    call->context = context;
+    SrList_Init(&call->expected);
+    SrList_Init(&call->writes);
+    SrList_Append(&memory->calls, &call->link);
+    return call;
+}
+
+void
+SrMemoryRows_Commit(struct SrMemoryRows *memory,
+                    const struct SrRowsTransaction *transaction,
+                    SrRowsDone *done, void *context)
+{
+    struct Call *call = add_call(memory, CALL_COMMIT, done, context);
+    for (size_t i = 0; i < transaction->expected_count; i++) {
+        const struct SrRowsExpected *from = &transaction->expected[i];
+        add_entry(&call->expected, from->table, from->key)->version =
+            from->version;
+    }
+    for (size_t i = 0; i < transaction->write_count; i++) {
+        const struct SrRowsWrite *from = &transaction->writes[i];
+        struct Entry *entry = add_entry(&call->writes, from->table, from->key);
+        entry->deleted = from->remove;
+        entry->value = SrUtil_Memdup(from->value, from->size);
+        entry->size = from->size;
+    }
+}
+
+void
+SrMemoryRows_Read(struct SrMemoryRows *memory, const char *table,
+                  const char *from, unsigned limit, SrRowsDone *done,
+                  void *context)
+{
+    struct Call *call = add_call(memory, CALL_READ, done, context);
+    SrUtil_Copy(call->table, sizeof(call->table), table);
+    SrUtil_Copy(call->from, sizeof(call->from), from);
+    call->limit = limit;
+}
+
+void
+SrMemoryRows_Watch(struct SrMemoryRows *memory, const char *table,
+                   uint64_t after, SrRowsDone *done, void *context)
+{
+    struct Call *call = add_call(memory, CALL_WATCH, done, context);
+    SrUtil_Copy(call->table, sizeof(call->table), table);
+    call->after = after;
+}
+
+size_t
+SrMemoryRows_Pending(const struct SrMemoryRows *memory)
+{
+    size_t count = 0;
+    SR_LIST_EACH(link, &memory->calls)
+    {
+        count++;
+    }
+    return count;
+}
+
+static struct SrRow
+row_of(const struct Entry *entry)
+{
+    return (struct SrRow){
+        .table = entry->table,
+        .key = entry->key,
+        .value = entry->value,
+        .size = entry->size,
+        .version = entry->version,
+        .deleted = entry->deleted,
+    };
+}
+
+static bool
+holds(const struct SrMemoryRows *memory, const struct Call *call)
+{
+    SR_LIST_EACH(link, &call->expected)
+    {
+        const struct Entry *want = SR_CONTAINER(link, struct Entry, link);
+        const struct Entry *is = find(memory, want->table, want->key);
+        uint64_t version = is != NULL && !is->deleted ? is->version : 0;
+        if (version != want->version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+apply(struct SrMemoryRows *memory, const struct Call *call)
+{
+    if (!holds(memory, call)) {
+        return false;
+    }
+    memory->version++;
+    SR_LIST_EACH(link, &call->writes)
+    {
+        const struct Entry *from = SR_CONTAINER(link, struct Entry, link);
+        struct Entry *to = find_or_add(memory, from->table, from->key);
+        free(to->value);
+        to->value = SrUtil_Memdup(from->value, from->size);
+        to->size = from->size;
+        to->version = memory->version;
+        to->deleted = from->deleted;
+    }
+    return true;
+}
+
+static void
+answer_commit(struct SrMemoryRows *memory, struct Call *call)
+{
+    struct SrRow rows[SR_ROWS_ENTRIES_MAX];
+    struct SrRowsAnswer answer = {.rows = rows};
+    answer.error = apply(memory, call) ? SR_ROWS_OK : SR_ROWS_CONFLICT;
+    answer.version = memory->version;
+    SR_LIST_EACH(link, &call->expected)
+    {
+        const struct Entry *want = SR_CONTAINER(link, struct Entry, link);
+        const struct Entry *is = find(memory, want->table, want->key);
+        if (answer.error == SR_ROWS_CONFLICT && is != NULL && !is->deleted) {
+            rows[answer.count++] = row_of(is);
+        }
+    }
+    call->done(call->context, &answer);
+}
+
+static void
+answer_rows(struct SrMemoryRows *memory, struct Call *call)
+{
+    enum { LIMIT = 500 };
+    struct SrRow *rows = SrUtil_Calloc(LIMIT, sizeof(*rows));
+    struct SrRowsAnswer answer = {.rows = rows, .version = memory->version};
+    SR_LIST_EACH(link, &memory->entries)
+    {
+        const struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
+        bool fits = call->kind == CALL_READ
+                        ? strcmp(entry->key, call->from) >= 0 &&
+                              !entry->deleted
+                        : entry->version > call->after;
+        if (strcmp(entry->table, call->table) != 0 || !fits) {
+            continue;
+        }
+        if (answer.count == LIMIT ||
+            (call->limit != 0 && answer.count == call->limit)) {
+            answer.has_more = true;
+            break;
+        }
+        rows[answer.count++] = row_of(entry);
+    }
+    call->done(call->context, &answer);
+    free(rows);
+}
+
+static void
+serve(struct SrMemoryRows *memory, struct Call *call)
+{
+    switch (call->kind) {
+    case CALL_COMMIT:
+        answer_commit(memory, call);
+        break;
+    case CALL_READ:
+    case CALL_WATCH:
+        answer_rows(memory, call);
+        break;
+    }
+}
+
+void
+SrMemoryRows_Step(struct SrMemoryRows *memory, enum SrMemoryFate fate)
+{
+    if (SrList_IsEmpty(&memory->calls)) {
+        return;
+    }
+    struct Call *call = SR_CONTAINER(memory->calls.next, struct Call, link);
+    struct SrRowsAnswer lost = {.error = SR_ROWS_UNKNOWN};
+    SrList_Remove(&call->link);
+    switch (fate) {
+    case SR_MEMORY_SERVE:
+        serve(memory, call);
+        break;
+    case SR_MEMORY_LOSE_ANSWER:
+        if (call->kind == CALL_COMMIT) {
+            apply(memory, call);
+        }
+        call->done(call->context, &lost);
+        break;
+    case SR_MEMORY_REFUSE:
+        lost.error = SR_ROWS_REFUSED;
+        call->done(call->context, &lost);
+        break;
+    case SR_MEMORY_LATE:
+        SrList_Append(&memory->late, &call->link);
+        call->done(call->context, &lost);
+        return;
+    }
+    free_call(call);
+}
+
+void
+SrMemoryRows_RunLate(struct SrMemoryRows *memory)
+{
+    SR_LIST_EACH_SAFE(link, &memory->late)
+    {
+        struct Call *call = SR_CONTAINER(link, struct Call, link);
+        if (call->kind == CALL_COMMIT) {
+            apply(memory, call);
+        }
+        free_call(call);
+    }
+}
+
+const uint8_t *
+SrMemoryRows_Value(const struct SrMemoryRows *memory, const char *table,
+                   const char *key, size_t *size)
+{
+    const struct Entry *entry = find(memory, table, key);
+    if (entry == NULL || entry->deleted) {
+        return NULL;
+    }
+    *size = entry->size;
+    return entry->value;
+}
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,515 @@
+#include "node.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "follower.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "intake.h"
+#include "leader.h"
+#include "ledger.h"
+#include "log.h"
+#include "metrics.h"
+#include "node_settings.h"
+#include "os.h"
+#include "platform_decode.h"
+#include "platform_front.h"
+#include "platform_orders.h"
+#include "platform_rows.h"
+#include "platform_settings.h"
+
+#define EXIT_CANNOT_START 3
+#define EXIT_USAGE 64
+/* The operator's table changes rarely; a silent watch is noticed after this
+ * and a grace, within the shortest bound of 3 s. */
+#define OPERATOR_WATCH_MS 800
+/* Not ready once the configuration is this old. */
+#define READY_AGE_MS 2600
+/* Callers at one time: descriptors less those for workers and the store. */
+#define CALLERS_MAX 3000
+#define CHECKS_MAX 64
+#define READ_TIMEOUT_MS 10000
+/* Largest body of a caller, as the platform's limits say at the most. */
+#define BODY_MAX (256 * 1024)
+#define STOP_TICK_MS 50
+/* After the signal the balancer needs two checks, 2 s, to send no more. */
+#define UNREADY_MS 2300
+/* Left of the grace for the end itself. */
+#define STOP_SPARE_MS 700
+/* Candidates in this many steps of the stagger. */
+#define STAGGER_STEPS 8
+#define STAGGER_MS 60
+
+struct SrNode {
+    struct SrNodeSettings settings;
+    struct SrKernel *kernel;
+    struct SrHttpClient *http;
+    struct SrPlatformRows *platform_rows;
+    struct SrRows rows;
+    struct SrPlatformOrders *orders;
+    struct SrFollower *operator_rows;
+    struct SrCatalog *catalog;
+    struct SrIntake *intake;
+    struct SrPlatformFront *front;
+    struct SrHttpServer *callers;
+    struct SrHttpServer *ready;
+    struct SrHttpServer *metrics;
+    struct SrLedger *ledger;
+    struct SrLeader *leader;
+    /* Domains that are out, for a leader that begins later. */
+    char domains_out[SR_DOMAINS_MAX][SR_ID_SIZE];
+    uint32_t domains_out_count;
+    ev_signal terminate;
+    ev_signal interrupt;
+    ev_signal reload;
+    struct SrTimer stop_timer;
+    int64_t stop_ms;
+};
+
+static const struct SrCatalog *
+get_catalog(void *context)
+{
+    const struct SrNode *node = context;
+    return node->catalog;
+}
+
+static int64_t
+get_catalog_age(void *context)
+{
+    const struct SrNode *node = context;
+    return SrFollower_AgeMs(node->operator_rows);
+}
+
+static void
+set_catalog(struct SrNode *node, const struct SrRow *row)
+{
+    struct SrCatalog *catalog;
+    const char *field;
+    enum SrDecodeError error = SrPlatform_DecodeCatalog(
+        row->value, row->size, &catalog, &field);
+    if (error != SR_DECODE_OK) {
+        SR_ERROR("node", "bad-config", "field=%s error=%s row-version=%lu",
+                 field, SrDecode_ErrorText(error),
+                 (unsigned long)row->version);
+        return;
+    }
+    if (node->catalog != NULL && catalog->version <= node->catalog->version) {
+        SrCatalog_Destroy(catalog);
+        return;
+    }
+    SR_INFO("node", "config", "version=%lu queues=%lu accounts=%lu",
+            (unsigned long)catalog->version,
+            (unsigned long)catalog->queue_count,
+            (unsigned long)catalog->account_count);
+    struct SrCatalog *former = node->catalog;
+    node->catalog = catalog;
+    if (node->leader != NULL) {
+        SrLeader_SetCatalog(node->leader, catalog);
+    }
+    SrCatalog_Destroy(former);
+}
+
+static void
+set_domain_out(struct SrNode *node, const char *domain, bool out)
+{
+    uint32_t kept = 0;
+    SR_INFO("node", out ? "domain-out" : "domain-back", "domain=%s", domain);
+    for (uint32_t i = 0; i < node->domains_out_count; i++) {
+        if (strcmp(node->domains_out[i], domain) != 0) {
+            memmove(node->domains_out[kept++], node->domains_out[i],
+                    SR_ID_SIZE);
+        }
+    }
+    node->domains_out_count = kept;
+    if (out && kept < SR_DOMAINS_MAX) {
+        SrUtil_Copy(node->domains_out[node->domains_out_count++], SR_ID_SIZE,
+                    domain);
+    }
+    if (node->leader != NULL) {
+        SrEngine_SetDomainOut(SrLeader_Engine(node->leader), domain, out);
+        SrLeader_Wake(node->leader);
+    }
+}
+
+static void
+on_operator_row(void *context, const struct SrRow *row)
+{
+    struct SrNode *node = context;
+    const char *domain = SrPlatform_DomainOut(row->key);
+    if (domain != NULL) {
+        set_domain_out(node, domain, !row->deleted);
+    }
+    else if (strcmp(row->key, SrPlatform_CatalogKey) == 0 && !row->deleted) {
+        set_catalog(node, row);
+    }
+}
+
+static bool
+read_worker(const struct SrRow *row, struct SrWorkerEntry *entry)
+{
+    const char *field;
+    enum SrDecodeError error = SrPlatform_DecodeWorker(
+        row->key, row->value, row->size, entry, &field);
+    if (error != SR_DECODE_OK) {
+        SR_INFO("node", "bad-worker", "worker=%s field=%s error=%s", row->key,
+                field, SrDecode_ErrorText(error));
+        return false;
+    }
+    return true;
+}
+
+static void
+send_order(void *context, const struct SrOrder *order)
+{
+    struct SrNode *node = context;
+    SrPlatformOrders_Send(node->orders, order);
+}
+
+static void
+on_order_answer(void *context, const struct SrOrder *order,
+                const struct SrOrderAnswer *answer)
+{
+    struct SrNode *node = context;
+    if (node->leader != NULL) {
+        SrLeader_OnAnswer(node->leader, order, answer);
+    }
+}
+
+static void
+on_elected(void *context, uint64_t term)
+{
+    struct SrNode *node = context;
+    SrLeader_Destroy(node->leader);
+    node->leader = SrLeader_Create(&(struct SrLeaderOptions){
+        .kernel = node->kernel,
+        .settings = &node->settings,
+        .rows = &node->rows,
+        .ledger = node->ledger,
+        .term = term,
+        .worker_table = SrPlatform_WorkerTable,
+        .read_worker = read_worker,
+        .send = send_order,
+        .context = node,
+    });
+    if (node->catalog != NULL) {
+        SrLeader_SetCatalog(node->leader, node->catalog);
+    }
+    for (uint32_t i = 0; i < node->domains_out_count; i++) {
+        SrEngine_SetDomainOut(SrLeader_Engine(node->leader),
+                              node->domains_out[i], true);
+    }
+}
+
+static void
+on_lost(void *context)
+{
+    struct SrNode *node = context;
+    SrLeader_Destroy(node->leader);
+    node->leader = NULL;
+}
+
+static void
+fill_batch(void *context, struct SrLedgerBatch *batch)
+{
+    struct SrNode *node = context;
+    if (node->leader != NULL) {
+        SrLeader_Fill(node->leader, batch);
+    }
+}
+
+static void
+on_written(void *context)
+{
+    struct SrNode *node = context;
+    if (node->leader != NULL) {
+        SrLeader_OnWritten(node->leader);
+    }
+}
+
+static void
+reply_text(struct SrHttpRequest *request, unsigned status, const char *text,
+           size_t size)
+{
+    SrHttpRequest_Reply(request, &(struct SrHttpReply){
+                                     .status = status,
+                                     .type = "text/plain; version=0.0.4",
+                                     .body = SrUtil_Memdup(text, size),
+                                     .size = size,
+                                 });
+}
+
+static void
+on_ready_check(void *context, struct SrHttpRequest *request)
+{
+    const struct SrNode *node = context;
+    bool ready = !node->kernel->stopping && node->catalog != NULL &&
+                 SrFollower_AgeMs(node->operator_rows) < READY_AGE_MS;
+    if (!SrPlatformFront_IsReadyCheck(request)) {
+        reply_text(request, 404, "no such page\n", 13);
+        return;
+    }
+    reply_text(request, ready ? 200 : 503, ready ? "ready\n" : "busy\n",
+               ready ? 6 : 5);
+}
+
+static void
+set_gauges(struct SrNode *node)
+{
+    struct SrMetrics *metrics = node->kernel->metrics;
+    SrMetrics_Set(metrics, "sr_process_cpu_us", NULL, NULL,
+                  (uint64_t)SrOs_CpuUs());
+    SrMetrics_Set(metrics, "sr_log_dropped_lines", NULL, NULL,
+                  SrLog_Dropped());
+    SrMetrics_Set(metrics, "sr_config_version", NULL, NULL,
+                  node->catalog != NULL ? node->catalog->version : 0);
+    SrMetrics_Set(metrics, "sr_config_age_ms", NULL, NULL,
+                  (uint64_t)SrFollower_AgeMs(node->operator_rows));
+    SrMetrics_Set(metrics, "sr_store_silent_ms", NULL, NULL,
+                  (uint64_t)SrRows_SilentMs(&node->rows));
+    SrMetrics_Set(metrics, "sr_leading", NULL, NULL,
+                  SrLedger_IsLeading(node->ledger) ? 1 : 0);
+    SrMetrics_Set(metrics, "sr_term", NULL, NULL, SrLedger_Term(node->ledger));
+    if (node->leader == NULL) {
+        return;
+    }
+    struct SrEngineFigures figures = SrEngine_Figures(
+        SrLeader_Engine(node->leader), SrOs_MonotonicMs());
+    SrMetrics_Set(metrics, "sr_workers", "state", "known", figures.workers);
+    SrMetrics_Set(metrics, "sr_workers", "state", "usable", figures.usable);
+    SrMetrics_Set(metrics, "sr_jobs", "state", "known", figures.flows);
+    SrMetrics_Set(metrics, "sr_jobs", "state", "waiting", figures.waiting);
+    SrMetrics_Set(metrics, "sr_runs", NULL, NULL, figures.running);
+}
+
+static void
+on_metrics(void *context, struct SrHttpRequest *request)
+{
+    struct SrNode *node = context;
+    char *text = NULL;
+    size_t size = 0;
+    FILE *out = open_memstream(&text, &size);
+    if (out == NULL) {
+        reply_text(request, 500, "no memory\n", 10);
+        return;
+    }
+    set_gauges(node);
+    SrMetrics_Print(node->kernel->metrics, out);
+    fclose(out);
+    reply_text(request, 200, text, size);
+    free(text);
+}
+
+static bool
+listen_on(struct SrNode *node, const char *address, unsigned connections,
+          void (*handle)(void *, struct SrHttpRequest *), void *context,
+          struct SrHttpServer **server)
+{
+    enum SrHttpServerError error =
+        SrHttpServer_Create(node->kernel->loop,
+                            &(struct SrHttpServerOptions){
+                                .address = address,
+                                .body_max = BODY_MAX,
+                                .connections_max = connections,
+                                .read_timeout_ms = READ_TIMEOUT_MS,
+                                .handle = handle,
+                                .reject = SrPlatformFront_Reject,
+                                .context = context,
+                            },
+                            server);
+    if (error != SR_HTTP_SERVER_OK) {
+        SR_ERROR("node", "cannot-listen", "address=%s error=%s", address,
+                 SrHttpServer_ErrorText(error));
+        return false;
+    }
+    return true;
+}
+
+/* Ends the loop once nothing is in progress and the balancer has seen that
+ * the process is not ready, or the grace is nearly over. */
+static void
+on_stop_tick(void *context)
+{
+    struct SrNode *node = context;
+    int64_t age_ms = SrOs_MonotonicMs() - node->stop_ms;
+    bool idle = SrHttpServer_InProgress(node->callers) == 0 &&
+                node->leader == NULL;
+    if ((idle && age_ms >= UNREADY_MS) ||
+        age_ms >= node->settings.grace_ms - STOP_SPARE_MS) {
+        SR_INFO("node", "stopped", "idle=%d after-ms=%ld", idle, (long)age_ms);
+        ev_break(node->kernel->loop, EVBREAK_ALL);
+    }
+}
+
+static void
+on_stop_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct SrNode *node = watcher->data;
+    if (node->kernel->stopping) {
+        return;
+    }
+    SR_INFO("node", "stop-asked", "signal=%d leading=%d", watcher->signum,
+            SrLedger_IsLeading(node->ledger));
+    node->kernel->stopping = true;
+    node->stop_ms = SrOs_MonotonicMs();
+    SrLedger_Release(node->ledger);
+    SrTimer_Start(&node->stop_timer, node->kernel, 0, STOP_TICK_MS,
+                  on_stop_tick, node);
+}
+
+/* Addresses do not change in a process's life; what may change comes from the
+ * store. The file is checked so that a bad one is seen before a restart. */
+static void
+on_reload_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+    (void)loop;
+    (void)watcher;
+    (void)events;
+    struct SrNodeSettings settings;
+    enum SrPlatformSettingsError error = SrPlatformSettings_Load(
+        getenv(SR_NODE_SETTINGS_VARIABLE), &settings, stderr);
+    SR_INFO("node", "reload", "result=%s", SrPlatformSettings_ErrorText(error));
+}
+
+static void
+watch_signal(struct SrNode *node, ev_signal *watcher, int number,
+             void (*handle)(struct ev_loop *, ev_signal *, int))
+{
+    ev_signal_init(watcher, handle, number);
+    watcher->data = node;
+    ev_signal_start(node->kernel->loop, watcher);
+}
+
+/* Candidates claim at different times. */
+static int64_t
+stagger_of(const struct SrNodeSettings *settings)
+{
+    return (int64_t)(SrUtil_HashText(settings->name) % STAGGER_STEPS) *
+           STAGGER_MS;
+}
+
+static bool
+start_services(struct SrNode *node)
+{
+    node->http = SrHttpClient_Create(node->kernel->loop, 0);
+    if (node->http == NULL) {
+        return false;
+    }
+    node->platform_rows =
+        SrPlatformRows_Create(node->http, node->settings.store_address);
+    node->rows = (struct SrRows){
+        .kind = SR_ROWS_PLATFORM,
+        .u.platform = node->platform_rows,
+    };
+    node->orders =
+        SrPlatformOrders_Create(node->http, node->settings.advisor_address,
+                                on_order_answer, node);
+    node->operator_rows = SrFollower_Create(&(struct SrFollowerOptions){
+        .kernel = node->kernel,
+        .rows = &node->rows,
+        .table = SrPlatform_OperatorTable,
+        .wait_ms = OPERATOR_WATCH_MS,
+        .on_row = on_operator_row,
+        .context = node,
+    });
+    node->intake = SrIntake_Create(&(struct SrIntakeOptions){
+        .kernel = node->kernel,
+        .rows = &node->rows,
+        .catalog = get_catalog,
+        .catalog_age_ms = get_catalog_age,
+        .context = node,
+    });
+    node->front = SrPlatformFront_Create(node->kernel, node->intake);
+    node->ledger = SrLedger_Create(&(struct SrLedgerOptions){
+        .kernel = node->kernel,
+        .rows = &node->rows,
+        .holder = node->settings.name,
+        .stagger_ms = stagger_of(&node->settings),
+        .on_elected = on_elected,
+        .on_lost = on_lost,
+        .fill = fill_batch,
+        .on_written = on_written,
+        .context = node,
+    });
+    return listen_on(node, node->settings.callers_address, CALLERS_MAX,
+                     SrPlatformFront_Handle, node->front, &node->callers) &&
+           listen_on(node, node->settings.ready_address, CHECKS_MAX,
+                     on_ready_check, node, &node->ready) &&
+           (node->settings.metrics_address[0] == '\0' ||
+            listen_on(node, node->settings.metrics_address, CHECKS_MAX,
+                      on_metrics, node, &node->metrics));
+}
+
+static void
+stop_services(struct SrNode *node)
+{
+    SrTimer_Stop(&node->stop_timer);
+    SrHttpClient_Destroy(node->http);
+    SrIntake_Destroy(node->intake);
+    SrHttpServer_Destroy(node->callers);
+    SrHttpServer_Destroy(node->ready);
+    SrHttpServer_Destroy(node->metrics);
+    SrLeader_Destroy(node->leader);
+    SrLedger_Destroy(node->ledger);
+    SrFollower_Destroy(node->operator_rows);
+    SrPlatformFront_Destroy(node->front);
+    SrPlatformOrders_Destroy(node->orders);
+    SrPlatformRows_Destroy(node->platform_rows);
+    SrCatalog_Destroy(node->catalog);
+}
+
+int
+SrNode_Run(const char *settings_path)
+{
+    static struct SrNode node;
+    int code = EXIT_CANNOT_START;
+    if (SrPlatformSettings_Load(settings_path, &node.settings, stderr) !=
+        SR_PLATFORM_SETTINGS_OK) {
+        return EXIT_USAGE;
+    }
+    SrLog_UseOutput(STDOUT_FILENO);
+    SrLog_Start(SR_LOG_INFO, node.settings.name);
+    signal(SIGPIPE, SIG_IGN);
+    if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
+        SR_ERROR("node", "no-libraries", "error=initialisation");
+        return code;
+    }
+    node.kernel = SrKernel_Create(NULL);
+    if (node.kernel == NULL) {
+        goto end;
+    }
+    if (!start_services(&node)) {
+        goto end_services;
+    }
+    watch_signal(&node, &node.terminate, SIGTERM, on_stop_signal);
+    watch_signal(&node, &node.interrupt, SIGINT, on_stop_signal);
+    watch_signal(&node, &node.reload, SIGHUP, on_reload_signal);
+    SR_INFO("node", "started", "callers=%s domain=%s store=%s",
+            node.settings.callers_address, node.settings.domain,
+            node.settings.store_address);
+    ev_run(node.kernel->loop, 0);
+    code = 0;
+end_services:
+    stop_services(&node);
+    SrKernel_Destroy(node.kernel);
+end:
+    curl_global_cleanup();
+    return code;
+}
+
+int
+SrNode_Check(const char *settings_path)
+{
+    struct SrNodeSettings settings;
+    return SrPlatformSettings_Load(settings_path, &settings, stderr) ==
+                   SR_PLATFORM_SETTINGS_OK
+               ? 0
+               : EXIT_USAGE;
+}
--- /dev/null
+++ b/src/plan.c
@@ -0,0 +1,759 @@
+#include "plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+
+/* Racks told apart in a pass; the target has 59. */
+#define RACKS_MAX 256
+/* Gangs for which room is kept from others in one pass. */
+#define HELD_GANGS_MAX 3
+/* A gang or task that is slower elsewhere waits this much of its estimated
+ * time for its rack before it is spread; elsewhere it takes three times. */
+#define RACK_PATIENCE 1.5
+/* Rank of work beyond guarantees and urgent work. */
+#define RANK_GUARANTEED 0
+#define RANK_URGENT 1
+
+struct Rack {
+    const char *name;
+    /* Tasks of the present unit that fit. */
+    unsigned fit;
+    /* Tasks that would fit if nothing ran there. */
+    unsigned room;
+};
+
+/* Tasks that are placed together (a gang) or each for itself. */
+struct Unit {
+    struct SrFlow *flow;
+    const Sr__FlowStep *step;
+    struct SrFlowTask *first;
+    struct SrRoom need;
+    /* Tasks to place. */
+    uint32_t count;
+    int64_t ready_ms;
+    int64_t start_by_ms;
+};
+
+struct Pass {
+    struct SrEngine *engine;
+    int64_t now_ms;
+    struct Rack racks[RACKS_MAX];
+    unsigned rack_count;
+    struct Unit *units;
+    size_t unit_count;
+    size_t unit_room;
+    unsigned held_gangs;
+    size_t booked;
+};
+
+enum RoomKind {
+    ROOM_FREE,
+    ROOM_SOON,
+    /* Soon, and what runs of lower claims hold. */
+    ROOM_CLAIMABLE,
+    /* All that the worker has. */
+    ROOM_WHOLE,
+};
+
+static void
+add_room(struct SrRoom *to, const struct SrRoom *room, int64_t times)
+{
+    to->cpu_millis += times * room->cpu_millis;
+    to->memory_mb += times * room->memory_mb;
+    to->accelerators += times * room->accelerators;
+}
+
+static struct SrWorker *
+worker_at(struct SrList *link)
+{
+    return SR_CONTAINER(link, struct SrWorker, link);
+}
+
+static unsigned
+find_rack(struct Pass *pass, const char *name)
+{
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        if (strcmp(pass->racks[i].name, name) == 0) {
+            return i;
+        }
+    }
+    if (pass->rack_count == RACKS_MAX) {
+        return RACKS_MAX - 1;
+    }
+    pass->racks[pass->rack_count].name = name;
+    return pass->rack_count++;
+}
+
+static struct SrRoom
+whole_room(const struct SrWorker *worker)
+{
+    return (struct SrRoom){
+        .cpu_millis = worker->info.cpu_millis,
+        .memory_mb = worker->info.memory_mb,
+        .accelerators = worker->info.accelerators,
+    };
+}
+
+static void
+measure_worker(struct Pass *pass, struct SrWorker *worker)
+{
+    worker->rack = find_rack(pass, worker->info.rack);
+    worker->usable =
+        SrFleet_IsUsable(worker, pass->now_ms) &&
+        !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
+    worker->free = whole_room(worker);
+    add_room(&worker->free, &worker->booked, -1);
+    worker->soon = worker->free;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->stopping) {
+            struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
+            add_room(&worker->soon, &need, 1);
+        }
+    }
+}
+
+/* Accelerators that a job needs at the most at one time, by its widest step. */
+static uint64_t
+widest_need(const struct SrFlow *flow)
+{
+    uint64_t widest = 0;
+    for (size_t s = 0; s < flow->record->n_steps; s++) {
+        const Sr__FlowStep *step = flow->record->steps[s];
+        uint64_t need = (uint64_t)step->count * step->accelerators;
+        widest = need > widest ? need : widest;
+    }
+    return widest;
+}
+
+/* What the account's earlier urgent jobs leave of its guarantee covers the
+ * job. */
+static bool
+is_guaranteed(const struct SrEngine *engine, const struct SrFlow *flow)
+{
+    const struct SrCatalogAccount *account =
+        SrCatalog_AccountByName(engine->catalog, flow->record->account);
+    if (account == NULL || account->guaranteed_accelerators == 0) {
+        return false;
+    }
+    uint64_t need = 0;
+    SR_LIST_EACH(link, &engine->flows)
+    {
+        const struct SrFlow *other = SR_CONTAINER(link, struct SrFlow, link);
+        if (!SrFlow_HasEnded(other) && other->record->priority == 0 &&
+            strcmp(other->record->account, flow->record->account) == 0) {
+            need += widest_need(other);
+        }
+        if (other == flow) {
+            break;
+        }
+    }
+    return need <= account->guaranteed_accelerators;
+}
+
+static void
+rank_flow(const struct SrEngine *engine, struct SrFlow *flow)
+{
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(engine->catalog, flow->record->queue);
+    uint32_t priority =
+        queue != NULL ? queue->priority : flow->record->priority;
+    flow->rank = priority + RANK_URGENT;
+    if (priority == 0 && is_guaranteed(engine, flow)) {
+        flow->rank = RANK_GUARANTEED;
+    }
+}
+
+static void
+add_unit(struct Pass *pass, const struct Unit *unit)
+{
+    if (pass->unit_count == pass->unit_room) {
+        pass->unit_room = pass->unit_room > 0 ? pass->unit_room * 2 : 64;
+        pass->units = SrUtil_Realloc(pass->units,
+                                     pass->unit_room * sizeof(*pass->units));
+    }
+    pass->units[pass->unit_count++] = *unit;
+}
+
+/* Tasks of the step that are neither done nor outstanding. */
+static uint32_t
+count_waiting(const struct SrFlowTask *first, uint32_t count)
+{
+    uint32_t waiting = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        waiting += !first[i].done && first[i].running == NULL ? 1 : 0;
+    }
+    return waiting;
+}
+
+static void
+add_step(struct Pass *pass, struct SrFlow *flow, uint32_t occurrence,
+         uint32_t number)
+{
+    const Sr__FlowStep *step = flow->record->steps[number];
+    struct SrFlowTask *first = SrFlow_StepTasks(flow, occurrence, number);
+    uint32_t waiting = count_waiting(first, step->count);
+    if (waiting == 0 || (step->gang && waiting < step->count) ||
+        !SrFlow_IsStepReady(flow, occurrence, number)) {
+        return;
+    }
+    if (first->ready_ms == 0) {
+        first->ready_ms = pass->now_ms;
+    }
+    int64_t chain_ms = SrFlow_ChainMs(flow);
+    struct Unit unit = {
+        .flow = flow,
+        .step = step,
+        .first = first,
+        .need = SrFleet_Need(step),
+        .count = waiting,
+        .ready_ms = first->ready_ms,
+        .start_by_ms = flow->arrived_ms + flow->record->target_ms +
+                       (int64_t)(flow->record->stretch * (double)chain_ms) -
+                       chain_ms,
+    };
+    add_unit(pass, &unit);
+}
+
+static void
+add_flow(struct Pass *pass, struct SrFlow *flow)
+{
+    for (uint32_t k = 0; k < flow->occurrences; k++) {
+        if (SrFlow_DueMs(flow, k) > pass->engine->unix_ms) {
+            break;
+        }
+        for (uint32_t s = 0; s < flow->record->n_steps; s++) {
+            add_step(pass, flow, k, s);
+        }
+    }
+}
+
+static int
+compare_units(const void *left, const void *right)
+{
+    const struct Unit *a = left;
+    const struct Unit *b = right;
+    if (a->flow->rank != b->flow->rank) {
+        return a->flow->rank < b->flow->rank ? -1 : 1;
+    }
+    if (a->start_by_ms != b->start_by_ms) {
+        return a->start_by_ms < b->start_by_ms ? -1 : 1;
+    }
+    return a->first < b->first ? -1 : a->first > b->first;
+}
+
+static void
+collect_units(struct Pass *pass)
+{
+    SR_LIST_EACH(link, &pass->engine->flows)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (!SrFlow_HasEnded(flow)) {
+            rank_flow(pass->engine, flow);
+            add_flow(pass, flow);
+        }
+    }
+    qsort(pass->units, pass->unit_count, sizeof(*pass->units), compare_units);
+}
+
+static bool
+has_label(const struct SrWorker *worker, const char *label)
+{
+    for (uint32_t i = 0; i < worker->info.label_count; i++) {
+        if (strcmp(worker->info.labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static const char *
+service_of(const struct Pass *pass, const struct SrFlow *flow)
+{
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
+    return queue != NULL ? queue->service : flow->record->service;
+}
+
+static bool
+is_eligible(const struct Pass *pass, const struct SrWorker *worker,
+            const struct Unit *unit)
+{
+    return worker->usable &&
+           strcmp(worker->info.service, service_of(pass, unit->flow)) == 0 &&
+           (unit->step->label[0] == '\0' ||
+            has_label(worker, unit->step->label));
+}
+
+static unsigned
+count_step_runs(const struct SrWorker *worker, const struct Unit *unit)
+{
+    unsigned count = 0;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->task >= unit->first &&
+            run->task < unit->first + unit->step->count) {
+            count++;
+        }
+    }
+    return count;
+}
+
+static bool
+yields_to(const struct SrRun *run, const struct Unit *unit)
+{
+    const struct SrFlow *flow = run->task->flow;
+    return !run->stopping && flow->rank > unit->flow->rank &&
+           !SrFlow_StepOf(run->task)->continuous;
+}
+
+static struct SrRoom
+room_of(const struct SrWorker *worker, const struct Unit *unit,
+        enum RoomKind kind)
+{
+    struct SrRoom room = worker->soon;
+    switch (kind) {
+    case ROOM_FREE:
+        return worker->free;
+    case ROOM_SOON:
+        return room;
+    case ROOM_WHOLE:
+        return whole_room(worker);
+    case ROOM_CLAIMABLE:
+        break;
+    }
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (yields_to(run, unit)) {
+            struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
+            add_room(&room, &need, 1);
+        }
+    }
+    return room;
+}
+
+static unsigned
+tasks_in(const struct SrRoom *room, const struct SrRoom *need)
+{
+    int64_t fit = SR_FLOW_TASKS_MAX;
+    if (need->cpu_millis > 0 && room->cpu_millis / need->cpu_millis < fit) {
+        fit = room->cpu_millis / need->cpu_millis;
+    }
+    if (need->memory_mb > 0 && room->memory_mb / need->memory_mb < fit) {
+        fit = room->memory_mb / need->memory_mb;
+    }
+    if (need->accelerators > 0 &&
+        room->accelerators / need->accelerators < fit) {
+        fit = room->accelerators / need->accelerators;
+    }
+    return fit > 0 ? (unsigned)fit : 0;
+}
+
+static unsigned
+fit_on(const struct Pass *pass, const struct SrWorker *worker,
+       const struct Unit *unit, enum RoomKind kind)
+{
+    if (!is_eligible(pass, worker, unit)) {
+        return 0;
+    }
+    struct SrRoom room = room_of(worker, unit, kind);
+    unsigned fit = tasks_in(&room, &unit->need);
+    if (unit->step->max_per_worker > 0) {
+        unsigned here = count_step_runs(worker, unit);
+        unsigned left = here < unit->step->max_per_worker
+                            ? unit->step->max_per_worker - here
+                            : 0;
+        fit = fit < left ? fit : left;
+    }
+    return fit;
+}
+
+/* Sets what fits on each worker and in each rack; returns the sum. */
+static unsigned
+measure_fit(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    unsigned sum = 0;
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        pass->racks[i].fit = 0;
+    }
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        worker->assigned = 0;
+        worker->fit = fit_on(pass, worker, unit, kind);
+        pass->racks[worker->rack].fit += worker->fit;
+        sum += worker->fit;
+    }
+    return sum;
+}
+
+/* The rack that the unit fits most tightly; RACKS_MAX if none. */
+static unsigned
+choose_rack(const struct Pass *pass, const struct Unit *unit)
+{
+    unsigned best = RACKS_MAX;
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        if (pass->racks[i].fit < unit->count) {
+            continue;
+        }
+        if (unit->step->data_rack[0] != '\0' &&
+            strcmp(pass->racks[i].name, unit->step->data_rack) == 0) {
+            return i;
+        }
+        if (best == RACKS_MAX ||
+            pass->racks[i].fit < pass->racks[best].fit) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+/* Lower is better: sound workers first, then the fullest. */
+static int64_t
+penalty_of(const struct SrWorker *worker, const struct Unit *unit,
+           enum RoomKind kind)
+{
+    struct SrRoom room = room_of(worker, unit, kind);
+    int64_t penalty = (int64_t)worker->suspicion * 1000;
+    if (strcmp(unit->first->failed_on, worker->info.id) == 0) {
+        penalty += 4000;
+    }
+    if (worker->info.cold_ms > 0) {
+        penalty += 500;
+    }
+    return penalty + room.accelerators;
+}
+
+/* Assigns the unit's tasks to the best workers, within a rack unless it is
+ * RACKS_MAX. What fits was measured before. */
+static bool
+assign(struct Pass *pass, const struct Unit *unit, unsigned rack,
+       enum RoomKind kind)
+{
+    uint32_t left = unit->count;
+    while (left > 0) {
+        struct SrWorker *best = NULL;
+        int64_t best_penalty = 0;
+        SR_LIST_EACH(link, &pass->engine->fleet.workers)
+        {
+            struct SrWorker *worker = worker_at(link);
+            if (worker->assigned > 0 || worker->fit == 0 ||
+                (rack != RACKS_MAX && worker->rack != rack)) {
+                continue;
+            }
+            int64_t penalty = penalty_of(worker, unit, kind);
+            if (best == NULL || penalty < best_penalty) {
+                best = worker;
+                best_penalty = penalty;
+            }
+        }
+        if (best == NULL) {
+            return false;
+        }
+        best->assigned = best->fit < left ? best->fit : left;
+        left -= best->assigned;
+    }
+    return true;
+}
+
+static bool
+has_patience(const struct Pass *pass, const struct Unit *unit)
+{
+    double waited_ms = (double)(pass->now_ms - unit->ready_ms);
+    return waited_ms < RACK_PATIENCE * unit->step->estimated_ms;
+}
+
+/* True if some rack could hold the whole unit if it were empty. */
+static bool
+fits_a_rack(struct Pass *pass, const struct Unit *unit)
+{
+    measure_fit(pass, unit, ROOM_WHOLE);
+    return choose_rack(pass, unit) != RACKS_MAX;
+}
+
+/* Assigns the whole gang; false if it does not fit now. */
+static bool
+assign_gang(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    bool wants_rack =
+        unit->step->same_rack || unit->step->data_rack[0] != '\0';
+    if (wants_rack) {
+        bool possible = fits_a_rack(pass, unit);
+        measure_fit(pass, unit, kind);
+        unsigned rack = choose_rack(pass, unit);
+        if (rack != RACKS_MAX) {
+            return assign(pass, unit, rack, kind);
+        }
+        if (possible && has_patience(pass, unit)) {
+            return false;
+        }
+    }
+    if (measure_fit(pass, unit, kind) < unit->count) {
+        return false;
+    }
+    return assign(pass, unit, RACKS_MAX, kind);
+}
+
+static void
+book(struct Pass *pass, const struct Unit *unit, struct SrWorker *worker,
+     struct SrFlowTask *task, uint32_t number)
+{
+    struct SrRun *run = SrFleet_Book(worker, task, number, pass->now_ms);
+    run->born = worker->info.born;
+    run->state = SR_RUNSTATE_PLANNED;
+    add_room(&worker->free, &unit->need, -1);
+    add_room(&worker->soon, &unit->need, -1);
+    unit->flow->begun = true;
+    if (unit->flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
+        unit->flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
+    }
+    SrEngine_Touch(pass->engine, unit->flow);
+    run->change = unit->flow->changed;
+    pass->booked++;
+    SR_INFO("plan", "placed",
+            "id=%s step=%u index=%u run=%u worker=%s rack=%s rank=%u "
+            "waited-ms=%ld",
+            unit->flow->id, task->step, task->index, number, worker->info.id,
+            worker->info.rack, unit->flow->rank,
+            (long)(pass->now_ms - unit->ready_ms));
+}
+
+/* All members of a gang carry the same run number. */
+static uint32_t
+next_gang_run(const struct Unit *unit)
+{
+    uint32_t highest = 0;
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        if (unit->first[i].run > highest) {
+            highest = unit->first[i].run;
+        }
+    }
+    return highest + 1;
+}
+
+static void
+book_gang(struct Pass *pass, const struct Unit *unit)
+{
+    uint32_t number = next_gang_run(unit);
+    struct SrFlowTask *task = unit->first;
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        for (; worker->assigned > 0; worker->assigned--) {
+            book(pass, unit, worker, task++, number);
+        }
+    }
+}
+
+/* Takes the assigned room out of what others may use in this pass. */
+static void
+hold_room(struct Pass *pass, const struct Unit *unit)
+{
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        add_room(&worker->soon, &unit->need, -(int64_t)worker->assigned);
+        add_room(&worker->free, &unit->need, -(int64_t)worker->assigned);
+    }
+}
+
+/* Core-seconds, roughly, that stopping the run throws away. */
+static int64_t
+cost_of_stopping(const struct SrRun *run)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    int64_t cores = 8 * (int64_t)step->accelerators + step->cpu_millis / 1000;
+    int64_t members = step->gang ? step->count : 1;
+    int64_t percent = run->percent > 0 ? run->percent : 0;
+    if (step->checkpoints) {
+        percent = percent / 8;
+    }
+    return 1 + cores * members * step->estimated_ms / 1000 * percent / 100;
+}
+
+static void
+stop_for(struct Pass *pass, struct SrRun *run, const struct Unit *unit)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    struct SrFlowTask *first = run->task;
+    uint32_t count = 1;
+    SR_INFO("plan", "yield", "id=%s step=%u run=%u to=%s", run->task->flow->id,
+            run->task->step, run->number, unit->flow->id);
+    if (step->gang) {
+        first = SrFlow_StepTasks(run->task->flow, run->task->occurrence,
+                                 run->task->step);
+        count = step->count;
+    }
+    struct SrRoom need = SrFleet_Need(step);
+    for (uint32_t i = 0; i < count; i++) {
+        struct SrRun *member = first[i].running;
+        if (member != NULL && !member->stopping) {
+            add_room(&member->worker->soon, &need, 1);
+            SrEngine_StopRun(pass->engine, member, "yields", pass->now_ms);
+        }
+    }
+}
+
+static struct SrRun *
+cheapest_yield(const struct SrWorker *worker, const struct Unit *unit)
+{
+    struct SrRun *best = NULL;
+    int64_t best_cost = 0;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (!yields_to(run, unit)) {
+            continue;
+        }
+        int64_t cost = cost_of_stopping(run);
+        if (best == NULL || cost < best_cost) {
+            best = run;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+static void
+claim_room(struct Pass *pass, const struct Unit *unit)
+{
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        while (worker->assigned > tasks_in(&worker->soon, &unit->need)) {
+            struct SrRun *run = cheapest_yield(worker, unit);
+            if (run == NULL) {
+                break;
+            }
+            stop_for(pass, run, unit);
+        }
+    }
+}
+
+static void
+place_gang(struct Pass *pass, const struct Unit *unit)
+{
+    if (assign_gang(pass, unit, ROOM_FREE)) {
+        book_gang(pass, unit);
+        return;
+    }
+    if (unit->flow->rank <= RANK_URGENT) {
+        if (assign_gang(pass, unit, ROOM_SOON)) {
+            hold_room(pass, unit);
+            return;
+        }
+        if (assign_gang(pass, unit, ROOM_CLAIMABLE)) {
+            claim_room(pass, unit);
+            hold_room(pass, unit);
+        }
+        return;
+    }
+    /* Small work would keep a large gang out for ever. */
+    if (pass->held_gangs < HELD_GANGS_MAX &&
+        assign_gang(pass, unit, ROOM_CLAIMABLE)) {
+        pass->held_gangs++;
+        hold_room(pass, unit);
+    }
+}
+
+static struct SrWorker *
+choose_worker(struct Pass *pass, const struct Unit *unit,
+              const struct SrFlowTask *task, enum RoomKind kind)
+{
+    struct SrWorker *best = NULL;
+    int64_t best_penalty = 0;
+    const char *rack = unit->step->data_rack;
+    bool bound = rack[0] != '\0' && has_patience(pass, unit);
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        bool near = rack[0] == '\0' || strcmp(worker->info.rack, rack) == 0;
+        if ((bound && !near) || fit_on(pass, worker, unit, kind) == 0) {
+            continue;
+        }
+        int64_t penalty = penalty_of(worker, unit, kind);
+        if (strcmp(task->failed_on, worker->info.id) == 0) {
+            penalty += 4000;
+        }
+        if (!near) {
+            penalty += 2000;
+        }
+        if (best == NULL || penalty < best_penalty) {
+            best = worker;
+            best_penalty = penalty;
+        }
+    }
+    return best;
+}
+
+static bool
+place_task(struct Pass *pass, const struct Unit *unit, struct SrFlowTask *task)
+{
+    struct SrWorker *worker = choose_worker(pass, unit, task, ROOM_FREE);
+    if (worker != NULL) {
+        book(pass, unit, worker, task, task->run + 1);
+        return true;
+    }
+    if (unit->flow->rank > RANK_URGENT) {
+        return false;
+    }
+    worker = choose_worker(pass, unit, task, ROOM_SOON);
+    if (worker == NULL) {
+        worker = choose_worker(pass, unit, task, ROOM_CLAIMABLE);
+    }
+    if (worker == NULL) {
+        return false;
+    }
+    while (tasks_in(&worker->soon, &unit->need) == 0) {
+        struct SrRun *run = cheapest_yield(worker, unit);
+        if (run == NULL) {
+            break;
+        }
+        stop_for(pass, run, unit);
+    }
+    add_room(&worker->soon, &unit->need, -1);
+    add_room(&worker->free, &unit->need, -1);
+    return true;
+}
+
+static void
+place_tasks(struct Pass *pass, const struct Unit *unit)
+{
+    for (uint32_t i = 0; i < unit->step->count; i++) {
+        struct SrFlowTask *task = &unit->first[i];
+        if (!task->done && task->running == NULL &&
+            !place_task(pass, unit, task)) {
+            return;
+        }
+    }
+}
+
+size_t
+SrPlan_Pass(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct Pass *pass = SrUtil_Calloc(1, sizeof(*pass));
+    pass->engine = engine;
+    pass->now_ms = now_ms;
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        measure_worker(pass, worker_at(link));
+    }
+    collect_units(pass);
+    for (size_t i = 0; i < pass->unit_count; i++) {
+        if (pass->units[i].step->gang) {
+            place_gang(pass, &pass->units[i]);
+        }
+        else {
+            place_tasks(pass, &pass->units[i]);
+        }
+    }
+    size_t booked = pass->booked;
+    free(pass->units);
+    return booked;
+}
--- /dev/null
+++ b/src/rows.c
@@ -0,0 +1,78 @@
+#include "rows.h"
+
+#include "memory_rows.h"
+#include "platform_rows.h"
+
+static const char *const error_texts[] = {
+    [SR_ROWS_OK] = "no error",
+    [SR_ROWS_CONFLICT] = "an expected version does not hold",
+    [SR_ROWS_REFUSED] = "the store refused the call",
+    [SR_ROWS_UNKNOWN] = "no answer",
+    [SR_ROWS_HISTORY_GONE] = "the history is gone",
+    [SR_ROWS_INVALID] = "malformed or forbidden call",
+};
+
+const char *
+SrRows_ErrorText(enum SrRowsError error)
+{
+    return error_texts[error];
+}
+
+void
+SrRows_Commit(const struct SrRows *rows,
+              const struct SrRowsTransaction *transaction, int64_t timeout_ms,
+              SrRowsDone *done, void *context)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        SrPlatformRows_Commit(rows->u.platform, transaction, timeout_ms, done,
+                              context);
+        break;
+    case SR_ROWS_MEMORY:
+        SrMemoryRows_Commit(rows->u.memory, transaction, done, context);
+        break;
+    }
+}
+
+void
+SrRows_Read(const struct SrRows *rows, const char *table, const char *from,
+            unsigned limit, int64_t timeout_ms, SrRowsDone *done,
+            void *context)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        SrPlatformRows_Read(rows->u.platform, table, from, limit, timeout_ms,
+                            done, context);
+        break;
+    case SR_ROWS_MEMORY:
+        SrMemoryRows_Read(rows->u.memory, table, from, limit, done, context);
+        break;
+    }
+}
+
+void
+SrRows_Watch(const struct SrRows *rows, const char *table, uint64_t after,
+             int64_t wait_ms, SrRowsDone *done, void *context)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        SrPlatformRows_Watch(rows->u.platform, table, after, wait_ms, done,
+                             context);
+        break;
+    case SR_ROWS_MEMORY:
+        SrMemoryRows_Watch(rows->u.memory, table, after, done, context);
+        break;
+    }
+}
+
+int64_t
+SrRows_SilentMs(const struct SrRows *rows)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        return SrPlatformRows_SilentMs(rows->u.platform);
+    case SR_ROWS_MEMORY:
+        return 0;
+    }
+    return 0;
+}
