Urgent work waits for runs that end in time; the cheapest runs yield

Change: runs' ends are foretold from their progress; a gang holds room that will be free within its slack, and otherwise claims the rack where the least work is lost.

--- a/src/engine.h
+++ b/src/engine.h
@@ -22,6 +22,11 @@
     int64_t lease_ms;
     /* Time that a stop may take, ms. */
     int64_t stop_ms;
+    /* Latest start of an urgent job that its account's guarantee covers, ms
+     * after it was accepted; 0 if there is none. */
+    int64_t reclaim_ms;
+    /* Work between two checkpoints, ms. */
+    int64_t checkpoint_ms;
     /* Time for which an ended job stays known, ms. */
     int64_t keep_ms;
     /* Slowdown of a task away from its rack. */
--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -97,8 +97,13 @@
     if (run->state != SR_RUNSTATE_STARTED) {
         run->state = SR_RUNSTATE_STARTED;
         run->answered_ms = now_ms;
+        run->started_ms = now_ms;
         run->percent_ms = now_ms;
     }
+    if (report->percent > 0 && run->first_percent_ms == 0) {
+        run->first_percent = report->percent;
+        run->first_percent_ms = now_ms;
+    }
     if (report->percent != run->percent) {
         run->percent = report->percent;
         run->percent_ms = now_ms;
@@ -282,6 +287,7 @@
     case SR_ORDER_DONE:
         run->state = SR_RUNSTATE_STARTED;
         run->answered_ms = now_ms;
+        run->started_ms = now_ms;
         run->percent_ms = now_ms;
         break;
     case SR_ORDER_SILENT:
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -10,6 +10,8 @@
 #define LEASE_MARGIN_MS 400
 /* Lease left unused, so that an order on its way is not shortened. */
 #define LEASE_SPARE_MS 100
+/* Progress from which a run's pace is told. */
+#define PACE_PERCENT 4
 /* Failed runs in a row after which a worker is left alone for a while. */
 #define SUSPICION_STEP 2
 #define SUSPICION_MAX 6
@@ -168,6 +170,23 @@
            fleet->lease_ms - LEASE_SPARE_MS;
 }
 
+int64_t
+SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms)
+{
+    int64_t estimated_ms = SrFlow_StepOf(run->task)->estimated_ms;
+    int64_t span_ms = run->percent_ms - run->first_percent_ms;
+    int progress = run->percent - run->first_percent;
+    if (run->state != SR_RUNSTATE_STARTED) {
+        return now_ms + estimated_ms;
+    }
+    if (run->first_percent_ms == 0 || progress < PACE_PERCENT ||
+        span_ms <= 0) {
+        int64_t end_ms = run->started_ms + estimated_ms;
+        return end_ms > now_ms ? end_ms : now_ms + estimated_ms / 2;
+    }
+    return run->percent_ms + span_ms * (100 - run->percent) / progress;
+}
+
 void
 SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -55,7 +55,10 @@
     int64_t loose_until_ms;
     int percent;
     int64_t percent_ms;
-    /* First report of the run, for the worker's speed. */
+    /* The first report that showed progress, for the pace of the run. */
+    int first_percent;
+    int64_t first_percent_ms;
+    /* When the start was acknowledged. */
     int64_t started_ms;
     /* Life of the worker in which the run was ordered; 0 if not told. */
     int64_t born;
@@ -155,6 +158,10 @@
 int64_t SrFleet_Deadline(const struct SrFleet *fleet,
                          const struct SrWorker *worker, int64_t now_ms);
 
+/* When the run will be done at its present pace, or by its estimate while no
+ * pace is known. */
+int64_t SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms);
+
 void SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms);
 void SrFleet_NoteSuccess(struct SrWorker *worker);
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -246,6 +246,8 @@
         &(struct SrEngineOptions){
             .lease_ms = options->settings->lease_max_ms,
             .stop_ms = options->settings->stop_ms,
+            .reclaim_ms = options->settings->reclaim_ms,
+            .checkpoint_ms = options->settings->checkpoint_ms,
             .keep_ms = options->settings->status_ms + KEEP_MARGIN_MS,
             .remote_factor = options->settings->remote_factor,
             .send = options->send,
--- a/src/plan.c
+++ b/src/plan.c
@@ -12,6 +12,17 @@
 /* A gang or task that is slower elsewhere waits this much of its estimated
  * time for its rack before it is spread; elsewhere it takes three times. */
 #define RACK_PATIENCE 1.5
+/* Stopping a run and starting another in its place takes a stop and three
+ * exchanges. */
+#define CHANGE_MS 1100
+/* A stop may take longer than told, and the leader learns of a job late. */
+#define STOP_SPARE_MS 600
+/* Work that is not urgent holds room that frees within this time. */
+#define HOLD_MS 3000
+/* As the platform's price of lost work counts an accelerator. */
+#define CORES_PER_ACCELERATOR 8
+/* Cost of stopped work beside the other reasons to avoid a worker. */
+#define COST_WEIGHT 100
 /* Rank of work beyond guarantees and urgent work. */
 #define RANK_GUARANTEED 0
 #define RANK_URGENT 1
@@ -33,7 +44,10 @@
     /* Tasks to place. */
     uint32_t count;
     int64_t ready_ms;
+    /* Latest start that meets the job's objective. */
     int64_t start_by_ms;
+    /* Until when the unit may wait for runs to end before others yield. */
+    int64_t wait_until_ms;
 };
 
 struct Pass {
@@ -51,6 +65,8 @@
 enum RoomKind {
     ROOM_FREE,
     ROOM_SOON,
+    /* Soon, and what runs hold that will end while the unit can wait. */
+    ROOM_EXPECTED,
     /* Soon, and what runs of lower claims hold. */
     ROOM_CLAIMABLE,
     /* All that the worker has. */
@@ -167,6 +183,22 @@
     }
 }
 
+static int64_t
+wait_until(const struct Pass *pass, const struct Unit *unit)
+{
+    const struct SrFlow *flow = unit->flow;
+    int64_t reclaim_ms = pass->engine->options.reclaim_ms;
+    if (flow->rank > RANK_URGENT) {
+        return pass->now_ms + HOLD_MS;
+    }
+    int64_t until_ms = unit->start_by_ms - CHANGE_MS;
+    if (flow->rank == RANK_GUARANTEED && reclaim_ms > 0 &&
+        flow->arrived_ms + reclaim_ms - CHANGE_MS - STOP_SPARE_MS < until_ms) {
+        until_ms = flow->arrived_ms + reclaim_ms - CHANGE_MS - STOP_SPARE_MS;
+    }
+    return until_ms;
+}
+
 static void
 add_unit(struct Pass *pass, const struct Unit *unit)
 {
@@ -215,6 +247,7 @@
                        (int64_t)(flow->record->stretch * (double)chain_ms) -
                        chain_ms,
     };
+    unit.wait_until_ms = wait_until(pass, &unit);
     add_unit(pass, &unit);
 }
 
@@ -311,9 +344,17 @@
            !SrFlow_StepOf(run->task)->continuous;
 }
 
+static bool
+ends_in_time(const struct Pass *pass, const struct SrRun *run,
+             const struct Unit *unit)
+{
+    return !run->stopping && !SrFlow_StepOf(run->task)->continuous &&
+           SrFleet_ExpectedEndMs(run, pass->now_ms) <= unit->wait_until_ms;
+}
+
 static struct SrRoom
-room_of(const struct SrWorker *worker, const struct Unit *unit,
-        enum RoomKind kind)
+room_of(const struct Pass *pass, const struct SrWorker *worker,
+        const struct Unit *unit, enum RoomKind kind)
 {
     struct SrRoom room = worker->soon;
     switch (kind) {
@@ -323,13 +364,15 @@
         return room;
     case ROOM_WHOLE:
         return whole_room(worker);
+    case ROOM_EXPECTED:
     case ROOM_CLAIMABLE:
         break;
     }
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (yields_to(run, unit)) {
+        if (kind == ROOM_EXPECTED ? ends_in_time(pass, run, unit)
+                                  : yields_to(run, unit)) {
             struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
             add_room(&room, &need, 1);
         }
@@ -361,7 +404,7 @@
     if (!is_eligible(pass, worker, unit)) {
         return 0;
     }
-    struct SrRoom room = room_of(worker, unit, kind);
+    struct SrRoom room = room_of(pass, worker, unit, kind);
     unsigned fit = tasks_in(&room, &unit->need);
     if (unit->step->max_per_worker > 0) {
         unsigned here = count_step_runs(worker, unit);
@@ -412,13 +455,84 @@
     return best;
 }
 
+/* Core-seconds, roughly, that stopping the run throws away. */
+static int64_t
+cost_of_stopping(const struct Pass *pass, const struct SrRun *run)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    int64_t cores = CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
+                    step->cpu_millis / 1000;
+    int64_t members = step->gang ? step->count : 1;
+    int64_t lost_ms =
+        run->state == SR_RUNSTATE_STARTED ? pass->now_ms - run->started_ms : 0;
+    if (step->checkpoints && lost_ms > pass->engine->options.checkpoint_ms) {
+        lost_ms = pass->engine->options.checkpoint_ms;
+    }
+    return 1 + cores * members * lost_ms / 1000;
+}
+
+/* The run that yields at the least cost and is not yet passed over: runs are
+ * told apart by cost, then by place in the list. */
+static struct SrRun *
+cheapest_yield(const struct Pass *pass, const struct SrWorker *worker,
+               const struct Unit *unit, const struct SrRun *after)
+{
+    struct SrRun *best = NULL;
+    int64_t best_cost = 0;
+    int64_t after_cost = after != NULL ? cost_of_stopping(pass, after) : 0;
+    bool passed = after == NULL;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run == after) {
+            passed = true;
+            continue;
+        }
+        if (!yields_to(run, unit)) {
+            continue;
+        }
+        int64_t cost = cost_of_stopping(pass, run);
+        if (cost < after_cost || (cost == after_cost && !passed)) {
+            continue;
+        }
+        if (best == NULL || cost < best_cost) {
+            best = run;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+/* What it costs to make room for that many tasks of the unit. */
+static int64_t
+claim_cost(const struct Pass *pass, const struct SrWorker *worker,
+           const struct Unit *unit, unsigned tasks)
+{
+    struct SrRoom room = worker->soon;
+    struct SrRun *run = NULL;
+    int64_t cost = 0;
+    while (tasks_in(&room, &unit->need) < tasks) {
+        run = cheapest_yield(pass, worker, unit, run);
+        if (run == NULL) {
+            break;
+        }
+        struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
+        add_room(&room, &need, 1);
+        cost += cost_of_stopping(pass, run);
+    }
+    return cost;
+}
+
 /* Lower is better: sound workers first, then the fullest. */
 static int64_t
-penalty_of(const struct SrWorker *worker, const struct Unit *unit,
-           enum RoomKind kind)
+penalty_of(const struct Pass *pass, const struct SrWorker *worker,
+           const struct Unit *unit, enum RoomKind kind)
 {
-    struct SrRoom room = room_of(worker, unit, kind);
+    struct SrRoom room = room_of(pass, worker, unit, kind);
     int64_t penalty = (int64_t)worker->suspicion * 1000;
+    if (kind == ROOM_CLAIMABLE) {
+        penalty += claim_cost(pass, worker, unit, 1) * COST_WEIGHT;
+    }
     if (strcmp(unit->first->failed_on, worker->info.id) == 0) {
         penalty += 4000;
     }
@@ -445,7 +559,7 @@
                 (rack != RACKS_MAX && worker->rack != rack)) {
                 continue;
             }
-            int64_t penalty = penalty_of(worker, unit, kind);
+            int64_t penalty = penalty_of(pass, worker, unit, kind);
             if (best == NULL || penalty < best_penalty) {
                 best = worker;
                 best_penalty = penalty;
@@ -460,6 +574,52 @@
     return true;
 }
 
+/* Cost of the assignment just made. */
+static int64_t
+assigned_cost(const struct Pass *pass, const struct Unit *unit)
+{
+    int64_t cost = 0;
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        const struct SrWorker *worker = worker_at(link);
+        if (worker->assigned > 0) {
+            cost += claim_cost(pass, worker, unit, worker->assigned);
+        }
+    }
+    return cost;
+}
+
+static void
+clear_assigned(struct Pass *pass)
+{
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        worker_at(link)->assigned = 0;
+    }
+}
+
+/* The rack in which room for the unit is made at the least cost. */
+static unsigned
+cheapest_rack(struct Pass *pass, const struct Unit *unit)
+{
+    unsigned best = RACKS_MAX;
+    int64_t best_cost = 0;
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        if (pass->racks[i].fit < unit->count) {
+            continue;
+        }
+        clear_assigned(pass);
+        assign(pass, unit, i, ROOM_CLAIMABLE);
+        int64_t cost = assigned_cost(pass, unit);
+        if (best == RACKS_MAX || cost < best_cost) {
+            best = i;
+            best_cost = cost;
+        }
+    }
+    clear_assigned(pass);
+    return best;
+}
+
 static bool
 has_patience(const struct Pass *pass, const struct Unit *unit)
 {
@@ -484,7 +644,8 @@
     if (wants_rack) {
         bool possible = fits_a_rack(pass, unit);
         measure_fit(pass, unit, kind);
-        unsigned rack = choose_rack(pass, unit);
+        unsigned rack = kind == ROOM_CLAIMABLE ? cheapest_rack(pass, unit)
+                                               : choose_rack(pass, unit);
         if (rack != RACKS_MAX) {
             return assign(pass, unit, rack, kind);
         }
@@ -561,20 +722,6 @@
     }
 }
 
-/* Core-seconds, roughly, that stopping the run throws away. */
-static int64_t
-cost_of_stopping(const struct SrRun *run)
-{
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
-    int64_t cores = 8 * (int64_t)step->accelerators + step->cpu_millis / 1000;
-    int64_t members = step->gang ? step->count : 1;
-    int64_t percent = run->percent > 0 ? run->percent : 0;
-    if (step->checkpoints) {
-        percent = percent / 8;
-    }
-    return 1 + cores * members * step->estimated_ms / 1000 * percent / 100;
-}
-
 static void
 stop_for(struct Pass *pass, struct SrRun *run, const struct Unit *unit)
 {
@@ -598,26 +745,6 @@
     }
 }
 
-static struct SrRun *
-cheapest_yield(const struct SrWorker *worker, const struct Unit *unit)
-{
-    struct SrRun *best = NULL;
-    int64_t best_cost = 0;
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (!yields_to(run, unit)) {
-            continue;
-        }
-        int64_t cost = cost_of_stopping(run);
-        if (best == NULL || cost < best_cost) {
-            best = run;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
 static void
 claim_room(struct Pass *pass, const struct Unit *unit)
 {
@@ -625,7 +752,7 @@
     {
         struct SrWorker *worker = worker_at(link);
         while (worker->assigned > tasks_in(&worker->soon, &unit->need)) {
-            struct SrRun *run = cheapest_yield(worker, unit);
+            struct SrRun *run = cheapest_yield(pass, worker, unit, NULL);
             if (run == NULL) {
                 break;
             }
@@ -642,7 +769,8 @@
         return;
     }
     if (unit->flow->rank <= RANK_URGENT) {
-        if (assign_gang(pass, unit, ROOM_SOON)) {
+        if (assign_gang(pass, unit, ROOM_SOON) ||
+            assign_gang(pass, unit, ROOM_EXPECTED)) {
             hold_room(pass, unit);
             return;
         }
@@ -654,7 +782,7 @@
     }
     /* Small work would keep a large gang out for ever. */
     if (pass->held_gangs < HELD_GANGS_MAX &&
-        assign_gang(pass, unit, ROOM_CLAIMABLE)) {
+        assign_gang(pass, unit, ROOM_EXPECTED)) {
         pass->held_gangs++;
         hold_room(pass, unit);
     }
@@ -675,7 +803,7 @@
         if ((bound && !near) || fit_on(pass, worker, unit, kind) == 0) {
             continue;
         }
-        int64_t penalty = penalty_of(worker, unit, kind);
+        int64_t penalty = penalty_of(pass, worker, unit, kind);
         if (strcmp(task->failed_on, worker->info.id) == 0) {
             penalty += 4000;
         }
@@ -702,6 +830,9 @@
         return false;
     }
     worker = choose_worker(pass, unit, task, ROOM_SOON);
+    if (worker == NULL) {
+        worker = choose_worker(pass, unit, task, ROOM_EXPECTED);
+    }
     if (worker == NULL) {
         worker = choose_worker(pass, unit, task, ROOM_CLAIMABLE);
     }
@@ -709,7 +840,7 @@
         return false;
     }
     while (tasks_in(&worker->soon, &unit->need) == 0) {
-        struct SrRun *run = cheapest_yield(worker, unit);
+        struct SrRun *run = cheapest_yield(pass, worker, unit, NULL);
         if (run == NULL) {
             break;
         }
