Starts without an answer are barred from a worker's next life; speeds learnt

An answer of the former life also made the leader take that life for the newest. With it: workers' speeds are learnt from their runs, heartbeats are read in batches, a silent leader is succeeded after 1.1 s, Retry-After grows with an outage.

--- a/src/engine.c
+++ b/src/engine.c
@@ -9,6 +9,8 @@
 /* A new leader waits this long for its workers' answers before it places, so
  * that gangs see most of the room: two exchanges between regions. */
 #define SETTLE_MS 250
+/* An entry follows its worker's new life within some heartbeats. */
+#define STALE_ENTRY_MS 6000
 /* A run whose progress stands still for this long is taken as stuck: the
  * slowest worker seen moves on by a percent in under a second. */
 #define STUCK_MS 3500
@@ -215,6 +217,13 @@
     if (worker == NULL) {
         worker = SrFleet_FindOrAdd(&engine->fleet, id);
     }
+    bool stale = has_other_life(worker, entry->born) &&
+                 entry->born < worker->info.born &&
+                 now_ms - worker->life_ms < STALE_ENTRY_MS;
+    if (stale) {
+        /* The worker itself has told of a newer life than its entry. */
+        return;
+    }
     if (has_other_life(worker, entry->born)) {
         SrEngine_OnNewLife(engine, worker, entry->born, now_ms);
     }
@@ -299,6 +308,7 @@
             "after-ms=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_EndText(how), run->percent, (long)(now_ms - run->booked_ms));
+    SrFleet_NotePace(run);
     SrFleet_Release(run);
     SrFlow_NoteCheckpoint(task, checkpoint);
     if (how == SR_RUN_DONE && !step->continuous) {
--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -45,6 +45,7 @@
     SR_INFO("engine", "worker-reborn", "worker=%s born=%ld", worker->info.id,
             (long)born);
     worker->info.born = born;
+    worker->life_ms = now_ms;
     worker->ends_seen = 0;
     worker->ends_acked = 0;
     worker->clock_ms = -1;
@@ -224,6 +225,10 @@
     }
     if (answer->born != 0 && worker->info.born != 0 &&
         answer->born != worker->info.born) {
+        if (sent_ms < worker->life_ms) {
+            /* Of the former life, overtaken on its way. */
+            return;
+        }
         SrEngine_OnNewLife(engine, worker, answer->born, now_ms);
     }
     worker->silent_looks = 0;
@@ -257,7 +262,11 @@
 static void
 on_start_silent(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
 {
+    char name[SR_TASK_NAME_SIZE];
+    SrFlow_TaskName(run->task, name);
     run->loose_until_ms = now_ms + LOOSE_MS;
+    SrFleet_NoteLoose(run->worker, name, run->number, now_ms,
+                      run->loose_until_ms);
     run->next_send_ms = now_ms + RETRY_MS;
     SR_INFO("engine", "start-unanswered",
             "id=%s step=%u index=%u run=%u worker=%s sends=%u",
@@ -325,6 +334,9 @@
 {
     struct SrRun *run =
         find_run(engine, worker, order->u.stop.task, order->u.stop.run);
+    if (answer->result == SR_ORDER_DONE) {
+        SrFleet_ForgetLoose(worker, order->u.stop.task, order->u.stop.run);
+    }
     if (run == NULL) {
         return;
     }
--- a/src/engine_orders.c
+++ b/src/engine_orders.c
@@ -181,6 +181,36 @@
     }
 }
 
+/* A start without an answer that was sent to an earlier life of the worker is
+ * barred from the present one: a run that was stopped is not started. */
+static void
+bar_loose_starts(struct SrEngine *engine, struct SrWorker *worker,
+                 int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &worker->loose_starts)
+    {
+        struct SrLooseStart *start =
+            SR_CONTAINER(link, struct SrLooseStart, link);
+        if (start->until_ms < now_ms) {
+            SrFleet_ForgetLoose(worker, start->task, start->run);
+            continue;
+        }
+        if (start->noted_ms >= worker->life_ms ||
+            now_ms - start->stop_sent_ms < EXCHANGE_MS) {
+            continue;
+        }
+        struct SrOrder order = {
+            .kind = SR_ORDER_STOP,
+            .timeout_ms = EXCHANGE_MS,
+            .u.stop = {.run = start->run},
+        };
+        address_order(engine, worker, &order);
+        SrUtil_Copy(order.u.stop.task, sizeof(order.u.stop.task), start->task);
+        start->stop_sent_ms = now_ms;
+        engine->options.send(engine->options.context, &order);
+    }
+}
+
 void
 SrEngine_SendOrders(struct SrEngine *engine, int64_t now_ms)
 {
@@ -199,6 +229,8 @@
     }
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
-        send_looks(engine, SR_CONTAINER(link, struct SrWorker, link), now_ms);
+        struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        bar_loose_starts(engine, worker, now_ms);
+        send_looks(engine, worker, now_ms);
     }
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* A worker that has not answered for this long gets no new work: a long look
  * takes 1 s and one slow exchange. */
@@ -12,6 +13,12 @@
 #define LEASE_SPARE_MS 100
 /* Progress from which a run's pace is told. */
 #define PACE_PERCENT 4
+/* Progress from which a worker's speed is learnt, and the weight of one run:
+ * declared times of single jobs are off by up to nine tenths. */
+#define LEARN_PERCENT 20
+#define LEARN_WEIGHT 0.3
+#define SPEED_MIN 0.1
+#define SPEED_MAX 2.0
 /* Failed runs in a row after which a worker is left alone for a while. */
 #define SUSPICION_STEP 2
 #define SUSPICION_MAX 6
@@ -38,6 +45,11 @@
     {
         SrFleet_Release(SR_CONTAINER(link, struct SrRun, link));
     }
+    SR_LIST_EACH_SAFE(link, &worker->loose_starts)
+    {
+        SrList_Remove(link);
+        free(SR_CONTAINER(link, struct SrLooseStart, link));
+    }
     SrList_Remove(&worker->link);
     free(worker);
 }
@@ -69,7 +81,9 @@
     worker = SrUtil_Calloc(1, sizeof(*worker));
     SrUtil_Copy(worker->info.id, sizeof(worker->info.id), id);
     worker->clock_ms = -1;
+    worker->speed = 1;
     SrList_Init(&worker->runs);
+    SrList_Init(&worker->loose_starts);
     SrList_Append(&fleet->workers, &worker->link);
     SrMap_Add(&fleet->by_id, &worker->entry, worker->info.id);
     return worker;
@@ -133,6 +147,33 @@
     free(run);
 }
 
+void
+SrFleet_NoteLoose(struct SrWorker *worker, const char *task, uint32_t run,
+                  int64_t now_ms, int64_t until_ms)
+{
+    SrFleet_ForgetLoose(worker, task, run);
+    struct SrLooseStart *start = SrUtil_Calloc(1, sizeof(*start));
+    SrUtil_Copy(start->task, sizeof(start->task), task);
+    start->run = run;
+    start->noted_ms = now_ms;
+    start->until_ms = until_ms;
+    SrList_Append(&worker->loose_starts, &start->link);
+}
+
+void
+SrFleet_ForgetLoose(struct SrWorker *worker, const char *task, uint32_t run)
+{
+    SR_LIST_EACH_SAFE(link, &worker->loose_starts)
+    {
+        struct SrLooseStart *start =
+            SR_CONTAINER(link, struct SrLooseStart, link);
+        if (start->run == run && strcmp(start->task, task) == 0) {
+            SrList_Remove(&start->link);
+            free(start);
+        }
+    }
+}
+
 struct SrRun *
 SrFleet_FindRun(const struct SrWorker *worker, const struct SrFlowTask *task,
                 uint32_t number)
@@ -187,6 +228,22 @@
     return run->percent_ms + span_ms * (100 - run->percent) / progress;
 }
 
+void
+SrFleet_NotePace(const struct SrRun *run)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    double span_ms = (double)(run->percent_ms - run->first_percent_ms);
+    double progress = run->percent - run->first_percent;
+    if (step->continuous || step->estimated_ms == 0 ||
+        progress < LEARN_PERCENT || span_ms <= 0) {
+        return;
+    }
+    double pace = step->estimated_ms * progress / 100 / span_ms;
+    pace = pace < SPEED_MIN ? SPEED_MIN : pace;
+    pace = pace > SPEED_MAX ? SPEED_MAX : pace;
+    run->worker->speed += (pace - run->worker->speed) * LEARN_WEIGHT;
+}
+
 void
 SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -67,6 +67,18 @@
     char ticket[SR_ID_SIZE];
 };
 
+/* A start that had no answer. It is harmless while its run is or was in the
+ * worker's life to which it was sent, but may be carried out in the next. */
+struct SrLooseStart {
+    struct SrList link;
+    char task[SR_TASK_NAME_SIZE];
+    uint32_t run;
+    int64_t noted_ms;
+    int64_t until_ms;
+    /* When it was last barred by a stop, without an answer yet. */
+    int64_t stop_sent_ms;
+};
+
 struct SrWorker {
     struct SrMapEntry entry;
     struct SrList link;
@@ -75,6 +87,9 @@
     bool present;
     struct SrRoom booked;
     struct SrList runs;
+    struct SrList loose_starts;
+    /* When the present life was first heard of. */
+    int64_t life_ms;
     /* Its clock as of the last answer; -1 if unknown. */
     int64_t clock_ms;
     int64_t answered_ms;
@@ -97,6 +112,8 @@
     /* Grows with failed runs and shrinks with done ones. */
     unsigned suspicion;
     int64_t avoid_until_ms;
+    /* Pace of its runs against their estimates; 1 at first. */
+    double speed;
     /* Draining since, 0 if not. */
     int64_t draining_ms;
     /* Of one placement pass: room that is free, and that which runs being
@@ -142,6 +159,14 @@
 /* Ends the booking; frees the run. */
 void SrFleet_Release(struct SrRun *run);
 
+/* Notes that a start had no answer and may be carried out until then. */
+void SrFleet_NoteLoose(struct SrWorker *worker, const char *task, uint32_t run,
+                       int64_t now_ms, int64_t until_ms);
+
+/* The start is known to have no effect any more. */
+void SrFleet_ForgetLoose(struct SrWorker *worker, const char *task,
+                         uint32_t run);
+
 /* The run of that number booked on the worker, or NULL. */
 struct SrRun *SrFleet_FindRun(const struct SrWorker *worker,
                               const struct SrFlowTask *task, uint32_t number);
@@ -165,4 +190,7 @@
 void SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms);
 void SrFleet_NoteSuccess(struct SrWorker *worker);
 
+/* Learns the worker's speed from a run whose pace is known. */
+void SrFleet_NotePace(const struct SrRun *run);
+
 #endif
--- a/src/follower.c
+++ b/src/follower.c
@@ -198,6 +198,11 @@
     if (answer->version > follower->version) {
         follower->version = answer->version;
     }
+    if (answer->count > 0 && follower->options.pause_ms > 0) {
+        SrTimer_Start(&follower->timer, follower->options.kernel,
+                      follower->options.pause_ms, 0, next_call, follower);
+        return;
+    }
     next_call(follower);
 }
 
--- a/src/follower.h
+++ b/src/follower.h
@@ -14,6 +14,8 @@
     const char *table;
     /* Time that one watch waits for a change, ms. */
     int64_t wait_ms;
+    /* Pause after changes, so that frequent ones come together, ms. */
+    int64_t pause_ms;
     /* A row as it is now; `deleted` rows have no value. */
     void (*on_row)(void *context, const struct SrRow *row);
     /* The table was read whole, at first or again. */
--- a/src/intake.c
+++ b/src/intake.c
@@ -22,7 +22,13 @@
 /* An older configuration may have lost queues and keys since: the shortest
  * bound for its being in force is 3 s. */
 #define CATALOG_AGE_MAX_MS 2600
+/* Callers come back after a second, or later the longer the store has been
+ * away, so that their few tries outlast it. */
 #define RETRY_AFTER_S 1
+#define RETRY_AFTER_MAX_S 4
+#define RETRY_AFTER_STEP_MS 1500
+/* A store that has been silent for longer than any watch of it is away. */
+#define STORE_AWAY_MS 1300
 
 enum CallStep {
     /* Looks up the job before it is cancelled. */
@@ -152,13 +158,24 @@
     done(context, result);
 }
 
+static unsigned
+retry_after(const struct SrIntake *intake)
+{
+    int64_t steps =
+        SrRows_SilentMs(intake->options.rows) / RETRY_AFTER_STEP_MS;
+    return steps < RETRY_AFTER_MAX_S - RETRY_AFTER_S
+               ? RETRY_AFTER_S + (unsigned)steps
+               : RETRY_AFTER_MAX_S;
+}
+
 static void
 finish_kind(struct Call *call, enum SrResultKind kind, const char *text)
 {
     struct SrResult result = {
         .kind = kind,
         .text = text,
-        .retry_after_s = kind == SR_RESULT_REFUSED ? RETRY_AFTER_S : 0,
+        .retry_after_s =
+            kind == SR_RESULT_REFUSED ? retry_after(call->intake) : 0,
     };
     finish(call, &result);
 }
@@ -415,6 +432,10 @@
         finish_kind(call, SR_RESULT_REFUSED, "the configuration is old");
         return false;
     }
+    if (SrRows_SilentMs(options->rows) > STORE_AWAY_MS) {
+        finish_kind(call, SR_RESULT_REFUSED, "the store is away");
+        return false;
+    }
     *queue = SrCatalog_FindQueue(catalog, request->host, request->path, rest);
     if (*queue == NULL) {
         finish_kind(call, SR_RESULT_NO_QUEUE, "no such queue");
--- a/src/leader.c
+++ b/src/leader.c
@@ -17,8 +17,10 @@
 /* A silent watch is noticed after this and a grace, well inside the 3 s in
  * which a cancel must act. */
 #define WATCH_MS 800
-/* Entries of workers change rarely. */
+/* Each worker's entry changes with each heartbeat; a drain must be known
+ * within 3 s. */
 #define WORKER_WATCH_MS 1200
+#define WORKER_PAUSE_MS 500
 #define READ_TIMEOUT_MS 1200
 #define RETRY_MS 100
 #define PAGE_ROWS 500
@@ -142,13 +144,15 @@
 
 static struct SrFollower *
 follow(struct SrLeader *leader, const char *table, int64_t wait_ms,
-       void (*on_row)(void *, const struct SrRow *), void (*on_loaded)(void *))
+       int64_t pause_ms, void (*on_row)(void *, const struct SrRow *),
+       void (*on_loaded)(void *))
 {
     return SrFollower_Create(&(struct SrFollowerOptions){
         .kernel = leader->options.kernel,
         .rows = leader->options.rows,
         .table = table,
         .wait_ms = wait_ms,
+        .pause_ms = pause_ms,
         .on_row = on_row,
         .on_loaded = on_loaded,
         .context = leader,
@@ -168,9 +172,10 @@
             (unsigned long)leader->options.term,
             SrEngine_Figures(leader->engine, SrOs_MonotonicMs()).flows);
     leader->cancels =
-        follow(leader, SR_TABLE_CANCEL, WATCH_MS, on_cancel, NULL);
-    leader->workers = follow(leader, leader->options.worker_table,
-                             WORKER_WATCH_MS, on_worker, NULL);
+        follow(leader, SR_TABLE_CANCEL, WATCH_MS, 0, on_cancel, NULL);
+    leader->workers =
+        follow(leader, leader->options.worker_table, WORKER_WATCH_MS,
+               WORKER_PAUSE_MS, on_worker, NULL);
     SrTimer_Start(&leader->tick, leader->options.kernel, TICK_MS, TICK_MS,
                   run_pump, leader);
 }
@@ -222,7 +227,7 @@
         return;
     }
     leader->jobs =
-        follow(leader, SR_TABLE_JOBS, WATCH_MS, on_job, on_jobs_loaded);
+        follow(leader, SR_TABLE_JOBS, WATCH_MS, 0, on_job, on_jobs_loaded);
 }
 
 static void
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -14,13 +14,13 @@
 #define POLL_MS 400
 /* A row that has not changed for this long has no living leader: three
  * renewals, and one exchange with a slow store. */
-#define SILENT_LEADER_MS 1500
+#define SILENT_LEADER_MS 1100
 /* The leader writes at least this often. */
-#define RENEW_MS 450
+#define RENEW_MS 350
 #define CALL_TIMEOUT_MS 1200
 #define RETRY_MS 80
 /* Changes gather for this long before they are written together. */
-#define GATHER_MS 4
+#define GATHER_MS 8
 
 enum LedgerState {
     LEDGER_FOLLOWING,
--- a/src/plan.c
+++ b/src/plan.c
@@ -23,6 +23,11 @@
 #define CORES_PER_ACCELERATOR 8
 /* Cost of stopped work beside the other reasons to avoid a worker. */
 #define COST_WEIGHT 100
+/* Below this speed a worker is avoided; sound ones differ by a fifth. */
+#define SLOW_SPEED 0.55
+#define SLOW_PENALTY 1500
+/* A worker of half the speed weighs as much as this many accelerators. */
+#define SPEED_PENALTY 16
 /* Rank of work beyond guarantees and urgent work. */
 #define RANK_GUARANTEED 0
 #define RANK_URGENT 1
@@ -523,6 +528,19 @@
     return cost;
 }
 
+/* A slow worker delays a whole gang; urgent work also prefers fast ones. */
+static int64_t
+slowness_of(const struct SrWorker *worker, const struct Unit *unit)
+{
+    if (worker->speed < SLOW_SPEED) {
+        return SLOW_PENALTY;
+    }
+    if (unit->flow->rank > RANK_URGENT) {
+        return 0;
+    }
+    return (int64_t)(SPEED_PENALTY * (1 / worker->speed - 1));
+}
+
 /* Lower is better: sound workers first, then the fullest. */
 static int64_t
 penalty_of(const struct Pass *pass, const struct SrWorker *worker,
@@ -539,6 +557,7 @@
     if (worker->info.cold_ms > 0) {
         penalty += 500;
     }
+    penalty += slowness_of(worker, unit);
     return penalty + room.accelerators;
 }
 
