--- /dev/null
+++ b/tests/test_adapter.c
@@ -0,0 +1,333 @@
+#include "test_support.h"
+
+#include <stdlib.h>
+
+#include "catalog.h"
+#include "codec.h"
+#include "flow.h"
+#include "platform_decode.h"
+#include "platform_front.h"
+#include "platform_settings.h"
+
+struct WorkerCase {
+    const char *name;
+    const char *body;
+    enum SrDecodeError error;
+    const char *field;
+    bool draining;
+    uint32_t accelerators;
+};
+
+static const struct WorkerCase worker_cases[] = {
+    {"whole",
+     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32,"
+     "\"gpu\":8},\"labels\":[\"a\",\"r1-3\"],\"born\":1700000000000}",
+     SR_DECODE_OK, NULL, false, 8},
+    {"draining",
+     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+     "\"state\":\"draining\",\"remaining_ms\":5000,"
+     "\"capacity\":{\"cpu\":16000,\"mem_mb\":32}}",
+     SR_DECODE_OK, NULL, true, 0},
+    {"unreadable bytes", "\xff\xfe\x00garbage", SR_DECODE_NOT_JSON, "entry",
+     false, 0},
+    {"an array", "[]", SR_DECODE_NOT_JSON, "entry", false, 0},
+    {"no address",
+     "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
+     "\"capacity\":{\"cpu\":1}}",
+     SR_DECODE_MISSING, "address", false, 0},
+    {"no service",
+     "{\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\","
+     "\"capacity\":{\"cpu\":1}}",
+     SR_DECODE_MISSING, "service", false, 0},
+    {"service of another type",
+     "{\"service\":7,\"address\":\"a\",\"zone\":\"z\",\"state\":\"ready\","
+     "\"capacity\":{\"cpu\":1}}",
+     SR_DECODE_BAD_TYPE, "service", false, 0},
+    {"unknown state",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"asleep\",\"capacity\":{\"cpu\":1}}",
+     SR_DECODE_BAD_VALUE, "state", false, 0},
+    {"no capacity",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"ready\"}",
+     SR_DECODE_MISSING, "capacity", false, 0},
+    {"capacity of another type",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"ready\",\"capacity\":{\"cpu\":\"many\"}}",
+     SR_DECODE_BAD_TYPE, "capacity", false, 0},
+    {"negative capacity",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"ready\",\"capacity\":{\"cpu\":-4}}",
+     SR_DECODE_BAD_TYPE, "capacity", false, 0},
+    {"born not whole",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"ready\",\"capacity\":{\"cpu\":4},\"born\":1.5}",
+     SR_DECODE_BAD_TYPE, "remaining_ms", false, 0},
+    {"labels of another type",
+     "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+     "\"state\":\"ready\",\"capacity\":{\"cpu\":4},\"labels\":[1]}",
+     SR_DECODE_BAD_TYPE, "labels", false, 0},
+};
+
+static void
+worker_entries(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(worker_cases); i++) {
+        const struct WorkerCase *c = &worker_cases[i];
+        struct SrWorkerEntry entry;
+        const char *field = NULL;
+        enum SrDecodeError error = SrPlatform_DecodeWorker(
+            "w1", c->body, strlen(c->body), &entry, &field);
+        if (error != c->error) {
+            print_message("case: %s\n", c->name);
+        }
+        assert_int_equal(error, c->error);
+        if (error != SR_DECODE_OK) {
+            assert_string_equal(field, c->field);
+            continue;
+        }
+        assert_int_equal(entry.draining, c->draining);
+        assert_int_equal(entry.accelerators, c->accelerators);
+    }
+}
+
+static void
+worker_rack_is_its_second_label(void **state)
+{
+    (void)state;
+    struct SrWorkerEntry entry;
+    const char *field;
+    const char *body = worker_cases[0].body;
+    assert_int_equal(SrPlatform_DecodeWorker("w1", body, strlen(body), &entry,
+                                             &field),
+                     SR_DECODE_OK);
+    assert_string_equal(entry.rack, "r1-3");
+    assert_int_equal(entry.label_count, 2);
+    assert_true(entry.born == 1700000000000);
+}
+
+static const char catalog_text[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r1\",\"host\":\"a.example\",\"path_prefix\":\"/p/\","
+    "\"priority\":2,\"service\":\"s\",\"max_attempts\":4,\"stretch\":3.0,"
+    "\"target_duration_ms\":3000,\"allow_anonymous\":false},"
+    "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/p/long/\","
+    "\"service\":\"s\",\"allow_anonymous\":true}],"
+    "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
+    "\"limits\":{\"max_body_bytes\":262144},"
+    "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+    "\"guaranteed_gpus\":{\"gpu\":72}}]}";
+
+struct RouteCase {
+    const char *host;
+    const char *path;
+    const char *queue;
+    const char *rest;
+};
+
+static const struct RouteCase route_cases[] = {
+    {"a.example", "/p/0011", "r1", "0011"},
+    {"A.EXAMPLE:8080", "/p/0011", "r1", "0011"},
+    {"a.example", "/p/long/0011", "r2", "0011"},
+    {"a.example", "/p/", "r1", ""},
+    {"a.example", "/q/0011", NULL, NULL},
+    {"b.example", "/p/0011", NULL, NULL},
+    {"", "/p/0011", NULL, NULL},
+};
+
+static void
+catalog_finds_queues_and_accounts(void **state)
+{
+    (void)state;
+    struct SrCatalog *catalog = NULL;
+    const char *field;
+    assert_int_equal(SrPlatform_DecodeCatalog(catalog_text,
+                                              strlen(catalog_text), &catalog,
+                                              &field),
+                     SR_DECODE_OK);
+    for (size_t i = 0; i < SR_LENGTH(route_cases); i++) {
+        const struct RouteCase *c = &route_cases[i];
+        const char *rest = NULL;
+        const struct SrCatalogQueue *queue =
+            SrCatalog_FindQueue(catalog, c->host, c->path, &rest);
+        if (c->queue == NULL) {
+            assert_null(queue);
+            continue;
+        }
+        assert_non_null(queue);
+        assert_string_equal(queue->name, c->queue);
+        assert_string_equal(rest, c->rest);
+    }
+    assert_non_null(SrCatalog_FindAccount(catalog, "k2"));
+    assert_null(SrCatalog_FindAccount(catalog, "k3"));
+    assert_int_equal(
+        SrCatalog_AccountByName(catalog, "t")->guaranteed_accelerators, 72);
+    assert_int_equal(catalog->version, 7);
+    SrCatalog_Destroy(catalog);
+}
+
+struct BadCatalog {
+    const char *body;
+    enum SrDecodeError error;
+    const char *field;
+};
+
+static const struct BadCatalog bad_catalogs[] = {
+    {"nothing", SR_DECODE_NOT_JSON, "config"},
+    {"{\"routes\":[]}", SR_DECODE_BAD_VALUE, "version"},
+    {"{\"version\":\"7\"}", SR_DECODE_BAD_VALUE, "version"},
+    {"{\"version\":7,\"routes\":[{\"name\":1}]}", SR_DECODE_BAD_TYPE, "name"},
+    {"{\"version\":7,\"routes\":[{\"name\":\"r\"}]}", SR_DECODE_MISSING,
+     "host"},
+    {"{\"version\":7,\"tenants\":[{\"name\":\"t\",\"api_keys\":[1]}]}",
+     SR_DECODE_BAD_TYPE, "api_keys"},
+};
+
+static void
+malformed_catalogs_are_refused(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(bad_catalogs); i++) {
+        const struct BadCatalog *c = &bad_catalogs[i];
+        struct SrCatalog *catalog = NULL;
+        const char *field = NULL;
+        assert_int_equal(SrPlatform_DecodeCatalog(c->body, strlen(c->body),
+                                                  &catalog, &field),
+                         c->error);
+        assert_string_equal(field, c->field);
+        assert_null(catalog);
+    }
+}
+
+static void
+job_bodies(void **state)
+{
+    (void)state;
+    static const char body[] =
+        "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+        "\"gpu\":2,\"estimated_ms\":900,\"gang\":true,\"same_rack\":true},"
+        "{\"count\":20,\"after\":[0],\"enable_checkpoints\":true,"
+        "\"max_per_server\":2,\"data_rack\":\"r1\"}],\"repeat_count\":3,"
+        "\"first_run_ms\":1000,\"interval_ms\":50}";
+    const char *fault = NULL;
+    Sr__FlowRecord *record =
+        SrPlatformFront_DecodeJob(body, strlen(body), &fault);
+    assert_non_null(record);
+    assert_null(fault);
+    assert_string_equal(record->payload, "text");
+    assert_int_equal(record->n_steps, 2);
+    assert_true(record->steps[0]->gang);
+    assert_true(record->steps[0]->same_rack);
+    assert_int_equal(record->steps[0]->accelerators, 2);
+    assert_int_equal(record->steps[1]->n_after, 1);
+    assert_true(record->steps[1]->checkpoints);
+    assert_int_equal(record->steps[1]->max_per_worker, 2);
+    assert_string_equal(record->steps[1]->data_rack, "r1");
+    assert_int_equal(record->occurrences, 3);
+    SrCodec_Free(record);
+}
+
+static const char *const bad_jobs[] = {
+    "",
+    "[]",
+    "{\"spec\":7}",
+    "{\"steps\":[7]}",
+    "{\"steps\":[{\"count\":\"4\"}]}",
+    "{\"steps\":[{\"count\":-4}]}",
+    "{\"steps\":[{\"after\":[\"0\"]}]}",
+    "{\"steps\":[{\"after\":0}]}",
+    "{\"steps\":[{\"gang\":1}]}",
+    "{\"steps\":[{\"data_rack\":1}]}",
+    "{\"repeat_count\":\"3\"}",
+    "{\"spec\":\"\xff\"}",
+};
+
+static void
+malformed_jobs_are_refused(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(bad_jobs); i++) {
+        const char *fault = NULL;
+        Sr__FlowRecord *record = SrPlatformFront_DecodeJob(
+            bad_jobs[i], strlen(bad_jobs[i]), &fault);
+        assert_null(record);
+        assert_non_null(fault);
+    }
+}
+
+struct SettingsCase {
+    const char *name;
+    const char *line;
+    enum SrPlatformSettingsError error;
+};
+
+/* The required fields; each case adds a line. */
+static const char settings_text[] =
+    "node_name=n1\nzone=z1\nregion=r1\nzones.z1=r1\nzones.z2=r1\n"
+    "listen_addresses.front=10.0.0.1:80\n"
+    "listen_addresses.ready_address=10.0.0.1:81\n"
+    "platform.address=10.0.0.2:82\nbounds.max_hold_ms=6000\n"
+    "bounds.stop_timeout_ms=400\nbounds.gang_timeout_ms=3000\n"
+    "bounds.grace_s=6\nbounds.status_s=120\nbounds.config_apply_ms=3000\n"
+    "internal_port_range=7000,7015\n";
+
+static const struct SettingsCase settings_cases[] = {
+    {"as told", "", SR_PLATFORM_SETTINGS_OK},
+    {"fraction", "bounds.checkpoint_s=0.5\n", SR_PLATFORM_SETTINGS_OK},
+    {"unknown field", "new.field=1\n", SR_PLATFORM_SETTINGS_OK},
+    {"no value", "zone\n", SR_PLATFORM_SETTINGS_BAD_LINE},
+    {"not a number", "bounds.grace_s=six\n", SR_PLATFORM_SETTINGS_BAD_VALUE},
+    {"negative", "bounds.grace_s=-1\n", SR_PLATFORM_SETTINGS_BAD_VALUE},
+    {"emptied", "node_name=\n", SR_PLATFORM_SETTINGS_MISSING},
+};
+
+static enum SrPlatformSettingsError
+load(const char *line, struct SrNodeSettings *settings)
+{
+    char path[] = "/tmp/sr-settings-XXXXXX";
+    int fd = mkstemp(path);
+    FILE *file = fdopen(fd, "w");
+    FILE *errors = fopen("/dev/null", "w");
+    fputs(settings_text, file);
+    fputs(line, file);
+    fclose(file);
+    enum SrPlatformSettingsError error =
+        SrPlatformSettings_Load(path, settings, errors);
+    fclose(errors);
+    remove(path);
+    return error;
+}
+
+static void
+settings_files(void **state)
+{
+    (void)state;
+    struct SrNodeSettings settings;
+    for (size_t i = 0; i < SR_LENGTH(settings_cases); i++) {
+        assert_int_equal(load(settings_cases[i].line, &settings),
+                         settings_cases[i].error);
+    }
+    assert_int_equal(load("bounds.checkpoint_s=0.5\n", &settings),
+                     SR_PLATFORM_SETTINGS_OK);
+    assert_int_equal(settings.checkpoint_ms, 500);
+    assert_int_equal(settings.grace_ms, 6000);
+    assert_int_equal(settings.domain_count, 2);
+    assert_string_equal(settings.metrics_address, "10.0.0.1:7000");
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(worker_entries),
+        cmocka_unit_test(worker_rack_is_its_second_label),
+        cmocka_unit_test(catalog_finds_queues_and_accounts),
+        cmocka_unit_test(malformed_catalogs_are_refused),
+        cmocka_unit_test(job_bodies),
+        cmocka_unit_test(malformed_jobs_are_refused),
+        cmocka_unit_test(settings_files),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
