Unguaranteed urgent work claims no more than it is worth; fastest racks first

Change: such work claims room only while it can still be in time, and only if less is lost than it is itself; estimates' errors decide how much a run teaches of its worker's speed.

--- a/src/engine.c
+++ b/src/engine.c
@@ -308,7 +308,7 @@
             "after-ms=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_EndText(how), run->percent, (long)(now_ms - run->booked_ms));
-    SrFleet_NotePace(run);
+    SrFleet_NotePace(&engine->fleet, run);
     SrFleet_Release(run);
     SrFlow_NoteCheckpoint(task, checkpoint);
     if (how == SR_RUN_DONE && !step->continuous) {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -16,7 +16,11 @@
 /* Progress from which a worker's speed is learnt, and the weight of one run:
  * declared times of single jobs are off by up to nine tenths. */
 #define LEARN_PERCENT 20
-#define LEARN_WEIGHT 0.3
+#define LEARN_WEIGHT 0.4
+/* Estimates that are off by a half on the mean teach nothing. */
+#define ERROR_AT_FIRST 0.2
+#define ERROR_WEIGHT 2
+#define ERROR_LEARN_WEIGHT 0.05
 #define SPEED_MIN 0.1
 #define SPEED_MAX 2.0
 /* Failed runs in a row after which a worker is left alone for a while. */
@@ -228,20 +232,47 @@
     return run->percent_ms + span_ms * (100 - run->percent) / progress;
 }
 
+static struct SrEstimateError *
+error_of(struct SrFleet *fleet, const char *queue)
+{
+    for (unsigned i = 0; i < fleet->error_count; i++) {
+        if (strcmp(fleet->errors[i].queue, queue) == 0) {
+            return &fleet->errors[i];
+        }
+    }
+    /* Further queues share the last place. */
+    if (fleet->error_count == SR_ESTIMATE_ERRORS_MAX) {
+        return &fleet->errors[SR_ESTIMATE_ERRORS_MAX - 1];
+    }
+    struct SrEstimateError *error = &fleet->errors[fleet->error_count++];
+    SrUtil_Copy(error->queue, sizeof(error->queue), queue);
+    error->error = ERROR_AT_FIRST;
+    return error;
+}
+
 void
-SrFleet_NotePace(const struct SrRun *run)
+SrFleet_NotePace(struct SrFleet *fleet, const struct SrRun *run)
 {
     const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    struct SrWorker *worker = run->worker;
     double span_ms = (double)(run->percent_ms - run->first_percent_ms);
     double progress = run->percent - run->first_percent;
     if (step->continuous || step->estimated_ms == 0 ||
         progress < LEARN_PERCENT || span_ms <= 0) {
         return;
     }
+    struct SrEstimateError *error =
+        error_of(fleet, run->task->flow->record->queue);
     double pace = step->estimated_ms * progress / 100 / span_ms;
     pace = pace < SPEED_MIN ? SPEED_MIN : pace;
     pace = pace > SPEED_MAX ? SPEED_MAX : pace;
-    run->worker->speed += (pace - run->worker->speed) * LEARN_WEIGHT;
+    double distance =
+        pace > worker->speed ? pace - worker->speed : worker->speed - pace;
+    double trust = 1 - ERROR_WEIGHT * error->error;
+    error->error += (distance - error->error) * ERROR_LEARN_WEIGHT;
+    if (trust > 0) {
+        worker->speed += (pace - worker->speed) * LEARN_WEIGHT * trust;
+    }
 }
 
 void
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -127,7 +127,18 @@
     unsigned assigned;
 };
 
+/* How far a queue's estimates are off: mean distance of a run's pace from its
+ * worker's speed. */
+struct SrEstimateError {
+    char queue[SR_ID_SIZE];
+    double error;
+};
+
+#define SR_ESTIMATE_ERRORS_MAX 64
+
 struct SrFleet {
+    struct SrEstimateError errors[SR_ESTIMATE_ERRORS_MAX];
+    unsigned error_count;
     struct SrMap by_id;
     struct SrList workers;
     /* Largest lease that workers accept, ms. */
@@ -190,7 +201,8 @@
 void SrFleet_NoteFailure(struct SrWorker *worker, int64_t now_ms);
 void SrFleet_NoteSuccess(struct SrWorker *worker);
 
-/* Learns the worker's speed from a run whose pace is known. */
-void SrFleet_NotePace(const struct SrRun *run);
+/* Learns the worker's speed from a run whose pace is known, and how far the
+ * estimates of the run's queue are off. */
+void SrFleet_NotePace(struct SrFleet *fleet, const struct SrRun *run);
 
 #endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -28,6 +28,8 @@
 #define SLOW_PENALTY 1500
 /* A worker of half the speed weighs as much as this many accelerators. */
 #define SPEED_PENALTY 16
+/* Racks that differ by less are taken for equally fast. */
+#define SPEED_STEP 0.05
 /* Rank of work beyond guarantees and urgent work. */
 #define RANK_GUARANTEED 0
 #define RANK_URGENT 1
@@ -593,6 +595,22 @@
     return true;
 }
 
+/* The speed of the slowest worker of the assignment just made. */
+static double
+slowest_assigned(const struct Pass *pass)
+{
+    double slowest = 0;
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        const struct SrWorker *worker = worker_at(link);
+        if (worker->assigned > 0 &&
+            (slowest == 0 || worker->speed < slowest)) {
+            slowest = worker->speed;
+        }
+    }
+    return slowest;
+}
+
 /* Cost of the assignment just made. */
 static int64_t
 assigned_cost(const struct Pass *pass, const struct Unit *unit)
@@ -608,6 +626,22 @@
     return cost;
 }
 
+/* Work beyond a guarantee does not have more work thrown away than it is
+ * itself, nor any once it is late. */
+static bool
+is_worth_claiming(const struct Pass *pass, const struct Unit *unit)
+{
+    const Sr__FlowStep *step = unit->step;
+    if (unit->flow->rank == RANK_GUARANTEED) {
+        return true;
+    }
+    int64_t cores = CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
+                    step->cpu_millis / 1000;
+    int64_t own = cores * unit->count * step->estimated_ms / 1000;
+    return pass->now_ms < unit->start_by_ms &&
+           assigned_cost(pass, unit) <= own;
+}
+
 static void
 clear_assigned(struct Pass *pass)
 {
@@ -617,6 +651,35 @@
     }
 }
 
+/* The rack in which an urgent unit runs fastest, given what fits. */
+static unsigned
+fastest_rack(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    unsigned best = RACKS_MAX;
+    double best_speed = 0;
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        if (pass->racks[i].fit < unit->count) {
+            continue;
+        }
+        if (unit->step->data_rack[0] != '\0' &&
+            strcmp(pass->racks[i].name, unit->step->data_rack) == 0) {
+            clear_assigned(pass);
+            return i;
+        }
+        clear_assigned(pass);
+        assign(pass, unit, i, kind);
+        double speed = slowest_assigned(pass);
+        if (best == RACKS_MAX || speed > best_speed + SPEED_STEP ||
+            (speed > best_speed - SPEED_STEP &&
+             pass->racks[i].fit < pass->racks[best].fit)) {
+            best = i;
+            best_speed = speed;
+        }
+    }
+    clear_assigned(pass);
+    return best;
+}
+
 /* The rack in which room for the unit is made at the least cost. */
 static unsigned
 cheapest_rack(struct Pass *pass, const struct Unit *unit)
@@ -639,6 +702,16 @@
     return best;
 }
 
+static unsigned
+rack_for(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    if (kind == ROOM_CLAIMABLE) {
+        return cheapest_rack(pass, unit);
+    }
+    return unit->flow->rank <= RANK_URGENT ? fastest_rack(pass, unit, kind)
+                                           : choose_rack(pass, unit);
+}
+
 static bool
 has_patience(const struct Pass *pass, const struct Unit *unit)
 {
@@ -663,8 +736,7 @@
     if (wants_rack) {
         bool possible = fits_a_rack(pass, unit);
         measure_fit(pass, unit, kind);
-        unsigned rack = kind == ROOM_CLAIMABLE ? cheapest_rack(pass, unit)
-                                               : choose_rack(pass, unit);
+        unsigned rack = rack_for(pass, unit, kind);
         if (rack != RACKS_MAX) {
             return assign(pass, unit, rack, kind);
         }
@@ -747,8 +819,11 @@
     const Sr__FlowStep *step = SrFlow_StepOf(run->task);
     struct SrFlowTask *first = run->task;
     uint32_t count = 1;
-    SR_INFO("plan", "yield", "id=%s step=%u run=%u to=%s", run->task->flow->id,
-            run->task->step, run->number, unit->flow->id);
+    SR_INFO("plan", "yield",
+            "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld",
+            run->task->flow->id, run->task->step, run->number,
+            run->task->flow->rank, unit->flow->id, unit->flow->rank,
+            (long)cost_of_stopping(pass, run));
     if (step->gang) {
         first = SrFlow_StepTasks(run->task->flow, run->task->occurrence,
                                  run->task->step);
@@ -793,7 +868,8 @@
             hold_room(pass, unit);
             return;
         }
-        if (assign_gang(pass, unit, ROOM_CLAIMABLE)) {
+        if (assign_gang(pass, unit, ROOM_CLAIMABLE) &&
+            is_worth_claiming(pass, unit)) {
             claim_room(pass, unit);
             hold_room(pass, unit);
         }
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -100,9 +100,9 @@
     struct SrWorkerEntry entry;
     const char *field;
     const char *body = worker_cases[0].body;
-    assert_int_equal(SrPlatform_DecodeWorker("w1", body, strlen(body), &entry,
-                                             &field),
-                     SR_DECODE_OK);
+    assert_int_equal(
+        SrPlatform_DecodeWorker("w1", body, strlen(body), &entry, &field),
+        SR_DECODE_OK);
     assert_string_equal(entry.rack, "r1-3");
     assert_int_equal(entry.label_count, 2);
     assert_true(entry.born == 1700000000000);
@@ -143,9 +143,8 @@
     (void)state;
     struct SrCatalog *catalog = NULL;
     const char *field;
-    assert_int_equal(SrPlatform_DecodeCatalog(catalog_text,
-                                              strlen(catalog_text), &catalog,
-                                              &field),
+    assert_int_equal(SrPlatform_DecodeCatalog(
+                         catalog_text, strlen(catalog_text), &catalog, &field),
                      SR_DECODE_OK);
     for (size_t i = 0; i < SR_LENGTH(route_cases); i++) {
         const struct RouteCase *c = &route_cases[i];
@@ -206,7 +205,8 @@
 {
     (void)state;
     static const char body[] =
-        "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+        "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":"
+        "256,"
         "\"gpu\":2,\"estimated_ms\":900,\"gang\":true,\"same_rack\":true},"
         "{\"count\":20,\"after\":[0],\"enable_checkpoints\":true,"
         "\"max_per_server\":2,\"data_rack\":\"r1\"}],\"repeat_count\":3,"
