A later leader knows since when a silent worker has had no lease

Change: the rows of a silent worker's runs hold the store's time of its last lease; the note is taken back, and written, before another lease is granted.

--- a/src/engine.c
+++ b/src/engine.c
@@ -58,6 +58,14 @@
     engine->catalog = catalog;
 }
 
+void
+SrEngine_SetStoreClock(struct SrEngine *engine, int64_t low_ms,
+                       int64_t high_ms)
+{
+    engine->store_low_ms = low_ms;
+    engine->store_high_ms = high_ms;
+}
+
 bool
 SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain)
 {
@@ -111,6 +119,22 @@
     return entry != NULL ? SR_CONTAINER(entry, struct SrFlow, entry) : NULL;
 }
 
+/* Without a note the earlier leader may have granted a lease until now. */
+static void
+inherit_lease(const struct SrEngine *engine, struct SrWorker *worker,
+              const Sr__FlowTask *from, int64_t now_ms)
+{
+    int64_t granted_ms = now_ms;
+    if (from->granted_ms > 0 &&
+        from->granted_ms - engine->store_low_ms < now_ms) {
+        granted_ms = from->granted_ms - engine->store_low_ms;
+        worker->noted = true;
+    }
+    if (granted_ms > worker->granted_ms) {
+        worker->granted_ms = granted_ms;
+    }
+}
+
 /* Books the runs that an earlier leader ordered. */
 static void
 inherit_runs(struct SrEngine *engine, struct SrFlow *flow,
@@ -127,7 +151,7 @@
             SrFleet_Book(worker, &flow->tasks[i], from->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
         run->born = from->born;
-        worker->granted_ms = now_ms;
+        inherit_lease(engine, worker, from, now_ms);
     }
 }
 
@@ -374,6 +398,38 @@
     }
 }
 
+static void
+touch_runs(struct SrEngine *engine, struct SrWorker *worker)
+{
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        SrEngine_Touch(engine,
+                       SR_CONTAINER(link, struct SrRun, link)->task->flow);
+    }
+}
+
+void
+SrEngine_NoteSilence(struct SrEngine *engine, struct SrWorker *worker)
+{
+    if (worker->noted || worker->unnoted_change != 0 ||
+        SrList_IsEmpty(&worker->runs)) {
+        return;
+    }
+    worker->noted = true;
+    touch_runs(engine, worker);
+}
+
+void
+SrEngine_TakeBackNote(struct SrEngine *engine, struct SrWorker *worker)
+{
+    if (!worker->noted) {
+        return;
+    }
+    worker->noted = false;
+    touch_runs(engine, worker);
+    worker->unnoted_change = engine->change;
+}
+
 static void
 stop_stuck(struct SrEngine *engine, int64_t now_ms)
 {
@@ -414,6 +470,10 @@
             worker->ends_acked = worker->ends_seen;
             worker->next_look_ms = 0;
         }
+        if (worker->unnoted_change != 0 && worker->unnoted_change < oldest) {
+            worker->unnoted_change = 0;
+            worker->next_look_ms = 0;
+        }
     }
 }
 
@@ -421,11 +481,15 @@
 SrEngine_Pump(struct SrEngine *engine, bool writable, int64_t now_ms,
               int64_t unix_ms)
 {
+    if (engine->fenced) {
+        /* A newer leader gives the orders. */
+        return;
+    }
     engine->unix_ms = unix_ms;
     end_leases(engine, now_ms);
     stop_stuck(engine, now_ms);
     ack_ends(engine);
-    if (writable && !engine->fenced && engine->catalog != NULL &&
+    if (writable && engine->catalog != NULL &&
         now_ms - engine->created_ms >= SETTLE_MS) {
         SrPlan_Pass(engine, now_ms);
     }
@@ -433,7 +497,8 @@
 }
 
 static Sr__FlowTask *
-pack_task(const struct SrFlowTask *from, Sr__FlowTask *to)
+pack_task(const struct SrEngine *engine, const struct SrFlowTask *from,
+          Sr__FlowTask *to)
 {
     sr__flow_task__init(to);
     to->run = from->run;
@@ -443,14 +508,18 @@
         to->checkpoint = (char *)from->checkpoint;
     }
     if (from->running != NULL) {
-        to->worker = from->running->worker->info.id;
+        const struct SrWorker *worker = from->running->worker;
+        to->worker = (char *)worker->info.id;
         to->born = from->running->born;
+        to->granted_ms =
+            worker->noted ? worker->granted_ms + engine->store_high_ms : 0;
     }
     return to;
 }
 
 static uint8_t *
-pack_progress(const struct SrFlow *flow, size_t *size)
+pack_progress(const struct SrEngine *engine, const struct SrFlow *flow,
+              size_t *size)
 {
     Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
     size_t count = (size_t)flow->tasks_each * flow->occurrences;
@@ -462,7 +531,7 @@
     progress.begun = flow->begun;
     if (flow->begun) {
         for (size_t i = 0; i < count; i++) {
-            pointers[i] = pack_task(&flow->tasks[i], &tasks[i]);
+            pointers[i] = pack_task(engine, &flow->tasks[i], &tasks[i]);
         }
         progress.n_tasks = count;
         progress.tasks = pointers;
@@ -504,7 +573,7 @@
         bool expired = SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
                        now_ms - flow->ended_ms > engine->options.keep_ms;
         if (!expired) {
-            change->progress = pack_progress(flow, &change->size);
+            change->progress = pack_progress(engine, flow, &change->size);
         }
     }
     return count;
--- a/src/engine.h
+++ b/src/engine.h
@@ -53,6 +53,10 @@
 void SrEngine_SetCatalog(struct SrEngine *engine,
                          const struct SrCatalog *catalog);
 
+/* The store's clock less the own one: at least `low_ms`, at most `high_ms`. */
+void SrEngine_SetStoreClock(struct SrEngine *engine, int64_t low_ms,
+                            int64_t high_ms);
+
 /* Takes a domain out of use for new work, or back. */
 void SrEngine_SetDomainOut(struct SrEngine *engine, const char *domain,
                            bool out);
--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -9,6 +9,8 @@
 /* Starts without an answer after which the run is given up. */
 #define START_SENDS_MAX 4
 #define RETRY_MS 60
+/* Looks without an answer after which a worker's silence is noted. */
+#define NOTED_LOOKS 2
 /* A worker that turned an order away is left alone for a moment. */
 #define TURNED_AWAY_MS 1500
 
@@ -215,6 +217,9 @@
         return;
     default:
         worker->silent_looks++;
+        if (worker->silent_looks >= NOTED_LOOKS) {
+            SrEngine_NoteSilence(engine, worker);
+        }
         worker->next_look_ms = now_ms + RETRY_MS * worker->silent_looks;
         worker->next_quick_ms = now_ms + RETRY_MS * worker->silent_looks;
         if (worker->silent_looks == 1) {
@@ -231,6 +236,7 @@
         }
         SrEngine_OnNewLife(engine, worker, answer->born, now_ms);
     }
+    SrEngine_TakeBackNote(engine, worker);
     worker->silent_looks = 0;
     worker->fenced = true;
     note_clock(worker, answer, now_ms);
--- a/src/engine_orders.c
+++ b/src/engine_orders.c
@@ -28,7 +28,8 @@
 look_deadline(const struct SrEngine *engine, const struct SrWorker *worker,
               int64_t now_ms)
 {
-    if (worker->silent_looks > 0) {
+    if (worker->silent_looks > 0 || worker->noted ||
+        worker->unnoted_change != 0) {
         return 0;
     }
     return SrFleet_Deadline(&engine->fleet, worker, now_ms);
@@ -176,7 +177,8 @@
         SrEngine_StopRun(engine, run, "worker-barred", now_ms);
         return;
     }
-    if (run->worker->clock_ms >= 0) {
+    if (run->worker->clock_ms >= 0 && !run->worker->noted &&
+        run->worker->unnoted_change == 0) {
         send_start(engine, run, now_ms);
     }
 }
@@ -214,9 +216,6 @@
 void
 SrEngine_SendOrders(struct SrEngine *engine, int64_t now_ms)
 {
-    if (engine->fenced) {
-        return;
-    }
     SR_LIST_EACH(worker_link, &engine->fleet.workers)
     {
         struct SrWorker *worker =
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -23,6 +23,8 @@
     int64_t unix_ms;
     uint64_t change;
     uint64_t look_number;
+    int64_t store_low_ms;
+    int64_t store_high_ms;
 };
 
 /* Marks the flow's progress as to be written. */
@@ -41,6 +43,11 @@
 void SrEngine_OnNewLife(struct SrEngine *engine, struct SrWorker *worker,
                         int64_t born, int64_t now_ms);
 
+/* Has the rows of the worker's runs say when it was last granted a lease, and
+ * takes that back before it is granted another. */
+void SrEngine_NoteSilence(struct SrEngine *engine, struct SrWorker *worker);
+void SrEngine_TakeBackNote(struct SrEngine *engine, struct SrWorker *worker);
+
 /* Sends what is due: looks, starts and stops. */
 void SrEngine_SendOrders(struct SrEngine *engine, int64_t now_ms);
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -199,7 +199,8 @@
 SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms)
 {
     return worker->present && !worker->info.draining && worker->fenced &&
-           worker->clock_ms >= 0 &&
+           worker->clock_ms >= 0 && !worker->noted &&
+           worker->unnoted_change == 0 &&
            now_ms - worker->answered_ms < ANSWER_FRESH_MS &&
            now_ms >= worker->avoid_until_ms;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -97,6 +97,11 @@
     bool fenced;
     /* Latest time at which an order with a lease was sent. */
     int64_t granted_ms;
+    /* The rows of its runs say when that was, so that a later leader need not
+     * wait for the whole lease. They must be rewritten before the next one. */
+    bool noted;
+    /* The change that takes the note back; 0 if there is none. */
+    uint64_t unnoted_change;
     /* Ends seen, and those of them that are written. */
     uint64_t ends_seen;
     uint64_t ends_acked;
--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -788,7 +788,7 @@
   (ProtobufCMessageInit) sr__flow_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr__flow_task__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sr__flow_task__field_descriptors[7] =
 {
   {
     "run",
@@ -862,19 +862,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "granted_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sr__FlowTask, granted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr__flow_task__field_indices_by_name[] = {
   4,   /* field[4] = born */
   5,   /* field[5] = checkpoint */
   2,   /* field[2] = done */
   1,   /* field[1] = failures */
+  6,   /* field[6] = granted_ms */
   0,   /* field[0] = run */
   3,   /* field[3] = worker */
 };
 static const ProtobufCIntRange sr__flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sr__flow_task__descriptor =
 {
@@ -884,7 +897,7 @@
   "Sr__FlowTask",
   "sr",
   sizeof(Sr__FlowTask),
-  6,
+  7,
   sr__flow_task__field_descriptors,
   sr__flow_task__field_indices_by_name,
   1,  sr__flow_task__number_ranges,
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -128,10 +128,15 @@
   char *worker;
   int64_t born;
   char *checkpoint;
+  /*
+   * While the worker does not answer: the store's clock when it was last
+   * granted a lease; 0 otherwise.
+   */
+  int64_t granted_ms;
 };
 #define SR__FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_task__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Sr__FlowProgress
--- a/src/leader.c
+++ b/src/leader.c
@@ -241,6 +241,15 @@
                 PAGE_ROWS, READ_TIMEOUT_MS, on_progress, call);
 }
 
+static void
+set_store_clock(struct SrLeader *leader)
+{
+    int64_t low_ms;
+    int64_t high_ms;
+    SrLedger_StoreClock(leader->options.ledger, &low_ms, &high_ms);
+    SrEngine_SetStoreClock(leader->engine, low_ms, high_ms);
+}
+
 struct SrLeader *
 SrLeader_Create(const struct SrLeaderOptions *options)
 {
@@ -259,6 +268,7 @@
             .context = options->context,
         },
         options->term, SrOs_MonotonicMs());
+    set_store_clock(leader);
     read_progress(leader);
     return leader;
 }
@@ -403,6 +413,7 @@
 void
 SrLeader_OnWritten(struct SrLeader *leader)
 {
+    set_store_clock(leader);
     for (size_t i = 0; i < leader->change_count; i++) {
         const struct SrEngineChange *change = &leader->changes[i];
         if (change->progress == NULL) {
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -46,6 +46,9 @@
     bool releasing;
     int64_t committed_ms;
     struct SrLedgerBatch batch;
+    int64_t sent_ms;
+    int64_t store_low_ms;
+    int64_t store_high_ms;
     struct Call *call;
 };
 
@@ -63,6 +66,7 @@
     call->ledger = ledger;
     ledger->call = call;
     ledger->in_flight = true;
+    ledger->sent_ms = SrOs_MonotonicMs();
     return call;
 }
 
@@ -79,6 +83,16 @@
     return ledger;
 }
 
+/* The store read its clock between the sending and now. */
+static void
+note_clock(struct SrLedger *ledger, const struct SrRowsAnswer *answer)
+{
+    if (answer->clock_ms != 0) {
+        ledger->store_low_ms = answer->clock_ms - SrOs_MonotonicMs();
+        ledger->store_high_ms = answer->clock_ms - ledger->sent_ms;
+    }
+}
+
 static void
 run_after(struct SrLedger *ledger, int64_t delay_ms, void (*fire)(void *))
 {
@@ -187,6 +201,7 @@
     if (ledger == NULL) {
         return;
     }
+    note_clock(ledger, answer);
     Sr__LeaderRecord *record = unpack_row(answer, &version);
     switch (answer->error) {
     case SR_ROWS_OK:
@@ -240,6 +255,7 @@
         run_after(ledger, POLL_MS, poll_row);
         return;
     }
+    note_clock(ledger, answer);
     Sr__LeaderRecord *record = unpack_row(answer, &version);
     if (!ledger->seen || version != ledger->version) {
         ledger->seen = true;
@@ -300,6 +316,7 @@
     if (ledger == NULL || ledger->state != LEDGER_LEADING) {
         return;
     }
+    note_clock(ledger, answer);
     Sr__LeaderRecord *record = unpack_row(answer, &version);
     switch (answer->error) {
     case SR_ROWS_OK:
@@ -400,6 +417,13 @@
            !ledger->releasing;
 }
 
+void
+SrLedger_StoreClock(const struct SrLedger *ledger, int64_t *low, int64_t *high)
+{
+    *low = ledger->store_low_ms;
+    *high = ledger->store_high_ms;
+}
+
 uint64_t
 SrLedger_Term(const struct SrLedger *ledger)
 {
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -58,6 +58,10 @@
 /* True while the store takes the leader's transactions. */
 bool SrLedger_IsWritable(const struct SrLedger *ledger);
 
+/* The store's clock less the own one: at least `low`, at most `high`, ms. */
+void SrLedger_StoreClock(const struct SrLedger *ledger, int64_t *low,
+                         int64_t *high);
+
 uint64_t SrLedger_Term(const struct SrLedger *ledger);
 
 #endif
--- a/src/rows.h
+++ b/src/rows.h
@@ -72,6 +72,8 @@
     bool has_more;
     /* Newest version; after a commit that of the written rows. */
     uint64_t version;
+    /* The store's steady clock; 0 if not told. */
+    int64_t clock_ms;
 };
 
 typedef void SrRowsDone(void *context, const struct SrRowsAnswer *answer);
