--- a/src/fleet.h
+++ b/src/fleet.h
@@ -62,6 +62,8 @@
     int64_t started_ms;
     /* Life of the worker in which the run was ordered; 0 if not told. */
     int64_t born;
+    /* Of one placement pass: counted among what would yield. */
+    bool picked;
     /* Number of the last look that listed the run. */
     uint64_t listed;
     char ticket[SR_ID_SIZE];
--- a/src/plan.c
+++ b/src/plan.c
@@ -296,6 +296,9 @@
             add_flow(pass, flow);
         }
     }
+    if (pass->unit_count == 0) {
+        return;
+    }
     qsort(pass->units, pass->unit_count, sizeof(*pass->units), compare_units);
 }
 
@@ -478,30 +481,20 @@
     return 1 + cores * members * lost_ms / 1000;
 }
 
-/* The run that yields at the least cost and is not yet passed over: runs are
- * told apart by cost, then by place in the list. */
+/* The run that yields at the least cost, of those not picked yet. */
 static struct SrRun *
 cheapest_yield(const struct Pass *pass, const struct SrWorker *worker,
-               const struct Unit *unit, const struct SrRun *after)
+               const struct Unit *unit)
 {
     struct SrRun *best = NULL;
     int64_t best_cost = 0;
-    int64_t after_cost = after != NULL ? cost_of_stopping(pass, after) : 0;
-    bool passed = after == NULL;
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run == after) {
-            passed = true;
-            continue;
-        }
-        if (!yields_to(run, unit)) {
+        if (run->picked || !yields_to(run, unit)) {
             continue;
         }
         int64_t cost = cost_of_stopping(pass, run);
-        if (cost < after_cost || (cost == after_cost && !passed)) {
-            continue;
-        }
         if (best == NULL || cost < best_cost) {
             best = run;
             best_cost = cost;
@@ -510,23 +503,33 @@
     return best;
 }
 
+static void
+clear_picked(const struct SrWorker *worker)
+{
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        SR_CONTAINER(link, struct SrRun, link)->picked = false;
+    }
+}
+
 /* What it costs to make room for that many tasks of the unit. */
 static int64_t
 claim_cost(const struct Pass *pass, const struct SrWorker *worker,
            const struct Unit *unit, unsigned tasks)
 {
     struct SrRoom room = worker->soon;
-    struct SrRun *run = NULL;
     int64_t cost = 0;
     while (tasks_in(&room, &unit->need) < tasks) {
-        run = cheapest_yield(pass, worker, unit, run);
+        struct SrRun *run = cheapest_yield(pass, worker, unit);
         if (run == NULL) {
             break;
         }
+        run->picked = true;
         struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
         add_room(&room, &need, 1);
         cost += cost_of_stopping(pass, run);
     }
+    clear_picked(worker);
     return cost;
 }
 
@@ -846,7 +849,7 @@
     {
         struct SrWorker *worker = worker_at(link);
         while (worker->assigned > tasks_in(&worker->soon, &unit->need)) {
-            struct SrRun *run = cheapest_yield(pass, worker, unit, NULL);
+            struct SrRun *run = cheapest_yield(pass, worker, unit);
             if (run == NULL) {
                 break;
             }
@@ -935,7 +938,7 @@
         return false;
     }
     while (tasks_in(&worker->soon, &unit->need) == 0) {
-        struct SrRun *run = cheapest_yield(pass, worker, unit, NULL);
+        struct SrRun *run = cheapest_yield(pass, worker, unit);
         if (run == NULL) {
             break;
         }
