--- a/src/fleet.c
+++ b/src/fleet.c
@@ -174,6 +174,8 @@
         if (start->run == run && strcmp(start->task, task) == 0) {
             SrList_Remove(&start->link);
             free(start);
+            /* There is one entry a run; `task` may have been its name. */
+            return;
         }
     }
 }
