Guaranteed gangs spread over racks before their bound

Second cause: a run past its foretold end counted as ending in time for ever. Tests of the ledger, the intake and the flow are added.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -232,7 +232,9 @@
         int64_t end_ms = run->started_ms + estimated_ms;
         return end_ms > now_ms ? end_ms : now_ms + estimated_ms / 2;
     }
-    return run->percent_ms + span_ms * (100 - run->percent) / progress;
+    int64_t end_ms =
+        run->percent_ms + span_ms * (100 - run->percent) / progress;
+    return end_ms > now_ms ? end_ms : now_ms;
 }
 
 static struct SrEstimateError *
--- a/src/plan.c
+++ b/src/plan.c
@@ -715,9 +715,17 @@
                                            : choose_rack(pass, unit);
 }
 
+/* True while the unit may wait for its rack: guaranteed work only as long as
+ * others can still be made to yield in time. */
 static bool
 has_patience(const struct Pass *pass, const struct Unit *unit)
 {
+    int64_t reclaim_ms = pass->engine->options.reclaim_ms;
+    if (unit->flow->rank == RANK_GUARANTEED && reclaim_ms > 0 &&
+        pass->now_ms >=
+            unit->flow->arrived_ms + reclaim_ms - CHANGE_MS - STOP_SPARE_MS) {
+        return false;
+    }
     double waited_ms = (double)(pass->now_ms - unit->ready_ms);
     return waited_ms < RACK_PATIENCE * unit->step->estimated_ms;
 }
@@ -730,27 +738,21 @@
     return choose_rack(pass, unit) != RACKS_MAX;
 }
 
-/* Assigns the whole gang; false if it does not fit now. */
+/* Assigns the whole gang within one rack; false if it does not fit. */
 static bool
-assign_gang(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+assign_in_rack(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
 {
-    bool wants_rack =
-        unit->step->same_rack || unit->step->data_rack[0] != '\0';
-    if (wants_rack) {
-        bool possible = fits_a_rack(pass, unit);
-        measure_fit(pass, unit, kind);
-        unsigned rack = rack_for(pass, unit, kind);
-        if (rack != RACKS_MAX) {
-            return assign(pass, unit, rack, kind);
-        }
-        if (possible && has_patience(pass, unit)) {
-            return false;
-        }
-    }
-    if (measure_fit(pass, unit, kind) < unit->count) {
-        return false;
-    }
-    return assign(pass, unit, RACKS_MAX, kind);
+    measure_fit(pass, unit, kind);
+    unsigned rack = rack_for(pass, unit, kind);
+    return rack != RACKS_MAX && assign(pass, unit, rack, kind);
+}
+
+/* Assigns the whole gang to any workers; false if it does not fit. */
+static bool
+assign_anywhere(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    return measure_fit(pass, unit, kind) >= unit->count &&
+           assign(pass, unit, RACKS_MAX, kind);
 }
 
 static void
@@ -858,32 +860,52 @@
     }
 }
 
-static void
-place_gang(struct Pass *pass, const struct Unit *unit)
+/* Books, holds or claims room for the gang, by the first way that fits; false
+ * if none does. */
+static bool
+place_by(struct Pass *pass, const struct Unit *unit,
+         bool (*assign_as)(struct Pass *, const struct Unit *, enum RoomKind))
 {
-    if (assign_gang(pass, unit, ROOM_FREE)) {
+    if (assign_as(pass, unit, ROOM_FREE)) {
         book_gang(pass, unit);
-        return;
+        return true;
     }
-    if (unit->flow->rank <= RANK_URGENT) {
-        if (assign_gang(pass, unit, ROOM_SOON) ||
-            assign_gang(pass, unit, ROOM_EXPECTED)) {
-            hold_room(pass, unit);
-            return;
-        }
-        if (assign_gang(pass, unit, ROOM_CLAIMABLE) &&
-            is_worth_claiming(pass, unit)) {
-            claim_room(pass, unit);
+    if (unit->flow->rank > RANK_URGENT) {
+        /* Small work would keep a large gang out for ever. */
+        if (pass->held_gangs < HELD_GANGS_MAX &&
+            assign_as(pass, unit, ROOM_EXPECTED)) {
+            pass->held_gangs++;
             hold_room(pass, unit);
+            return true;
         }
-        return;
+        return false;
     }
-    /* Small work would keep a large gang out for ever. */
-    if (pass->held_gangs < HELD_GANGS_MAX &&
-        assign_gang(pass, unit, ROOM_EXPECTED)) {
-        pass->held_gangs++;
+    if (assign_as(pass, unit, ROOM_SOON) ||
+        assign_as(pass, unit, ROOM_EXPECTED)) {
         hold_room(pass, unit);
+        return true;
+    }
+    if (assign_as(pass, unit, ROOM_CLAIMABLE) &&
+        is_worth_claiming(pass, unit)) {
+        claim_room(pass, unit);
+        hold_room(pass, unit);
+        return true;
+    }
+    return false;
+}
+
+static void
+place_gang(struct Pass *pass, const struct Unit *unit)
+{
+    bool wants_rack =
+        unit->step->same_rack || unit->step->data_rack[0] != '\0';
+    if (wants_rack && place_by(pass, unit, assign_in_rack)) {
+        return;
+    }
+    if (wants_rack && has_patience(pass, unit) && fits_a_rack(pass, unit)) {
+        return;
     }
+    place_by(pass, unit, assign_anywhere);
 }
 
 static struct SrWorker *
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -17,7 +17,7 @@
 #define STEP_MS 5
 #define RUNS_MAX 64
 #define ENDS_MAX 512
-#define JOBS_MAX 128
+#define RECLAIM_MS 2900
 #define TASKS_MAX 64
 
 struct Ran {
@@ -106,7 +106,7 @@
     gsl_rng *random;
     int64_t now_ms;
     struct Worker *workers;
-    struct Job jobs[JOBS_MAX];
+    struct Job jobs[SIM_JOBS_MAX];
     struct SrList events;
     struct SrList looks;
     struct SrCatalog *catalog;
@@ -279,6 +279,24 @@
     }
 }
 
+static void
+note_begun(struct Sim *sim, const struct Job *job)
+{
+    unsigned present = 0;
+    for (unsigned w = 0; w < sim->options->workers; w++) {
+        const struct Worker *worker = &sim->workers[w];
+        for (unsigned i = 0; i < worker->running_count; i++) {
+            uint32_t index;
+            present +=
+                job_of(sim, worker->running[i].task, &index) == job ? 1 : 0;
+        }
+    }
+    if (present == job->count) {
+        sim->result->begun_ms[job - sim->jobs] =
+            sim->now_ms - job->submitted_ms;
+    }
+}
+
 static void
 start_gang(struct Sim *sim, struct Job *job, uint32_t run)
 {
@@ -334,6 +352,7 @@
     ran = &worker->running[worker->running_count++];
     *ran = (struct Ran){.run = run, .started_ms = sim->now_ms};
     SrUtil_Copy(ran->task, sizeof(ran->task), task);
+    note_begun(sim, job);
     ran->fails = draw(sim, 1000) < sim->options->faults.failed_runs;
     if (job->gang) {
         start_gang(sim, job, run);
@@ -350,6 +369,8 @@
     struct Ran *ran = find_ran(worker, order->u.stop.task);
     if (ran != NULL && ran->run == order->u.stop.run) {
         if (ran->stop_ms == 0) {
+            uint32_t index;
+            sim->result->stopped[job_of(sim, ran->task, &index) - sim->jobs]++;
             ran->stop_ms = sim->now_ms + STOP_MS;
         }
         return SR_ORDER_DONE;
@@ -386,6 +407,17 @@
     worker->ended_count = kept;
 }
 
+static int
+percent_of(struct Sim *sim, const struct Ran *ran)
+{
+    uint32_t index;
+    const struct Job *job = job_of(sim, ran->task, &index);
+    if (ran->due_ms == 0) {
+        return 0;
+    }
+    return (int)(100 - 100 * (ran->due_ms - sim->now_ms) / job->work_ms);
+}
+
 static void
 fill_lists(struct Sim *sim, const struct Worker *worker,
            struct SrOrderAnswer *answer)
@@ -398,7 +430,7 @@
         const struct Ran *from = &worker->running[i];
         SrUtil_Copy(to->task, sizeof(to->task), from->task);
         to->run = from->run;
-        to->percent = (int)((sim->now_ms - from->started_ms) / 10);
+        to->percent = percent_of(sim, from);
     }
     for (unsigned i = 0; i < worker->ended_count; i++) {
         struct SrEndedReport *to = &answer->ended[i];
@@ -680,6 +712,7 @@
             .stop_ms = STOP_MS,
             .keep_ms = sim->options->length_ms,
             .remote_factor = 3,
+            .reclaim_ms = RECLAIM_MS,
             .send = send,
             .context = sim,
         },
@@ -792,35 +825,53 @@
     }
 }
 
+static struct SimJob
+draw_job(struct Sim *sim)
+{
+    unsigned priority = draw(sim, 3);
+    struct SimJob job = {
+        .priority = priority,
+        .gang = priority != 2,
+    };
+    job.submitted_ms = draw(sim, (unsigned)sim->options->length_ms / 2);
+    job.count = 1 + draw(sim, priority == 2 ? 12 : 5);
+    job.accelerators = priority == 2 ? 1 : 1U << draw(sim, 4);
+    job.work_ms = 300 + draw(sim, priority == 0 ? 3000 : 8000);
+    job.same_rack = draw(sim, 2) == 0;
+    return job;
+}
+
 static void
 make_job(struct Sim *sim, unsigned number)
 {
     struct Job *job = &sim->jobs[number];
+    struct SimJob from = sim->options->given != NULL
+                             ? sim->options->given[number]
+                             : draw_job(sim);
     Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
     Sr__FlowStep step = SR__FLOW_STEP__INIT;
     Sr__FlowStep *steps[] = {&step};
     Sr__FlowProgress empty = SR__FLOW_PROGRESS__INIT;
-    unsigned priority = draw(sim, 3);
     snprintf(job->id, sizeof(job->id), "%016x", number + 1);
-    job->submitted_ms = draw(sim, (unsigned)sim->options->length_ms / 2);
-    job->count = 1 + draw(sim, priority == 2 ? 12 : 5);
-    job->gang = priority != 2;
-    job->accelerators = priority == 2 ? 1 : 1U << draw(sim, 4);
-    job->work_ms = 300 + draw(sim, priority == 0 ? 3000 : 8000);
-    step.count = job->count;
-    step.accelerators = job->accelerators;
+    job->submitted_ms = from.submitted_ms;
+    job->count = from.count;
+    job->gang = from.gang;
+    job->accelerators = from.accelerators;
+    job->work_ms = from.work_ms;
+    step.count = from.count;
+    step.accelerators = from.accelerators;
     step.cpu_millis = 1000;
     step.memory_mb = 1000;
-    step.estimated_ms = (uint32_t)job->work_ms;
-    step.gang = job->gang;
-    step.same_rack = draw(sim, 2) == 0;
+    step.estimated_ms = (uint32_t)from.work_ms;
+    step.gang = from.gang;
+    step.same_rack = from.same_rack;
     record.steps = steps;
     record.n_steps = 1;
     record.payload = (char *)"work";
-    record.queue = sim->catalog->queues[priority].name;
+    record.queue = sim->catalog->queues[from.priority].name;
     record.service = (char *)"service";
     record.account = (char *)"account";
-    record.priority = priority;
+    record.priority = from.priority;
     record.max_attempts = 3;
     record.stretch = 2;
     record.target_ms = 1000;
@@ -842,9 +893,12 @@
 make_world(struct Sim *sim)
 {
     static const char *const queues[] = {"urgent", "large", "small"};
+    unsigned rack_workers =
+        sim->options->rack_workers > 0 ? sim->options->rack_workers : 4;
     sim->catalog = SrCatalog_Create(3, 1, 0);
     sim->catalog->accounts[0].name = SrUtil_Strdup("account");
-    sim->catalog->accounts[0].guaranteed_accelerators = 16;
+    sim->catalog->accounts[0].guaranteed_accelerators =
+        sim->options->guarantee > 0 ? sim->options->guarantee : 16;
     for (unsigned i = 0; i < 3; i++) {
         struct SrCatalogQueue *queue = &sim->catalog->queues[i];
         queue->name = SrUtil_Strdup(queues[i]);
@@ -863,7 +917,7 @@
         SrUtil_Copy(worker->entry.service, SR_ID_SIZE, "service");
         SrUtil_Copy(worker->entry.address, SR_ID_SIZE, "address");
         snprintf(worker->entry.id, SR_ID_SIZE, "w%u", w);
-        snprintf(worker->entry.rack, SR_ID_SIZE, "r%u", w / 4);
+        snprintf(worker->entry.rack, SR_ID_SIZE, "r%u", w / rack_workers);
     }
     for (unsigned i = 0; i < sim->options->jobs; i++) {
         make_job(sim, i);
@@ -950,6 +1004,9 @@
 {
     struct Sim *sim = SrUtil_Calloc(1, sizeof(*sim));
     *result = (struct SimResult){.starts = 0};
+    for (unsigned i = 0; i < SIM_JOBS_MAX; i++) {
+        result->begun_ms[i] = -1;
+    }
     sim->options = options;
     sim->result = result;
     sim->random = gsl_rng_alloc(gsl_rng_mt19937);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -26,10 +26,29 @@
     unsigned cancels;
 };
 
+/* A job of one step, given instead of drawn. */
+struct SimJob {
+    int64_t submitted_ms;
+    unsigned priority;
+    uint32_t count;
+    uint32_t accelerators;
+    int64_t work_ms;
+    bool gang;
+    bool same_rack;
+};
+
+#define SIM_JOBS_MAX 128
+
 struct SimOptions {
     uint64_t seed;
     unsigned workers;
+    /* Workers of a rack; 0 for four. */
+    unsigned rack_workers;
     unsigned jobs;
+    /* The jobs in order of submission, or NULL to draw them. */
+    const struct SimJob *given;
+    /* Accelerators guaranteed to the one account; 0 for 16. */
+    uint32_t guarantee;
     int64_t length_ms;
     struct SimFaults faults;
 };
@@ -44,6 +63,11 @@
     unsigned completed;
     unsigned failed;
     unsigned starts;
+    /* By job: when all tasks of its latest run had started, ms after it was
+     * submitted; -1 if they never had. */
+    int64_t begun_ms[SIM_JOBS_MAX];
+    /* By job: runs that were stopped. */
+    unsigned stopped[SIM_JOBS_MAX];
     /* First violation, for a person. */
     char text[256];
 };
--- /dev/null
+++ b/tests/test_flow.c
@@ -0,0 +1,163 @@
+#include "test_support.h"
+
+#include "codec.h"
+#include "flow.h"
+
+static struct SrFlow *
+make_flow(bool gang)
+{
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep first = SR__FLOW_STEP__INIT;
+    Sr__FlowStep second = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&first, &second};
+    uint32_t after[] = {0};
+    first.count = 3;
+    first.gang = gang;
+    first.estimated_ms = 1000;
+    second.count = 2;
+    second.after = after;
+    second.n_after = 1;
+    second.estimated_ms = 500;
+    record.steps = steps;
+    record.n_steps = 2;
+    record.max_attempts = 2;
+    record.occurrences = 2;
+    record.first_run_ms = 1000;
+    record.interval_ms = 300;
+    return SrFlow_Create("00112233445566aa", SrCodec_Clone(&record.base));
+}
+
+struct NameCase {
+    const char *name;
+    bool valid;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+};
+
+static const struct NameCase name_cases[] = {
+    {"00112233445566aa.0.1.17", true, 0, 1, 17},
+    {"00112233445566aa.3.0.0", true, 3, 0, 0},
+    {"00112233445566aa.0.1", false, 0, 0, 0},
+    {"00112233445566aa.0.1.17x", false, 0, 0, 0},
+    {".0.1.17", false, 0, 0, 0},
+    {"", false, 0, 0, 0},
+};
+
+static void
+task_names(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(name_cases); i++) {
+        const struct NameCase *c = &name_cases[i];
+        char id[SR_ID_SIZE];
+        uint32_t occurrence;
+        uint32_t step;
+        uint32_t index;
+        bool valid =
+            SrFlow_ParseTaskName(c->name, id, &occurrence, &step, &index);
+        assert_int_equal(valid, c->valid);
+        if (valid) {
+            assert_int_equal(occurrence, c->occurrence);
+            assert_int_equal(step, c->step);
+            assert_int_equal(index, c->index);
+        }
+    }
+}
+
+static void
+steps_wait_for_earlier_ones(void **state)
+{
+    (void)state;
+    struct SrFlow *flow = make_flow(false);
+    assert_true(SrFlow_IsStepReady(flow, 0, 0));
+    assert_false(SrFlow_IsStepReady(flow, 0, 1));
+    for (uint32_t i = 0; i < 3; i++) {
+        SrFlow_NoteDone(SrFlow_FindTask(flow, 0, 0, i));
+    }
+    assert_true(SrFlow_IsStepReady(flow, 0, 1));
+    assert_false(SrFlow_IsStepReady(flow, 1, 1));
+    assert_null(SrFlow_FindTask(flow, 2, 0, 0));
+    assert_int_equal(SrFlow_ChainMs(flow), 1500);
+    assert_true(SrFlow_DueMs(flow, 1) == 1300);
+    SrFlow_Destroy(flow);
+}
+
+static void
+gang_fails_and_ends_as_one(void **state)
+{
+    (void)state;
+    struct SrFlow *flow = make_flow(true);
+    assert_false(SrFlow_NoteFailure(SrFlow_FindTask(flow, 0, 0, 0), 1));
+    /* Another member of the same run. */
+    assert_false(SrFlow_NoteFailure(SrFlow_FindTask(flow, 0, 0, 2), 1));
+    assert_int_equal(SrFlow_FindTask(flow, 0, 0, 1)->failures, 1);
+    assert_true(SrFlow_NoteFailure(SrFlow_FindTask(flow, 0, 0, 1), 2));
+    SrFlow_NoteCheckpoint(SrFlow_FindTask(flow, 0, 0, 1), "c1");
+    assert_string_equal(SrFlow_FindTask(flow, 0, 0, 0)->checkpoint, "c1");
+    SrFlow_NoteCheckpoint(SrFlow_FindTask(flow, 0, 0, 1), "");
+    assert_string_equal(SrFlow_FindTask(flow, 0, 0, 0)->checkpoint, "c1");
+    SrFlow_NoteDone(SrFlow_FindTask(flow, 0, 0, 2));
+    assert_true(SrFlow_IsStepDone(flow, 0, 0));
+    assert_false(SrFlow_IsStepDone(flow, 1, 0));
+    SrFlow_Destroy(flow);
+}
+
+struct CheckCase {
+    uint32_t steps;
+    uint32_t count;
+    uint32_t after;
+    uint32_t occurrences;
+    enum SrFlowError error;
+};
+
+static const struct CheckCase check_cases[] = {
+    {0, 1, 0, 0, SR_FLOW_NO_STEPS},
+    {1, 0, 0, 0, SR_FLOW_EMPTY_STEP},
+    {2, 1, 0, 0, SR_FLOW_OK},
+    {2, 1, 1, 0, SR_FLOW_BAD_ORDER},
+    {2, 1, 9, 0, SR_FLOW_BAD_ORDER},
+    {1, SR_FLOW_TASKS_MAX, 0, 0, SR_FLOW_OK},
+    {1, SR_FLOW_TASKS_MAX, 0, 2, SR_FLOW_TOO_MANY_TASKS},
+    {1, UINT32_MAX, 0, UINT32_MAX, SR_FLOW_TOO_MANY_TASKS},
+    {SR_FLOW_STEPS_MAX + 1, 1, 0, 0, SR_FLOW_TOO_MANY_STEPS},
+};
+
+static void
+records_are_checked(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(check_cases); i++) {
+        const struct CheckCase *c = &check_cases[i];
+        Sr__FlowStep step = SR__FLOW_STEP__INIT;
+        Sr__FlowStep last = SR__FLOW_STEP__INIT;
+        Sr__FlowStep *steps[SR_FLOW_STEPS_MAX + 1];
+        Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+        uint32_t after[] = {c->after};
+        const char *field = NULL;
+        step.count = c->count;
+        last.count = 1;
+        last.after = after;
+        last.n_after = 1;
+        for (uint32_t s = 0; s < c->steps; s++) {
+            steps[s] = s == 1 ? &last : &step;
+        }
+        record.steps = steps;
+        record.n_steps = c->steps;
+        record.occurrences = c->occurrences;
+        assert_int_equal(SrFlow_Check(&record, &field), c->error);
+        assert_non_null(field);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(task_names),
+        cmocka_unit_test(steps_wait_for_earlier_ones),
+        cmocka_unit_test(gang_fails_and_ends_as_one),
+        cmocka_unit_test(records_are_checked),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_intake.c
@@ -0,0 +1,291 @@
+#include "test_support.h"
+
+#include <stdlib.h>
+
+#include "catalog.h"
+#include "codec.h"
+#include "intake.h"
+#include "kernel.h"
+#include "ledger.h"
+#include "log.h"
+#include "memory_rows.h"
+#include "os.h"
+
+#define JOB_ID "00112233445566aa"
+#define CASE_LIMIT_MS 20000
+
+struct World {
+    struct SrKernel *kernel;
+    struct SrMemoryRows *memory;
+    struct SrRows rows;
+    struct SrCatalog *catalog;
+    int64_t catalog_age_ms;
+    struct SrIntake *intake;
+    struct SrResult result;
+    bool answered;
+};
+
+static const struct SrCatalog *
+get_catalog(void *context)
+{
+    return ((struct World *)context)->catalog;
+}
+
+static int64_t
+get_age(void *context)
+{
+    return ((struct World *)context)->catalog_age_ms;
+}
+
+static void
+begin(struct World *world)
+{
+    *world = (struct World){.answered = false};
+    world->kernel = SrKernel_Create(NULL);
+    world->memory = SrMemoryRows_Create();
+    world->rows = (struct SrRows){
+        .kind = SR_ROWS_MEMORY,
+        .u.memory = world->memory,
+    };
+    world->catalog = SrCatalog_Create(1, 1, 0);
+    world->catalog->queues[0].name = SrUtil_Strdup("q");
+    world->catalog->queues[0].host = SrUtil_Strdup("h");
+    world->catalog->queues[0].prefix = SrUtil_Strdup("/p/");
+    world->catalog->queues[0].service = SrUtil_Strdup("s");
+    world->catalog->queues[0].max_attempts = 2;
+    world->catalog->accounts[0].name = SrUtil_Strdup("t");
+    world->catalog->accounts[0].keys = SrUtil_Calloc(1, sizeof(char *));
+    world->catalog->accounts[0].keys[0] = SrUtil_Strdup("k");
+    world->catalog->accounts[0].key_count = 1;
+    world->intake = SrIntake_Create(&(struct SrIntakeOptions){
+        .kernel = world->kernel,
+        .rows = &world->rows,
+        .catalog = get_catalog,
+        .catalog_age_ms = get_age,
+        .context = world,
+    });
+}
+
+static void
+end(struct World *world)
+{
+    SrMemoryRows_Destroy(world->memory);
+    SrIntake_Destroy(world->intake);
+    SrCatalog_Destroy(world->catalog);
+    SrKernel_Destroy(world->kernel);
+}
+
+static void
+on_result(void *context, const struct SrResult *result)
+{
+    struct World *world = context;
+    world->result = *result;
+    world->answered = true;
+}
+
+static Sr__FlowRecord *
+make_record(void)
+{
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep step = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&step};
+    step.count = 2;
+    record.steps = steps;
+    record.n_steps = 1;
+    return SrCodec_Clone(&record.base);
+}
+
+/* Asks, and lets the store's calls end as the fates say, then well. */
+static enum SrResultKind
+ask(struct World *world, enum SrRequestKind kind, const char *path,
+    const char *key, const enum SrMemoryFate *fates, size_t fate_count)
+{
+    struct SrRequest request = {
+        .kind = kind,
+        .host = "h",
+        .path = path,
+        .key = key,
+        .deadline_ms = 3000,
+        .fault = "bad",
+    };
+    size_t used = 0;
+    int64_t limit_ms = SrOs_MonotonicMs() + CASE_LIMIT_MS;
+    if (kind == SR_REQUEST_SUBMIT) {
+        request.record = make_record();
+    }
+    world->answered = false;
+    SrIntake_Handle(world->intake, &request, on_result, world);
+    while (!world->answered && SrOs_MonotonicMs() < limit_ms) {
+        if (SrMemoryRows_Pending(world->memory) > 0) {
+            SrMemoryRows_Step(world->memory, used < fate_count
+                                                 ? fates[used]
+                                                 : SR_MEMORY_SERVE);
+            used++;
+        }
+        ev_run(world->kernel->loop,
+               world->answered ? EVRUN_NOWAIT : EVRUN_NOWAIT);
+    }
+    assert_true(world->answered);
+    return world->result.kind;
+}
+
+static bool
+is_stored(const struct World *world)
+{
+    size_t size;
+    return SrMemoryRows_Value(world->memory, SR_TABLE_JOBS, JOB_ID, &size) !=
+           NULL;
+}
+
+struct SubmitCase {
+    const char *name;
+    enum SrMemoryFate fates[4];
+    size_t count;
+    enum SrResultKind result;
+    bool stored;
+};
+
+static const struct SubmitCase submit_cases[] = {
+    {"sound store", {SR_MEMORY_SERVE}, 1, SR_RESULT_ACCEPTED, true},
+    {"answer lost", {SR_MEMORY_LOSE_ANSWER}, 1, SR_RESULT_ACCEPTED, true},
+    {"answer lost twice",
+     {SR_MEMORY_LOSE_ANSWER, SR_MEMORY_LOSE_ANSWER},
+     2,
+     SR_RESULT_ACCEPTED,
+     true},
+    {"done late", {SR_MEMORY_LATE}, 1, SR_RESULT_ACCEPTED, true},
+    {"refused once", {SR_MEMORY_REFUSE}, 1, SR_RESULT_ACCEPTED, true},
+};
+
+static void
+submits_settle(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(submit_cases); i++) {
+        const struct SubmitCase *c = &submit_cases[i];
+        struct World world;
+        begin(&world);
+        enum SrResultKind result = ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID,
+                                       "k", c->fates, c->count);
+        if (result != c->result) {
+            print_message("case: %s\n", c->name);
+        }
+        assert_int_equal(result, c->result);
+        assert_int_equal(is_stored(&world), c->stored);
+        SrMemoryRows_RunLate(world.memory);
+        /* The same id again is the same job. */
+        assert_int_equal(
+            ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", NULL, 0),
+            SR_RESULT_ACCEPTED);
+        end(&world);
+    }
+}
+
+static void
+refused_submit_never_runs(void **state)
+{
+    (void)state;
+    struct World world;
+    enum SrMemoryFate fates[64];
+    for (size_t i = 0; i < SR_LENGTH(fates); i++) {
+        fates[i] = SR_MEMORY_REFUSE;
+    }
+    begin(&world);
+    assert_int_equal(ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", fates,
+                         SR_LENGTH(fates)),
+                     SR_RESULT_REFUSED);
+    assert_true(world.result.retry_after_s > 0);
+    assert_false(is_stored(&world));
+    end(&world);
+}
+
+static void
+unsettled_submit_is_not_called_refused(void **state)
+{
+    (void)state;
+    struct World world;
+    enum SrMemoryFate fates[64] = {SR_MEMORY_LATE};
+    for (size_t i = 1; i < SR_LENGTH(fates); i++) {
+        fates[i] = SR_MEMORY_REFUSE;
+    }
+    begin(&world);
+    assert_int_equal(ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", fates,
+                         SR_LENGTH(fates)),
+                     SR_RESULT_UNKNOWN);
+    SrMemoryRows_RunLate(world.memory);
+    assert_true(is_stored(&world));
+    end(&world);
+}
+
+struct AnswerCase {
+    enum SrRequestKind kind;
+    const char *path;
+    const char *key;
+    int64_t age_ms;
+    enum SrResultKind result;
+};
+
+static const struct AnswerCase answer_cases[] = {
+    {SR_REQUEST_STATE, "/p/" JOB_ID, "k", 0, SR_RESULT_NO_JOB},
+    {SR_REQUEST_CANCEL, "/p/" JOB_ID, "k", 0, SR_RESULT_NO_JOB},
+    {SR_REQUEST_STATE, "/p/", "k", 0, SR_RESULT_COUNT},
+    {SR_REQUEST_STATE, "/q/", "k", 0, SR_RESULT_NO_QUEUE},
+    {SR_REQUEST_SUBMIT, "/p/" JOB_ID, "other", 0, SR_RESULT_BAD_KEY},
+    {SR_REQUEST_SUBMIT, "/p/" JOB_ID, NULL, 0, SR_RESULT_BAD_KEY},
+    {SR_REQUEST_SUBMIT, "/p/short", "k", 0, SR_RESULT_MALFORMED},
+    {SR_REQUEST_UNSUPPORTED, "/p/" JOB_ID, "k", 0, SR_RESULT_UNSUPPORTED},
+    /* An old configuration decides nothing. */
+    {SR_REQUEST_STATE, "/q/", "k", 5000, SR_RESULT_REFUSED},
+    {SR_REQUEST_SUBMIT, "/p/" JOB_ID, "other", 5000, SR_RESULT_REFUSED},
+};
+
+static void
+requests_are_answered(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(answer_cases); i++) {
+        const struct AnswerCase *c = &answer_cases[i];
+        struct World world;
+        begin(&world);
+        world.catalog_age_ms = c->age_ms;
+        assert_int_equal(ask(&world, c->kind, c->path, c->key, NULL, 0),
+                         c->result);
+        assert_false(is_stored(&world));
+        end(&world);
+    }
+}
+
+static void
+job_is_told_and_cancelled(void **state)
+{
+    (void)state;
+    struct World world;
+    size_t size;
+    begin(&world);
+    assert_int_equal(
+        ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", NULL, 0),
+        SR_RESULT_ACCEPTED);
+    assert_int_equal(ask(&world, SR_REQUEST_STATE, "/p/" JOB_ID, "k", NULL, 0),
+                     SR_RESULT_STATE);
+    assert_int_equal(world.result.state, SR__FLOW_STATUS__FLOW_QUEUED);
+    assert_int_equal(
+        ask(&world, SR_REQUEST_CANCEL, "/p/" JOB_ID, "k", NULL, 0),
+        SR_RESULT_CANCELLED);
+    assert_non_null(
+        SrMemoryRows_Value(world.memory, SR_TABLE_CANCEL, JOB_ID, &size));
+    end(&world);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(submits_settle),
+        cmocka_unit_test(refused_submit_never_runs),
+        cmocka_unit_test(unsettled_submit_is_not_called_refused),
+        cmocka_unit_test(requests_are_answered),
+        cmocka_unit_test(job_is_told_and_cancelled),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_ledger.c
@@ -0,0 +1,261 @@
+#include "test_support.h"
+
+#include <gsl/gsl_rng.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "kernel.h"
+#include "ledger.h"
+#include "log.h"
+#include "memory_rows.h"
+#include "os.h"
+
+#define COUNTER_KEY "counter"
+/* Real time that one case may take at the most; no case waits for it. */
+#define CASE_LIMIT_MS 20000
+
+/* A candidate whose batches count one row up from what the store held when it
+ * was elected. */
+struct Candidate {
+    struct World *world;
+    struct SrLedger *ledger;
+    bool leading;
+    uint64_t term;
+    uint64_t value;
+    uint8_t text[32];
+};
+
+struct World {
+    struct SrKernel *kernel;
+    struct SrMemoryRows *memory;
+    struct SrRows rows;
+    struct Candidate candidates[2];
+    uint64_t confirmed;
+    uint64_t terms;
+    unsigned batches;
+};
+
+static uint64_t
+stored_value(const struct World *world)
+{
+    size_t size;
+    const uint8_t *value = SrMemoryRows_Value(world->memory, SR_TABLE_PROGRESS,
+                                              COUNTER_KEY, &size);
+    return value != NULL ? strtoull((const char *)value, NULL, 10) : 0;
+}
+
+static void
+on_elected(void *context, uint64_t term)
+{
+    struct Candidate *candidate = context;
+    struct World *world = candidate->world;
+    assert_true(term > world->terms);
+    world->terms = term;
+    candidate->leading = true;
+    candidate->term = term;
+    candidate->value = stored_value(world);
+}
+
+static void
+on_lost(void *context)
+{
+    struct Candidate *candidate = context;
+    candidate->leading = false;
+}
+
+static void
+fill(void *context, struct SrLedgerBatch *batch)
+{
+    struct Candidate *candidate = context;
+    snprintf((char *)candidate->text, sizeof(candidate->text), "%llu",
+             (unsigned long long)candidate->value + 1);
+    batch->writes[batch->count++] = (struct SrRowsWrite){
+        .table = SR_TABLE_PROGRESS,
+        .key = COUNTER_KEY,
+        .value = candidate->text,
+        .size = sizeof(candidate->text),
+    };
+}
+
+static void
+on_written(void *context)
+{
+    struct Candidate *candidate = context;
+    struct World *world = candidate->world;
+    candidate->value++;
+    world->batches++;
+    /* Each confirmed batch is stored once, and none is overtaken. */
+    assert_int_equal(candidate->value, world->confirmed + 1);
+    assert_int_equal(stored_value(world), candidate->value);
+    world->confirmed = candidate->value;
+}
+
+static void
+begin(struct World *world)
+{
+    *world = (struct World){.batches = 0};
+    world->kernel = SrKernel_Create(NULL);
+    world->memory = SrMemoryRows_Create();
+    world->rows = (struct SrRows){
+        .kind = SR_ROWS_MEMORY,
+        .u.memory = world->memory,
+    };
+}
+
+static void
+add(struct World *world, unsigned number, const char *name)
+{
+    struct Candidate *candidate = &world->candidates[number];
+    candidate->world = world;
+    candidate->ledger = SrLedger_Create(&(struct SrLedgerOptions){
+        .kernel = world->kernel,
+        .rows = &world->rows,
+        .holder = name,
+        .on_elected = on_elected,
+        .on_lost = on_lost,
+        .fill = fill,
+        .on_written = on_written,
+        .context = candidate,
+    });
+}
+
+static void
+end(struct World *world)
+{
+    for (unsigned i = 0; i < 2; i++) {
+        SrLedger_Destroy(world->candidates[i].ledger);
+    }
+    /* Answers of what was on its way find nobody. */
+    while (SrMemoryRows_Pending(world->memory) > 0) {
+        SrMemoryRows_Step(world->memory, SR_MEMORY_REFUSE);
+    }
+    SrMemoryRows_Destroy(world->memory);
+    SrKernel_Destroy(world->kernel);
+}
+
+struct Mix {
+    const char *name;
+    /* Shares of 100 calls. */
+    unsigned lost;
+    unsigned late;
+    unsigned refused;
+};
+
+static const struct Mix mixes[] = {
+    {"sound", 0, 0, 0},    {"answers lost", 30, 0, 0}, {"done late", 0, 30, 0},
+    {"refused", 0, 0, 40}, {"all", 15, 15, 15},
+};
+
+static enum SrMemoryFate
+draw_fate(gsl_rng *random, const struct Mix *mix)
+{
+    unsigned draw = (unsigned)gsl_rng_uniform_int(random, 100);
+    if (draw < mix->lost) {
+        return SR_MEMORY_LOSE_ANSWER;
+    }
+    if (draw < mix->lost + mix->late) {
+        return SR_MEMORY_LATE;
+    }
+    if (draw < mix->lost + mix->late + mix->refused) {
+        return SR_MEMORY_REFUSE;
+    }
+    return SR_MEMORY_SERVE;
+}
+
+static void
+step(struct World *world, gsl_rng *random, const struct Mix *mix)
+{
+    ev_run(world->kernel->loop, EVRUN_NOWAIT);
+    while (SrMemoryRows_Pending(world->memory) > 0) {
+        SrMemoryRows_Step(world->memory, draw_fate(random, mix));
+    }
+    if (gsl_rng_uniform_int(random, 10) == 0) {
+        SrMemoryRows_RunLate(world->memory);
+    }
+    for (unsigned i = 0; i < 2; i++) {
+        if (world->candidates[i].ledger != NULL) {
+            SrLedger_Wake(world->candidates[i].ledger);
+        }
+    }
+    struct timespec pause = {.tv_nsec = 1000000};
+    nanosleep(&pause, NULL);
+}
+
+static void
+chain_holds_under_faults(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(mixes); i++) {
+        struct World world;
+        gsl_rng *random = gsl_rng_alloc(gsl_rng_mt19937);
+        gsl_rng_set(random, i + 1);
+        begin(&world);
+        add(&world, 0, "a");
+        add(&world, 1, "b");
+        int64_t limit_ms = SrOs_MonotonicMs() + CASE_LIMIT_MS;
+        while (world.batches < 25 && SrOs_MonotonicMs() < limit_ms) {
+            step(&world, random, &mixes[i]);
+        }
+        if (world.batches < 25) {
+            print_message("mix: %s\n", mixes[i].name);
+        }
+        assert_true(world.batches >= 25);
+        end(&world);
+        gsl_rng_free(random);
+    }
+}
+
+static void
+run_until(struct World *world, const bool *flag, bool wanted)
+{
+    gsl_rng *random = gsl_rng_alloc(gsl_rng_mt19937);
+    int64_t limit_ms = SrOs_MonotonicMs() + CASE_LIMIT_MS;
+    while (*flag != wanted && SrOs_MonotonicMs() < limit_ms) {
+        step(world, random, &mixes[0]);
+    }
+    gsl_rng_free(random);
+    assert_int_equal(*flag, wanted);
+}
+
+static void
+silent_leader_is_succeeded_and_writes_nothing(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world);
+    add(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    SrLedger_Destroy(world.candidates[0].ledger);
+    world.candidates[0].ledger = NULL;
+    add(&world, 1, "b");
+    run_until(&world, &world.candidates[1].leading, true);
+    assert_true(world.candidates[1].term > world.candidates[0].term);
+    end(&world);
+}
+
+static void
+released_leadership_is_taken(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world);
+    add(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    add(&world, 1, "b");
+    SrLedger_Release(world.candidates[0].ledger);
+    run_until(&world, &world.candidates[0].leading, false);
+    run_until(&world, &world.candidates[1].leading, true);
+    end(&world);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(chain_holds_under_faults),
+        cmocka_unit_test(silent_leader_is_succeeded_and_writes_nothing),
+        cmocka_unit_test(released_leadership_is_taken),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,125 @@
+#include "test_support.h"
+
+#include "fleet_sim.h"
+#include "log.h"
+
+/* Within this time of its submission a guaranteed job begins whole. */
+#define RECLAIM_MS 2900
+
+/* A load pattern, and what becomes of its last job. */
+struct Pattern {
+    const char *name;
+    unsigned workers;
+    unsigned rack_workers;
+    uint32_t guarantee;
+    struct SimJob jobs[8];
+    unsigned count;
+    /* Latest start of the last job, ms; 0: it has to wait for the others. */
+    int64_t begun_within_ms;
+    /* Runs of the first job that may be stopped. */
+    unsigned stopped_max;
+};
+
+static const struct Pattern patterns[] = {
+    {
+        .name = "free room",
+        .workers = 4,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 0, 2, 8, 4000, true, true}},
+        .count = 1,
+        .begun_within_ms = 300,
+    },
+    {
+        .name = "lent room is reclaimed",
+        .workers = 4,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 2, 32, 1, 30000, false, false},
+                 {5000, 0, 2, 8, 4000, true, true}},
+        .count = 2,
+        .begun_within_ms = RECLAIM_MS,
+        .stopped_max = 32,
+    },
+    {
+        /* A same-rack gang waited for a rack in which other guaranteed work
+         * ran, past the bound of its guarantee. */
+        .name = "racks held by guaranteed work",
+        .workers = 4,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 0, 1, 8, 20000, true, true},
+                 {1500, 0, 1, 8, 3000, true, true},
+                 {2000, 0, 1, 8, 20000, true, true},
+                 {2500, 0, 1, 8, 2000, true, true},
+                 {6000, 0, 2, 8, 4000, true, true}},
+        .count = 5,
+        .begun_within_ms = RECLAIM_MS,
+    },
+    {
+        .name = "work that ends in time is not stopped",
+        .workers = 2,
+        .rack_workers = 2,
+        .guarantee = 16,
+        .jobs = {{1000, 2, 16, 1, 2600, false, false},
+                 {3300, 0, 2, 8, 4000, true, true}},
+        .count = 2,
+        .begun_within_ms = RECLAIM_MS,
+        .stopped_max = 0,
+    },
+    {
+        .name = "unguaranteed work does not stop more than it is itself",
+        .workers = 2,
+        .rack_workers = 2,
+        .guarantee = 1,
+        .jobs = {{1000, 1, 2, 8, 9000, true, true},
+                 {9000, 0, 1, 8, 1000, true, true}},
+        .count = 2,
+        .stopped_max = 0,
+    },
+};
+
+static void
+play(const struct Pattern *pattern)
+{
+    struct SimResult result;
+    Sim_Run(
+        &(struct SimOptions){
+            .seed = 1,
+            .workers = pattern->workers,
+            .rack_workers = pattern->rack_workers,
+            .jobs = pattern->count,
+            .given = pattern->jobs,
+            .guarantee = pattern->guarantee,
+            .length_ms = 60000,
+        },
+        &result);
+    int64_t begun_ms = result.begun_ms[pattern->count - 1];
+    print_message("%s: begun after %lld ms, %u stopped\n", pattern->name,
+                  (long long)begun_ms, result.stopped[0]);
+    assert_string_equal(result.text, "");
+    assert_true(begun_ms >= 0);
+    if (pattern->begun_within_ms > 0) {
+        assert_true(begun_ms <= pattern->begun_within_ms);
+    }
+    assert_true(result.stopped[0] <= pattern->stopped_max);
+}
+
+static void
+load_patterns(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(patterns); i++) {
+        play(&patterns[i]);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(load_patterns),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
