--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -304,6 +304,12 @@
         run->answered_ms = now_ms;
         run->started_ms = now_ms;
         run->percent_ms = now_ms;
+        SR_INFO("engine", "run-started",
+                "id=%s step=%u index=%u run=%u worker=%s term=%lu sends=%u "
+                "after-ms=%ld",
+                run->task->flow->id, run->task->step, run->task->index,
+                run->number, worker->info.id, (unsigned long)engine->term,
+                run->sends, (long)(now_ms - run->booked_ms));
         break;
     case SR_ORDER_SILENT:
         on_start_silent(engine, run, now_ms);
--- a/src/flow.h
+++ b/src/flow.h
@@ -41,6 +41,8 @@
     char checkpoint[SR_CHECKPOINT_SIZE];
     /* Worker on which the last attempt failed; empty if none. */
     char failed_on[SR_ID_SIZE];
+    /* Its waiting was logged. */
+    bool waits;
     /* When the task could first have run, own clock; 0 if not yet. */
     int64_t ready_ms;
 };
--- a/src/log.c
+++ b/src/log.c
@@ -26,6 +26,21 @@
     [SR_LOG_ERROR] = "error",
 };
 
+/* Lines of one kind written in one second; a busy leader writes 100. */
+#define LINES_PER_SECOND 300
+#define KINDS_MAX 128
+
+/* Lines of one service and event in the present second. */
+struct Kind {
+    const char *service;
+    const char *event;
+    time_t second;
+    unsigned written;
+    unsigned long folded;
+};
+
+static struct Kind kinds[KINDS_MAX];
+
 struct Line {
     char text[LINE_SIZE];
     size_t length;
@@ -162,6 +177,52 @@
     }
 }
 
+/* Service and event are constants of the code, so their addresses tell kinds
+ * apart. NULL once the table is full. */
+static struct Kind *
+find_kind(const char *service, const char *event)
+{
+    for (size_t i = 0; i < KINDS_MAX; i++) {
+        if (kinds[i].event == NULL) {
+            kinds[i].service = service;
+            kinds[i].event = event;
+        }
+        if (kinds[i].event == event && kinds[i].service == service) {
+            return &kinds[i];
+        }
+    }
+    return NULL;
+}
+
+/* True if the line is over its kind's budget; lines left out are counted and
+ * told with the kind's first line of a later second. */
+static bool
+is_folded(const char *service, const char *event)
+{
+    struct Kind *kind = find_kind(service, event);
+    time_t second = time(NULL);
+    if (kind == NULL) {
+        return false;
+    }
+    if (kind->second != second) {
+        unsigned long folded = kind->folded;
+        kind->second = second;
+        kind->written = 0;
+        kind->folded = 0;
+        if (folded > 0) {
+            SrLog_Write(SR_LOG_WARN, "log", "folded",
+                        "kind-service=%s kind-event=%s lines=%lu", service,
+                        event, folded);
+        }
+    }
+    if (kind->written >= LINES_PER_SECOND) {
+        kind->folded++;
+        return true;
+    }
+    kind->written++;
+    return false;
+}
+
 uint64_t
 SrLog_Dropped(void)
 {
@@ -172,7 +233,8 @@
 SrLog_Write(enum SrLogLevel level, const char *service, const char *event,
             const char *format, ...)
 {
-    if (level < lowest_level) {
+    if (level < lowest_level ||
+        (level <= SR_LOG_INFO && is_folded(service, event))) {
         return;
     }
     struct Line line = {.length = 0};
--- a/src/log.h
+++ b/src/log.h
@@ -2,7 +2,8 @@
  * unless another descriptor is set.
  *
  * A line holds time, level, service, event and key=value pairs; values are
- * quoted and escaped where needed. Lines that the output does not take at
+ * quoted and escaped where needed. Lines of one kind beyond a budget a second
+ * are left out and counted. Lines that the output does not take at
  * once are dropped and counted, so that the loop never waits. */
 #ifndef SR_LOG_H
 #define SR_LOG_H
--- a/src/main.c
+++ b/src/main.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cli.h"
+#include "explain.h"
 #include "gate.h"
 #include "node.h"
 #include "scheduler.h"
@@ -115,6 +116,8 @@
          "  node            Take callers' requests, and lead when elected;\n"
          "                  runs on the users' platform.\n"
          "  check-node      Check a node's settings file.\n"
+         "  explain ID [FILE...]\n"
+         "                  Tell a request's story from the nodes' logs.\n"
          "  check-settings  Check and print a daemon's settings.\n\n"
          "commands:");
     SrCli_PrintCommands();
@@ -137,6 +140,19 @@
     return argc > 2 ? argv[2] : getenv(SR_NODE_SETTINGS_VARIABLE);
 }
 
+static int
+explain(int argc, char **argv)
+{
+    if (argc < 3) {
+        fputs("usage: sassafrasrelay explain ID [FILE...]\n", stderr);
+        return SR_EXIT_USAGE;
+    }
+    return SrExplain_Run(argv[2], argv + 3, argc - 3, stdout, stderr) ==
+                   SR_EXPLAIN_OK
+               ? SR_EXIT_OK
+               : SR_EXIT_USAGE;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -147,6 +163,9 @@
     if (strcmp(argv[1], "node") == 0) {
         return SrNode_Run(node_settings_path(argc, argv));
     }
+    if (strcmp(argv[1], "explain") == 0) {
+        return explain(argc, argv);
+    }
     if (strcmp(argv[1], "check-node") == 0) {
         return SrNode_Check(node_settings_path(argc, argv));
     }
--- a/src/plan.c
+++ b/src/plan.c
@@ -765,6 +765,7 @@
     add_room(&worker->free, &unit->need, -1);
     add_room(&worker->soon, &unit->need, -1);
     unit->flow->begun = true;
+    unit->first->waits = false;
     if (unit->flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
         unit->flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
     }
@@ -860,6 +861,25 @@
     }
 }
 
+/* Once for each wait: why the unit does not run yet, and what it needs. */
+static void
+log_wait(const struct Pass *pass, const struct Unit *unit, const char *reason)
+{
+    if (unit->first->waits) {
+        return;
+    }
+    unit->first->waits = true;
+    SR_INFO("plan", "waits",
+            "id=%s step=%u tasks=%u accelerators=%u rank=%u reason=%s "
+            "units=%lu start-by-in-ms=%ld yield-in-ms=%ld config=%lu",
+            unit->flow->id, unit->first->step, unit->count,
+            unit->step->accelerators, unit->flow->rank, reason,
+            (unsigned long)pass->unit_count,
+            (long)(unit->start_by_ms - pass->now_ms),
+            (long)(unit->wait_until_ms - pass->now_ms),
+            (unsigned long)pass->engine->catalog->version);
+}
+
 /* Books, holds or claims room for the gang, by the first way that fits; false
  * if none does. */
 static bool
@@ -876,6 +896,7 @@
             assign_as(pass, unit, ROOM_EXPECTED)) {
             pass->held_gangs++;
             hold_room(pass, unit);
+            log_wait(pass, unit, "room-held");
             return true;
         }
         return false;
@@ -883,12 +904,14 @@
     if (assign_as(pass, unit, ROOM_SOON) ||
         assign_as(pass, unit, ROOM_EXPECTED)) {
         hold_room(pass, unit);
+        log_wait(pass, unit, "room-held");
         return true;
     }
     if (assign_as(pass, unit, ROOM_CLAIMABLE) &&
         is_worth_claiming(pass, unit)) {
         claim_room(pass, unit);
         hold_room(pass, unit);
+        log_wait(pass, unit, "room-claimed");
         return true;
     }
     return false;
@@ -903,9 +926,12 @@
         return;
     }
     if (wants_rack && has_patience(pass, unit) && fits_a_rack(pass, unit)) {
+        log_wait(pass, unit, "no-rack");
         return;
     }
-    place_by(pass, unit, assign_anywhere);
+    if (!place_by(pass, unit, assign_anywhere)) {
+        log_wait(pass, unit, "no-room");
+    }
 }
 
 static struct SrWorker *
@@ -978,6 +1004,7 @@
         struct SrFlowTask *task = &unit->first[i];
         if (!task->done && task->running == NULL &&
             !place_task(pass, unit, task)) {
+            log_wait(pass, unit, "no-room");
             return;
         }
     }
