A gang's member that has done its work is not stuck

Ruled out: speeds, claims of urgent work. Change: a gang's member is stuck only while all members run and it is short of its end.

--- a/src/engine.c
+++ b/src/engine.c
@@ -14,6 +14,8 @@
 /* A run whose progress stands still for this long is taken as stuck: the
  * slowest worker seen moves on by a percent in under a second. */
 #define STUCK_MS 3500
+/* Members round up. */
+#define PERCENT_DONE 99
 
 struct SrEngine *
 SrEngine_Create(const struct SrEngineOptions *options, uint64_t term,
@@ -430,6 +432,31 @@
     worker->unnoted_change = engine->change;
 }
 
+/* True if a run makes no progress though it could: a member of a gang that has
+ * done its work, or waits for members to start, stands still rightly. */
+static bool
+is_stuck(const struct SrRun *run)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    if (run->state != SR_RUNSTATE_STARTED || run->stopping ||
+        step->continuous ||
+        run->worker->answered_ms - run->percent_ms < STUCK_MS) {
+        return false;
+    }
+    if (!step->gang) {
+        return true;
+    }
+    const struct SrFlowTask *first = SrFlow_StepTasks(
+        run->task->flow, run->task->occurrence, run->task->step);
+    for (uint32_t i = 0; i < step->count; i++) {
+        if (first[i].running == NULL ||
+            first[i].running->state != SR_RUNSTATE_STARTED) {
+            return false;
+        }
+    }
+    return run->percent < PERCENT_DONE;
+}
+
 static void
 stop_stuck(struct SrEngine *engine, int64_t now_ms)
 {
@@ -440,13 +467,10 @@
         SR_LIST_EACH_SAFE(link, &worker->runs)
         {
             struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-            if (run->state != SR_RUNSTATE_STARTED || run->stopping ||
-                SrFlow_StepOf(run->task)->continuous ||
-                worker->answered_ms - run->percent_ms < STUCK_MS) {
-                continue;
+            if (is_stuck(run)) {
+                SrFleet_NoteFailure(worker, now_ms);
+                SrEngine_StopRun(engine, run, "stands-still", now_ms);
             }
-            SrFleet_NoteFailure(worker, now_ms);
-            SrEngine_StopRun(engine, run, "stands-still", now_ms);
         }
     }
 }
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -415,7 +415,11 @@
     if (ran->due_ms == 0) {
         return 0;
     }
-    return (int)(100 - 100 * (ran->due_ms - sim->now_ms) / job->work_ms);
+    /* Every second member of a gang has half the work, and then waits. */
+    int64_t pace = job->gang ? 1 + index % 2 : 1;
+    int64_t percent =
+        pace * (100 - 100 * (ran->due_ms - sim->now_ms) / job->work_ms);
+    return percent < 100 ? (int)percent : 100;
 }
 
 static void
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -30,6 +30,18 @@
         .count = 1,
         .begun_within_ms = 300,
     },
+    {
+        /* A member that has done its work waits for the others; it was taken
+         * for stuck, and the gang began anew. */
+        .name = "members of unequal work",
+        .workers = 2,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 2, 8, 14000, true, true}},
+        .count = 1,
+        .begun_within_ms = 300,
+        .stopped_max = 0,
+    },
     {
         .name = "lent room is reclaimed",
         .workers = 4,
