--- a/src/plan.c
+++ b/src/plan.c
@@ -45,6 +45,8 @@
 /* Tasks that are placed together (a gang) or each for itself. */
 struct Unit {
     struct SrFlow *flow;
+    /* Its objective cannot be met any more. */
+    bool late;
     const Sr__FlowStep *step;
     struct SrFlowTask *first;
     struct SrRoom need;
@@ -254,6 +256,9 @@
                        (int64_t)(flow->record->stretch * (double)chain_ms) -
                        chain_ms,
     };
+    /* Guaranteed work keeps its turn: its bound is not its objective. */
+    unit.late =
+        flow->rank != RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until(pass, &unit);
     add_unit(pass, &unit);
 }
@@ -279,6 +284,9 @@
     if (a->flow->rank != b->flow->rank) {
         return a->flow->rank < b->flow->rank ? -1 : 1;
     }
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
     if (a->start_by_ms != b->start_by_ms) {
         return a->start_by_ms < b->start_by_ms ? -1 : 1;
     }
