--- a/src/fleet.c
+++ b/src/fleet.c
@@ -21,7 +21,6 @@
 #define ERROR_AT_FIRST 0.2
 #define ERROR_WEIGHT 2
 #define ERROR_LEARN_WEIGHT 0.05
-#define MEAN_LEARN_WEIGHT 0.1
 #define SPEED_MIN 0.1
 #define SPEED_MAX 2.0
 /* Failed runs in a row after which a worker is left alone for a while. */
@@ -256,28 +255,6 @@
     return error;
 }
 
-static double
-trust_in(const struct SrEstimateError *error)
-{
-    double trust = 1 - ERROR_WEIGHT * error->error;
-    return trust > 0 ? trust : 0;
-}
-
-int64_t
-SrFleet_ExpectedMs(const struct SrFleet *fleet, const char *queue,
-                   int64_t estimated_ms)
-{
-    for (unsigned i = 0; i < fleet->error_count; i++) {
-        const struct SrEstimateError *error = &fleet->errors[i];
-        if (strcmp(error->queue, queue) == 0 && error->mean_ms > 0) {
-            double trust = trust_in(error);
-            return (int64_t)(trust * (double)estimated_ms +
-                             (1 - trust) * error->mean_ms);
-        }
-    }
-    return estimated_ms;
-}
-
 void
 SrFleet_NotePace(struct SrFleet *fleet, const struct SrRun *run)
 {
@@ -296,12 +273,7 @@
     pace = pace > SPEED_MAX ? SPEED_MAX : pace;
     double distance =
         pace > worker->speed ? pace - worker->speed : worker->speed - pace;
-    double trust = trust_in(error);
-    double took_ms = span_ms * 100 / progress * worker->speed;
-    error->mean_ms =
-        error->mean_ms > 0
-            ? error->mean_ms + (took_ms - error->mean_ms) * MEAN_LEARN_WEIGHT
-            : took_ms;
+    double trust = 1 - ERROR_WEIGHT * error->error;
     error->error += (distance - error->error) * ERROR_LEARN_WEIGHT;
     if (trust > 0) {
         worker->speed += (pace - worker->speed) * LEARN_WEIGHT * trust;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -139,8 +139,6 @@
 struct SrEstimateError {
     char queue[SR_ID_SIZE];
     double error;
-    /* Mean time of a task at speed 1, ms; 0 while unknown. */
-    double mean_ms;
 };
 
 #define SR_ESTIMATE_ERRORS_MAX 64
@@ -203,11 +201,6 @@
 int64_t SrFleet_Deadline(const struct SrFleet *fleet,
                          const struct SrWorker *worker, int64_t now_ms);
 
-/* Time that a task of the queue is expected to take: its estimate, as far as
- * the queue's estimates can be trusted, and the mean of what was seen. */
-int64_t SrFleet_ExpectedMs(const struct SrFleet *fleet, const char *queue,
-                           int64_t estimated_ms);
-
 /* When the run will be done at its present pace, or by its estimate while no
  * pace is known. */
 int64_t SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms);
--- a/src/plan.c
+++ b/src/plan.c
@@ -244,8 +244,7 @@
     if (first->ready_ms == 0) {
         first->ready_ms = pass->now_ms;
     }
-    int64_t chain_ms = SrFleet_ExpectedMs(
-        &pass->engine->fleet, flow->record->queue, SrFlow_ChainMs(flow));
+    int64_t chain_ms = SrFlow_ChainMs(flow);
     struct Unit unit = {
         .flow = flow,
         .step = step,
