--- a/src/ledger.c
+++ b/src/ledger.c
@@ -44,6 +44,8 @@
     bool in_flight;
     bool failing;
     bool releasing;
+    /* The transaction on its way gives leadership up. */
+    bool release_sent;
     int64_t committed_ms;
     struct SrLedgerBatch batch;
     int64_t sent_ms;
@@ -137,7 +139,7 @@
     record.holder = (char *)ledger->options.holder;
     record.term = term;
     record.sequence = sequence;
-    record.released = ledger->releasing;
+    record.released = ledger->release_sent;
     size_t size;
     SR_CLEANUP(SrUtil_FreePointer)
     uint8_t *value = SrCodec_Pack(&record, &size);
@@ -298,13 +300,13 @@
                 (unsigned long)ledger->term);
     }
     ledger->failing = false;
-    if (ledger->releasing) {
+    if (ledger->release_sent) {
         SR_INFO("ledger", "released", "term=%lu", (unsigned long)ledger->term);
         ledger->state = LEDGER_RELEASED;
         ledger->options.on_lost(ledger->options.context);
         return;
     }
-    run_after(ledger, RENEW_MS, commit);
+    run_after(ledger, ledger->releasing ? 0 : RENEW_MS, commit);
     ledger->options.on_written(ledger->options.context);
 }
 
@@ -353,6 +355,7 @@
     }
     /* A batch without an answer is sent again unchanged. */
     if (!ledger->failing) {
+        ledger->release_sent = ledger->releasing;
         ledger->batch.count = 0;
         ledger->options.fill(ledger->options.context, &ledger->batch);
     }
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <time.h>
 
+#include "codec.h"
+#include "flow.pb-c.h"
 #include "kernel.h"
 #include "ledger.h"
 #include "log.h"
@@ -248,6 +250,39 @@
     end(&world);
 }
 
+static bool
+is_row_released(const struct World *world)
+{
+    size_t size;
+    const uint8_t *value =
+        SrMemoryRows_Value(world->memory, SR_TABLE_LEADER, "leader", &size);
+    Sr__LeaderRecord *record =
+        SrCodec_Unpack(&sr__leader_record__descriptor, value, size);
+    bool released = record->released;
+    SrCodec_Free(record);
+    return released;
+}
+
+/* The transaction on its way was taken for the release, and the next leader
+ * waited as for one that fell silent. */
+static void
+release_follows_the_transaction_on_its_way(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world);
+    add(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    while (SrMemoryRows_Pending(world.memory) == 0) {
+        SrLedger_Wake(world.candidates[0].ledger);
+        ev_run(world.kernel->loop, EVRUN_ONCE);
+    }
+    SrLedger_Release(world.candidates[0].ledger);
+    run_until(&world, &world.candidates[0].leading, false);
+    assert_true(is_row_released(&world));
+    end(&world);
+}
+
 int
 main(void)
 {
@@ -255,6 +290,7 @@
         cmocka_unit_test(chain_holds_under_faults),
         cmocka_unit_test(silent_leader_is_succeeded_and_writes_nothing),
         cmocka_unit_test(released_leadership_is_taken),
+        cmocka_unit_test(release_follows_the_transaction_on_its_way),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
