--- a/src/flow.h
+++ b/src/flow.h
@@ -81,6 +81,8 @@
     uint64_t written;
     /* Runs outstanding over all tasks. */
     uint32_t outstanding;
+    /* Others were made to yield to the job, and it has not run since. */
+    bool claimed;
     /* Order of claims in the present placement pass; 0 comes first. */
     uint32_t rank;
 };
--- a/src/plan.c
+++ b/src/plan.c
@@ -284,6 +284,10 @@
     if (a->flow->rank != b->flow->rank) {
         return a->flow->rank < b->flow->rank ? -1 : 1;
     }
+    /* What was freed for a job is not given to the next one. */
+    if (a->flow->claimed != b->flow->claimed) {
+        return a->flow->claimed ? -1 : 1;
+    }
     if (a->late != b->late) {
         return a->late ? 1 : -1;
     }
@@ -773,6 +777,7 @@
     add_room(&worker->free, &unit->need, -1);
     add_room(&worker->soon, &unit->need, -1);
     unit->flow->begun = true;
+    unit->flow->claimed = false;
     unit->first->waits = false;
     if (unit->flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
         unit->flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
@@ -918,6 +923,7 @@
     if (assign_as(pass, unit, ROOM_CLAIMABLE) &&
         is_worth_claiming(pass, unit)) {
         claim_room(pass, unit);
+        unit->flow->claimed = true;
         hold_room(pass, unit);
         log_wait(pass, unit, "room-claimed");
         return true;
