--- a/src/engine.c
+++ b/src/engine.c
@@ -12,8 +12,9 @@
 /* An entry follows its worker's new life within some heartbeats. */
 #define STALE_ENTRY_MS 6000
 /* A run whose progress stands still for this long is taken as stuck: the
- * slowest worker seen moves on by a percent in under a second. */
-#define STUCK_MS 3500
+ * slowest worker seen moves on by a percent in a second, and is looked at each
+ * second. */
+#define STUCK_MS 2300
 /* Members round up. */
 #define PERCENT_DONE 99
 
