--- a/src/engine.c
+++ b/src/engine.c
@@ -18,6 +18,28 @@
 /* Members round up. */
 #define PERCENT_DONE 99
 
+static const char *const event_texts[] = {
+    [SR_ENGINE_BEGUN] = "begun",           [SR_ENGINE_COMPLETED] = "completed",
+    [SR_ENGINE_FAILED] = "failed",         [SR_ENGINE_RUN_DONE] = "run-done",
+    [SR_ENGINE_RUN_FAILED] = "run-failed", [SR_ENGINE_RUN_LOST] = "run-lost",
+};
+
+const char *
+SrEngine_EventText(enum SrEngineEvent event)
+{
+    return event_texts[event];
+}
+
+void
+SrEngine_Observe(const struct SrEngine *engine, enum SrEngineEvent event,
+                 const struct SrFlow *flow, int64_t ms)
+{
+    if (engine->options.observe != NULL) {
+        engine->options.observe(engine->options.context, event,
+                                flow->record->queue, ms);
+    }
+}
+
 struct SrEngine *
 SrEngine_Create(const struct SrEngineOptions *options, uint64_t term,
                 int64_t now_ms)
@@ -276,6 +298,8 @@
     flow->status = SR__FLOW_STATUS__FLOW_COMPLETED;
     flow->ended_ms = now_ms;
     SrEngine_Touch(engine, flow);
+    SrEngine_Observe(engine, SR_ENGINE_COMPLETED, flow,
+                     now_ms - flow->arrived_ms);
     SR_INFO("engine", "completed", "id=%s queue=%s after-ms=%ld", flow->id,
             flow->record->queue, (long)(now_ms - flow->arrived_ms));
 }
@@ -290,6 +314,8 @@
     flow->status = SR__FLOW_STATUS__FLOW_FAILED;
     flow->ended_ms = now_ms;
     SrEngine_Touch(engine, flow);
+    SrEngine_Observe(engine, SR_ENGINE_FAILED, flow,
+                     now_ms - flow->arrived_ms);
     SR_INFO("engine", "failed", "id=%s step=%u index=%u failures=%u max=%u",
             flow->id, task->step, task->index, task->failures,
             flow->record->max_attempts);
@@ -322,6 +348,19 @@
     }
 }
 
+static enum SrEngineEvent
+event_of(enum SrRunEnd how)
+{
+    switch (how) {
+    case SR_RUN_DONE:
+        return SR_ENGINE_RUN_DONE;
+    case SR_RUN_FAILED:
+        return SR_ENGINE_RUN_FAILED;
+    default:
+        return SR_ENGINE_RUN_LOST;
+    }
+}
+
 void
 SrEngine_EndRun(struct SrEngine *engine, struct SrRun *run, enum SrRunEnd how,
                 const char *checkpoint, int64_t now_ms)
@@ -335,6 +374,8 @@
             "after-ms=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_EndText(how), run->percent, (long)(now_ms - run->booked_ms));
+    SrEngine_Observe(engine, event_of(how), task->flow,
+                     now_ms - run->booked_ms);
     SrFleet_NotePace(&engine->fleet, run);
     SrFleet_Release(run);
     SrFlow_NoteCheckpoint(task, checkpoint);
--- a/src/engine.h
+++ b/src/engine.h
@@ -17,6 +17,19 @@
 
 struct SrEngine;
 
+/* What is counted of jobs and runs. */
+enum SrEngineEvent {
+    /* The first task was placed; the time since the job arrived. */
+    SR_ENGINE_BEGUN,
+    SR_ENGINE_COMPLETED,
+    SR_ENGINE_FAILED,
+    /* A run ended; the time since it was booked. */
+    SR_ENGINE_RUN_DONE,
+    SR_ENGINE_RUN_FAILED,
+    /* Stopped, broken, lapsed or alone: its work is lost or saved only. */
+    SR_ENGINE_RUN_LOST,
+};
+
 struct SrEngineOptions {
     /* Largest lease that workers accept, ms. */
     int64_t lease_ms;
@@ -33,9 +46,14 @@
     double remote_factor;
     /* Gets each order; must not call the engine. */
     void (*send)(void *context, const struct SrOrder *order);
+    /* Gets what is to be counted; may be NULL. */
+    void (*observe)(void *context, enum SrEngineEvent event, const char *queue,
+                    int64_t ms);
     void *context;
 };
 
+const char *SrEngine_EventText(enum SrEngineEvent event);
+
 /* A changed flow, for the ledger. */
 struct SrEngineChange {
     const char *id;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -27,6 +27,10 @@
     int64_t store_high_ms;
 };
 
+/* Hands an event of the flow's queue on to be counted. */
+void SrEngine_Observe(const struct SrEngine *engine, enum SrEngineEvent event,
+                      const struct SrFlow *flow, int64_t ms);
+
 /* Marks the flow's progress as to be written. */
 void SrEngine_Touch(struct SrEngine *engine, struct SrFlow *flow);
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -265,6 +265,7 @@
             .keep_ms = options->settings->status_ms + KEEP_MARGIN_MS,
             .remote_factor = options->settings->remote_factor,
             .send = options->send,
+            .observe = options->observe,
             .context = options->context,
         },
         options->term, SrOs_MonotonicMs());
--- a/src/leader.h
+++ b/src/leader.h
@@ -22,6 +22,8 @@
     const char *worker_table;
     bool (*read_worker)(const struct SrRow *row, struct SrWorkerEntry *entry);
     void (*send)(void *context, const struct SrOrder *order);
+    void (*observe)(void *context, enum SrEngineEvent event, const char *queue,
+                    int64_t ms);
     void *context;
 };
 
--- a/src/node.c
+++ b/src/node.c
@@ -181,6 +181,27 @@
     }
 }
 
+static const char *const histogram_names[] = {
+    [SR_ENGINE_BEGUN] = "sr_job_wait_us",
+    [SR_ENGINE_COMPLETED] = "sr_job_completion_us",
+    [SR_ENGINE_FAILED] = "sr_job_failure_us",
+    [SR_ENGINE_RUN_DONE] = "sr_run_us",
+    [SR_ENGINE_RUN_FAILED] = "sr_run_failed_us",
+    [SR_ENGINE_RUN_LOST] = "sr_run_lost_us",
+};
+
+static void
+on_event(void *context, enum SrEngineEvent event, const char *queue,
+         int64_t ms)
+{
+    const struct SrNode *node = context;
+    struct SrMetrics *metrics = node->kernel->metrics;
+    SrMetrics_Count(metrics, "sr_events", "event", SrEngine_EventText(event),
+                    1);
+    SrMetrics_Observe(metrics, histogram_names[event], "queue", queue,
+                      (uint64_t)ms * SR_MS_PER_SECOND);
+}
+
 static void
 on_elected(void *context, uint64_t term)
 {
@@ -195,6 +216,7 @@
         .worker_table = SrPlatform_WorkerTable,
         .read_worker = read_worker,
         .send = send_order,
+        .observe = on_event,
         .context = node,
     });
     if (node->catalog != NULL) {
--- a/src/plan.c
+++ b/src/plan.c
@@ -776,6 +776,10 @@
     run->state = SR_RUNSTATE_PLANNED;
     add_room(&worker->free, &unit->need, -1);
     add_room(&worker->soon, &unit->need, -1);
+    if (!unit->flow->begun) {
+        SrEngine_Observe(pass->engine, SR_ENGINE_BEGUN, unit->flow,
+                         pass->now_ms - unit->flow->arrived_ms);
+    }
     unit->flow->begun = true;
     unit->flow->claimed = false;
     unit->first->waits = false;
--- /dev/null
+++ b/tests/test_mutations.c
@@ -0,0 +1,212 @@
+#include "test_support.h"
+
+#include <gsl/gsl_rng.h>
+#include <stdlib.h>
+
+#include "catalog.h"
+#include "codec.h"
+#include "flow.h"
+#include "log.h"
+#include "platform_decode.h"
+#include "platform_front.h"
+
+/* Inputs of each kind; SR_MUTATIONS plays more by hand. */
+#define MUTATIONS 40000
+#define MUTATIONS_VARIABLE "SR_MUTATIONS"
+#define INPUT_MAX 2048
+
+static const char worker[] =
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":8,\"state\":\"draining\","
+    "\"cold_remaining_ms\":0,\"remaining_ms\":500,\"capacity\":{\"cpu\":16000,"
+    "\"mem_mb\":32768,\"gpu\":8},\"labels\":[\"a\",\"r1-3\"],"
+    "\"born\":1700000000000,\"sequence\":4}";
+static const char catalog_text[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
+    "\"path_prefix\":\"/p/\",\"priority\":2,\"service\":\"s\","
+    "\"max_attempts\":4,\"stretch\":3.0,\"advisor\":{\"validity_ms\":3000}}],"
+    "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
+    "\"limits\":{\"max_body_bytes\":262144},\"tenants\":[{\"name\":\"t\","
+    "\"api_keys\":[\"k1\",\"k2\"],\"guaranteed_gpus\":{\"gpu\":72}}]}";
+static const char job[] =
+    "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
+    "\"gpu\":2,\"estimated_ms\":900,\"gang\":true,\"same_rack\":true},"
+    "{\"count\":20,\"after\":[0],\"enable_checkpoints\":true,"
+    "\"max_per_server\":2,\"data_rack\":\"r1\",\"fill_count\":1}],"
+    "\"repeat_count\":3,\"first_run_ms\":1000,\"interval_ms\":50}";
+
+/* Pieces that mean something to a parser. */
+static const char *const pieces[] = {
+    "null",        "-1",   "1e308", "99999999999999999999",
+    "\"\"",        "[]",   "{}",    "[[[",
+    "\"\\u0000\"", "true", ",",     "\xff",
+};
+
+static uint64_t
+mutation_count(void)
+{
+    const char *text = getenv(MUTATIONS_VARIABLE);
+    return text != NULL ? strtoull(text, NULL, 10) : MUTATIONS;
+}
+
+static size_t
+insert_piece(gsl_rng *random, char *input, size_t size)
+{
+    const char *piece = pieces[gsl_rng_uniform_int(random, SR_LENGTH(pieces))];
+    size_t length = strlen(piece);
+    size_t at = gsl_rng_uniform_int(random, size + 1);
+    if (size + length > INPUT_MAX) {
+        return size;
+    }
+    memmove(input + at + length, input + at, size - at);
+    memcpy(input + at, piece, length);
+    return size + length;
+}
+
+static size_t
+cut(gsl_rng *random, char *input, size_t size)
+{
+    size_t at = gsl_rng_uniform_int(random, size);
+    size_t length = 1 + gsl_rng_uniform_int(random, size - at);
+    memmove(input + at, input + at + length, size - at - length);
+    return size - length;
+}
+
+static size_t
+mutate(gsl_rng *random, const void *from, size_t size, char *input)
+{
+    memcpy(input, from, size);
+    unsigned long changes = 1 + gsl_rng_uniform_int(random, 4);
+    for (unsigned long i = 0; i < changes && size > 0; i++) {
+        switch (gsl_rng_uniform_int(random, 4)) {
+        case 0:
+            input[gsl_rng_uniform_int(random, size)] =
+                (char)gsl_rng_uniform_int(random, 256);
+            break;
+        case 1:
+            size = insert_piece(random, input, size);
+            break;
+        case 2:
+            size = cut(random, input, size);
+            break;
+        default:
+            input[gsl_rng_uniform_int(random, size)] ^=
+                (char)(1U << gsl_rng_uniform_int(random, 8));
+            break;
+        }
+    }
+    return size;
+}
+
+static void
+read_worker(const void *data, size_t size)
+{
+    struct SrWorkerEntry entry;
+    const char *field = NULL;
+    if (SrPlatform_DecodeWorker("w", data, size, &entry, &field) ==
+        SR_DECODE_OK) {
+        /* What is taken can be used. */
+        assert_true(entry.address[0] != '\0');
+        assert_true(entry.label_count <= SR_LABELS_MAX);
+        return;
+    }
+    assert_non_null(field);
+}
+
+static void
+read_catalog(const void *data, size_t size)
+{
+    struct SrCatalog *catalog = NULL;
+    const char *field = NULL;
+    const char *rest;
+    if (SrPlatform_DecodeCatalog(data, size, &catalog, &field) !=
+        SR_DECODE_OK) {
+        assert_null(catalog);
+        assert_non_null(field);
+        return;
+    }
+    SrCatalog_FindQueue(catalog, "h.example", "/p/1", &rest);
+    SrCatalog_FindAccount(catalog, "k1");
+    SrCatalog_Destroy(catalog);
+}
+
+static void
+use_record(Sr__FlowRecord *record)
+{
+    const char *field;
+    if (SrFlow_Check(record, &field) != SR_FLOW_OK) {
+        SrCodec_Free(record);
+        return;
+    }
+    struct SrFlow *flow = SrFlow_Create("00112233445566aa", record);
+    SrFlow_ChainMs(flow);
+    SrFlow_IsStepReady(flow, 0, (uint32_t)record->n_steps - 1);
+    SrFlow_Destroy(flow);
+}
+
+static void
+read_job(const void *data, size_t size)
+{
+    const char *fault = NULL;
+    Sr__FlowRecord *record = SrPlatformFront_DecodeJob(data, size, &fault);
+    if (record == NULL) {
+        assert_non_null(fault);
+        return;
+    }
+    use_record(record);
+}
+
+static void
+read_row(const void *data, size_t size)
+{
+    Sr__FlowRecord *record =
+        SrCodec_Unpack(&sr__flow_record__descriptor, data, size);
+    if (record != NULL) {
+        use_record(record);
+    }
+}
+
+static void
+play(const void *from, size_t size, void (*read)(const void *, size_t),
+     uint64_t seed)
+{
+    gsl_rng *random = gsl_rng_alloc(gsl_rng_mt19937);
+    char *input = SrUtil_Calloc(1, INPUT_MAX);
+    gsl_rng_set(random, seed);
+    for (uint64_t i = 0; i < mutation_count(); i++) {
+        size_t length = mutate(random, from, size, input);
+        /* Memory of the exact size lets the sanitizer see a read behind it. */
+        char *exact = SrUtil_Memdup(input, length);
+        read(exact, length);
+        free(exact);
+    }
+    free(input);
+    gsl_rng_free(random);
+}
+
+static void
+mutated_inputs_are_read_or_refused(void **state)
+{
+    (void)state;
+    const char *fault = NULL;
+    size_t size;
+    Sr__FlowRecord *record =
+        SrPlatformFront_DecodeJob(job, strlen(job), &fault);
+    uint8_t *row = SrCodec_Pack(&record->base, &size);
+    play(worker, strlen(worker), read_worker, 1);
+    play(catalog_text, strlen(catalog_text), read_catalog, 2);
+    play(job, strlen(job), read_job, 3);
+    play(row, size, read_row, 4);
+    free(row);
+    SrCodec_Free(record);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(mutated_inputs_are_read_or_refused),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
