Candidates near the store come first

Cause: each step of a leader waits for the store; one of another region adds 60 ms to each. Change: a candidate waits four of its exchanges with the store longer.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -17,6 +17,10 @@
 #define SILENT_LEADER_MS 1100
 /* The leader writes at least this often. */
 #define RENEW_MS 350
+/* A candidate waits this many exchanges with the store longer, so that one of
+ * another region (60 ms) comes after all near ones. */
+#define FAR_WEIGHT 4
+#define FAR_MAX_MS 300
 #define CALL_TIMEOUT_MS 1200
 #define RETRY_MS 80
 /* Changes gather for this long before they are written together. */
@@ -49,6 +53,8 @@
     int64_t committed_ms;
     struct SrLedgerBatch batch;
     int64_t sent_ms;
+    /* Time of the latest exchange with the store. */
+    int64_t exchange_ms;
     int64_t store_low_ms;
     int64_t store_high_ms;
     struct Call *call;
@@ -89,6 +95,7 @@
 static void
 note_clock(struct SrLedger *ledger, const struct SrRowsAnswer *answer)
 {
+    ledger->exchange_ms = SrOs_MonotonicMs() - ledger->sent_ms;
     if (answer->clock_ms != 0) {
         ledger->store_low_ms = answer->clock_ms - SrOs_MonotonicMs();
         ledger->store_high_ms = answer->clock_ms - ledger->sent_ms;
@@ -229,17 +236,26 @@
     SrCodec_Free(record);
 }
 
+/* Those near the store come first: a leader's every step waits for it. */
+static int64_t
+stagger_of(const struct SrLedger *ledger)
+{
+    int64_t far_ms = ledger->exchange_ms * FAR_WEIGHT;
+    return ledger->options.stagger_ms +
+           (far_ms < FAR_MAX_MS ? far_ms : FAR_MAX_MS);
+}
+
 static bool
 is_claimable(const struct SrLedger *ledger, int64_t now_ms)
 {
+    int64_t unchanged_ms = now_ms - ledger->seen_since_ms;
     if (ledger->releasing) {
         return false;
     }
     if (ledger->version == 0 || ledger->row_released) {
-        return now_ms - ledger->seen_since_ms >= ledger->options.stagger_ms;
+        return unchanged_ms >= stagger_of(ledger);
     }
-    return now_ms - ledger->seen_since_ms >=
-           SILENT_LEADER_MS + ledger->options.stagger_ms;
+    return unchanged_ms >= SILENT_LEADER_MS + stagger_of(ledger);
 }
 
 static void
--- a/src/node.c
+++ b/src/node.c
@@ -44,7 +44,7 @@
 #define STOP_SPARE_MS 700
 /* Candidates in this many steps of the stagger. */
 #define STAGGER_STEPS 8
-#define STAGGER_MS 60
+#define STAGGER_MS 30
 
 struct SrNode {
     struct SrNodeSettings settings;
