A silent leader is succeeded after 0.9 s

Cause: while nobody leads, urgent work waits, and its slack is under 2 s. Change: the leader renews each 0.25 s, candidates look each 0.3 s.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -11,12 +11,12 @@
 
 #define LEADER_KEY "leader"
 /* Candidates look at the leader's row this often. */
-#define POLL_MS 400
+#define POLL_MS 300
 /* A row that has not changed for this long has no living leader: three
  * renewals, and one exchange with a slow store. */
-#define SILENT_LEADER_MS 1100
+#define SILENT_LEADER_MS 900
 /* The leader writes at least this often. */
-#define RENEW_MS 350
+#define RENEW_MS 250
 /* A candidate waits this many exchanges with the store longer, so that one of
  * another region (60 ms) comes after all near ones. */
 #define FAR_WEIGHT 4
