--- a/src/leader.c
+++ b/src/leader.c
@@ -173,9 +173,6 @@
             SrEngine_Figures(leader->engine, SrOs_MonotonicMs()).flows);
     leader->cancels =
         follow(leader, SR_TABLE_CANCEL, WATCH_MS, 0, on_cancel, NULL);
-    leader->workers =
-        follow(leader, leader->options.worker_table, WORKER_WATCH_MS,
-               WORKER_PAUSE_MS, on_worker, NULL);
     SrTimer_Start(&leader->tick, leader->options.kernel, TICK_MS, TICK_MS,
                   run_pump, leader);
 }
@@ -270,6 +267,8 @@
         },
         options->term, SrOs_MonotonicMs());
     set_store_clock(leader);
+    leader->workers = follow(leader, options->worker_table, WORKER_WATCH_MS,
+                             WORKER_PAUSE_MS, on_worker, NULL);
     read_progress(leader);
     return leader;
 }
