Placement passes only after changes; workers by rack; costs told once

Cause: on the grown sites the leader's processor time bound: each event began a pass, each pass ranked flows by a square of their number and told the cost of a claim anew for each choice.

--- a/src/engine.c
+++ b/src/engine.c
@@ -11,6 +11,9 @@
 #define SETTLE_MS 250
 /* An entry follows its worker's new life within some heartbeats. */
 #define STALE_ENTRY_MS 6000
+/* Without a change what waits is looked at this often: bounds of waiting pass,
+ * and workers become usable. */
+#define REPLAN_MS 40
 /* A run whose progress stands still for this long is taken as stuck: the
  * slowest worker seen moves on by a percent in a second, and is looked at each
  * second. */
@@ -130,6 +133,7 @@
 void
 SrEngine_Touch(struct SrEngine *engine, struct SrFlow *flow)
 {
+    engine->replan = true;
     flow->changed = ++engine->change;
     if (SrList_IsEmpty(&flow->dirty)) {
         flow->dirty_since = flow->changed;
@@ -197,6 +201,7 @@
     }
     struct SrFlow *flow = SrFlow_Create(id, record);
     flow->arrived_ms = now_ms;
+    engine->replan = true;
     SrList_Append(&engine->flows, &flow->link);
     SrMap_Add(&engine->flows_by_id, &flow->entry, flow->id);
     if (progress == NULL) {
@@ -556,7 +561,10 @@
     stop_stuck(engine, now_ms);
     ack_ends(engine);
     if (writable && engine->catalog != NULL &&
-        now_ms - engine->created_ms >= SETTLE_MS) {
+        now_ms - engine->created_ms >= SETTLE_MS &&
+        (engine->replan || now_ms - engine->planned_ms >= REPLAN_MS)) {
+        engine->replan = false;
+        engine->planned_ms = now_ms;
         SrPlan_Pass(engine, now_ms);
     }
     SrEngine_SendOrders(engine, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -22,6 +22,9 @@
     bool fenced;
     int64_t unix_ms;
     uint64_t change;
+    /* Something has changed since the last placement pass, and its time. */
+    bool replan;
+    int64_t planned_ms;
     uint64_t look_number;
     int64_t store_low_ms;
     int64_t store_high_ms;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -129,9 +129,11 @@
     struct SrRoom soon;
     unsigned rack;
     bool usable;
-    /* Of one unit: tasks that fit, and tasks assigned. */
+    /* Of one unit: tasks that fit, tasks assigned, and how bad a choice the
+     * worker is. */
     unsigned fit;
     unsigned assigned;
+    int64_t penalty;
 };
 
 /* How far a queue's estimates are off: mean distance of a run's pace from its
--- a/src/leader.c
+++ b/src/leader.c
@@ -11,7 +11,7 @@
 #include "util.h"
 
 /* Events within this time are decided on together. */
-#define PUMP_MS 2
+#define PUMP_MS 4
 /* Time passes for leases and retries at this pace. */
 #define TICK_MS 40
 /* A silent watch is noticed after this and a grace, well inside the 3 s in
--- a/src/node.c
+++ b/src/node.c
@@ -45,6 +45,9 @@
 /* Candidates in this many steps of the stagger. */
 #define STAGGER_STEPS 8
 #define STAGGER_MS 30
+/* A leader of 350 workers takes 0.22 of a core on a busy day. */
+#define SMALL_VM_CORES 0.24
+#define SMALL_VM_STAGGER_MS 500
 
 struct SrNode {
     struct SrNodeSettings settings;
@@ -410,12 +413,15 @@
     ev_signal_start(node->kernel->loop, watcher);
 }
 
-/* Candidates claim at different times. */
+/* Candidates claim at different times, those on small VMs last: leading takes
+ * processor time with the number of workers. */
 static int64_t
 stagger_of(const struct SrNodeSettings *settings)
 {
-    return (int64_t)(SrUtil_HashText(settings->name) % STAGGER_STEPS) *
-           STAGGER_MS;
+    int64_t step = (int64_t)(SrUtil_HashText(settings->name) % STAGGER_STEPS);
+    int64_t small_ms =
+        settings->cpu_share < SMALL_VM_CORES ? SMALL_VM_STAGGER_MS : 0;
+    return step * STAGGER_MS + small_ms;
 }
 
 static bool
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -27,6 +27,8 @@
     char metrics_address[SR_ID_SIZE];
     char store_address[SR_ID_SIZE];
     char advisor_address[SR_ID_SIZE];
+    /* Part of a core that the VM has. */
+    double cpu_share;
     /* Largest lease that workers accept, ms. */
     int64_t lease_max_ms;
     /* Time that a stop may take, ms. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -7,6 +7,9 @@
 
 /* Racks told apart in a pass; the target has 59. */
 #define RACKS_MAX 256
+/* Once this many urgent gangs found no room to claim, further ones of the pass
+ * only take free room: the work of a pass stays bounded in a peak. */
+#define WAITING_GANGS_MAX 16
 /* Gangs for which room is kept from others in one pass. */
 #define HELD_GANGS_MAX 3
 /* A gang or task that is slower elsewhere waits this much of its estimated
@@ -36,15 +39,17 @@
 
 struct Rack {
     const char *name;
+    /* Its workers stand together in the pass. */
+    unsigned first;
+    unsigned count;
     /* Tasks of the present unit that fit. */
     unsigned fit;
-    /* Tasks that would fit if nothing ran there. */
-    unsigned room;
 };
 
 /* Tasks that are placed together (a gang) or each for itself. */
 struct Unit {
     struct SrFlow *flow;
+    const char *service;
     /* Its objective cannot be met any more. */
     bool late;
     const Sr__FlowStep *step;
@@ -67,7 +72,13 @@
     struct Unit *units;
     size_t unit_count;
     size_t unit_room;
+    /* Workers by rack. */
+    struct SrWorker **workers;
+    unsigned worker_count;
+    /* Accelerators of each account's urgent jobs so far. */
+    uint64_t *urgent;
     unsigned held_gangs;
+    unsigned waiting_gangs;
     size_t booked;
 };
 
@@ -155,39 +166,30 @@
 }
 
 /* What the account's earlier urgent jobs leave of its guarantee covers the
- * job. */
+ * job. Flows are asked for in order of their arrival. */
 static bool
-is_guaranteed(const struct SrEngine *engine, const struct SrFlow *flow)
+is_guaranteed(struct Pass *pass, const struct SrFlow *flow)
 {
+    const struct SrCatalog *catalog = pass->engine->catalog;
     const struct SrCatalogAccount *account =
-        SrCatalog_AccountByName(engine->catalog, flow->record->account);
+        SrCatalog_AccountByName(catalog, flow->record->account);
     if (account == NULL || account->guaranteed_accelerators == 0) {
         return false;
     }
-    uint64_t need = 0;
-    SR_LIST_EACH(link, &engine->flows)
-    {
-        const struct SrFlow *other = SR_CONTAINER(link, struct SrFlow, link);
-        if (!SrFlow_HasEnded(other) && other->record->priority == 0 &&
-            strcmp(other->record->account, flow->record->account) == 0) {
-            need += widest_need(other);
-        }
-        if (other == flow) {
-            break;
-        }
-    }
-    return need <= account->guaranteed_accelerators;
+    uint64_t *urgent = &pass->urgent[account - catalog->accounts];
+    *urgent += widest_need(flow);
+    return *urgent <= account->guaranteed_accelerators;
 }
 
 static void
-rank_flow(const struct SrEngine *engine, struct SrFlow *flow)
+rank_flow(struct Pass *pass, struct SrFlow *flow)
 {
     const struct SrCatalogQueue *queue =
-        SrCatalog_QueueByName(engine->catalog, flow->record->queue);
+        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
     uint32_t priority =
         queue != NULL ? queue->priority : flow->record->priority;
     flow->rank = priority + RANK_URGENT;
-    if (priority == 0 && is_guaranteed(engine, flow)) {
+    if (priority == 0 && is_guaranteed(pass, flow)) {
         flow->rank = RANK_GUARANTEED;
     }
 }
@@ -230,6 +232,14 @@
     return waiting;
 }
 
+static const char *
+service_of(const struct Pass *pass, const struct SrFlow *flow)
+{
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
+    return queue != NULL ? queue->service : flow->record->service;
+}
+
 static void
 add_step(struct Pass *pass, struct SrFlow *flow, uint32_t occurrence,
          uint32_t number)
@@ -249,6 +259,7 @@
         .flow = flow,
         .step = step,
         .first = first,
+        .service = service_of(pass, flow),
         .need = SrFleet_Need(step),
         .count = waiting,
         .ready_ms = first->ready_ms,
@@ -304,7 +315,7 @@
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
         if (!SrFlow_HasEnded(flow)) {
-            rank_flow(pass->engine, flow);
+            rank_flow(pass, flow);
             add_flow(pass, flow);
         }
     }
@@ -325,20 +336,11 @@
     return false;
 }
 
-static const char *
-service_of(const struct Pass *pass, const struct SrFlow *flow)
-{
-    const struct SrCatalogQueue *queue =
-        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
-    return queue != NULL ? queue->service : flow->record->service;
-}
-
 static bool
-is_eligible(const struct Pass *pass, const struct SrWorker *worker,
-            const struct Unit *unit)
+is_eligible(const struct SrWorker *worker, const struct Unit *unit)
 {
     return worker->usable &&
-           strcmp(worker->info.service, service_of(pass, unit->flow)) == 0 &&
+           strcmp(worker->info.service, unit->service) == 0 &&
            (unit->step->label[0] == '\0' ||
             has_label(worker, unit->step->label));
 }
@@ -423,7 +425,7 @@
 fit_on(const struct Pass *pass, const struct SrWorker *worker,
        const struct Unit *unit, enum RoomKind kind)
 {
-    if (!is_eligible(pass, worker, unit)) {
+    if (!is_eligible(worker, unit)) {
         return 0;
     }
     struct SrRoom room = room_of(pass, worker, unit, kind);
@@ -438,25 +440,6 @@
     return fit;
 }
 
-/* Sets what fits on each worker and in each rack; returns the sum. */
-static unsigned
-measure_fit(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
-{
-    unsigned sum = 0;
-    for (unsigned i = 0; i < pass->rack_count; i++) {
-        pass->racks[i].fit = 0;
-    }
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        struct SrWorker *worker = worker_at(link);
-        worker->assigned = 0;
-        worker->fit = fit_on(pass, worker, unit, kind);
-        pass->racks[worker->rack].fit += worker->fit;
-        sum += worker->fit;
-    }
-    return sum;
-}
-
 /* The rack that the unit fits most tightly; RACKS_MAX if none. */
 static unsigned
 choose_rack(const struct Pass *pass, const struct Unit *unit)
@@ -578,27 +561,43 @@
     return penalty + room.accelerators;
 }
 
+/* Sets what fits on each worker and in each rack; returns the sum. */
+static unsigned
+measure_fit(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+{
+    unsigned sum = 0;
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        pass->racks[i].fit = 0;
+    }
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        struct SrWorker *worker = pass->workers[i];
+        worker->assigned = 0;
+        worker->fit = fit_on(pass, worker, unit, kind);
+        if (worker->fit > 0) {
+            worker->penalty = penalty_of(pass, worker, unit, kind);
+        }
+        pass->racks[worker->rack].fit += worker->fit;
+        sum += worker->fit;
+    }
+    return sum;
+}
+
 /* Assigns the unit's tasks to the best workers, within a rack unless it is
  * RACKS_MAX. What fits was measured before. */
 static bool
-assign(struct Pass *pass, const struct Unit *unit, unsigned rack,
-       enum RoomKind kind)
+assign(struct Pass *pass, const struct Unit *unit, unsigned rack)
 {
+    unsigned from = rack != RACKS_MAX ? pass->racks[rack].first : 0;
+    unsigned to = rack != RACKS_MAX ? from + pass->racks[rack].count
+                                    : pass->worker_count;
     uint32_t left = unit->count;
     while (left > 0) {
         struct SrWorker *best = NULL;
-        int64_t best_penalty = 0;
-        SR_LIST_EACH(link, &pass->engine->fleet.workers)
-        {
-            struct SrWorker *worker = worker_at(link);
-            if (worker->assigned > 0 || worker->fit == 0 ||
-                (rack != RACKS_MAX && worker->rack != rack)) {
-                continue;
-            }
-            int64_t penalty = penalty_of(pass, worker, unit, kind);
-            if (best == NULL || penalty < best_penalty) {
+        for (unsigned i = from; i < to; i++) {
+            struct SrWorker *worker = pass->workers[i];
+            if (worker->assigned == 0 && worker->fit > 0 &&
+                (best == NULL || worker->penalty < best->penalty)) {
                 best = worker;
-                best_penalty = penalty;
             }
         }
         if (best == NULL) {
@@ -668,7 +667,7 @@
 
 /* The rack in which an urgent unit runs fastest, given what fits. */
 static unsigned
-fastest_rack(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
+fastest_rack(struct Pass *pass, const struct Unit *unit)
 {
     unsigned best = RACKS_MAX;
     double best_speed = 0;
@@ -682,7 +681,7 @@
             return i;
         }
         clear_assigned(pass);
-        assign(pass, unit, i, kind);
+        assign(pass, unit, i);
         double speed = slowest_assigned(pass);
         if (best == RACKS_MAX || speed > best_speed + SPEED_STEP ||
             (speed > best_speed - SPEED_STEP &&
@@ -706,7 +705,7 @@
             continue;
         }
         clear_assigned(pass);
-        assign(pass, unit, i, ROOM_CLAIMABLE);
+        assign(pass, unit, i);
         int64_t cost = assigned_cost(pass, unit);
         if (best == RACKS_MAX || cost < best_cost) {
             best = i;
@@ -723,7 +722,7 @@
     if (kind == ROOM_CLAIMABLE) {
         return cheapest_rack(pass, unit);
     }
-    return unit->flow->rank <= RANK_URGENT ? fastest_rack(pass, unit, kind)
+    return unit->flow->rank <= RANK_URGENT ? fastest_rack(pass, unit)
                                            : choose_rack(pass, unit);
 }
 
@@ -756,7 +755,7 @@
 {
     measure_fit(pass, unit, kind);
     unsigned rack = rack_for(pass, unit, kind);
-    return rack != RACKS_MAX && assign(pass, unit, rack, kind);
+    return rack != RACKS_MAX && assign(pass, unit, rack);
 }
 
 /* Assigns the whole gang to any workers; false if it does not fit. */
@@ -764,7 +763,7 @@
 assign_anywhere(struct Pass *pass, const struct Unit *unit, enum RoomKind kind)
 {
     return measure_fit(pass, unit, kind) >= unit->count &&
-           assign(pass, unit, RACKS_MAX, kind);
+           assign(pass, unit, RACKS_MAX);
 }
 
 static void
@@ -918,6 +917,9 @@
         }
         return false;
     }
+    if (pass->waiting_gangs >= WAITING_GANGS_MAX) {
+        return false;
+    }
     if (assign_as(pass, unit, ROOM_SOON) ||
         assign_as(pass, unit, ROOM_EXPECTED)) {
         hold_room(pass, unit);
@@ -944,10 +946,12 @@
         return;
     }
     if (wants_rack && has_patience(pass, unit) && fits_a_rack(pass, unit)) {
+        pass->waiting_gangs++;
         log_wait(pass, unit, "no-rack");
         return;
     }
     if (!place_by(pass, unit, assign_anywhere)) {
+        pass->waiting_gangs++;
         log_wait(pass, unit, "no-room");
     }
 }
@@ -1028,18 +1032,35 @@
     }
 }
 
-size_t
-SrPlan_Pass(struct SrEngine *engine, int64_t now_ms)
+/* Counts the racks' workers, and lays the workers out by rack. */
+static void
+lay_out_workers(struct Pass *pass)
 {
-    SR_CLEANUP(SrUtil_FreePointer)
-    struct Pass *pass = SrUtil_Calloc(1, sizeof(*pass));
-    pass->engine = engine;
-    pass->now_ms = now_ms;
-    SR_LIST_EACH(link, &engine->fleet.workers)
+    unsigned count = 0;
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
-        measure_worker(pass, worker_at(link));
+        struct SrWorker *worker = worker_at(link);
+        measure_worker(pass, worker);
+        pass->racks[worker->rack].count++;
+        count++;
     }
-    collect_units(pass);
+    pass->workers = SrUtil_Calloc(count, sizeof(struct SrWorker *));
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        pass->racks[i].first = pass->worker_count;
+        pass->worker_count += pass->racks[i].count;
+        pass->racks[i].count = 0;
+    }
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = worker_at(link);
+        struct Rack *rack = &pass->racks[worker->rack];
+        pass->workers[rack->first + rack->count++] = worker;
+    }
+}
+
+static void
+place_units(struct Pass *pass)
+{
     for (size_t i = 0; i < pass->unit_count; i++) {
         if (pass->units[i].step->gang) {
             place_gang(pass, &pass->units[i]);
@@ -1048,7 +1069,25 @@
             place_tasks(pass, &pass->units[i]);
         }
     }
+}
+
+size_t
+SrPlan_Pass(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct Pass *pass = SrUtil_Calloc(1, sizeof(*pass));
+    pass->engine = engine;
+    pass->now_ms = now_ms;
+    pass->urgent =
+        SrUtil_Calloc(engine->catalog->account_count, sizeof(*pass->urgent));
+    collect_units(pass);
+    if (pass->unit_count > 0) {
+        lay_out_workers(pass);
+        place_units(pass);
+    }
     size_t booked = pass->booked;
+    free(pass->workers);
+    free(pass->urgent);
     free(pass->units);
     return booked;
 }
