--- a/src/engine.c
+++ b/src/engine.c
@@ -58,8 +58,8 @@
     return engine;
 }
 
-static void
-remove_flow(struct SrEngine *engine, struct SrFlow *flow)
+void
+SrEngine_RemoveFlow(struct SrEngine *engine, struct SrFlow *flow)
 {
     SrMap_Remove(&engine->flows_by_id, &flow->entry);
     SrFlow_Destroy(flow);
@@ -74,7 +74,7 @@
     SrFleet_Clear(&engine->fleet);
     SR_LIST_EACH_SAFE(link, &engine->flows)
     {
-        remove_flow(engine, SR_CONTAINER(link, struct SrFlow, link));
+        SrEngine_RemoveFlow(engine, SR_CONTAINER(link, struct SrFlow, link));
     }
     SrMap_Clear(&engine->flows_by_id);
     free(engine);
@@ -141,8 +141,8 @@
     }
 }
 
-static struct SrFlow *
-find_flow(const struct SrEngine *engine, const char *id)
+struct SrFlow *
+SrEngine_FindFlow(const struct SrEngine *engine, const char *id)
 {
     struct SrMapEntry *entry = SrMap_Find(&engine->flows_by_id, id);
     return entry != NULL ? SR_CONTAINER(entry, struct SrFlow, entry) : NULL;
@@ -191,7 +191,7 @@
 {
     const char *field;
     enum SrFlowError error = SrFlow_Check(record, &field);
-    if (find_flow(engine, id) != NULL || error != SR_FLOW_OK) {
+    if (SrEngine_FindFlow(engine, id) != NULL || error != SR_FLOW_OK) {
         if (error != SR_FLOW_OK) {
             SR_ERROR("engine", "bad-job", "id=%s field=%s error=%s", id, field,
                      SrFlow_ErrorText(error));
@@ -235,7 +235,7 @@
 void
 SrEngine_CancelFlow(struct SrEngine *engine, const char *id, int64_t now_ms)
 {
-    struct SrFlow *flow = find_flow(engine, id);
+    struct SrFlow *flow = SrEngine_FindFlow(engine, id);
     if (flow == NULL || flow->cancelled) {
         return;
     }
@@ -570,134 +570,6 @@
     SrEngine_SendOrders(engine, now_ms);
 }
 
-static Sr__FlowTask *
-pack_task(const struct SrEngine *engine, const struct SrFlowTask *from,
-          Sr__FlowTask *to)
-{
-    sr__flow_task__init(to);
-    to->run = from->run;
-    to->failures = from->failures;
-    to->done = from->done;
-    if (!from->done) {
-        to->checkpoint = (char *)from->checkpoint;
-    }
-    if (from->running != NULL) {
-        const struct SrWorker *worker = from->running->worker;
-        to->worker = (char *)worker->info.id;
-        to->born = from->running->born;
-        to->granted_ms =
-            worker->noted ? worker->granted_ms + engine->store_high_ms : 0;
-    }
-    return to;
-}
-
-static uint8_t *
-pack_progress(const struct SrEngine *engine, const struct SrFlow *flow,
-              size_t *size)
-{
-    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
-    size_t count = (size_t)flow->tasks_each * flow->occurrences;
-    SR_CLEANUP(SrUtil_FreePointer)
-    Sr__FlowTask *tasks = SrUtil_Calloc(count, sizeof(*tasks));
-    SR_CLEANUP(SrUtil_FreePointer)
-    Sr__FlowTask **pointers = SrUtil_Calloc(count, sizeof(Sr__FlowTask *));
-    progress.status = flow->status;
-    progress.begun = flow->begun;
-    if (flow->begun) {
-        for (size_t i = 0; i < count; i++) {
-            pointers[i] = pack_task(engine, &flow->tasks[i], &tasks[i]);
-        }
-        progress.n_tasks = count;
-        progress.tasks = pointers;
-    }
-    return SrCodec_Pack(&progress, size);
-}
-
-static void
-note_expired(struct SrEngine *engine, int64_t now_ms)
-{
-    SR_LIST_EACH_SAFE(link, &engine->flows)
-    {
-        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
-        if (SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
-            SrList_IsEmpty(&flow->dirty) &&
-            now_ms - flow->ended_ms > engine->options.keep_ms) {
-            SrEngine_Touch(engine, flow);
-        }
-    }
-}
-
-size_t
-SrEngine_TakeChanges(struct SrEngine *engine, struct SrEngineChange *changes,
-                     size_t max, int64_t now_ms)
-{
-    size_t count = 0;
-    note_expired(engine, now_ms);
-    SR_LIST_EACH(link, &engine->dirty)
-    {
-        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
-        if (count == max) {
-            break;
-        }
-        struct SrEngineChange *change = &changes[count++];
-        *change = (struct SrEngineChange){
-            .id = flow->id,
-            .change = flow->changed,
-        };
-        bool expired = SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
-                       now_ms - flow->ended_ms > engine->options.keep_ms;
-        if (!expired) {
-            change->progress = pack_progress(engine, flow, &change->size);
-        }
-    }
-    return count;
-}
-
-bool
-SrEngine_HasChanges(const struct SrEngine *engine)
-{
-    return !SrList_IsEmpty(&engine->dirty);
-}
-
-static void
-release_starts(struct SrFlow *flow)
-{
-    size_t count = (size_t)flow->tasks_each * flow->occurrences;
-    for (size_t i = 0; i < count; i++) {
-        struct SrRun *run = flow->tasks[i].running;
-        if (run != NULL && run->state == SR_RUNSTATE_PLANNED &&
-            run->change <= flow->written) {
-            run->state = SR_RUNSTATE_ORDERED;
-        }
-    }
-}
-
-void
-SrEngine_OnWritten(struct SrEngine *engine, const char *id, uint64_t change)
-{
-    struct SrFlow *flow = find_flow(engine, id);
-    if (flow == NULL) {
-        return;
-    }
-    flow->written = change;
-    if (flow->changed > change) {
-        flow->dirty_since = change + 1;
-    }
-    else {
-        SrList_Remove(&flow->dirty);
-    }
-    release_starts(flow);
-}
-
-void
-SrEngine_Forget(struct SrEngine *engine, const char *id)
-{
-    struct SrFlow *flow = find_flow(engine, id);
-    if (flow != NULL && flow->outstanding == 0) {
-        remove_flow(engine, flow);
-    }
-}
-
 bool
 SrEngine_IsFenced(const struct SrEngine *engine)
 {
--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -24,12 +24,9 @@
     if (!SrFlow_ParseTaskName(name, id, &occurrence, &step, &index)) {
         return NULL;
     }
-    struct SrMapEntry *entry = SrMap_Find(&engine->flows_by_id, id);
-    if (entry == NULL) {
-        return NULL;
-    }
-    return SrFlow_FindTask(SR_CONTAINER(entry, struct SrFlow, entry),
-                           occurrence, step, index);
+    const struct SrFlow *flow = SrEngine_FindFlow(engine, id);
+    return flow != NULL ? SrFlow_FindTask(flow, occurrence, step, index)
+                        : NULL;
 }
 
 static struct SrRun *
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -30,6 +30,13 @@
     int64_t store_high_ms;
 };
 
+/* The flow of that id, or NULL. */
+struct SrFlow *SrEngine_FindFlow(const struct SrEngine *engine,
+                                 const char *id);
+
+/* Forgets and frees the flow. */
+void SrEngine_RemoveFlow(struct SrEngine *engine, struct SrFlow *flow);
+
 /* Hands an event of the flow's queue on to be counted. */
 void SrEngine_Observe(const struct SrEngine *engine, enum SrEngineEvent event,
                       const struct SrFlow *flow, int64_t ms);
--- /dev/null
+++ b/src/engine_store.c
@@ -0,0 +1,130 @@
+#include "codec.h"
+#include "engine_state.h"
+
+static Sr__FlowTask *
+pack_task(const struct SrEngine *engine, const struct SrFlowTask *from,
+          Sr__FlowTask *to)
+{
+    sr__flow_task__init(to);
+    to->run = from->run;
+    to->failures = from->failures;
+    to->done = from->done;
+    if (!from->done) {
+        to->checkpoint = (char *)from->checkpoint;
+    }
+    if (from->running != NULL) {
+        const struct SrWorker *worker = from->running->worker;
+        to->worker = (char *)worker->info.id;
+        to->born = from->running->born;
+        to->granted_ms =
+            worker->noted ? worker->granted_ms + engine->store_high_ms : 0;
+    }
+    return to;
+}
+
+static uint8_t *
+pack_progress(const struct SrEngine *engine, const struct SrFlow *flow,
+              size_t *size)
+{
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__FlowTask *tasks = SrUtil_Calloc(count, sizeof(*tasks));
+    SR_CLEANUP(SrUtil_FreePointer)
+    Sr__FlowTask **pointers = SrUtil_Calloc(count, sizeof(Sr__FlowTask *));
+    progress.status = flow->status;
+    progress.begun = flow->begun;
+    if (flow->begun) {
+        for (size_t i = 0; i < count; i++) {
+            pointers[i] = pack_task(engine, &flow->tasks[i], &tasks[i]);
+        }
+        progress.n_tasks = count;
+        progress.tasks = pointers;
+    }
+    return SrCodec_Pack(&progress, size);
+}
+
+static void
+note_expired(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &engine->flows)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
+            SrList_IsEmpty(&flow->dirty) &&
+            now_ms - flow->ended_ms > engine->options.keep_ms) {
+            SrEngine_Touch(engine, flow);
+        }
+    }
+}
+
+size_t
+SrEngine_TakeChanges(struct SrEngine *engine, struct SrEngineChange *changes,
+                     size_t max, int64_t now_ms)
+{
+    size_t count = 0;
+    note_expired(engine, now_ms);
+    SR_LIST_EACH(link, &engine->dirty)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
+        if (count == max) {
+            break;
+        }
+        struct SrEngineChange *change = &changes[count++];
+        *change = (struct SrEngineChange){
+            .id = flow->id,
+            .change = flow->changed,
+        };
+        bool expired = SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
+                       now_ms - flow->ended_ms > engine->options.keep_ms;
+        if (!expired) {
+            change->progress = pack_progress(engine, flow, &change->size);
+        }
+    }
+    return count;
+}
+
+bool
+SrEngine_HasChanges(const struct SrEngine *engine)
+{
+    return !SrList_IsEmpty(&engine->dirty);
+}
+
+static void
+release_starts(struct SrFlow *flow)
+{
+    size_t count = (size_t)flow->tasks_each * flow->occurrences;
+    for (size_t i = 0; i < count; i++) {
+        struct SrRun *run = flow->tasks[i].running;
+        if (run != NULL && run->state == SR_RUNSTATE_PLANNED &&
+            run->change <= flow->written) {
+            run->state = SR_RUNSTATE_ORDERED;
+        }
+    }
+}
+
+void
+SrEngine_OnWritten(struct SrEngine *engine, const char *id, uint64_t change)
+{
+    struct SrFlow *flow = SrEngine_FindFlow(engine, id);
+    if (flow == NULL) {
+        return;
+    }
+    flow->written = change;
+    if (flow->changed > change) {
+        flow->dirty_since = change + 1;
+    }
+    else {
+        SrList_Remove(&flow->dirty);
+    }
+    release_starts(flow);
+}
+
+void
+SrEngine_Forget(struct SrEngine *engine, const char *id)
+{
+    struct SrFlow *flow = SrEngine_FindFlow(engine, id);
+    if (flow != NULL && flow->outstanding == 0) {
+        SrEngine_RemoveFlow(engine, flow);
+    }
+}
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -110,12 +110,22 @@
     };
 }
 
-static void
-add_room(struct SrRoom *to, const struct SrRoom *room, int sign)
+void
+SrRoom_Add(struct SrRoom *to, const struct SrRoom *room, int64_t times)
+{
+    to->cpu_millis += times * room->cpu_millis;
+    to->memory_mb += times * room->memory_mb;
+    to->accelerators += times * room->accelerators;
+}
+
+struct SrRoom
+SrFleet_Room(const struct SrWorker *worker)
 {
-    to->cpu_millis += sign * room->cpu_millis;
-    to->memory_mb += sign * room->memory_mb;
-    to->accelerators += sign * room->accelerators;
+    return (struct SrRoom){
+        .cpu_millis = worker->info.cpu_millis,
+        .memory_mb = worker->info.memory_mb,
+        .accelerators = worker->info.accelerators,
+    };
 }
 
 struct SrRun *
@@ -130,7 +140,7 @@
     run->booked_ms = now_ms;
     run->percent = -1;
     run->percent_ms = now_ms;
-    add_room(&worker->booked, &need, 1);
+    SrRoom_Add(&worker->booked, &need, 1);
     SrList_Append(&worker->runs, &run->link);
     task->running = run;
     task->run = number;
@@ -142,7 +152,7 @@
 SrFleet_Release(struct SrRun *run)
 {
     struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
-    add_room(&run->worker->booked, &need, -1);
+    SrRoom_Add(&run->worker->booked, &need, -1);
     SrList_Remove(&run->link);
     if (run->task->running == run) {
         run->task->running = NULL;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -169,6 +169,18 @@
 /* Forgets an absent worker that has no runs. */
 void SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker);
 
+static inline struct SrWorker *
+SrFleet_WorkerAt(struct SrList *link)
+{
+    return SR_CONTAINER(link, struct SrWorker, link);
+}
+
+/* Adds the room that many times; a negative number takes it away. */
+void SrRoom_Add(struct SrRoom *to, const struct SrRoom *room, int64_t times);
+
+/* All the room that the worker has. */
+struct SrRoom SrFleet_Room(const struct SrWorker *worker);
+
 /* Room that a task of the step takes. */
 struct SrRoom SrFleet_Need(const Sr__FlowStep *step);
 
--- /dev/null
+++ b/src/plan_units.c
@@ -0,0 +1,243 @@
+#include "plan_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Work that is not urgent holds room that frees within this time. */
+#define HOLD_MS 3000
+
+static unsigned
+find_rack(struct SrPlanPass *pass, const char *name)
+{
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        if (strcmp(pass->racks[i].name, name) == 0) {
+            return i;
+        }
+    }
+    if (pass->rack_count == SR_PLAN_RACKS_MAX) {
+        return SR_PLAN_RACKS_MAX - 1;
+    }
+    pass->racks[pass->rack_count].name = name;
+    return pass->rack_count++;
+}
+
+static void
+measure_worker(struct SrPlanPass *pass, struct SrWorker *worker)
+{
+    worker->rack = find_rack(pass, worker->info.rack);
+    worker->usable = SrFleet_IsUsable(worker, pass->now_ms) &&
+                     !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
+    worker->free = SrFleet_Room(worker);
+    SrRoom_Add(&worker->free, &worker->booked, -1);
+    worker->soon = worker->free;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->stopping) {
+            struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
+            SrRoom_Add(&worker->soon, &need, 1);
+        }
+    }
+}
+
+/* Accelerators that a job needs at the most at one time, by its widest step.
+ */
+static uint64_t
+widest_need(const struct SrFlow *flow)
+{
+    uint64_t widest = 0;
+    for (size_t s = 0; s < flow->record->n_steps; s++) {
+        const Sr__FlowStep *step = flow->record->steps[s];
+        uint64_t need = (uint64_t)step->count * step->accelerators;
+        widest = need > widest ? need : widest;
+    }
+    return widest;
+}
+
+/* What the account's earlier urgent jobs leave of its guarantee covers the
+ * job. Flows are asked for in order of their arrival. */
+static bool
+is_guaranteed(struct SrPlanPass *pass, const struct SrFlow *flow)
+{
+    const struct SrCatalog *catalog = pass->engine->catalog;
+    const struct SrCatalogAccount *account =
+        SrCatalog_AccountByName(catalog, flow->record->account);
+    if (account == NULL || account->guaranteed_accelerators == 0) {
+        return false;
+    }
+    uint64_t *urgent = &pass->urgent[account - catalog->accounts];
+    *urgent += widest_need(flow);
+    return *urgent <= account->guaranteed_accelerators;
+}
+
+static void
+rank_flow(struct SrPlanPass *pass, struct SrFlow *flow)
+{
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
+    uint32_t priority =
+        queue != NULL ? queue->priority : flow->record->priority;
+    flow->rank = priority + SR_RANK_URGENT;
+    if (priority == 0 && is_guaranteed(pass, flow)) {
+        flow->rank = SR_RANK_GUARANTEED;
+    }
+}
+
+static int64_t
+wait_until(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    const struct SrFlow *flow = unit->flow;
+    int64_t reclaim_ms = pass->engine->options.reclaim_ms;
+    if (flow->rank > SR_RANK_URGENT) {
+        return pass->now_ms + HOLD_MS;
+    }
+    int64_t until_ms = unit->start_by_ms - SR_PLAN_CHANGE_MS;
+    if (flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
+        flow->arrived_ms + reclaim_ms - SR_PLAN_CHANGE_MS - SR_PLAN_SPARE_MS <
+            until_ms) {
+        until_ms = flow->arrived_ms + reclaim_ms - SR_PLAN_CHANGE_MS -
+                   SR_PLAN_SPARE_MS;
+    }
+    return until_ms;
+}
+
+static void
+add_unit(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    if (pass->unit_count == pass->unit_room) {
+        pass->unit_room = pass->unit_room > 0 ? pass->unit_room * 2 : 64;
+        pass->units = SrUtil_Realloc(pass->units,
+                                     pass->unit_room * sizeof(*pass->units));
+    }
+    pass->units[pass->unit_count++] = *unit;
+}
+
+/* Tasks of the step that are neither done nor outstanding. */
+static uint32_t
+count_waiting(const struct SrFlowTask *first, uint32_t count)
+{
+    uint32_t waiting = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        waiting += !first[i].done && first[i].running == NULL ? 1 : 0;
+    }
+    return waiting;
+}
+
+static const char *
+service_of(const struct SrPlanPass *pass, const struct SrFlow *flow)
+{
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
+    return queue != NULL ? queue->service : flow->record->service;
+}
+
+static void
+add_step(struct SrPlanPass *pass, struct SrFlow *flow, uint32_t occurrence,
+         uint32_t number)
+{
+    const Sr__FlowStep *step = flow->record->steps[number];
+    struct SrFlowTask *first = SrFlow_StepTasks(flow, occurrence, number);
+    uint32_t waiting = count_waiting(first, step->count);
+    if (waiting == 0 || (step->gang && waiting < step->count) ||
+        !SrFlow_IsStepReady(flow, occurrence, number)) {
+        return;
+    }
+    if (first->ready_ms == 0) {
+        first->ready_ms = pass->now_ms;
+    }
+    int64_t chain_ms = SrFlow_ChainMs(flow);
+    struct SrPlanUnit unit = {
+        .flow = flow,
+        .step = step,
+        .first = first,
+        .service = service_of(pass, flow),
+        .need = SrFleet_Need(step),
+        .count = waiting,
+        .ready_ms = first->ready_ms,
+        .start_by_ms = flow->arrived_ms + flow->record->target_ms +
+                       (int64_t)(flow->record->stretch * (double)chain_ms) -
+                       chain_ms,
+    };
+    /* Guaranteed work keeps its turn: its bound is not its objective. */
+    unit.late =
+        flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
+    unit.wait_until_ms = wait_until(pass, &unit);
+    add_unit(pass, &unit);
+}
+
+static void
+add_flow(struct SrPlanPass *pass, struct SrFlow *flow)
+{
+    for (uint32_t k = 0; k < flow->occurrences; k++) {
+        if (SrFlow_DueMs(flow, k) > pass->engine->unix_ms) {
+            break;
+        }
+        for (uint32_t s = 0; s < flow->record->n_steps; s++) {
+            add_step(pass, flow, k, s);
+        }
+    }
+}
+
+static int
+compare_units(const void *left, const void *right)
+{
+    const struct SrPlanUnit *a = left;
+    const struct SrPlanUnit *b = right;
+    if (a->flow->rank != b->flow->rank) {
+        return a->flow->rank < b->flow->rank ? -1 : 1;
+    }
+    /* What was freed for a job is not given to the next one. */
+    if (a->flow->claimed != b->flow->claimed) {
+        return a->flow->claimed ? -1 : 1;
+    }
+    if (a->late != b->late) {
+        return a->late ? 1 : -1;
+    }
+    if (a->start_by_ms != b->start_by_ms) {
+        return a->start_by_ms < b->start_by_ms ? -1 : 1;
+    }
+    return a->first < b->first ? -1 : a->first > b->first;
+}
+
+void
+SrPlan_CollectUnits(struct SrPlanPass *pass)
+{
+    SR_LIST_EACH(link, &pass->engine->flows)
+    {
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (!SrFlow_HasEnded(flow)) {
+            rank_flow(pass, flow);
+            add_flow(pass, flow);
+        }
+    }
+    if (pass->unit_count == 0) {
+        return;
+    }
+    qsort(pass->units, pass->unit_count, sizeof(*pass->units), compare_units);
+}
+
+/* Counts the racks' workers, and lays the workers out by rack. */
+void
+SrPlan_LayOutWorkers(struct SrPlanPass *pass)
+{
+    unsigned count = 0;
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = SrFleet_WorkerAt(link);
+        measure_worker(pass, worker);
+        pass->racks[worker->rack].count++;
+        count++;
+    }
+    pass->workers = SrUtil_Calloc(count, sizeof(struct SrWorker *));
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        pass->racks[i].first = pass->worker_count;
+        pass->worker_count += pass->racks[i].count;
+        pass->racks[i].count = 0;
+    }
+    SR_LIST_EACH(link, &pass->engine->fleet.workers)
+    {
+        struct SrWorker *worker = SrFleet_WorkerAt(link);
+        struct SrPlanRack *rack = &pass->racks[worker->rack];
+        pass->workers[rack->first + rack->count++] = worker;
+    }
+}
--- a/tests/test_mutations.c
+++ b/tests/test_mutations.c
@@ -59,7 +59,9 @@
         return size;
     }
     memmove(input + at + length, input + at, size - at);
-    memcpy(input + at, piece, length);
+    for (size_t i = 0; i < length; i++) {
+        input[at + i] = piece[i];
+    }
     return size + length;
 }
 
