--- a/src/engine.c
+++ b/src/engine.c
@@ -436,8 +436,10 @@
         if (!SrFleet_IsLeaseOut(&engine->fleet, worker, now_ms)) {
             continue;
         }
-        SR_WARN("engine", "lease-out", "worker=%s silent-ms=%ld",
-                worker->info.id, (long)(now_ms - worker->answered_ms));
+        SR_WARN("engine", "lease-out",
+                "worker=%s answered-to-this-leader=%d lease-ms-ago=%ld",
+                worker->info.id, worker->answered_ms != 0,
+                (long)(now_ms - worker->granted_ms));
         worker->fenced = false;
         while (!SrList_IsEmpty(&worker->runs)) {
             SrEngine_EndRun(
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -122,8 +122,7 @@
                                                  : SR_MEMORY_SERVE);
             used++;
         }
-        ev_run(world->kernel->loop,
-               world->answered ? EVRUN_NOWAIT : EVRUN_NOWAIT);
+        ev_run(world->kernel->loop, EVRUN_NOWAIT);
     }
     assert_true(world->answered);
     return world->result.kind;
