The time of a change follows the platform's bound of a stop

Cause: 1.1 s was written for a stop of 0.4 s; other deployments have 0.2 and 0.9 s. The patience for a rack was written for a factor of three. Both follow the settings now; penalties have names; settings that nothing reads are gone.

--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -9,6 +9,8 @@
 /* Starts without an answer after which the run is given up. */
 #define START_SENDS_MAX 4
 #define RETRY_MS 60
+/* An exchange between regions takes 60 ms, and the slowest seen 500 ms. */
+#define STOP_UNKNOWN_MS 1000
 /* Looks without an answer after which a worker's silence is noted. */
 #define NOTED_LOOKS 2
 /* A worker that turned an order away is left alone for a moment. */
@@ -73,7 +75,7 @@
     struct SrOrder order = {
         .kind = SR_ORDER_STOP,
         .term = engine->term,
-        .timeout_ms = 1000,
+        .timeout_ms = STOP_UNKNOWN_MS,
     };
     SR_WARN("engine", "unknown-run", "worker=%s task=%s run=%u",
             worker->info.id, report->task, report->run);
--- a/src/intake.c
+++ b/src/intake.c
@@ -139,7 +139,7 @@
     int64_t took_ms = SrOs_MonotonicMs() - call->started_ms;
     const struct SrCatalog *catalog =
         intake->options.catalog(intake->options.context);
-    count_result(intake, call, result->kind, took_ms * 1000);
+    count_result(intake, call, result->kind, took_ms * SR_MS_PER_SECOND);
     if (call->kind == SR_REQUEST_SUBMIT || call->kind == SR_REQUEST_CANCEL ||
         (result->kind != SR_RESULT_STATE && result->kind != SR_RESULT_COUNT)) {
         SR_INFO("intake", "answered",
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -33,8 +33,6 @@
     int64_t lease_max_ms;
     /* Time that a stop may take, ms. */
     int64_t stop_ms;
-    /* Time that a gang's members wait for each other, ms. */
-    int64_t gang_ms;
     /* Factor by which a task is slower away from its rack. */
     double remote_factor;
     /* Time from the signal to the forced end of a process, ms. */
@@ -43,11 +41,8 @@
     int64_t status_ms;
     /* Latest start after a job's guarantee applies, ms. */
     int64_t reclaim_ms;
-    /* Work between two checkpoints, and the time to resume, ms. */
+    /* Work between two checkpoints, ms. */
     int64_t checkpoint_ms;
-    int64_t restore_ms;
-    /* Time a configuration may take to be in force, ms. */
-    int64_t config_ms;
 };
 
 #endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -222,10 +222,10 @@
         }
         int64_t penalty = SrPlan_PenaltyOf(pass, worker, unit, kind);
         if (strcmp(task->failed_on, worker->info.id) == 0) {
-            penalty += 4000;
+            penalty += SR_PLAN_FAILED_HERE;
         }
         if (!near) {
-            penalty += 2000;
+            penalty += SR_PLAN_FAR;
         }
         if (best == NULL || penalty < best_penalty) {
             best = worker;
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A gang or task that is slower elsewhere waits this much of its estimated
- * time for its rack before it is spread; elsewhere it takes three times. */
-#define RACK_PATIENCE 1.5
+/* A gang or task that is slower elsewhere waits for its rack for this part of
+ * the time that it would lose, before it is spread. */
+#define RACK_PATIENCE 0.75
 /* As the platform's price of lost work counts an accelerator. */
 #define CORES_PER_ACCELERATOR 8
 /* Cost of stopped work beside the other reasons to avoid a worker. */
@@ -242,15 +242,15 @@
                  const struct SrPlanUnit *unit, enum SrRoomKind kind)
 {
     struct SrRoom room = room_of(pass, worker, unit, kind);
-    int64_t penalty = (int64_t)worker->suspicion * 1000;
+    int64_t penalty = (int64_t)worker->suspicion * SR_PLAN_SUSPICION;
     if (kind == SR_ROOM_CLAIMABLE) {
         penalty += claim_cost(pass, worker, unit, 1) * COST_WEIGHT;
     }
     if (strcmp(unit->first->failed_on, worker->info.id) == 0) {
-        penalty += 4000;
+        penalty += SR_PLAN_FAILED_HERE;
     }
     if (worker->info.cold_ms > 0) {
-        penalty += 500;
+        penalty += SR_PLAN_COLD;
     }
     penalty += slowness_of(worker, unit);
     return penalty + room.accelerators;
@@ -433,11 +433,12 @@
     int64_t reclaim_ms = pass->engine->options.reclaim_ms;
     if (unit->flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
         pass->now_ms >= unit->flow->arrived_ms + reclaim_ms -
-                            SR_PLAN_CHANGE_MS - SR_PLAN_SPARE_MS) {
+                            SrPlan_ChangeMs(pass) - SR_PLAN_SPARE_MS) {
         return false;
     }
     double waited_ms = (double)(pass->now_ms - unit->ready_ms);
-    return waited_ms < RACK_PATIENCE * unit->step->estimated_ms;
+    double loss = pass->engine->options.remote_factor - 1;
+    return waited_ms < RACK_PATIENCE * loss * unit->step->estimated_ms;
 }
 
 /* True if some rack could hold the whole unit if it were empty. */
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -7,11 +7,18 @@
 
 /* Racks told apart in a pass; the target has 59. */
 #define SR_PLAN_RACKS_MAX 256
-/* Stopping a run and starting another in its place takes a stop and three
- * exchanges. */
-#define SR_PLAN_CHANGE_MS 1100
+/* Stopping a run and starting another in its place takes, beside the stop,
+ * three exchanges between regions and two writes. */
+#define SR_PLAN_CHANGE_MS 700
 /* A stop may take longer than told, and the leader learns of a job late. */
 #define SR_PLAN_SPARE_MS 600
+/* Reasons to avoid a worker, weighed against each other and against one
+ * accelerator left free: the task failed there; another rack is its own; each
+ * point of suspicion; the worker has just started. */
+#define SR_PLAN_FAILED_HERE 4000
+#define SR_PLAN_FAR 2000
+#define SR_PLAN_SUSPICION 1000
+#define SR_PLAN_COLD 500
 /* Ranks of guaranteed work, and of urgent work beyond guarantees; others
  * follow by priority. */
 #define SR_RANK_GUARANTEED 0
@@ -79,6 +86,9 @@
 /* Tells the workers' room, and lays them out by rack. */
 void SrPlan_LayOutWorkers(struct SrPlanPass *pass);
 
+/* Time that it takes to stop a run and start another in its place, ms. */
+int64_t SrPlan_ChangeMs(const struct SrPlanPass *pass);
+
 /* Tasks with that need that fit in the room. */
 unsigned SrPlan_TasksIn(const struct SrRoom *room, const struct SrRoom *need);
 
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -83,6 +83,12 @@
     }
 }
 
+int64_t
+SrPlan_ChangeMs(const struct SrPlanPass *pass)
+{
+    return pass->engine->options.stop_ms + SR_PLAN_CHANGE_MS;
+}
+
 static int64_t
 wait_until(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
@@ -91,11 +97,12 @@
     if (flow->rank > SR_RANK_URGENT) {
         return pass->now_ms + HOLD_MS;
     }
-    int64_t until_ms = unit->start_by_ms - SR_PLAN_CHANGE_MS;
+    int64_t until_ms = unit->start_by_ms - SrPlan_ChangeMs(pass);
     if (flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
-        flow->arrived_ms + reclaim_ms - SR_PLAN_CHANGE_MS - SR_PLAN_SPARE_MS <
+        flow->arrived_ms + reclaim_ms - SrPlan_ChangeMs(pass) -
+                SR_PLAN_SPARE_MS <
             until_ms) {
-        until_ms = flow->arrived_ms + reclaim_ms - SR_PLAN_CHANGE_MS -
+        until_ms = flow->arrived_ms + reclaim_ms - SrPlan_ChangeMs(pass) -
                    SR_PLAN_SPARE_MS;
     }
     return until_ms;
