A stopping process answers what has reached it

Cause: the loop ended in the tick that found nothing in progress, with the listening socket still open. A request whose connection the kernel had taken by then was reset, and its caller was left with an unknown outcome. That is what test_relay gate_stopped_repeatable saw once beside load (call 18, exit 2). Ruled out: an answer cut short (in-progress now also counts until the answer is sent, but the failing call never reached the handler), and the client library (it may not repeat a call that was sent).

Change: the end of a process is one piece, src/shutdown.c, for daemons and nodes, which had a copy each. A killed test no longer leaves processes on its addresses.

Before: test_gate a_stopping_gate_answers_what_has_reached_it (the gate stands still across its end, the request arrives meanwhile) failed each time: no answer.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -13,10 +13,10 @@
 #include "http_client.h"
 #include "log.h"
 #include "os.h"
+#include "shutdown.h"
 #include "util.h"
 
 #define CONNECTIONS_MAX 8000
-#define STOP_TICK_MS 50
 #define TYPE_PROTOBUF "application/x-protobuf"
 #define TYPE_TEXT "text/plain; version=0.0.4"
 #define EXIT_CANNOT_START 3
@@ -30,8 +30,7 @@
     struct SrConfig *config;
     ev_signal terminate;
     ev_signal interrupt;
-    struct SrTimer stop_timer;
-    int64_t stop_ms;
+    struct SrShutdown shutdown;
 };
 
 struct SrKernel *
@@ -149,23 +148,11 @@
     return body;
 }
 
-/* Ends the loop once nothing is in progress and the balancer has had time to
- * see that the process is not ready, or the time for that is over. */
-static void
-on_stop_tick(void *context)
+static bool
+is_idle(void *context)
 {
-    struct SrDaemon *daemon = context;
-    const struct SrSettings *settings = daemon->options.settings;
-    int64_t age_ms = SrOs_MonotonicMs() - daemon->stop_ms;
-    bool idle = SrHttpServer_InProgress(daemon->server) == 0 &&
-                daemon->options.is_idle(daemon->options.context);
-    bool seen = age_ms >= settings->unready_ms;
-    if ((idle && seen) ||
-        age_ms >= settings->unready_ms + settings->drain_ms) {
-        SR_INFO("daemon", "stopping", "idle=%d after-ms=%lld", idle,
-                (long long)age_ms);
-        ev_break(daemon->kernel->loop, EVBREAK_ALL);
-    }
+    const struct SrDaemon *daemon = context;
+    return daemon->options.is_idle(daemon->options.context);
 }
 
 static void
@@ -178,14 +165,20 @@
         return;
     }
     SR_INFO("daemon", "stop-asked", "signal=%d", watcher->signum);
-    daemon->kernel->stopping = true;
-    daemon->stop_ms = SrOs_MonotonicMs();
+    const struct SrSettings *settings = daemon->options.settings;
+    SrShutdown_Begin(&daemon->shutdown,
+                     &(struct SrShutdownOptions){
+                         .kernel = daemon->kernel,
+                         .server = daemon->server,
+                         .unready_ms = settings->unready_ms,
+                         .limit_ms = settings->unready_ms + settings->drain_ms,
+                         .is_idle = is_idle,
+                         .context = daemon,
+                     });
     SrBus_Heartbeat(daemon->bus)->leaving = true;
     SrBus_Announce(daemon->bus);
     struct SrMessage message = {.kind = SR_MESSAGE_STOP};
     SrKernel_Publish(daemon->kernel, &message);
-    SrTimer_Start(&daemon->stop_timer, daemon->kernel, 0, STOP_TICK_MS,
-                  on_stop_tick, daemon);
 }
 
 static void
@@ -278,7 +271,7 @@
             options->settings->listen, options->settings->domain);
     ev_run(daemon.kernel->loop, 0);
     code = 0;
-    SrTimer_Stop(&daemon.stop_timer);
+    SrShutdown_Cancel(&daemon.shutdown);
 end_services:
     options->stop(options->context);
     SrHttpServer_Destroy(daemon.server);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "list.h"
 #include "os.h"
@@ -28,6 +29,7 @@
     ev_timer sweep;
     struct SrList receiving;
     struct SrList handled;
+    /* Connections wait for a run that no descriptor announces. */
     bool has_resumed;
     size_t in_progress;
 };
@@ -166,6 +168,7 @@
     request->path = SrUtil_Strdup(path);
     request->started_ms = SrOs_MonotonicMs();
     SrList_Append(&server->receiving, &request->link);
+    server->in_progress++;
     return request;
 }
 
@@ -231,7 +234,6 @@
     SrList_Remove(&request->link);
     SrList_Append(&server->handled, &request->link);
     request->state = REQUEST_HANDLED;
-    server->in_progress++;
     MHD_suspend_connection(request->connection);
     server->options.handle(server->options.context, request);
     return MHD_YES;
@@ -290,6 +292,7 @@
         return;
     }
     SrList_Remove(&request->link);
+    request->server->in_progress--;
     if (request->response != NULL) {
         MHD_destroy_response(request->response);
     }
@@ -392,6 +395,29 @@
     free(server);
 }
 
+void
+SrHttpServer_StopListening(struct SrHttpServer *server)
+{
+    struct sockaddr_in address;
+    socklen_t size = sizeof(address);
+    int listener = MHD_quiesce_daemon(server->daemon);
+    if (listener < 0) {
+        return;
+    }
+    for (;;) {
+        int connection = accept4(listener, (struct sockaddr *)&address, &size,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connection < 0) {
+            break;
+        }
+        /* It closes the connection itself if it has no room for it. */
+        MHD_add_connection(server->daemon, connection,
+                           (struct sockaddr *)&address, size);
+    }
+    close(listener);
+    server->has_resumed = true;
+}
+
 size_t
 SrHttpServer_InProgress(const struct SrHttpServer *server)
 {
@@ -477,7 +503,6 @@
     request->response = response;
     request->status = reply->status;
     request->state = REQUEST_ANSWERED;
-    server->in_progress--;
     server->has_resumed = true;
     MHD_resume_connection(request->connection);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -57,7 +57,10 @@
  * more. */
 void SrHttpServer_Destroy(struct SrHttpServer *server);
 
-/* Requests that the handler has and has not answered. */
+/* Takes no further connections; those that the kernel has taken are served. */
+void SrHttpServer_StopListening(struct SrHttpServer *server);
+
+/* Requests that have begun to arrive and whose answers are not sent whole. */
 size_t SrHttpServer_InProgress(const struct SrHttpServer *server);
 
 /* Parts of a request, valid until the reply. */
--- a/src/node.c
+++ b/src/node.c
@@ -23,6 +23,7 @@
 #include "platform_orders.h"
 #include "platform_rows.h"
 #include "platform_settings.h"
+#include "shutdown.h"
 
 #define EXIT_CANNOT_START 3
 #define EXIT_USAGE 64
@@ -37,7 +38,6 @@
 #define READ_TIMEOUT_MS 10000
 /* Largest body of a caller, as the platform's limits say at the most. */
 #define BODY_MAX (256 * 1024)
-#define STOP_TICK_MS 50
 /* After the signal the balancer needs two checks, 2 s, to send no more. */
 #define UNREADY_MS 2300
 /* Left of the grace for the end itself. */
@@ -71,8 +71,7 @@
     ev_signal terminate;
     ev_signal interrupt;
     ev_signal reload;
-    struct SrTimer stop_timer;
-    int64_t stop_ms;
+    struct SrShutdown shutdown;
 };
 
 static const struct SrCatalog *
@@ -355,20 +354,11 @@
     return true;
 }
 
-/* Ends the loop once nothing is in progress and the balancer has seen that
- * the process is not ready, or the grace is nearly over. */
-static void
-on_stop_tick(void *context)
+static bool
+is_idle(void *context)
 {
-    struct SrNode *node = context;
-    int64_t age_ms = SrOs_MonotonicMs() - node->stop_ms;
-    bool idle =
-        SrHttpServer_InProgress(node->callers) == 0 && node->leader == NULL;
-    if ((idle && age_ms >= UNREADY_MS) ||
-        age_ms >= node->settings.grace_ms - STOP_SPARE_MS) {
-        SR_INFO("node", "stopped", "idle=%d after-ms=%ld", idle, (long)age_ms);
-        ev_break(node->kernel->loop, EVBREAK_ALL);
-    }
+    const struct SrNode *node = context;
+    return node->leader == NULL;
 }
 
 static void
@@ -382,11 +372,16 @@
     }
     SR_INFO("node", "stop-asked", "signal=%d leading=%d", watcher->signum,
             SrLedger_IsLeading(node->ledger));
-    node->kernel->stopping = true;
-    node->stop_ms = SrOs_MonotonicMs();
+    SrShutdown_Begin(&node->shutdown,
+                     &(struct SrShutdownOptions){
+                         .kernel = node->kernel,
+                         .server = node->callers,
+                         .unready_ms = UNREADY_MS,
+                         .limit_ms = node->settings.grace_ms - STOP_SPARE_MS,
+                         .is_idle = is_idle,
+                         .context = node,
+                     });
     SrLedger_Release(node->ledger);
-    SrTimer_Start(&node->stop_timer, node->kernel, 0, STOP_TICK_MS,
-                  on_stop_tick, node);
 }
 
 /* Addresses do not change in a process's life; what may change comes from the
@@ -478,7 +473,7 @@
 static void
 stop_services(struct SrNode *node)
 {
-    SrTimer_Stop(&node->stop_timer);
+    SrShutdown_Cancel(&node->shutdown);
     SrHttpClient_Destroy(node->http);
     SrIntake_Destroy(node->intake);
     SrHttpServer_Destroy(node->callers);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -119,6 +120,8 @@
     if (pid != 0) {
         return pid;
     }
+    /* A test that is killed leaves no processes on its addresses. */
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -16,6 +17,9 @@
 #define LARGE_BYTES (100 * 1024 * 1024)
 #define MEMORY_GROWTH_KIB (16 * 1024)
 #define SLOW_LIMIT_SECONDS 8
+/* The harness has daemons wait 100 ms, unready, before they end. */
+#define BEFORE_END_MS 30
+#define PAST_END_MS 150
 
 static struct Harness harness;
 
@@ -163,13 +167,11 @@
     assert_in_range(after, 1, before + MEMORY_GROWTH_KIB);
 }
 
-/* Sends the head and a part of the body, then nothing. */
-static void
-a_slow_sender_is_told(void **state)
+/* A connection to the gate whose reads end after SLOW_LIMIT_SECONDS. */
+static int
+connect_to_gate(void)
 {
-    (void)state;
     char text[64];
-    char answer[512] = "";
     unsigned last;
     Harness_Address(&harness, HARNESS_G1, text, sizeof(text));
     struct sockaddr_in address = {.sin_family = AF_INET};
@@ -181,22 +183,67 @@
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
     assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)),
                      0);
-    static const char head[] = "POST /v1/call HTTP/1.1\r\nHost: x\r\n"
-                               "Content-Length: 100\r\n\r\npart";
-    assert_int_equal(send(fd, head, sizeof(head) - 1, 0), sizeof(head) - 1);
+    return fd;
+}
+
+/* Reads until the gate closes the connection, and closes it. */
+static void
+read_to_end(int fd, char *to, size_t room)
+{
     size_t size = 0;
     ssize_t got;
-    while (size < sizeof(answer) - 1 &&
-           (got = recv(fd, answer + size, sizeof(answer) - 1 - size, 0)) > 0) {
+    while (size < room - 1 &&
+           (got = recv(fd, to + size, room - 1 - size, 0)) > 0) {
         size += (size_t)got;
     }
+    to[size] = '\0';
     close(fd);
+}
+
+/* Sends the head and a part of the body, then nothing. */
+static void
+a_slow_sender_is_told(void **state)
+{
+    (void)state;
+    char answer[512];
+    int fd = connect_to_gate();
+    static const char head[] = "POST /v1/call HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: 100\r\n\r\npart";
+    assert_int_equal(send(fd, head, sizeof(head) - 1, 0), sizeof(head) - 1);
+    read_to_end(fd, answer, sizeof(answer));
     assert_non_null(strstr(answer, "HTTP/1.1 408"));
     char *health = Harness_Get(&harness, HARNESS_G1, "/healthz");
     assert_non_null(health);
     free(health);
 }
 
+/* The request arrives while the process stands still just before its end, so
+ * that the end and the request are seen in one turn of the loop. */
+static void
+a_stopping_gate_answers_what_has_reached_it(void **state)
+{
+    (void)state;
+    char answer[512];
+    int status = 0;
+    pid_t pid = harness.pids[HARNESS_G1];
+    static const char request[] = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    kill(pid, SIGTERM);
+    Harness_Sleep(BEFORE_END_MS);
+    Harness_Freeze(&harness, HARNESS_G1, true);
+    int fd = connect_to_gate();
+    assert_int_equal(send(fd, request, sizeof(request) - 1, 0),
+                     sizeof(request) - 1);
+    Harness_Sleep(PAST_END_MS);
+    Harness_Freeze(&harness, HARNESS_G1, false);
+    read_to_end(fd, answer, sizeof(answer));
+    waitpid(pid, &status, 0);
+    harness.pids[HARNESS_G1] = 0;
+    assert_true(WIFEXITED(status));
+    assert_int_equal(WEXITSTATUS(status), 0);
+    assert_non_null(strstr(answer, "HTTP/1.1 200"));
+    assert_non_null(strstr(answer, "\r\n\r\n"));
+}
+
 /* Folder of this program, where the binary lies too. */
 static void
 find_folder(char *to, size_t size)
@@ -294,6 +341,7 @@
         cmocka_unit_test(bad_requests_get_typed_errors),
         cmocka_unit_test(a_large_body_is_refused_and_not_kept),
         cmocka_unit_test(a_slow_sender_is_told),
+        cmocka_unit_test(a_stopping_gate_answers_what_has_reached_it),
     };
     Harness_SetUp(argv[0]);
     return cmocka_run_group_tests(tests, set_up, tear_down);
