Each answered line names the request's id

Cause: requests refused before their queue is known (an old configuration, the store away, a wrong key) were logged with an empty id, so that nobody could get from a refused request to its cause.

Change: the id is taken from the path first. Before: test_intake each_answer_names_the_id failed; after: it passes.

--- a/src/intake.c
+++ b/src/intake.c
@@ -454,11 +454,23 @@
     return true;
 }
 
+/* The id that the path ends in, for the log lines of requests that are refused
+ * before their queue is looked up. */
+static void
+note_id(struct Call *call, const char *path)
+{
+    const char *slash = strrchr(path, '/');
+    if (slash != NULL && is_job_id(slash + 1)) {
+        SrUtil_Copy(call->id, sizeof(call->id), slash + 1);
+    }
+}
+
 static void
 handle(struct Call *call, struct SrRequest *request)
 {
     const struct SrCatalogQueue *queue = NULL;
     const char *rest = "";
+    note_id(call, request->path);
     if (!authorize(call, request, &queue, &rest)) {
         return;
     }
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -1,6 +1,7 @@
 #include "test_support.h"
 
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "catalog.h"
 #include "codec.h"
@@ -275,6 +276,43 @@
     end(&world);
 }
 
+/* Whoever asks about a refused request has its id and nothing else. */
+static void
+each_answer_names_the_id(void **state)
+{
+    (void)state;
+    static const struct AnswerCase cases[] = {
+        {SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", 5000, SR_RESULT_REFUSED},
+        {SR_REQUEST_CANCEL, "/p/" JOB_ID, "k", 5000, SR_RESULT_REFUSED},
+        {SR_REQUEST_SUBMIT, "/p/" JOB_ID, "other", 0, SR_RESULT_BAD_KEY},
+        {SR_REQUEST_SUBMIT, "/q/" JOB_ID, "k", 0, SR_RESULT_NO_QUEUE},
+        {SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", 0, SR_RESULT_ACCEPTED},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        const struct AnswerCase *c = &cases[i];
+        struct World world;
+        char lines[4096] = "";
+        int ends[2];
+        assert_int_equal(pipe(ends), 0);
+        SrLog_UseOutput(ends[1]);
+        SrLog_Start(SR_LOG_INFO, "test");
+        begin(&world);
+        world.catalog_age_ms = c->age_ms;
+        assert_int_equal(ask(&world, c->kind, c->path, c->key, NULL, 0),
+                         c->result);
+        end(&world);
+        assert_true(read(ends[0], lines, sizeof(lines) - 1) > 0);
+        SrLog_UseOutput(STDERR_FILENO);
+        SrLog_Start(SR_LOG_ERROR, "test");
+        close(ends[0]);
+        close(ends[1]);
+        if (strstr(lines, " event=answered id=" JOB_ID " ") == NULL) {
+            fail_msg("%s %s: %s", c->path, SrIntake_ResultText(c->result),
+                     lines);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -284,6 +322,7 @@
         cmocka_unit_test(unsettled_submit_is_not_called_refused),
         cmocka_unit_test(requests_are_answered),
         cmocka_unit_test(job_is_told_and_cancelled),
+        cmocka_unit_test(each_answer_names_the_id),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
