A table that could not be followed is confirmed at once

Ruled out: the pause between tries (150 ms), and the callers' way back: they come about every 0.5 s within their 3 s.

Change: after a failure the watch does not wait.

tests/test_follower.c is new: the port's first tests of a follower, of which the case of the watch after a failure failed before.

--- a/src/follower.c
+++ b/src/follower.c
@@ -215,8 +215,10 @@
     call->follower = follower;
     follower->call = call;
     if (follower->loaded) {
+        /* After a failure what is known is confirmed at once. */
         SrRows_Watch(options->rows, options->table, follower->version,
-                     options->wait_ms, on_change, call);
+                     follower->failures > 0 ? 0 : options->wait_ms, on_change,
+                     call);
         return;
     }
     if (!follower->loading) {
--- a/src/memory_rows.c
+++ b/src/memory_rows.c
@@ -29,6 +29,7 @@
     char from[SR_ROWS_KEY_SIZE];
     unsigned limit;
     uint64_t after;
+    int64_t wait_ms;
     /* Commit: entries to write; `version` of the expected ones. */
     struct SrList expected;
     struct SrList writes;
@@ -190,11 +191,24 @@
 
 void
 SrMemoryRows_Watch(struct SrMemoryRows *memory, const char *table,
-                   uint64_t after, SrRowsDone *done, void *context)
+                   uint64_t after, int64_t wait_ms, SrRowsDone *done,
+                   void *context)
 {
     struct Call *call = add_call(memory, CALL_WATCH, done, context);
     SrUtil_Copy(call->table, sizeof(call->table), table);
     call->after = after;
+    call->wait_ms = wait_ms;
+}
+
+int64_t
+SrMemoryRows_NextWaitMs(const struct SrMemoryRows *memory)
+{
+    if (SrList_IsEmpty(&memory->calls)) {
+        return -1;
+    }
+    const struct Call *call =
+        SR_CONTAINER(memory->calls.next, struct Call, link);
+    return call->kind == CALL_WATCH ? call->wait_ms : -1;
 }
 
 size_t
@@ -342,6 +356,10 @@
         SrList_Append(&memory->late, &call->link);
         call->done(call->context, &lost);
         return;
+    case SR_MEMORY_HISTORY_GONE:
+        lost.error = SR_ROWS_HISTORY_GONE;
+        call->done(call->context, &lost);
+        break;
     }
     free_call(call);
 }
--- a/src/memory_rows.h
+++ b/src/memory_rows.h
@@ -16,6 +16,8 @@
     SR_MEMORY_REFUSE,
     /* Answered as lost now; done only when SrMemoryRows_RunLate is called. */
     SR_MEMORY_LATE,
+    /* Not done: the asked part of the history is gone. */
+    SR_MEMORY_HISTORY_GONE,
 };
 
 struct SrMemoryRows *SrMemoryRows_Create(void);
@@ -28,11 +30,16 @@
                        const char *from, unsigned limit, SrRowsDone *done,
                        void *context);
 void SrMemoryRows_Watch(struct SrMemoryRows *memory, const char *table,
-                        uint64_t after, SrRowsDone *done, void *context);
+                        uint64_t after, int64_t wait_ms, SrRowsDone *done,
+                        void *context);
 
 /* Calls that wait. */
 size_t SrMemoryRows_Pending(const struct SrMemoryRows *memory);
 
+/* How long the oldest waiting call may wait for a change, ms; -1 if it is no
+ * watch or there is none. */
+int64_t SrMemoryRows_NextWaitMs(const struct SrMemoryRows *memory);
+
 /* Settles the oldest waiting call. */
 void SrMemoryRows_Step(struct SrMemoryRows *memory, enum SrMemoryFate fate);
 
--- a/src/rows.c
+++ b/src/rows.c
@@ -60,7 +60,8 @@
                              context);
         break;
     case SR_ROWS_MEMORY:
-        SrMemoryRows_Watch(rows->u.memory, table, after, done, context);
+        SrMemoryRows_Watch(rows->u.memory, table, after, wait_ms, done,
+                           context);
         break;
     }
 }
--- /dev/null
+++ b/tests/test_follower.c
@@ -0,0 +1,216 @@
+/* A table followed through refusals, lost answers and a dropped history. */
+#include "test_support.h"
+
+#include <string.h>
+
+#include "follower.h"
+#include "log.h"
+#include "memory_rows.h"
+#include "os.h"
+
+#define TABLE "things"
+#define WAIT_MS 800
+#define LIMIT_MS 5000
+
+struct World {
+    struct SrKernel *kernel;
+    struct SrMemoryRows *memory;
+    struct SrRows rows;
+    struct SrFollower *follower;
+    /* What the follower told, as in "+a +b -a". */
+    char told[256];
+    unsigned loads;
+};
+
+static void
+on_row(void *context, const struct SrRow *row)
+{
+    struct World *world = context;
+    size_t length = strlen(world->told);
+    snprintf(world->told + length, sizeof(world->told) - length, "%s%s%s",
+             length > 0 ? " " : "", row->deleted ? "-" : "+", row->key);
+}
+
+static void
+on_loaded(void *context)
+{
+    ((struct World *)context)->loads++;
+}
+
+static void
+begin(struct World *world)
+{
+    *world = (struct World){.loads = 0};
+    world->kernel = SrKernel_Create(NULL);
+    world->memory = SrMemoryRows_Create();
+    world->rows = (struct SrRows){
+        .kind = SR_ROWS_MEMORY,
+        .u.memory = world->memory,
+    };
+    world->follower = SrFollower_Create(&(struct SrFollowerOptions){
+        .kernel = world->kernel,
+        .rows = &world->rows,
+        .table = TABLE,
+        .wait_ms = WAIT_MS,
+        .on_row = on_row,
+        .on_loaded = on_loaded,
+        .context = world,
+    });
+}
+
+static void
+end(struct World *world)
+{
+    SrFollower_Destroy(world->follower);
+    SrMemoryRows_Destroy(world->memory);
+    SrKernel_Destroy(world->kernel);
+}
+
+/* Runs the loop until the follower calls the store. */
+static void
+await_call(struct World *world)
+{
+    int64_t end_ms = SrOs_MonotonicMs() + LIMIT_MS;
+    while (SrMemoryRows_Pending(world->memory) == 0 &&
+           SrOs_MonotonicMs() < end_ms) {
+        ev_run(world->kernel->loop, EVRUN_ONCE);
+    }
+    assert_int_equal(SrMemoryRows_Pending(world->memory), 1);
+}
+
+static void
+ignore_answer(void *context, const struct SrRowsAnswer *answer)
+{
+    (void)context;
+    assert_int_equal(answer->error, SR_ROWS_OK);
+}
+
+/* Ends the follower's call as the fate says, and writes or removes a row just
+ * after that. */
+static void
+change(struct World *world, const char *key, bool remove,
+       enum SrMemoryFate fate)
+{
+    struct SrRowsWrite write = {TABLE, key, (const uint8_t *)"v", 1, remove};
+    await_call(world);
+    SrMemoryRows_Commit(world->memory,
+                        &(struct SrRowsTransaction){
+                            .writes = &write,
+                            .write_count = 1,
+                        },
+                        ignore_answer, NULL);
+    SrMemoryRows_Step(world->memory, fate);
+    SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
+}
+
+static void
+settle(struct World *world, enum SrMemoryFate fate)
+{
+    await_call(world);
+    SrMemoryRows_Step(world->memory, fate);
+}
+
+struct StepCase {
+    /* Row that is written ("a") or removed ("-a") just after the call; NULL
+     * for none. */
+    const char *change;
+    enum SrMemoryFate fate;
+    /* How long the call may wait for a change; -1 if it reads the table. */
+    int64_t wait_ms;
+    const char *told;
+};
+
+struct Case {
+    const char *name;
+    struct StepCase steps[8];
+    unsigned loads;
+};
+
+static const struct Case cases[] = {
+    {"rows come and go",
+     {{"a", SR_MEMORY_SERVE, -1, ""},
+      {"b", SR_MEMORY_SERVE, WAIT_MS, "+a"},
+      {"-a", SR_MEMORY_SERVE, WAIT_MS, "+a +b"},
+      {NULL, SR_MEMORY_SERVE, WAIT_MS, "+a +b -a"}},
+     1},
+    {"a refused reading is made again",
+     {{"a", SR_MEMORY_REFUSE, -1, ""}, {NULL, SR_MEMORY_SERVE, -1, "+a"}},
+     1},
+    /* Callers are refused until what is known is confirmed. */
+    {"after a failure the next watch does not wait",
+     {{NULL, SR_MEMORY_SERVE, -1, ""},
+      {NULL, SR_MEMORY_REFUSE, WAIT_MS, ""},
+      {NULL, SR_MEMORY_LOSE_ANSWER, 0, ""},
+      {"a", SR_MEMORY_REFUSE, 0, ""},
+      {NULL, SR_MEMORY_SERVE, 0, "+a"},
+      {NULL, SR_MEMORY_SERVE, WAIT_MS, "+a"}},
+     1},
+    {"a dropped history hides a removal",
+     {{"a", SR_MEMORY_SERVE, -1, ""},
+      {"b", SR_MEMORY_SERVE, WAIT_MS, "+a"},
+      {"-a", SR_MEMORY_HISTORY_GONE, WAIT_MS, "+a"},
+      {NULL, SR_MEMORY_SERVE, -1, "+a +b -a"}},
+     2},
+};
+
+static void
+run_step(struct World *world, const struct Case *c,
+         const struct StepCase *step)
+{
+    await_call(world);
+    int64_t wait_ms = SrMemoryRows_NextWaitMs(world->memory);
+    if (wait_ms != step->wait_ms) {
+        fail_msg("%s: a call waits %ld ms", c->name, (long)wait_ms);
+    }
+    if (step->change == NULL) {
+        settle(world, step->fate);
+    }
+    else {
+        bool remove = step->change[0] == '-';
+        change(world, step->change + (remove ? 1 : 0), remove, step->fate);
+    }
+    if (strcmp(world->told, step->told) != 0) {
+        fail_msg("%s: told '%s', not '%s'", c->name, world->told, step->told);
+    }
+}
+
+static void
+tables_are_followed(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct World world;
+        begin(&world);
+        for (size_t s = 0; cases[i].steps[s].told != NULL; s++) {
+            run_step(&world, &cases[i], &cases[i].steps[s]);
+        }
+        assert_int_equal(world.loads, cases[i].loads);
+        end(&world);
+    }
+}
+
+/* The answer to a call of a follower that is gone finds nobody. */
+static void
+a_late_answer_is_ignored(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world);
+    await_call(&world);
+    SrFollower_Destroy(world.follower);
+    world.follower = NULL;
+    SrMemoryRows_Step(world.memory, SR_MEMORY_SERVE);
+    assert_int_equal(world.loads, 0);
+    end(&world);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(tables_are_followed),
+        cmocka_unit_test(a_late_answer_is_ignored),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
