--- a/src/engine.h
+++ b/src/engine.h
@@ -57,7 +57,7 @@
 /* A changed flow, for the ledger. */
 struct SrEngineChange {
     const char *id;
-    /* Packed progress; the caller frees it. NULL: the job's rows go. */
+    /* Packed progress; the caller frees it. NULL: its row goes. */
     uint8_t *progress;
     size_t size;
     uint64_t change;
@@ -101,13 +101,22 @@
 
 /* Changes to be written, up to `max`; they stay due until confirmed. */
 size_t SrEngine_TakeChanges(struct SrEngine *engine,
-                            struct SrEngineChange *changes, size_t max,
-                            int64_t now_ms);
+                            struct SrEngineChange *changes, size_t max);
 void SrEngine_OnWritten(struct SrEngine *engine, const char *id,
                         uint64_t change);
 bool SrEngine_HasChanges(const struct SrEngine *engine);
 
-/* The rows of an expired job are gone from the store. */
+/* Takes an ended job that need not be known any more: the rows that callers
+ * wrote about it are to be removed, and that told by SrEngine_OnRemoved. NULL
+ * if there is none. */
+const char *SrEngine_TakeExpired(struct SrEngine *engine, int64_t now_ms);
+
+/* The callers' rows of the job are gone, so that its progress may go too; or
+ * they may not be, and the job is taken again later. */
+void SrEngine_OnRemoved(struct SrEngine *engine, const char *id, bool gone,
+                        int64_t now_ms);
+
+/* The progress of an expired job is gone from the store. */
 void SrEngine_Forget(struct SrEngine *engine, const char *id);
 
 /* True once a worker has answered that a newer leader gave orders there. */
--- a/src/engine_store.c
+++ b/src/engine_store.c
@@ -44,26 +44,45 @@
     return SrCodec_Pack(&progress, size);
 }
 
-static void
-note_expired(struct SrEngine *engine, int64_t now_ms)
+const char *
+SrEngine_TakeExpired(struct SrEngine *engine, int64_t now_ms)
 {
-    SR_LIST_EACH_SAFE(link, &engine->flows)
+    SR_LIST_EACH(link, &engine->flows)
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
         if (SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
-            SrList_IsEmpty(&flow->dirty) &&
+            SrList_IsEmpty(&flow->dirty) && !flow->expiring &&
             now_ms - flow->ended_ms > engine->options.keep_ms) {
-            SrEngine_Touch(engine, flow);
+            flow->expiring = true;
+            return flow->id;
         }
     }
+    return NULL;
+}
+
+void
+SrEngine_OnRemoved(struct SrEngine *engine, const char *id, bool gone,
+                   int64_t now_ms)
+{
+    struct SrFlow *flow = SrEngine_FindFlow(engine, id);
+    if (flow == NULL) {
+        return;
+    }
+    if (gone) {
+        flow->expired = true;
+        SrEngine_Touch(engine, flow);
+        return;
+    }
+    flow->expiring = false;
+    /* Kept for half its time more before it is tried again. */
+    flow->ended_ms = now_ms - engine->options.keep_ms / 2;
 }
 
 size_t
 SrEngine_TakeChanges(struct SrEngine *engine, struct SrEngineChange *changes,
-                     size_t max, int64_t now_ms)
+                     size_t max)
 {
     size_t count = 0;
-    note_expired(engine, now_ms);
     SR_LIST_EACH(link, &engine->dirty)
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
@@ -75,9 +94,7 @@
             .id = flow->id,
             .change = flow->changed,
         };
-        bool expired = SrFlow_HasEnded(flow) && flow->outstanding == 0 &&
-                       now_ms - flow->ended_ms > engine->options.keep_ms;
-        if (!expired) {
+        if (!flow->expired) {
             change->progress = pack_progress(engine, flow, &change->size);
         }
     }
--- a/src/flow.h
+++ b/src/flow.h
@@ -79,6 +79,10 @@
     uint64_t changed;
     uint64_t dirty_since;
     uint64_t written;
+    /* Ended long ago: the rows that callers wrote are being removed, or are
+     * gone. */
+    bool expiring;
+    bool expired;
     /* Runs outstanding over all tasks. */
     uint32_t outstanding;
     /* Others were made to yield to the job, and it has not run since. */
--- a/src/follower.c
+++ b/src/follower.c
@@ -22,6 +22,16 @@
     char key[SR_ROWS_KEY_SIZE];
 };
 
+/* One partition as it is being read. */
+struct Reading {
+    struct SrFollower *follower;
+    const char *partition;
+    /* Key of the next row. */
+    char from[SR_ROWS_KEY_SIZE];
+    bool in_flight;
+    bool done;
+};
+
 struct SrFollower {
     struct SrFollowerOptions options;
     struct SrTimer timer;
@@ -30,20 +40,25 @@
     uint64_t load;
     bool loading;
     bool loaded;
-    char from[SR_ROWS_KEY_SIZE];
+    struct Reading *readings;
+    /* What was read holds at least up to this version. */
     uint64_t load_version;
     uint64_t version;
     int64_t fresh_ms;
     unsigned failures;
     /* Answers of calls made before the destruction find this gone. */
-    struct Call *call;
+    struct SrList calls;
 };
 
 struct Call {
+    struct SrList link;
     struct SrFollower *follower;
+    /* NULL: a watch. */
+    struct Reading *reading;
 };
 
 static void next_call(void *context);
+static void read_page(struct Reading *reading);
 
 static void
 retry_later(struct SrFollower *follower, enum SrRowsError error)
@@ -135,43 +150,96 @@
     }
 }
 
+static struct Call *
+begin_call(struct SrFollower *follower, struct Reading *reading)
+{
+    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
+    call->follower = follower;
+    call->reading = reading;
+    SrList_Append(&follower->calls, &call->link);
+    return call;
+}
+
 static struct SrFollower *
-end_call(void *context)
+end_call(struct Call *call)
 {
-    struct Call *call = context;
     struct SrFollower *follower = call->follower;
+    SrList_Remove(&call->link);
     free(call);
-    if (follower != NULL) {
-        follower->call = NULL;
-    }
     return follower;
 }
 
+static bool
+is_read(const struct SrFollower *follower)
+{
+    for (size_t i = 0; i < follower->options.partition_count; i++) {
+        if (!follower->readings[i].done) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static void
 on_page(void *context, const struct SrRowsAnswer *answer)
 {
-    struct SrFollower *follower = end_call(context);
+    struct Call *call = context;
+    struct Reading *reading = call->reading;
+    struct SrFollower *follower = end_call(call);
     if (follower == NULL) {
         return;
     }
+    reading->in_flight = false;
     if (answer->error != SR_ROWS_OK) {
         retry_later(follower, answer->error);
         return;
     }
     note_answer(follower);
-    if (follower->from[0] == '\0') {
+    if (answer->version < follower->load_version) {
         follower->load_version = answer->version;
     }
     hand_on(follower, answer);
     if (answer->has_more && answer->count > 0) {
         /* The last row comes again as the first of the next page. */
-        SrUtil_Copy(follower->from, sizeof(follower->from),
+        SrUtil_Copy(reading->from, sizeof(reading->from),
                     answer->rows[answer->count - 1].key);
-        next_call(follower);
+        read_page(reading);
         return;
     }
-    finish_load(follower);
-    next_call(follower);
+    reading->done = true;
+    if (is_read(follower)) {
+        finish_load(follower);
+        next_call(follower);
+    }
+}
+
+static void
+read_page(struct Reading *reading)
+{
+    struct SrFollower *follower = reading->follower;
+    reading->in_flight = true;
+    SrRows_Read(follower->options.rows,
+                &(struct SrRowsRange){
+                    .table = follower->options.table,
+                    .partition = reading->partition,
+                    .from = reading->from,
+                    .limit = PAGE_ROWS,
+                },
+                READ_TIMEOUT_MS, on_page, begin_call(follower, reading));
+}
+
+static void
+begin_load(struct SrFollower *follower)
+{
+    follower->loading = true;
+    follower->load++;
+    follower->load_version = UINT64_MAX;
+    for (size_t i = 0; i < follower->options.partition_count; i++) {
+        follower->readings[i] = (struct Reading){
+            .follower = follower,
+            .partition = follower->options.partitions[i],
+        };
+    }
 }
 
 static void
@@ -184,7 +252,6 @@
     if (answer->error == SR_ROWS_HISTORY_GONE) {
         SR_WARN("follower", "history-gone", "table=%s version=%lu",
                 follower->options.table, (unsigned long)follower->version);
-        follower->loading = false;
         follower->loaded = false;
         next_call(follower);
         return;
@@ -211,23 +278,22 @@
 {
     struct SrFollower *follower = context;
     const struct SrFollowerOptions *options = &follower->options;
-    struct Call *call = SrUtil_Calloc(1, sizeof(*call));
-    call->follower = follower;
-    follower->call = call;
     if (follower->loaded) {
         /* After a failure what is known is confirmed at once. */
         SrRows_Watch(options->rows, options->table, follower->version,
                      follower->failures > 0 ? 0 : options->wait_ms, on_change,
-                     call);
+                     begin_call(follower, NULL));
         return;
     }
     if (!follower->loading) {
-        follower->loading = true;
-        follower->load++;
-        follower->from[0] = '\0';
+        begin_load(follower);
+    }
+    for (size_t i = 0; i < options->partition_count; i++) {
+        struct Reading *reading = &follower->readings[i];
+        if (!reading->done && !reading->in_flight) {
+            read_page(reading);
+        }
     }
-    SrRows_Read(options->rows, options->table, follower->from, PAGE_ROWS,
-                READ_TIMEOUT_MS, on_page, call);
 }
 
 struct SrFollower *
@@ -236,7 +302,10 @@
     struct SrFollower *follower = SrUtil_Calloc(1, sizeof(*follower));
     follower->options = *options;
     follower->fresh_ms = INT64_MIN / 2;
+    follower->readings =
+        SrUtil_Calloc(options->partition_count, sizeof(struct Reading));
     SrMap_Init(&follower->keys);
+    SrList_Init(&follower->calls);
     next_call(follower);
     return follower;
 }
@@ -248,8 +317,10 @@
         return;
     }
     SrTimer_Stop(&follower->timer);
-    if (follower->call != NULL) {
-        follower->call->follower = NULL;
+    SR_LIST_EACH_SAFE(link, &follower->calls)
+    {
+        SR_CONTAINER(link, struct Call, link)->follower = NULL;
+        SrList_Remove(link);
     }
     SR_MAP_EACH(entry, &follower->keys)
     {
@@ -258,6 +329,7 @@
         free(key);
     }
     SrMap_Clear(&follower->keys);
+    free(follower->readings);
     free(follower);
 }
 
--- a/src/follower.h
+++ b/src/follower.h
@@ -1,5 +1,6 @@
-/* Follows one table of the store: reads it whole, then its changes. When the
- * store has dropped the history, the table is read again and compared. */
+/* Follows one table of the store: reads its partitions side by side, then the
+ * changes of all. When the store has dropped the history, the table is read
+ * again and compared. */
 #ifndef SR_FOLLOWER_H
 #define SR_FOLLOWER_H
 
@@ -12,6 +13,9 @@
     struct SrKernel *kernel;
     const struct SrRows *rows;
     const char *table;
+    /* Partitions that hold its rows, kept by the caller. */
+    const char *const *partitions;
+    size_t partition_count;
     /* Time that one watch waits for a change, ms. */
     int64_t wait_ms;
     /* Pause after changes, so that frequent ones come together, ms. */
--- a/src/intake.c
+++ b/src/intake.c
@@ -5,14 +5,18 @@
 #include <string.h>
 
 #include "codec.h"
-#include "ledger.h"
+#include "job_rows.h"
 #include "log.h"
 #include "os.h"
 
 /* A job's id: 16 hexadecimal digits. */
 #define JOB_ID_DIGITS 16
-/* One try of a call of the store; the slowest answers seen take 500 ms. */
-#define TRY_MS 900
+/* A try of a call of the store is given up after this and some times the
+ * store's present pace: sent again too soon, it loads a slow store further. */
+#define TRY_MS 700
+#define TRY_PACES 4
+/* With less time left a call is not begun: an exchange between regions. */
+#define LEAST_TRY_MS 60
 /* The answer must reach the caller before its deadline. */
 #define ANSWER_MARGIN_MS 200
 /* A store that refuses is asked again within this time, then the caller is
@@ -31,10 +35,11 @@
 #define STORE_AWAY_MS 1300
 
 enum CallStep {
-    /* Looks up the job before it is cancelled. */
-    STEP_FIND,
     STEP_WRITE,
+    /* How far the job is, or how many wait. */
     STEP_READ,
+    /* The job itself: it has no progress, or is to be cancelled. */
+    STEP_FIND,
 };
 
 struct Call {
@@ -283,42 +288,68 @@
     struct Call *call = context;
     if (answer->error != SR_ROWS_OK) {
         retry(call, answer->error);
-        return;
     }
-    if (call->kind == SR_REQUEST_COUNT) {
+    else if (call->kind == SR_REQUEST_COUNT) {
         answer_count(call, answer);
-        return;
     }
-    if (!is_row(answer, SR_TABLE_PROGRESS, call->id)) {
+    else if (is_row(answer, SR_TABLE_PROGRESS, call->id)) {
+        answer_state(call, &answer->rows[0]);
+    }
+    else {
+        call->step = STEP_FIND;
+        run_try(call);
+    }
+}
+
+static void
+on_found(void *context, const struct SrRowsAnswer *answer)
+{
+    struct Call *call = context;
+    if (answer->error != SR_ROWS_OK) {
+        retry(call, answer->error);
+    }
+    else if (!is_row(answer, SR_TABLE_JOBS, call->id)) {
         finish_kind(call, SR_RESULT_NO_JOB, "no such job");
-        return;
     }
-    if (call->kind == SR_REQUEST_CANCEL) {
+    else if (call->kind == SR_REQUEST_CANCEL) {
         call->step = STEP_WRITE;
         run_try(call);
-        return;
     }
-    answer_state(call, &answer->rows[0]);
+    else {
+        finish(call, &(struct SrResult){
+                         .kind = SR_RESULT_STATE,
+                         .state = SR__FLOW_STATUS__FLOW_QUEUED,
+                     });
+    }
+}
+
+static void
+read_row(struct Call *call, const char *table, const char *partition,
+         const char *key, int64_t timeout_ms, SrRowsDone *done)
+{
+    SrRows_Read(call->intake->options.rows,
+                &(struct SrRowsRange){
+                    .table = table,
+                    .partition = partition,
+                    .from = key,
+                    .limit = 1,
+                },
+                timeout_ms, done, call);
 }
 
 static void
 write_job(struct Call *call, int64_t timeout_ms)
 {
-    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
-    size_t size;
-    SR_CLEANUP(SrUtil_FreePointer)
-    uint8_t *queued = SrCodec_Pack(&progress, &size);
     struct SrRowsExpected expected = {SR_TABLE_JOBS, call->id, 0};
-    struct SrRowsWrite writes[] = {
-        {SR_TABLE_JOBS, call->id, call->value, call->size, false},
-        {SR_TABLE_PROGRESS, call->id, queued, size, false},
-    };
+    struct SrRowsWrite write = {SR_TABLE_JOBS, call->id, call->value,
+                                call->size, false};
     SrRows_Commit(call->intake->options.rows,
                   &(struct SrRowsTransaction){
+                      .partition = SrJobRows_PartitionOf(call->id),
                       .expected = &expected,
                       .expected_count = 1,
-                      .writes = writes,
-                      .write_count = SR_LENGTH(writes),
+                      .writes = &write,
+                      .write_count = 1,
                   },
                   timeout_ms, on_write, call);
 }
@@ -330,6 +361,7 @@
                                 (const uint8_t *)"1", 1, false};
     SrRows_Commit(call->intake->options.rows,
                   &(struct SrRowsTransaction){
+                      .partition = SrJobRows_PartitionOf(call->id),
                       .writes = &write,
                       .write_count = 1,
                   },
@@ -340,25 +372,41 @@
 run_try(void *context)
 {
     struct Call *call = context;
+    int64_t pace_ms = SrRows_PaceMs(call->intake->options.rows);
     int64_t left_ms = time_left(call);
-    int64_t timeout_ms = left_ms < TRY_MS ? left_ms : TRY_MS;
-    if (timeout_ms <= 0) {
-        timeout_ms = 1;
-    }
-    call->tries++;
-    if (call->step == STEP_READ || call->step == STEP_FIND) {
-        bool count = call->kind == SR_REQUEST_COUNT;
-        SrRows_Read(call->intake->options.rows,
-                    count ? SR_TABLE_SUMMARY : SR_TABLE_PROGRESS,
-                    count ? SR_KEY_SUMMARY : call->id, 1, timeout_ms, on_read,
-                    call);
+    int64_t timeout_ms = TRY_MS + TRY_PACES * pace_ms;
+    if (left_ms < LEAST_TRY_MS || left_ms < pace_ms) {
+        finish_kind(call,
+                    call->unsettled ? SR_RESULT_UNKNOWN : SR_RESULT_REFUSED,
+                    "no time is left to ask the store");
         return;
     }
-    if (call->kind == SR_REQUEST_CANCEL) {
-        write_cancel(call, timeout_ms);
-        return;
+    timeout_ms = left_ms < timeout_ms ? left_ms : timeout_ms;
+    call->tries++;
+    switch (call->step) {
+    case STEP_READ:
+        if (call->kind == SR_REQUEST_COUNT) {
+            read_row(call, SR_TABLE_SUMMARY, SR_LEADER_PARTITION,
+                     SR_KEY_SUMMARY, timeout_ms, on_read);
+        }
+        else {
+            read_row(call, SR_TABLE_PROGRESS, SR_LEADER_PARTITION, call->id,
+                     timeout_ms, on_read);
+        }
+        break;
+    case STEP_FIND:
+        read_row(call, SR_TABLE_JOBS, SrJobRows_PartitionOf(call->id),
+                 call->id, timeout_ms, on_found);
+        break;
+    case STEP_WRITE:
+        if (call->kind == SR_REQUEST_CANCEL) {
+            write_cancel(call, timeout_ms);
+        }
+        else {
+            write_job(call, timeout_ms);
+        }
+        break;
     }
-    write_job(call, timeout_ms);
 }
 
 static bool
--- a/src/leader.c
+++ b/src/leader.c
@@ -5,6 +5,7 @@
 
 #include "codec.h"
 #include "follower.h"
+#include "job_rows.h"
 #include "log.h"
 #include "map.h"
 #include "os.h"
@@ -24,16 +25,20 @@
 #define READ_TIMEOUT_MS 1200
 #define RETRY_MS 100
 #define PAGE_ROWS 500
-/* Rows are kept this much longer than a job's state must be told. */
-#define KEEP_MARGIN_MS 30000
-/* Changes written at one time: a job that goes takes three rows of a batch. */
-#define CHANGES_MAX 28
+/* Jobs that need not be known any more are looked for this often. */
+#define EXPIRE_MS 250
+/* Changes written at one time: all of a batch but the summary, and room for
+ * progress that is left over. */
+#define CHANGES_MAX 80
+#define LEFT_OVER_MAX 8
 
 /* A stored progress row, until its job is read. */
 struct Stored {
     struct SrMapEntry entry;
     char id[SR_ROWS_KEY_SIZE];
     Sr__FlowProgress *progress;
+    /* Its removal is in the batch on its way. */
+    bool leaving;
 };
 
 struct SrLeader {
@@ -45,10 +50,14 @@
     struct SrTimer pump;
     struct SrTimer tick;
     struct SrTimer retry;
+    struct SrTimer expire;
     bool loaded;
+    /* Progress whose jobs were not read yet; once all were, what is left over
+     * by a leader that ended while it removed an expired job. */
     struct SrMap stored;
     char from[SR_ROWS_KEY_SIZE];
     struct Call *call;
+    struct Removal *removal;
     struct SrEngineChange changes[CHANGES_MAX];
     size_t change_count;
     const struct SrCatalog *catalog;
@@ -61,6 +70,12 @@
     struct SrLeader *leader;
 };
 
+/* The rows that callers wrote about an expired job, on their way out. */
+struct Removal {
+    struct SrLeader *leader;
+    char id[SR_ID_SIZE];
+};
+
 static void read_progress(void *context);
 
 static void
@@ -107,6 +122,14 @@
     SrLeader_Wake(leader);
 }
 
+static void
+free_stored(struct SrLeader *leader, struct Stored *stored)
+{
+    SrMap_Remove(&leader->stored, &stored->entry);
+    SrCodec_Free(stored->progress);
+    free(stored);
+}
+
 static Sr__FlowProgress *
 take_stored(struct SrLeader *leader, const char *id)
 {
@@ -116,8 +139,8 @@
     }
     struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
     Sr__FlowProgress *progress = stored->progress;
-    SrMap_Remove(&leader->stored, entry);
-    free(stored);
+    stored->progress = NULL;
+    free_stored(leader, stored);
     return progress;
 }
 
@@ -142,23 +165,89 @@
     SrLeader_Wake(leader);
 }
 
+/* Follows a table that callers write. */
 static struct SrFollower *
-follow(struct SrLeader *leader, const char *table, int64_t wait_ms,
-       int64_t pause_ms, void (*on_row)(void *, const struct SrRow *),
-       void (*on_loaded)(void *))
+follow_callers(struct SrLeader *leader, const char *table,
+               void (*on_row)(void *, const struct SrRow *),
+               void (*on_loaded)(void *))
 {
     return SrFollower_Create(&(struct SrFollowerOptions){
         .kernel = leader->options.kernel,
         .rows = leader->options.rows,
         .table = table,
-        .wait_ms = wait_ms,
-        .pause_ms = pause_ms,
+        .partitions = SrJobRows_Partitions,
+        .partition_count = SR_JOB_PARTITIONS,
+        .wait_ms = WATCH_MS,
         .on_row = on_row,
         .on_loaded = on_loaded,
         .context = leader,
     });
 }
 
+static struct SrFollower *
+follow_workers(struct SrLeader *leader)
+{
+    static const char *const partition = "";
+    return SrFollower_Create(&(struct SrFollowerOptions){
+        .kernel = leader->options.kernel,
+        .rows = leader->options.rows,
+        .table = leader->options.worker_table,
+        .partitions = &partition,
+        .partition_count = 1,
+        .wait_ms = WORKER_WATCH_MS,
+        .pause_ms = WORKER_PAUSE_MS,
+        .on_row = on_worker,
+        .context = leader,
+    });
+}
+
+static void
+on_removed(void *context, const struct SrRowsAnswer *answer)
+{
+    SR_CLEANUP(SrUtil_FreePointer) struct Removal *removal = context;
+    struct SrLeader *leader = removal->leader;
+    if (leader == NULL) {
+        return;
+    }
+    leader->removal = NULL;
+    SR_INFO("leader", "expired", "id=%s result=%s", removal->id,
+            SrRows_ErrorText(answer->error));
+    SrEngine_OnRemoved(leader->engine, removal->id,
+                       answer->error == SR_ROWS_OK, SrOs_MonotonicMs());
+    SrLedger_Wake(leader->options.ledger);
+}
+
+/* The callers' rows go first: a job without them is no longer known, while one
+ * without its progress would run again. */
+static void
+remove_expired(void *context)
+{
+    struct SrLeader *leader = context;
+    if (leader->removal != NULL ||
+        !SrLedger_IsWritable(leader->options.ledger)) {
+        return;
+    }
+    const char *id = SrEngine_TakeExpired(leader->engine, SrOs_MonotonicMs());
+    if (id == NULL) {
+        return;
+    }
+    struct Removal *removal = SrUtil_Calloc(1, sizeof(*removal));
+    removal->leader = leader;
+    SrUtil_Copy(removal->id, sizeof(removal->id), id);
+    leader->removal = removal;
+    struct SrRowsWrite writes[] = {
+        {.table = SR_TABLE_JOBS, .key = removal->id, .remove = true},
+        {.table = SR_TABLE_CANCEL, .key = removal->id, .remove = true},
+    };
+    SrRows_Commit(leader->options.rows,
+                  &(struct SrRowsTransaction){
+                      .partition = SrJobRows_PartitionOf(removal->id),
+                      .writes = writes,
+                      .write_count = SR_LENGTH(writes),
+                  },
+                  READ_TIMEOUT_MS, on_removed, removal);
+}
+
 /* Cancels are read after the jobs they name. */
 static void
 on_jobs_loaded(void *context)
@@ -171,10 +260,11 @@
     SR_INFO("leader", "loaded", "term=%lu flows=%u",
             (unsigned long)leader->options.term,
             SrEngine_Figures(leader->engine, SrOs_MonotonicMs()).flows);
-    leader->cancels =
-        follow(leader, SR_TABLE_CANCEL, WATCH_MS, 0, on_cancel, NULL);
+    leader->cancels = follow_callers(leader, SR_TABLE_CANCEL, on_cancel, NULL);
     SrTimer_Start(&leader->tick, leader->options.kernel, TICK_MS, TICK_MS,
                   run_pump, leader);
+    SrTimer_Start(&leader->expire, leader->options.kernel, EXPIRE_MS,
+                  EXPIRE_MS, remove_expired, leader);
 }
 
 static void
@@ -224,7 +314,7 @@
         return;
     }
     leader->jobs =
-        follow(leader, SR_TABLE_JOBS, WATCH_MS, 0, on_job, on_jobs_loaded);
+        follow_callers(leader, SR_TABLE_JOBS, on_job, on_jobs_loaded);
 }
 
 static void
@@ -234,8 +324,14 @@
     struct Call *call = SrUtil_Calloc(1, sizeof(*call));
     call->leader = leader;
     leader->call = call;
-    SrRows_Read(leader->options.rows, SR_TABLE_PROGRESS, leader->from,
-                PAGE_ROWS, READ_TIMEOUT_MS, on_progress, call);
+    SrRows_Read(leader->options.rows,
+                &(struct SrRowsRange){
+                    .table = SR_TABLE_PROGRESS,
+                    .partition = SR_LEADER_PARTITION,
+                    .from = leader->from,
+                    .limit = PAGE_ROWS,
+                },
+                READ_TIMEOUT_MS, on_progress, call);
 }
 
 static void
@@ -259,7 +355,7 @@
             .stop_ms = options->settings->stop_ms,
             .reclaim_ms = options->settings->reclaim_ms,
             .checkpoint_ms = options->settings->checkpoint_ms,
-            .keep_ms = options->settings->status_ms + KEEP_MARGIN_MS,
+            .keep_ms = options->settings->status_ms + SR_LEADER_KEEP_MARGIN_MS,
             .remote_factor = options->settings->remote_factor,
             .send = options->send,
             .observe = options->observe,
@@ -267,8 +363,7 @@
         },
         options->term, SrOs_MonotonicMs());
     set_store_clock(leader);
-    leader->workers = follow(leader, options->worker_table, WORKER_WATCH_MS,
-                             WORKER_PAUSE_MS, on_worker, NULL);
+    leader->workers = follow_workers(leader);
     read_progress(leader);
     return leader;
 }
@@ -291,18 +386,20 @@
     SrTimer_Stop(&leader->pump);
     SrTimer_Stop(&leader->tick);
     SrTimer_Stop(&leader->retry);
+    SrTimer_Stop(&leader->expire);
     SrFollower_Destroy(leader->jobs);
     SrFollower_Destroy(leader->cancels);
     SrFollower_Destroy(leader->workers);
     if (leader->call != NULL) {
         leader->call->leader = NULL;
     }
+    if (leader->removal != NULL) {
+        leader->removal->leader = NULL;
+    }
     SR_MAP_EACH(entry, &leader->stored)
     {
         struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
-        SrMap_Remove(&leader->stored, &stored->entry);
-        SrCodec_Free(stored->progress);
-        free(stored);
+        free_stored(leader, stored);
     }
     SrMap_Clear(&leader->stored);
     free_changes(leader);
@@ -387,6 +484,30 @@
               leader->summary_in_flight, size);
 }
 
+static bool
+has_ended(const Sr__FlowProgress *progress)
+{
+    return progress->status == SR__FLOW_STATUS__FLOW_COMPLETED ||
+           progress->status == SR__FLOW_STATUS__FLOW_FAILED ||
+           progress->status == SR__FLOW_STATUS__FLOW_CANCELLED;
+}
+
+/* Removes ended progress that has no job. */
+static void
+fill_left_over(struct SrLeader *leader, struct SrLedgerBatch *batch)
+{
+    size_t count = 0;
+    SR_MAP_EACH(entry, &leader->stored)
+    {
+        struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
+        if (count < LEFT_OVER_MAX && has_ended(stored->progress)) {
+            add_write(batch, SR_TABLE_PROGRESS, stored->id, NULL, 0);
+            stored->leaving = true;
+            count++;
+        }
+    }
+}
+
 void
 SrLeader_Fill(struct SrLeader *leader, struct SrLedgerBatch *batch)
 {
@@ -394,17 +515,14 @@
     if (!leader->loaded) {
         return;
     }
-    leader->change_count = SrEngine_TakeChanges(
-        leader->engine, leader->changes, CHANGES_MAX, SrOs_MonotonicMs());
+    leader->change_count =
+        SrEngine_TakeChanges(leader->engine, leader->changes, CHANGES_MAX);
     for (size_t i = 0; i < leader->change_count; i++) {
         const struct SrEngineChange *change = &leader->changes[i];
         add_write(batch, SR_TABLE_PROGRESS, change->id, change->progress,
                   change->size);
-        if (change->progress == NULL) {
-            add_write(batch, SR_TABLE_JOBS, change->id, NULL, 0);
-            add_write(batch, SR_TABLE_CANCEL, change->id, NULL, 0);
-        }
     }
+    fill_left_over(leader, batch);
     if (leader->catalog != NULL) {
         fill_summary(leader, batch);
     }
@@ -424,6 +542,13 @@
         }
     }
     free_changes(leader);
+    SR_MAP_EACH(entry, &leader->stored)
+    {
+        struct Stored *stored = SR_CONTAINER(entry, struct Stored, entry);
+        if (stored->leaving) {
+            free_stored(leader, stored);
+        }
+    }
     SrLeader_Wake(leader);
     if (SrEngine_HasChanges(leader->engine)) {
         SrLedger_Wake(leader->options.ledger);
--- a/src/leader.h
+++ b/src/leader.h
@@ -9,6 +9,9 @@
 #include "node_settings.h"
 #include "rows.h"
 
+/* Rows are kept this much longer than a job's state must be told, ms. */
+#define SR_LEADER_KEEP_MARGIN_MS 30000
+
 struct SrLeader;
 
 struct SrLeaderOptions {
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -5,6 +5,7 @@
 
 #include "codec.h"
 #include "flow.pb-c.h"
+#include "job_rows.h"
 #include "log.h"
 #include "os.h"
 #include "util.h"
@@ -12,9 +13,10 @@
 #define LEADER_KEY "leader"
 /* Candidates look at the leader's row this often. */
 #define POLL_MS 300
-/* A row that has not changed for this long has no living leader: three
- * renewals, and one exchange with a slow store. */
-#define SILENT_LEADER_MS 900
+/* A row that has not changed for this long, and some exchanges with the store
+ * as it is at present, has no living leader: three renewals. */
+#define SILENT_LEADER_MS 800
+#define SILENT_EXCHANGES 2
 /* The leader writes at least this often. */
 #define RENEW_MS 250
 /* A candidate waits this many exchanges with the store longer, so that one of
@@ -66,6 +68,7 @@
 
 static void poll_row(void *context);
 static void commit(void *context);
+static void claim(void *context);
 
 static struct Call *
 begin_call(struct SrLedger *ledger)
@@ -162,6 +165,7 @@
     }
     SrRows_Commit(ledger->options.rows,
                   &(struct SrRowsTransaction){
+                      .partition = SR_LEADER_PARTITION,
                       .expected = &expected,
                       .expected_count = 1,
                       .writes = writes,
@@ -224,18 +228,31 @@
             follow(ledger, POLL_MS);
         }
         break;
+    case SR_ROWS_REFUSED:
+        /* Others may be claiming as well: the row is looked at first. */
+        SR_WARN("ledger", "claim-refused", "term=%lu",
+                (unsigned long)ledger->term);
+        follow(ledger, POLL_MS);
+        break;
     default:
-        /* The same claim again settles whether it was done. */
         SR_WARN("ledger", "claim-unanswered", "term=%lu error=%s",
                 (unsigned long)ledger->term, SrRows_ErrorText(answer->error));
-        if (ledger->state == LEDGER_CLAIMING) {
-            send_transaction(ledger, ledger->term, 1, NULL, on_claimed);
-        }
+        run_after(ledger, RETRY_MS, claim);
         break;
     }
     SrCodec_Free(record);
 }
 
+/* The same claim again settles whether it was done. */
+static void
+claim(void *context)
+{
+    struct SrLedger *ledger = context;
+    if (ledger->state == LEDGER_CLAIMING) {
+        send_transaction(ledger, ledger->term, 1, NULL, on_claimed);
+    }
+}
+
 /* Those near the store come first: a leader's every step waits for it. */
 static int64_t
 stagger_of(const struct SrLedger *ledger)
@@ -255,7 +272,9 @@
     if (ledger->version == 0 || ledger->row_released) {
         return unchanged_ms >= stagger_of(ledger);
     }
-    return unchanged_ms >= SILENT_LEADER_MS + stagger_of(ledger);
+    return unchanged_ms >= SILENT_LEADER_MS +
+                               SILENT_EXCHANGES * ledger->exchange_ms +
+                               stagger_of(ledger);
 }
 
 static void
@@ -294,14 +313,20 @@
             (long)(now_ms - ledger->seen_since_ms));
     ledger->state = LEDGER_CLAIMING;
     ledger->term++;
-    send_transaction(ledger, ledger->term, 1, NULL, on_claimed);
+    claim(ledger);
 }
 
 static void
 poll_row(void *context)
 {
     struct SrLedger *ledger = context;
-    SrRows_Read(ledger->options.rows, SR_TABLE_LEADER, LEADER_KEY, 1,
+    SrRows_Read(ledger->options.rows,
+                &(struct SrRowsRange){
+                    .table = SR_TABLE_LEADER,
+                    .partition = SR_LEADER_PARTITION,
+                    .from = LEADER_KEY,
+                    .limit = 1,
+                },
                 CALL_TIMEOUT_MS, on_polled, begin_call(ledger));
 }
 
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -10,13 +10,6 @@
 #include "kernel.h"
 #include "rows.h"
 
-#define SR_TABLE_LEADER "leader"
-#define SR_TABLE_JOBS "jobs"
-#define SR_TABLE_PROGRESS "progress"
-#define SR_TABLE_CANCEL "cancel"
-#define SR_TABLE_SUMMARY "summary"
-#define SR_KEY_SUMMARY "queues"
-
 /* Writes of one batch beside the leader's own row. */
 #define SR_LEDGER_WRITES_MAX 90
 
--- a/src/memory_rows.c
+++ b/src/memory_rows.c
@@ -9,6 +9,7 @@
 struct Entry {
     struct SrList link;
     char table[SR_ROWS_KEY_SIZE];
+    char partition[SR_ROWS_KEY_SIZE];
     char key[SR_ROWS_KEY_SIZE];
     uint8_t *value;
     size_t size;
@@ -26,6 +27,7 @@
     struct SrList link;
     enum CallKind kind;
     char table[SR_ROWS_KEY_SIZE];
+    char partition[SR_ROWS_KEY_SIZE];
     char from[SR_ROWS_KEY_SIZE];
     unsigned limit;
     uint64_t after;
@@ -38,11 +40,14 @@
 };
 
 struct SrMemoryRows {
-    /* In order of table and key. */
+    /* In order of table, partition and key. */
     struct SrList entries;
     struct SrList calls;
     struct SrList late;
     uint64_t version;
+    /* Its transactions are refused; NULL if none's are. */
+    const char *saturated;
+    int64_t pace_ms;
 };
 
 struct SrMemoryRows *
@@ -98,19 +103,22 @@
 }
 
 static int
-compare(const struct Entry *entry, const char *table, const char *key)
+compare(const struct Entry *a, const struct Entry *b)
 {
-    int order = strcmp(entry->table, table);
-    return order != 0 ? order : strcmp(entry->key, key);
+    int order = strcmp(a->table, b->table);
+    if (order == 0) {
+        order = strcmp(a->partition, b->partition);
+    }
+    return order != 0 ? order : strcmp(a->key, b->key);
 }
 
 static struct Entry *
-find(const struct SrMemoryRows *memory, const char *table, const char *key)
+find(const struct SrMemoryRows *memory, const struct Entry *name)
 {
     SR_LIST_EACH(link, &memory->entries)
     {
         struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
-        if (compare(entry, table, key) == 0) {
+        if (compare(entry, name) == 0) {
             return entry;
         }
     }
@@ -118,30 +126,34 @@
 }
 
 static struct Entry *
-add_entry(struct SrList *before, const char *table, const char *key)
+add_entry(struct SrList *before, const char *table, const char *partition,
+          const char *key)
 {
     struct Entry *entry = SrUtil_Calloc(1, sizeof(*entry));
     SrUtil_Copy(entry->table, sizeof(entry->table), table);
+    SrUtil_Copy(entry->partition, sizeof(entry->partition), partition);
     SrUtil_Copy(entry->key, sizeof(entry->key), key);
     SrList_Append(before, &entry->link);
     return entry;
 }
 
 static struct Entry *
-find_or_add(struct SrMemoryRows *memory, const char *table, const char *key)
+find_or_add(struct SrMemoryRows *memory, const struct Entry *name)
 {
+    struct SrList *before = &memory->entries;
     SR_LIST_EACH(link, &memory->entries)
     {
         struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
-        int order = compare(entry, table, key);
+        int order = compare(entry, name);
         if (order == 0) {
             return entry;
         }
         if (order > 0) {
-            return add_entry(link, table, key);
+            before = link;
+            break;
         }
     }
-    return add_entry(&memory->entries, table, key);
+    return add_entry(before, name->table, name->partition, name->key);
 }
 
 static struct Call *
@@ -164,14 +176,17 @@
                     SrRowsDone *done, void *context)
 {
     struct Call *call = add_call(memory, CALL_COMMIT, done, context);
+    const char *partition = transaction->partition;
+    SrUtil_Copy(call->partition, sizeof(call->partition), partition);
     for (size_t i = 0; i < transaction->expected_count; i++) {
         const struct SrRowsExpected *from = &transaction->expected[i];
-        add_entry(&call->expected, from->table, from->key)->version =
-            from->version;
+        add_entry(&call->expected, from->table, partition, from->key)
+            ->version = from->version;
     }
     for (size_t i = 0; i < transaction->write_count; i++) {
         const struct SrRowsWrite *from = &transaction->writes[i];
-        struct Entry *entry = add_entry(&call->writes, from->table, from->key);
+        struct Entry *entry =
+            add_entry(&call->writes, from->table, partition, from->key);
         entry->deleted = from->remove;
         entry->value = SrUtil_Memdup(from->value, from->size);
         entry->size = from->size;
@@ -179,14 +194,14 @@
 }
 
 void
-SrMemoryRows_Read(struct SrMemoryRows *memory, const char *table,
-                  const char *from, unsigned limit, SrRowsDone *done,
-                  void *context)
+SrMemoryRows_Read(struct SrMemoryRows *memory, const struct SrRowsRange *range,
+                  SrRowsDone *done, void *context)
 {
     struct Call *call = add_call(memory, CALL_READ, done, context);
-    SrUtil_Copy(call->table, sizeof(call->table), table);
-    SrUtil_Copy(call->from, sizeof(call->from), from);
-    call->limit = limit;
+    SrUtil_Copy(call->table, sizeof(call->table), range->table);
+    SrUtil_Copy(call->partition, sizeof(call->partition), range->partition);
+    SrUtil_Copy(call->from, sizeof(call->from), range->from);
+    call->limit = range->limit;
 }
 
 void
@@ -227,6 +242,7 @@
 {
     return (struct SrRow){
         .table = entry->table,
+        .partition = entry->partition,
         .key = entry->key,
         .value = entry->value,
         .size = entry->size,
@@ -241,7 +257,7 @@
     SR_LIST_EACH(link, &call->expected)
     {
         const struct Entry *want = SR_CONTAINER(link, struct Entry, link);
-        const struct Entry *is = find(memory, want->table, want->key);
+        const struct Entry *is = find(memory, want);
         uint64_t version = is != NULL && !is->deleted ? is->version : 0;
         if (version != want->version) {
             return false;
@@ -260,7 +276,7 @@
     SR_LIST_EACH(link, &call->writes)
     {
         const struct Entry *from = SR_CONTAINER(link, struct Entry, link);
-        struct Entry *to = find_or_add(memory, from->table, from->key);
+        struct Entry *to = find_or_add(memory, from);
         free(to->value);
         to->value = SrUtil_Memdup(from->value, from->size);
         to->size = from->size;
@@ -280,7 +296,7 @@
     SR_LIST_EACH(link, &call->expected)
     {
         const struct Entry *want = SR_CONTAINER(link, struct Entry, link);
-        const struct Entry *is = find(memory, want->table, want->key);
+        const struct Entry *is = find(memory, want);
         if (answer.error == SR_ROWS_CONFLICT && is != NULL && !is->deleted) {
             rows[answer.count++] = row_of(is);
         }
@@ -297,10 +313,11 @@
     SR_LIST_EACH(link, &memory->entries)
     {
         const struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
-        bool fits =
-            call->kind == CALL_READ
-                ? strcmp(entry->key, call->from) >= 0 && !entry->deleted
-                : entry->version > call->after;
+        bool fits = call->kind == CALL_READ
+                        ? strcmp(entry->partition, call->partition) == 0 &&
+                              strcmp(entry->key, call->from) >= 0 &&
+                              !entry->deleted
+                        : entry->version > call->after;
         if (strcmp(entry->table, call->table) != 0 || !fits) {
             continue;
         }
@@ -338,6 +355,10 @@
     struct Call *call = SR_CONTAINER(memory->calls.next, struct Call, link);
     struct SrRowsAnswer lost = {.error = SR_ROWS_UNKNOWN};
     SrList_Remove(&call->link);
+    if (call->kind == CALL_COMMIT && memory->saturated != NULL &&
+        strcmp(call->partition, memory->saturated) == 0) {
+        fate = SR_MEMORY_REFUSE;
+    }
     switch (fate) {
     case SR_MEMORY_SERVE:
         serve(memory, call);
@@ -381,10 +402,32 @@
 SrMemoryRows_Value(const struct SrMemoryRows *memory, const char *table,
                    const char *key, size_t *size)
 {
-    const struct Entry *entry = find(memory, table, key);
-    if (entry == NULL || entry->deleted) {
-        return NULL;
+    SR_LIST_EACH(link, &memory->entries)
+    {
+        const struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
+        if (!entry->deleted && strcmp(entry->table, table) == 0 &&
+            strcmp(entry->key, key) == 0) {
+            *size = entry->size;
+            return entry->value;
+        }
     }
-    *size = entry->size;
-    return entry->value;
+    return NULL;
+}
+
+void
+SrMemoryRows_Saturate(struct SrMemoryRows *memory, const char *partition)
+{
+    memory->saturated = partition;
+}
+
+void
+SrMemoryRows_SetPaceMs(struct SrMemoryRows *memory, int64_t pace_ms)
+{
+    memory->pace_ms = pace_ms;
+}
+
+int64_t
+SrMemoryRows_PaceMs(const struct SrMemoryRows *memory)
+{
+    return memory->pace_ms;
 }
--- a/src/memory_rows.h
+++ b/src/memory_rows.h
@@ -26,8 +26,8 @@
 void SrMemoryRows_Commit(struct SrMemoryRows *memory,
                          const struct SrRowsTransaction *transaction,
                          SrRowsDone *done, void *context);
-void SrMemoryRows_Read(struct SrMemoryRows *memory, const char *table,
-                       const char *from, unsigned limit, SrRowsDone *done,
+void SrMemoryRows_Read(struct SrMemoryRows *memory,
+                       const struct SrRowsRange *range, SrRowsDone *done,
                        void *context);
 void SrMemoryRows_Watch(struct SrMemoryRows *memory, const char *table,
                         uint64_t after, int64_t wait_ms, SrRowsDone *done,
@@ -46,7 +46,15 @@
 /* Carries out the calls whose answers were lost with SR_MEMORY_LATE. */
 void SrMemoryRows_RunLate(struct SrMemoryRows *memory);
 
-/* The present value, or NULL. */
+/* Refuses all transactions of the partition from now on, as a store does that
+ * has too many of them waiting; NULL ends that. */
+void SrMemoryRows_Saturate(struct SrMemoryRows *memory, const char *partition);
+
+/* What SrRows_PaceMs tells from now on. */
+void SrMemoryRows_SetPaceMs(struct SrMemoryRows *memory, int64_t pace_ms);
+int64_t SrMemoryRows_PaceMs(const struct SrMemoryRows *memory);
+
+/* The present value in any partition, or NULL. */
 const uint8_t *SrMemoryRows_Value(const struct SrMemoryRows *memory,
                                   const char *table, const char *key,
                                   size_t *size);
--- a/src/node.c
+++ b/src/node.c
@@ -422,6 +422,7 @@
 static bool
 start_services(struct SrNode *node)
 {
+    static const char *const operator_partition = "";
     node->http = SrHttpClient_Create(node->kernel->loop, 0);
     if (node->http == NULL) {
         return false;
@@ -438,6 +439,8 @@
         .kernel = node->kernel,
         .rows = &node->rows,
         .table = SrPlatform_OperatorTable,
+        .partitions = &operator_partition,
+        .partition_count = 1,
         .wait_ms = OPERATOR_WATCH_MS,
         .on_row = on_operator_row,
         .context = node,
--- a/src/rows.c
+++ b/src/rows.c
@@ -35,17 +35,16 @@
 }
 
 void
-SrRows_Read(const struct SrRows *rows, const char *table, const char *from,
-            unsigned limit, int64_t timeout_ms, SrRowsDone *done,
-            void *context)
+SrRows_Read(const struct SrRows *rows, const struct SrRowsRange *range,
+            int64_t timeout_ms, SrRowsDone *done, void *context)
 {
     switch (rows->kind) {
     case SR_ROWS_PLATFORM:
-        SrPlatformRows_Read(rows->u.platform, table, from, limit, timeout_ms,
-                            done, context);
+        SrPlatformRows_Read(rows->u.platform, range, timeout_ms, done,
+                            context);
         break;
     case SR_ROWS_MEMORY:
-        SrMemoryRows_Read(rows->u.memory, table, from, limit, done, context);
+        SrMemoryRows_Read(rows->u.memory, range, done, context);
         break;
     }
 }
@@ -77,3 +76,15 @@
     }
     return 0;
 }
+
+int64_t
+SrRows_PaceMs(const struct SrRows *rows)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        return SrPlatformRows_PaceMs(rows->u.platform);
+    case SR_ROWS_MEMORY:
+        return SrMemoryRows_PaceMs(rows->u.memory);
+    }
+    return 0;
+}
--- a/src/rows.h
+++ b/src/rows.h
@@ -1,8 +1,9 @@
 /* Port to the transactional store in which everything that must last lies.
  *
- * Rows have a table and a key; a transaction writes and deletes rows if all
- * expected versions hold. Two bindings stand behind the port: the adapter to
- * the platform's store, and one in memory for tests. */
+ * Rows have a table, a partition and a key; a transaction writes and deletes
+ * rows of one partition, in any tables, if all expected versions hold. Two
+ * bindings stand behind the port: the adapter to the platform's store, and one
+ * in memory for tests. */
 #ifndef SR_ROWS_H
 #define SR_ROWS_H
 
@@ -33,6 +34,7 @@
 
 struct SrRow {
     const char *table;
+    const char *partition;
     const char *key;
     const uint8_t *value;
     size_t size;
@@ -57,12 +59,23 @@
 };
 
 struct SrRowsTransaction {
+    /* Of all its rows. */
+    const char *partition;
     const struct SrRowsExpected *expected;
     size_t expected_count;
     const struct SrRowsWrite *writes;
     size_t write_count;
 };
 
+struct SrRowsRange {
+    const char *table;
+    const char *partition;
+    /* First key; "" for the first of all. */
+    const char *from;
+    /* Rows at the most. */
+    unsigned limit;
+};
+
 /* Answer to any call; valid during the callback. */
 struct SrRowsAnswer {
     enum SrRowsError error;
@@ -98,16 +111,20 @@
                    const struct SrRowsTransaction *transaction,
                    int64_t timeout_ms, SrRowsDone *done, void *context);
 
-/* Reads rows of a table from key `from` on, up to `limit`. */
-void SrRows_Read(const struct SrRows *rows, const char *table,
-                 const char *from, unsigned limit, int64_t timeout_ms,
-                 SrRowsDone *done, void *context);
+/* Reads rows of one partition of a table, in order of their keys. */
+void SrRows_Read(const struct SrRows *rows, const struct SrRowsRange *range,
+                 int64_t timeout_ms, SrRowsDone *done, void *context);
 
-/* Waits up to `wait_ms` for changes of a table after a version. */
+/* Waits up to `wait_ms` for changes of a table after a version, in any
+ * partition. */
 void SrRows_Watch(const struct SrRows *rows, const char *table, uint64_t after,
                   int64_t wait_ms, SrRowsDone *done, void *context);
 
 /* Time since the store last answered a call, ms; large before the first. */
 int64_t SrRows_SilentMs(const struct SrRows *rows);
 
+/* Time that the store takes at present for a call that does not wait, ms: an
+ * average in which the latest calls count most. */
+int64_t SrRows_PaceMs(const struct SrRows *rows);
+
 #endif
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -807,8 +807,8 @@
     }
     if (!sim->writing && sim->now_ms >= sim->no_store_until_ms &&
         SrEngine_HasChanges(sim->engine)) {
-        sim->change_count = SrEngine_TakeChanges(
-            sim->engine, sim->changes, SR_LENGTH(sim->changes), sim->now_ms);
+        sim->change_count = SrEngine_TakeChanges(sim->engine, sim->changes,
+                                                 SR_LENGTH(sim->changes));
         sim->writing = sim->change_count > 0;
         sim->written_ms = sim->now_ms + 5 + draw(sim, 60);
     }
--- a/tests/test_follower.c
+++ b/tests/test_follower.c
@@ -17,6 +17,7 @@
     struct SrMemoryRows *memory;
     struct SrRows rows;
     struct SrFollower *follower;
+    const char *partitions[2];
     /* What the follower told, as in "+a +b -a". */
     char told[256];
     unsigned loads;
@@ -40,7 +41,7 @@
 static void
 begin(struct World *world)
 {
-    *world = (struct World){.loads = 0};
+    *world = (struct World){.partitions = {"p", "q"}};
     world->kernel = SrKernel_Create(NULL);
     world->memory = SrMemoryRows_Create();
     world->rows = (struct SrRows){
@@ -51,6 +52,8 @@
         .kernel = world->kernel,
         .rows = &world->rows,
         .table = TABLE,
+        .partitions = world->partitions,
+        .partition_count = 1,
         .wait_ms = WAIT_MS,
         .on_row = on_row,
         .on_loaded = on_loaded,
@@ -95,6 +98,7 @@
     await_call(world);
     SrMemoryRows_Commit(world->memory,
                         &(struct SrRowsTransaction){
+                            .partition = "p",
                             .writes = &write,
                             .write_count = 1,
                         },
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -7,7 +7,7 @@
 #include "codec.h"
 #include "intake.h"
 #include "kernel.h"
-#include "ledger.h"
+#include "job_rows.h"
 #include "log.h"
 #include "memory_rows.h"
 #include "os.h"
@@ -217,6 +217,67 @@
     end(&world);
 }
 
+/* A slow store has the leader's transactions and other jobs' wait in line. */
+static void
+submits_wait_for_their_own_partition_only(void **state)
+{
+    (void)state;
+    for (int i = -1; i < SR_JOB_PARTITIONS; i++) {
+        struct World world;
+        const char *saturated =
+            i < 0 ? SR_LEADER_PARTITION : SrJobRows_Partitions[i];
+        bool own = strcmp(saturated, SrJobRows_PartitionOf(JOB_ID)) == 0;
+        begin(&world);
+        SrMemoryRows_Saturate(world.memory, saturated);
+        enum SrResultKind result =
+            ask(&world, SR_REQUEST_SUBMIT, "/p/" JOB_ID, "k", NULL, 0);
+        if (result != (own ? SR_RESULT_REFUSED : SR_RESULT_ACCEPTED)) {
+            fail_msg("partition '%s': %s", saturated,
+                     SrIntake_ResultText(result));
+        }
+        assert_int_equal(is_stored(&world), !own);
+        end(&world);
+    }
+}
+
+/* A call that cannot be answered in time would leave the outcome open. */
+static void
+a_request_without_time_is_refused_at_once(void **state)
+{
+    (void)state;
+    static const struct {
+        int64_t pace_ms;
+        int64_t deadline_ms;
+        bool refused;
+    } cases[] = {
+        {10, 3000, false},
+        {10, 220, true},
+        {600, 3000, false},
+        {600, 700, true},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct World world;
+        struct SrRequest request = {
+            .kind = SR_REQUEST_SUBMIT,
+            .host = "h",
+            .path = "/p/" JOB_ID,
+            .key = "k",
+            .record = make_record(),
+            .deadline_ms = cases[i].deadline_ms,
+        };
+        begin(&world);
+        SrMemoryRows_SetPaceMs(world.memory, cases[i].pace_ms);
+        SrIntake_Handle(world.intake, &request, on_result, &world);
+        assert_int_equal(world.answered, cases[i].refused);
+        assert_int_equal(SrMemoryRows_Pending(world.memory),
+                         cases[i].refused ? 0 : 1);
+        if (cases[i].refused) {
+            assert_int_equal(world.result.kind, SR_RESULT_REFUSED);
+        }
+        end(&world);
+    }
+}
+
 struct AnswerCase {
     enum SrRequestKind kind;
     const char *path;
@@ -320,6 +381,8 @@
         cmocka_unit_test(submits_settle),
         cmocka_unit_test(refused_submit_never_runs),
         cmocka_unit_test(unsettled_submit_is_not_called_refused),
+        cmocka_unit_test(submits_wait_for_their_own_partition_only),
+        cmocka_unit_test(a_request_without_time_is_refused_at_once),
         cmocka_unit_test(requests_are_answered),
         cmocka_unit_test(job_is_told_and_cancelled),
         cmocka_unit_test(each_answer_names_the_id),
--- /dev/null
+++ b/tests/test_leader.c
@@ -0,0 +1,285 @@
+/* What a leader makes of the rows that it finds, and which it removes. */
+#include "test_support.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#include "codec.h"
+#include "job_rows.h"
+#include "leader.h"
+#include "log.h"
+#include "memory_rows.h"
+#include "os.h"
+
+#define JOB "00112233445566aa"
+#define OTHER "00112233445566ab"
+#define LIMIT_MS 10000
+/* Twice the pace at which expired jobs are looked for, and some exchanges. */
+#define SOON_MS 900
+
+struct World {
+    struct SrKernel *kernel;
+    struct SrMemoryRows *memory;
+    struct SrRows rows;
+    struct SrNodeSettings settings;
+    struct SrLedger *ledger;
+    struct SrLeader *leader;
+};
+
+static void
+ignore_order(void *context, const struct SrOrder *order)
+{
+    (void)context;
+    (void)order;
+}
+
+static bool
+read_nothing(const struct SrRow *row, struct SrWorkerEntry *entry)
+{
+    (void)row;
+    (void)entry;
+    return false;
+}
+
+static void
+on_elected(void *context, uint64_t term)
+{
+    struct World *world = context;
+    world->leader = SrLeader_Create(&(struct SrLeaderOptions){
+        .kernel = world->kernel,
+        .settings = &world->settings,
+        .rows = &world->rows,
+        .ledger = world->ledger,
+        .term = term,
+        .worker_table = "workers",
+        .read_worker = read_nothing,
+        .send = ignore_order,
+        .context = world,
+    });
+}
+
+static void
+on_lost(void *context)
+{
+    struct World *world = context;
+    SrLeader_Destroy(world->leader);
+    world->leader = NULL;
+}
+
+static void
+fill(void *context, struct SrLedgerBatch *batch)
+{
+    struct World *world = context;
+    if (world->leader != NULL) {
+        SrLeader_Fill(world->leader, batch);
+    }
+}
+
+static void
+on_written(void *context)
+{
+    struct World *world = context;
+    if (world->leader != NULL) {
+        SrLeader_OnWritten(world->leader);
+    }
+}
+
+static void
+ignore_answer(void *context, const struct SrRowsAnswer *answer)
+{
+    (void)context;
+    assert_int_equal(answer->error, SR_ROWS_OK);
+}
+
+static void
+store(struct World *world, const char *partition, const char *table,
+      const char *key, const void *message)
+{
+    size_t size;
+    uint8_t *value = SrCodec_Pack(message, &size);
+    struct SrRowsWrite write = {table, key, value, size, false};
+    SrMemoryRows_Commit(world->memory,
+                        &(struct SrRowsTransaction){
+                            .partition = partition,
+                            .writes = &write,
+                            .write_count = 1,
+                        },
+                        ignore_answer, NULL);
+    SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
+    free(value);
+}
+
+static void
+store_job(struct World *world, const char *id)
+{
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep step = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&step};
+    step.count = 1;
+    record.queue = (char *)"q";
+    record.steps = steps;
+    record.n_steps = 1;
+    store(world, SrJobRows_PartitionOf(id), SR_TABLE_JOBS, id, &record);
+}
+
+static void
+store_progress(struct World *world, const char *id, Sr__FlowStatus status)
+{
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    progress.status = status;
+    store(world, SR_LEADER_PARTITION, SR_TABLE_PROGRESS, id, &progress);
+}
+
+/* A job is kept for `kept_ms` after its end. */
+static void
+begin(struct World *world, int64_t kept_ms)
+{
+    *world = (struct World){
+        .settings = {.status_ms = kept_ms - SR_LEADER_KEEP_MARGIN_MS},
+    };
+    world->kernel = SrKernel_Create(NULL);
+    world->memory = SrMemoryRows_Create();
+    world->rows = (struct SrRows){
+        .kind = SR_ROWS_MEMORY,
+        .u.memory = world->memory,
+    };
+}
+
+static void
+lead(struct World *world)
+{
+    world->ledger = SrLedger_Create(&(struct SrLedgerOptions){
+        .kernel = world->kernel,
+        .rows = &world->rows,
+        .holder = "a",
+        .on_elected = on_elected,
+        .on_lost = on_lost,
+        .fill = fill,
+        .on_written = on_written,
+        .context = world,
+    });
+}
+
+static void
+end(struct World *world)
+{
+    SrLeader_Destroy(world->leader);
+    SrLedger_Destroy(world->ledger);
+    while (SrMemoryRows_Pending(world->memory) > 0) {
+        SrMemoryRows_Step(world->memory, SR_MEMORY_REFUSE);
+    }
+    SrMemoryRows_Destroy(world->memory);
+    SrKernel_Destroy(world->kernel);
+}
+
+static bool
+is_stored(const struct World *world, const char *table, const char *id)
+{
+    size_t size;
+    return SrMemoryRows_Value(world->memory, table, id, &size) != NULL;
+}
+
+static void
+run(struct World *world)
+{
+    struct timespec pause = {.tv_nsec = 1000000};
+    ev_run(world->kernel->loop, EVRUN_NOWAIT);
+    /* A watch that was answered is made again at once. */
+    for (size_t i = SrMemoryRows_Pending(world->memory); i > 0; i--) {
+        SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
+    }
+    nanosleep(&pause, NULL);
+}
+
+static void
+run_for(struct World *world, int64_t ms)
+{
+    int64_t end_ms = SrOs_MonotonicMs() + ms;
+    while (SrOs_MonotonicMs() < end_ms) {
+        run(world);
+    }
+}
+
+static void
+run_until_gone(struct World *world, const char *table, const char *id)
+{
+    int64_t end_ms = SrOs_MonotonicMs() + LIMIT_MS;
+    while (is_stored(world, table, id) && SrOs_MonotonicMs() < end_ms) {
+        run(world);
+    }
+    assert_false(is_stored(world, table, id));
+}
+
+static void
+jobs_of_all_partitions_are_found(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world, LIMIT_MS);
+    char id[SR_ID_SIZE];
+    enum { JOBS = 3 * SR_JOB_PARTITIONS };
+    for (unsigned i = 0; i < JOBS; i++) {
+        snprintf(id, sizeof(id), "%016x", i);
+        store_job(&world, id);
+    }
+    /* One was begun by an earlier leader. */
+    store_progress(&world, id, SR__FLOW_STATUS__FLOW_RUNNING);
+    lead(&world);
+    run_for(&world, SOON_MS);
+    assert_non_null(world.leader);
+    struct SrEngineFigures figures =
+        SrEngine_Figures(SrLeader_Engine(world.leader), SrOs_MonotonicMs());
+    assert_int_equal(figures.flows, JOBS);
+    end(&world);
+}
+
+/* Progress without a job would make the next reader's work grow for ever; a
+ * job without its progress would run again. */
+static void
+progress_goes_after_the_job(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world, 0);
+    store_job(&world, JOB);
+    store_progress(&world, JOB, SR__FLOW_STATUS__FLOW_COMPLETED);
+    SrMemoryRows_Saturate(world.memory, SrJobRows_PartitionOf(JOB));
+    lead(&world);
+    run_for(&world, SOON_MS);
+    assert_true(is_stored(&world, SR_TABLE_JOBS, JOB));
+    assert_true(is_stored(&world, SR_TABLE_PROGRESS, JOB));
+    SrMemoryRows_Saturate(world.memory, NULL);
+    run_until_gone(&world, SR_TABLE_JOBS, JOB);
+    run_until_gone(&world, SR_TABLE_PROGRESS, JOB);
+    end(&world);
+}
+
+/* An earlier leader ended between the two removals. */
+static void
+progress_that_is_left_over_goes(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world, LIMIT_MS);
+    store_job(&world, JOB);
+    store_progress(&world, JOB, SR__FLOW_STATUS__FLOW_COMPLETED);
+    store_progress(&world, OTHER, SR__FLOW_STATUS__FLOW_COMPLETED);
+    lead(&world);
+    run_until_gone(&world, SR_TABLE_PROGRESS, OTHER);
+    run_for(&world, SOON_MS);
+    assert_true(is_stored(&world, SR_TABLE_JOBS, JOB));
+    assert_true(is_stored(&world, SR_TABLE_PROGRESS, JOB));
+    end(&world);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(jobs_of_all_partitions_are_found),
+        cmocka_unit_test(progress_goes_after_the_job),
+        cmocka_unit_test(progress_that_is_left_over_goes),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -7,6 +7,7 @@
 #include "codec.h"
 #include "flow.pb-c.h"
 #include "kernel.h"
+#include "job_rows.h"
 #include "ledger.h"
 #include "log.h"
 #include "memory_rows.h"
