A leader's row that is old at first sight is claimed at once

Ruled out: a shorter silence for all (a leader on a slow VM would be succeeded while it lives).

Change: the row says when it was sent, by the store's clock. A candidate that sees the row for the first time, and whose store answers in time and has not failed it, counts its age from that.

test_ledger row_that_is_old_at_first_sight_is_claimed_at_once fails without it; its second case holds the wait after an outage of the store.

--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -981,7 +981,7 @@
   (ProtobufCMessageInit) sr__flow_progress__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr__leader_record__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sr__leader_record__field_descriptors[5] =
 {
   {
     "holder",
@@ -1031,17 +1031,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sr__LeaderRecord, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr__leader_record__field_indices_by_name[] = {
   0,   /* field[0] = holder */
   3,   /* field[3] = released */
+  4,   /* field[4] = sent_ms */
   2,   /* field[2] = sequence */
   1,   /* field[1] = term */
 };
 static const ProtobufCIntRange sr__leader_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sr__leader_record__descriptor =
 {
@@ -1051,7 +1064,7 @@
   "Sr__LeaderRecord",
   "sr",
   sizeof(Sr__LeaderRecord),
-  4,
+  5,
   sr__leader_record__field_descriptors,
   sr__leader_record__field_indices_by_name,
   1,  sr__leader_record__number_ranges,
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -169,10 +169,14 @@
    */
   uint64_t sequence;
   protobuf_c_boolean released;
+  /*
+   * The store's clock when the row was sent, at the most; 0 if unknown.
+   */
+  int64_t sent_ms;
 };
 #define SR__LEADER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__leader_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Sr__QueueCount
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -17,6 +17,9 @@
  * as it is at present, has no living leader: three renewals. */
 #define SILENT_LEADER_MS 800
 #define SILENT_EXCHANGES 2
+/* While the store answers faster than this, a row's age as first seen counts:
+ * a slow one would make a living leader's row look old. */
+#define SOUND_EXCHANGE_MS 200
 /* The leader writes at least this often. */
 #define RENEW_MS 250
 /* A candidate waits this many exchanges with the store longer, so that one of
@@ -46,6 +49,9 @@
     uint64_t sequence;
     bool row_released;
     bool seen;
+    /* The store has turned a poll away or not answered it: rows of a living
+     * leader may be old as well. */
+    bool poll_failed;
     int64_t seen_since_ms;
     bool in_flight;
     bool failing;
@@ -150,6 +156,9 @@
     record.term = term;
     record.sequence = sequence;
     record.released = ledger->release_sent;
+    if (ledger->store_low_ms != 0) {
+        record.sent_ms = SrOs_MonotonicMs() + ledger->store_low_ms;
+    }
     size_t size;
     SR_CLEANUP(SrUtil_FreePointer)
     uint8_t *value = SrCodec_Pack(&record, &size);
@@ -262,6 +271,19 @@
            (far_ms < FAR_MAX_MS ? far_ms : FAR_MAX_MS);
 }
 
+/* How long ago the row was written, as far as its first sight tells, ms. */
+static int64_t
+age_of_row(const struct SrLedger *ledger, const Sr__LeaderRecord *record,
+           const struct SrRowsAnswer *answer)
+{
+    if (record == NULL || record->sent_ms == 0 || answer->clock_ms == 0 ||
+        ledger->poll_failed || ledger->exchange_ms >= SOUND_EXCHANGE_MS ||
+        answer->clock_ms < record->sent_ms) {
+        return 0;
+    }
+    return answer->clock_ms - record->sent_ms;
+}
+
 static bool
 is_claimable(const struct SrLedger *ledger, int64_t now_ms)
 {
@@ -289,13 +311,17 @@
     if (answer->error != SR_ROWS_OK) {
         /* While the store is away its leader cannot write either. */
         ledger->seen = false;
+        ledger->poll_failed = true;
         run_after(ledger, POLL_MS, poll_row);
         return;
     }
     note_clock(ledger, answer);
     Sr__LeaderRecord *record = unpack_row(answer, &version);
-    if (!ledger->seen || version != ledger->version) {
+    if (!ledger->seen) {
         ledger->seen = true;
+        ledger->seen_since_ms = now_ms - age_of_row(ledger, record, answer);
+    }
+    else if (version != ledger->version) {
         ledger->seen_since_ms = now_ms;
     }
     ledger->version = version;
--- a/src/memory_rows.c
+++ b/src/memory_rows.c
@@ -4,8 +4,12 @@
 #include <string.h>
 
 #include "list.h"
+#include "os.h"
 #include "util.h"
 
+/* The store's clock is not the own one. */
+#define CLOCK_AHEAD_MS 5000
+
 struct Entry {
     struct SrList link;
     char table[SR_ROWS_KEY_SIZE];
@@ -293,6 +297,7 @@
     struct SrRowsAnswer answer = {.rows = rows};
     answer.error = apply(memory, call) ? SR_ROWS_OK : SR_ROWS_CONFLICT;
     answer.version = memory->version;
+    answer.clock_ms = SrOs_MonotonicMs() + CLOCK_AHEAD_MS;
     SR_LIST_EACH(link, &call->expected)
     {
         const struct Entry *want = SR_CONTAINER(link, struct Entry, link);
@@ -309,7 +314,11 @@
 {
     enum { LIMIT = 500 };
     struct SrRow *rows = SrUtil_Calloc(LIMIT, sizeof(*rows));
-    struct SrRowsAnswer answer = {.rows = rows, .version = memory->version};
+    struct SrRowsAnswer answer = {
+        .rows = rows,
+        .version = memory->version,
+        .clock_ms = SrOs_MonotonicMs() + CLOCK_AHEAD_MS,
+    };
     SR_LIST_EACH(link, &memory->entries)
     {
         const struct Entry *entry = SR_CONTAINER(link, struct Entry, link);
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -236,6 +236,65 @@
     end(&world);
 }
 
+/* Runs the loop, and lets the store answer, until the candidate leads; returns
+ * the store's calls. */
+static unsigned
+count_calls_until_leading(struct World *world, unsigned number,
+                          enum SrMemoryFate first)
+{
+    unsigned calls = 0;
+    int64_t limit_ms = SrOs_MonotonicMs() + CASE_LIMIT_MS;
+    while (!world->candidates[number].leading &&
+           SrOs_MonotonicMs() < limit_ms) {
+        if (SrMemoryRows_Pending(world->memory) > 0) {
+            SrMemoryRows_Step(world->memory,
+                              calls == 0 ? first : SR_MEMORY_SERVE);
+            calls++;
+            continue;
+        }
+        ev_run(world->kernel->loop, EVRUN_ONCE);
+    }
+    assert_true(world->candidates[number].leading);
+    return calls;
+}
+
+/* After a loss of all processes nobody waits for the silence of a leader whose
+ * row was old already; after an outage of the store every row is old. */
+static void
+row_that_is_old_at_first_sight_is_claimed_at_once(void **state)
+{
+    (void)state;
+    static const struct {
+        enum SrMemoryFate first;
+        bool at_once;
+    } cases[] = {{SR_MEMORY_SERVE, true}, {SR_MEMORY_REFUSE, false}};
+    struct timespec silence = {.tv_sec = 1, .tv_nsec = 500000000};
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct World world;
+        begin(&world);
+        add(&world, 0, "a");
+        run_until(&world, &world.candidates[0].leading, true);
+        /* A row that says when it was sent follows the first exchange. */
+        for (unsigned n = world.batches; world.batches < n + 2;) {
+            gsl_rng *random = gsl_rng_alloc(gsl_rng_mt19937);
+            step(&world, random, &mixes[0]);
+            gsl_rng_free(random);
+        }
+        SrLedger_Destroy(world.candidates[0].ledger);
+        world.candidates[0].ledger = NULL;
+        while (SrMemoryRows_Pending(world.memory) > 0) {
+            SrMemoryRows_Step(world.memory, SR_MEMORY_REFUSE);
+        }
+        nanosleep(&silence, NULL);
+        add(&world, 1, "b");
+        unsigned calls =
+            count_calls_until_leading(&world, 1, cases[i].first);
+        /* A look and a claim, against a look every 300 ms before it. */
+        assert_int_equal(calls == 2, cases[i].at_once);
+        end(&world);
+    }
+}
+
 static void
 released_leadership_is_taken(void **state)
 {
@@ -290,6 +349,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(chain_holds_under_faults),
         cmocka_unit_test(silent_leader_is_succeeded_and_writes_nothing),
+        cmocka_unit_test(row_that_is_old_at_first_sight_is_claimed_at_once),
         cmocka_unit_test(released_leadership_is_taken),
         cmocka_unit_test(release_follows_the_transaction_on_its_way),
     };
