Runs that cannot end before their worker leaves are moved at its notice

Change: at the notice each run, or its whole gang, is judged by its pace (plan_drain.c, pure). If it cannot end by the time told, and a second more for work without checkpoints, since workers often stay longer, it is stopped and placed elsewhere at once.

test_plan 'a gang leaves a worker before it goes' failed before (begun after 13,945 ms, now 4,365); 'a gang that ends before the worker goes stays' holds the other side.

--- a/src/engine.c
+++ b/src/engine.c
@@ -5,6 +5,7 @@
 #include "engine_state.h"
 #include "log.h"
 #include "plan.h"
+#include "plan_drain.h"
 
 /* A new leader waits this long for its workers' answers before it places, so
  * that gangs see most of the room: two exchanges between regions. */
@@ -282,7 +283,8 @@
         SrEngine_OnNewLife(engine, worker, entry->born, now_ms);
     }
     if (entry->draining && !worker->info.draining) {
-        worker->draining_ms = now_ms;
+        worker->leaves_ms = now_ms + entry->remaining_ms;
+        worker->drain_judged = false;
         SR_INFO("engine", "worker-draining", "worker=%s remaining-ms=%ld", id,
                 (long)entry->remaining_ms);
     }
@@ -561,6 +563,9 @@
     engine->unix_ms = unix_ms;
     end_leases(engine, now_ms);
     stop_stuck(engine, now_ms);
+    if (writable) {
+        SrPlan_MoveFromDraining(engine, now_ms);
+    }
     ack_ends(engine);
     if (writable && engine->catalog != NULL &&
         now_ms - engine->created_ms >= SETTLE_MS &&
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -121,8 +121,10 @@
     int64_t avoid_until_ms;
     /* Pace of its runs against their estimates; 1 at first. */
     double speed;
-    /* Draining since, 0 if not. */
-    int64_t draining_ms;
+    /* While draining: when it leaves at the soonest, and whether its runs
+     * were judged by that. */
+    int64_t leaves_ms;
+    bool drain_judged;
     /* Of one placement pass: room that is free, and that which runs being
      * stopped will free as well; the rack's number; whether it may be used. */
     struct SrRoom free;
--- /dev/null
+++ b/src/plan_drain.c
@@ -0,0 +1,83 @@
+#include "plan_drain.h"
+
+#include "engine_state.h"
+#include "log.h"
+
+/* A worker leaves no sooner than it tells, and often a little later: a run
+ * that is foretold to miss that by less is left to try. */
+#define DRAIN_SLACK_MS 1000
+
+/* When all of the run's gang, or the run alone, will be done. */
+static int64_t
+expected_end(const struct SrRun *run, int64_t now_ms)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    int64_t end_ms = SrFleet_ExpectedEndMs(run, now_ms);
+    if (!step->gang) {
+        return end_ms;
+    }
+    const struct SrFlowTask *first = SrFlow_StepTasks(
+        run->task->flow, run->task->occurrence, run->task->step);
+    for (uint32_t i = 0; i < step->count; i++) {
+        if (first[i].running != NULL) {
+            int64_t member_ms =
+                SrFleet_ExpectedEndMs(first[i].running, now_ms);
+            end_ms = member_ms > end_ms ? member_ms : end_ms;
+        }
+    }
+    return end_ms;
+}
+
+static bool
+should_move(const struct SrRun *run, int64_t leaves_ms, int64_t now_ms)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    if (run->stopping || step->continuous || run->task->done) {
+        return false;
+    }
+    /* A checkpoint is taken at the stop, so that moving costs little. */
+    int64_t slack_ms = step->checkpoints ? 0 : DRAIN_SLACK_MS;
+    return expected_end(run, now_ms) > leaves_ms + slack_ms;
+}
+
+static void
+move(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    struct SrFlowTask *first = run->task;
+    uint32_t count = 1;
+    if (step->gang) {
+        first = SrFlow_StepTasks(run->task->flow, run->task->occurrence,
+                                 run->task->step);
+        count = step->count;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (first[i].running != NULL) {
+            SrEngine_StopRun(engine, first[i].running, "worker-leaves",
+                             now_ms);
+        }
+    }
+}
+
+void
+SrPlan_MoveFromDraining(struct SrEngine *engine, int64_t now_ms)
+{
+    SR_LIST_EACH(worker_link, &engine->fleet.workers)
+    {
+        struct SrWorker *worker = SrFleet_WorkerAt(worker_link);
+        if (!worker->present || !worker->info.draining ||
+            worker->drain_judged) {
+            continue;
+        }
+        worker->drain_judged = true;
+        SR_LIST_EACH_SAFE(link, &worker->runs)
+        {
+            struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+            if (should_move(run, worker->leaves_ms, now_ms)) {
+                move(engine, run, now_ms);
+                /* Runs that were never sent are gone with the stop. */
+                link_next = worker->runs.next;
+            }
+        }
+    }
+}
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -120,6 +120,7 @@
     struct SrEngineChange changes[32];
     size_t change_count;
     unsigned told_jobs;
+    struct Worker *draining;
 };
 
 static unsigned
@@ -786,6 +787,29 @@
     }
 }
 
+static void
+run_drain(struct Sim *sim)
+{
+    const struct SimDrain *drain = &sim->options->drain;
+    for (unsigned w = 0;
+         drain->at_ms > 0 && sim->draining == NULL &&
+         sim->now_ms >= drain->at_ms && w < sim->options->workers;
+         w++) {
+        struct Worker *worker = &sim->workers[w];
+        if (worker->running_count > 0) {
+            sim->draining = worker;
+            worker->entry.draining = true;
+            worker->entry.remaining_ms = drain->notice_ms;
+            SrEngine_SetWorker(sim->engine, worker->entry.id, &worker->entry,
+                               sim->now_ms);
+        }
+    }
+    if (sim->draining != NULL && sim->draining->alive &&
+        sim->now_ms >= drain->at_ms + drain->notice_ms) {
+        stop_worker(sim, sim->draining, false);
+    }
+}
+
 static void
 run_store(struct Sim *sim)
 {
@@ -988,6 +1012,7 @@
 {
     submit_due(sim);
     run_faults(sim);
+    run_drain(sim);
     for (unsigned w = 0; w < sim->options->workers; w++) {
         run_worker(sim, &sim->workers[w]);
     }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -37,6 +37,13 @@
     bool same_rack;
 };
 
+/* One worker that has runs is told to leave, and does so when it said. */
+struct SimDrain {
+    /* 0: none is. */
+    int64_t at_ms;
+    int64_t notice_ms;
+};
+
 #define SIM_JOBS_MAX 128
 
 struct SimOptions {
@@ -50,6 +57,7 @@
     /* Accelerators guaranteed to the one account; 0 for 16. */
     uint32_t guarantee;
     int64_t length_ms;
+    struct SimDrain drain;
     struct SimFaults faults;
 };
 
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -14,6 +14,7 @@
     uint32_t guarantee;
     struct SimJob jobs[8];
     unsigned count;
+    struct SimDrain drain;
     /* Latest start of the last job, ms; 0: it has to wait for the others. */
     int64_t begun_within_ms;
     /* Runs of the first job that may be stopped. */
@@ -79,6 +80,30 @@
         .begun_within_ms = RECLAIM_MS,
         .stopped_max = 0,
     },
+    {
+        /* The gang ran on until the worker was gone, and was lost whole. */
+        .name = "a gang leaves a worker before it goes",
+        .workers = 4,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 2, 8, 20000, true, true}},
+        .count = 1,
+        .drain = {.at_ms = 5000, .notice_ms = 4000},
+        /* 4 s until the notice, and the time in which room is reclaimed. */
+        .begun_within_ms = 4000 + RECLAIM_MS,
+        .stopped_max = 2,
+    },
+    {
+        .name = "a gang that ends before the worker goes stays",
+        .workers = 4,
+        .rack_workers = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 2, 8, 6000, true, true}},
+        .count = 1,
+        .drain = {.at_ms = 5000, .notice_ms = 4000},
+        .begun_within_ms = 300,
+        .stopped_max = 0,
+    },
     {
         .name = "unguaranteed work does not stop more than it is itself",
         .workers = 2,
@@ -103,6 +128,7 @@
             .jobs = pattern->count,
             .given = pattern->jobs,
             .guarantee = pattern->guarantee,
+            .drain = pattern->drain,
             .length_ms = 60000,
         },
         &result);
