A start that a worker's next life answered is not taken for over

Cause: a start that is on its way when its worker begins another life is carried out and answered by that life, whose answer to a start does not tell of it. The run counted as started in the former life, and was released as over when a look told of the new one: its task began again elsewhere, or its room was given away.

Ruled out: comparing lives in the answer to a start (it tells none).

Change: at a new life only runs that the former life listed are over. Others that were answered, or were ordered by an earlier leader, wait for the next look, which lists them or does not.

--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -63,6 +63,14 @@
             SrEngine_StopRun(engine, run, "worker-reborn", now_ms);
             continue;
         }
+        /* A start that was sent to the former life may have been answered by
+         * the new one: the next look tells. */
+        if (run->listed == 0 && (run->state == SR_RUNSTATE_STARTED ||
+                                 run->state == SR_RUNSTATE_INHERITED)) {
+            run->born = born;
+            run->answered_ms = now_ms;
+            continue;
+        }
         SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
         link_next = worker->runs.next;
     }
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -14,6 +14,8 @@
 #define LEASE_MS 6000
 #define GANG_MS 3000
 #define STOP_MS 200
+/* Longest time until the store tells of a worker's new life. */
+#define TELL_MS 1500
 #define STEP_MS 5
 #define RUNS_MAX 64
 #define ENDS_MAX 512
@@ -55,6 +57,8 @@
     /* Highest run stopped or ended here, by task. */
     struct Ended marks[ENDS_MAX];
     unsigned mark_count;
+    /* When the engine hears of its new life, or that it is gone; 0: it has. */
+    int64_t tell_ms;
 };
 
 struct Job {
@@ -692,9 +696,20 @@
         worker->clock_base_ms = sim->now_ms;
         worker->entry.born = 1000000 + sim->now_ms;
     }
+    /* The store hears of it with a heartbeat, or after missing some. */
+    worker->tell_ms = sim->now_ms + 1 + draw(sim, TELL_MS);
+}
+
+static void
+tell_of(struct Sim *sim, struct Worker *worker)
+{
+    if (worker->tell_ms == 0 || sim->now_ms < worker->tell_ms) {
+        return;
+    }
+    worker->tell_ms = 0;
     if (sim->engine != NULL) {
         SrEngine_SetWorker(sim->engine, worker->entry.id,
-                           comes_back ? &worker->entry : NULL, sim->now_ms);
+                           worker->alive ? &worker->entry : NULL, sim->now_ms);
     }
 }
 
@@ -1015,6 +1030,7 @@
     run_drain(sim);
     for (unsigned w = 0; w < sim->options->workers; w++) {
         run_worker(sim, &sim->workers[w]);
+        tell_of(sim, &sim->workers[w]);
     }
     run_looks(sim);
     run_events(sim);
