--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Thin wrapper around CMake; every rule can be run again at any time.
 BUILD ?= build
-SOURCES = $(filter-out src/gen/%,$(wildcard src/*.[ch] platform/*.[ch] include/*.h \
+SOURCES = $(filter-out src/gen/%,$(wildcard src/*.[ch] platform/*.[ch] \
+	platform/standin/*.[ch] include/*.h \
 	standin/*.[ch] tests/*.[ch] bench/*.[ch] examples/*.c))
 
 .PHONY: all deps build check lint demo bench fault-matrix format proto settings-doc
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 BUILD=${1:-build}
-files=$(ls src/*.c src/*.h platform/*.c platform/*.h include/*.h standin/*.c standin/*.h tests/*.c \
+files=$(ls src/*.c src/*.h platform/*.c platform/*.h platform/standin/*.c platform/standin/*.h include/*.h standin/*.c standin/*.h tests/*.c \
     tests/*.h bench/*.c bench/*.h examples/*.c 2>/dev/null || true)
 clang-format --dry-run -Werror $files
 sources=$(printf '%s\n' $files | grep '\.c$')
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -443,6 +443,13 @@
                                        name);
 }
 
+const char *
+SrHttpRequest_Query(const struct SrHttpRequest *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection,
+                                       MHD_GET_ARGUMENT_KIND, name);
+}
+
 const uint8_t *
 SrHttpRequest_Body(const struct SrHttpRequest *request, size_t *size)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -68,6 +68,9 @@
 const char *SrHttpRequest_Path(const struct SrHttpRequest *request);
 const char *SrHttpRequest_Header(const struct SrHttpRequest *request,
                                  const char *name);
+/* Argument of the query, decoded; NULL if there is none. */
+const char *SrHttpRequest_Query(const struct SrHttpRequest *request,
+                                const char *name);
 const uint8_t *SrHttpRequest_Body(const struct SrHttpRequest *request,
                                   size_t *size);
 
--- a/standin/main.c
+++ b/standin/main.c
@@ -220,6 +220,18 @@
     else if (strcmp(name, "pause_skip") == 0) {
         faults->pause_skip = (unsigned)strtoul(value, NULL, 10);
     }
+    else if (strcmp(name, "refuse") == 0) {
+        faults->refuse = strcmp(value, "0") != 0;
+    }
+    else if (strcmp(name, "forget") == 0) {
+        faults->forget = true;
+    }
+    else if (strcmp(name, "config") == 0) {
+        faults->config = strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "crash") == 0) {
+        SrUtil_Copy(faults->crash, SR_ID_SIZE, value);
+    }
     else if (strcmp(name, "cut") == 0) {
         SrUtil_Copy(faults->cut, sizeof(faults->cut), value);
     }
@@ -426,9 +438,14 @@
     else if (strcmp(role, "forward") == 0) {
         Forward_Start(standin);
     }
+    else if (strcmp(role, "site") == 0) {
+        Site_Start(standin);
+        ports += standin->count;
+    }
     else {
         fprintf(stderr,
-                "role '%s' is not platform, workers, backend or forward\n",
+                "role '%s' is not platform, workers, backend, forward or "
+                "site\n",
                 role);
         return 64;
     }
@@ -461,7 +478,7 @@
     struct argp argp = {
         .options = options,
         .parser = parse_option,
-        .args_doc = "platform|workers|backend|forward",
+        .args_doc = "platform|workers|backend|forward|site",
         .doc = "Stand-ins for tests.",
     };
     ev_signal terminate;
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -38,6 +38,12 @@
     char pause[SR_ID_SIZE];
     /* Matching steps to let pass first. */
     unsigned pause_skip;
+    /* With role site: the store turns calls away, drops its history, has a
+     * configuration of this version; a worker starts again. */
+    bool refuse;
+    bool forget;
+    unsigned long config;
+    char crash[SR_ID_SIZE];
     /* Links that carry nothing: their numbers, as in ",3,5,". */
     char cut[4 * SR_ID_SIZE];
 };
@@ -103,5 +109,7 @@
 void Workers_Start(struct Standin *standin);
 void Backend_Start(struct Standin *standin);
 void Forward_Start(struct Standin *standin);
+/* In platform/standin/: the users' store and workers. */
+void Site_Start(struct Standin *standin);
 
 #endif
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -113,8 +113,20 @@
     snprintf(to, size, "%s:%d", host, HTTP_PORT);
 }
 
-static pid_t
-spawn(const char *log, char *const *arguments)
+const char *
+Harness_Binary(void)
+{
+    return binary_path;
+}
+
+const char *
+Harness_Standin(void)
+{
+    return standin_path;
+}
+
+pid_t
+Harness_Spawn(const char *log, char *const *arguments)
 {
     pid_t pid = fork();
     if (pid != 0) {
@@ -229,7 +241,7 @@
          word = strtok_r(NULL, " ", &save)) {
         arguments[count++] = word;
     }
-    harness->pids[process] = spawn(log, arguments);
+    harness->pids[process] = Harness_Spawn(log, arguments);
     free(copy);
 }
 
@@ -354,7 +366,7 @@
     }
     arguments[count] = NULL;
     snprintf(log, sizeof(log), "%s/%s.log", harness->out, names[process]);
-    harness->pids[process] = spawn(log, arguments);
+    harness->pids[process] = Harness_Spawn(log, arguments);
 }
 
 static bool
@@ -659,7 +671,7 @@
     arguments[count] = NULL;
     snprintf(command->output, sizeof(command->output), "%s/run-%u.txt",
              harness->out, runs++);
-    command->pid = spawn(command->output, arguments);
+    command->pid = Harness_Spawn(command->output, arguments);
 }
 
 int
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -57,6 +57,13 @@
 /* Finds the programs beside the test's own; call once. */
 void Harness_SetUp(const char *program);
 
+/* Paths of the programs. */
+const char *Harness_Binary(void);
+const char *Harness_Standin(void);
+
+/* Starts a program with its output added to the log. */
+pid_t Harness_Spawn(const char *log, char *const *arguments);
+
 /* Starts everything and creates the account; false if it does not come up. */
 bool Harness_Start(struct Harness *harness, unsigned instance);
 
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -287,8 +287,7 @@
         }
         nanosleep(&silence, NULL);
         add(&world, 1, "b");
-        unsigned calls =
-            count_calls_until_leading(&world, 1, cases[i].first);
+        unsigned calls = count_calls_until_leading(&world, 1, cases[i].first);
         /* A look and a claim, against a look every 300 ms before it. */
         assert_int_equal(calls == 2, cases[i].at_once);
         end(&world);
