A server that ends hands no request to its handler

Cause: SrHttpServer_Destroy ran libmicrohttpd once more to send the last answers; a request that was whole by then went to the handler, whose owner had been freed before (nodes free the intake first).

Change: while it ends, the server answers 503 itself, and runs until nothing is left to be sent.

tests/test_http_server.c 'not handled any more' failed before (handled once, no answer).

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -32,6 +32,8 @@
     /* Connections wait for a run that no descriptor announces. */
     bool has_resumed;
     size_t in_progress;
+    /* The handler is gone; whole requests are turned away. */
+    bool closing;
 };
 
 enum RequestState {
@@ -224,6 +226,15 @@
     request->size += size;
 }
 
+static void
+turn_away(struct SrHttpRequest *request)
+{
+    SrHttpRequest_Reply(request, &(struct SrHttpReply){
+                                     .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                                     .close = true,
+                                 });
+}
+
 static enum MHD_Result
 finish_receiving(struct SrHttpRequest *request)
 {
@@ -235,7 +246,12 @@
     SrList_Append(&server->handled, &request->link);
     request->state = REQUEST_HANDLED;
     MHD_suspend_connection(request->connection);
-    server->options.handle(server->options.context, request);
+    if (server->closing) {
+        turn_away(request);
+    }
+    else {
+        server->options.handle(server->options.context, request);
+    }
     return MHD_YES;
 }
 
@@ -381,16 +397,17 @@
     ev_prepare_stop(server->loop, &server->prepare);
     ev_timer_stop(server->loop, &server->timeout);
     ev_timer_stop(server->loop, &server->sweep);
-    /* libmicrohttpd does not stop while connections are suspended. */
-    while (!SrList_IsEmpty(&server->handled)) {
-        SrHttpRequest_Reply(
-            SR_CONTAINER(server->handled.next, struct SrHttpRequest, link),
-            &(struct SrHttpReply){
-                .status = MHD_HTTP_SERVICE_UNAVAILABLE,
-                .close = true,
-            });
-    }
-    MHD_run(server->daemon);
+    server->closing = true;
+    /* libmicrohttpd does not stop while connections are suspended, and the run
+     * that answers them may take further requests. */
+    do {
+        server->has_resumed = false;
+        while (!SrList_IsEmpty(&server->handled)) {
+            turn_away(SR_CONTAINER(server->handled.next, struct SrHttpRequest,
+                                   link));
+        }
+        MHD_run(server->daemon);
+    } while (server->has_resumed);
     MHD_stop_daemon(server->daemon);
     free(server);
 }
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -8,9 +8,11 @@
 #include "test_support.h"
 
 #include <argp.h>
+#include <arpa/inet.h>
 #include <gsl/gsl_rng.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -36,6 +38,10 @@
 #define START_LIMIT_MS 10000
 #define RECORD_MAX (16 * 1024 * 1024)
 #define GRACE_S 4
+/* Runs have addresses 127.0.N.x of their own. */
+#define HOSTS_FROM 180
+#define HOSTS 70
+#define CLAIM_PORT 7999
 
 enum FaultKind {
     FAULT_NODE_KILLED,
@@ -100,6 +106,8 @@
     struct SrHttpClient *http;
     char folder[64];
     char host[24];
+    /* Bound while the addresses are this run's. */
+    int claim;
     pid_t site;
     pid_t forward;
     struct Node nodes[NODES];
@@ -612,6 +620,28 @@
     }
 }
 
+/* Finds addresses that no other run uses: several may run side by side. */
+static void
+claim_host(struct Soak *soak)
+{
+    for (unsigned i = 0; i < HOSTS; i++) {
+        struct sockaddr_in address = {
+            .sin_family = AF_INET,
+            .sin_port = htons(CLAIM_PORT),
+            .sin_addr.s_addr = htonl(0x7f000001U | (HOSTS_FROM + i) << 8),
+        };
+        soak->claim = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (bind(soak->claim, (struct sockaddr *)&address, sizeof(address)) ==
+            0) {
+            snprintf(soak->host, sizeof(soak->host), "127.0.%u",
+                     HOSTS_FROM + i);
+            return;
+        }
+        close(soak->claim);
+    }
+    break_promise(soak, "no free addresses", "");
+}
+
 static void
 begin(struct Soak *soak, unsigned seed, int64_t length_ms)
 {
@@ -625,8 +655,7 @@
     soak->config = 1;
     snprintf(soak->folder, sizeof(soak->folder), "/tmp/sr-soak-%d-%u",
              (int)getpid(), seed);
-    snprintf(soak->host, sizeof(soak->host), "127.0.%u",
-             180 + ((unsigned)getpid() + seed) % 70);
+    claim_host(soak);
     mkdir(soak->folder, 0755);
     for (unsigned i = 0; i < NODES; i++) {
         size_t length = strlen(pairs);
@@ -685,6 +714,7 @@
             waitpid(pids[i], NULL, 0);
         }
     }
+    close(soak->claim);
     if (soak->failure[0] == '\0') {
         remove_folder(soak);
     }
