--- a/src/flow.c
+++ b/src/flow.c
@@ -155,6 +155,16 @@
     return task->flow->record->steps[task->step];
 }
 
+struct SrFlowTask *
+SrFlow_UnitOf(struct SrFlowTask *task, uint32_t *count)
+{
+    const Sr__FlowStep *step = SrFlow_StepOf(task);
+    *count = step->gang ? step->count : 1;
+    return step->gang
+               ? SrFlow_StepTasks(task->flow, task->occurrence, task->step)
+               : task;
+}
+
 struct SrFlowTask *
 SrFlow_FindTask(const struct SrFlow *flow, uint32_t occurrence, uint32_t step,
                 uint32_t index)
--- a/src/flow.h
+++ b/src/flow.h
@@ -111,6 +111,10 @@
                                     uint32_t occurrence, uint32_t step);
 const Sr__FlowStep *SrFlow_StepOf(const struct SrFlowTask *task);
 
+/* First of the tasks that run together with this one, and their number: all of
+ * a gang, or the task alone. */
+struct SrFlowTask *SrFlow_UnitOf(struct SrFlowTask *task, uint32_t *count);
+
 /* The task named ID.K.STEP.INDEX among this flow's, or NULL. */
 struct SrFlowTask *SrFlow_FindTask(const struct SrFlow *flow,
                                    uint32_t occurrence, uint32_t step,
--- a/src/plan.c
+++ b/src/plan.c
@@ -84,20 +84,14 @@
 stop_for(struct SrPlanPass *pass, struct SrRun *run,
          const struct SrPlanUnit *unit)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
-    struct SrFlowTask *first = run->task;
-    uint32_t count = 1;
+    uint32_t count;
+    struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
     SR_INFO("plan", "yield",
             "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld",
             run->task->flow->id, run->task->step, run->number,
             run->task->flow->rank, unit->flow->id, unit->flow->rank,
             (long)SrPlan_CostOfStopping(pass, run));
-    if (step->gang) {
-        first = SrFlow_StepTasks(run->task->flow, run->task->occurrence,
-                                 run->task->step);
-        count = step->count;
-    }
-    struct SrRoom need = SrFleet_Need(step);
+    struct SrRoom need = SrFleet_Need(SrFlow_StepOf(run->task));
     for (uint32_t i = 0; i < count; i++) {
         struct SrRun *member = first[i].running;
         if (member != NULL && !member->stopping) {
--- a/src/plan_drain.c
+++ b/src/plan_drain.c
@@ -7,22 +7,17 @@
  * that is foretold to miss that by less is left to try. */
 #define DRAIN_SLACK_MS 1000
 
-/* When all of the run's gang, or the run alone, will be done. */
+/* When the run, and all that run together with it, will be done. */
 static int64_t
 expected_end(const struct SrRun *run, int64_t now_ms)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
-    int64_t end_ms = SrFleet_ExpectedEndMs(run, now_ms);
-    if (!step->gang) {
-        return end_ms;
-    }
-    const struct SrFlowTask *first = SrFlow_StepTasks(
-        run->task->flow, run->task->occurrence, run->task->step);
-    for (uint32_t i = 0; i < step->count; i++) {
+    uint32_t count;
+    int64_t end_ms = now_ms;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
         if (first[i].running != NULL) {
-            int64_t member_ms =
-                SrFleet_ExpectedEndMs(first[i].running, now_ms);
-            end_ms = member_ms > end_ms ? member_ms : end_ms;
+            int64_t own_ms = SrFleet_ExpectedEndMs(first[i].running, now_ms);
+            end_ms = own_ms > end_ms ? own_ms : end_ms;
         }
     }
     return end_ms;
@@ -43,14 +38,8 @@
 static void
 move(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
-    struct SrFlowTask *first = run->task;
-    uint32_t count = 1;
-    if (step->gang) {
-        first = SrFlow_StepTasks(run->task->flow, run->task->occurrence,
-                                 run->task->step);
-        count = step->count;
-    }
+    uint32_t count;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
     for (uint32_t i = 0; i < count; i++) {
         if (first[i].running != NULL) {
             SrEngine_StopRun(engine, first[i].running, "worker-leaves",
