Ends are forgotten by a look that names them, not by each one after it

Cause: each look told its worker to forget the ends up to the highest one that was written. A worker counts ends anew in each life, and a look may reach a life of which nothing has told yet: that life then forgot ends that nobody had seen, and a task that was done ran again.

Ruled out: an end taken before it is written (the leader that was killed had not seen it), and the lease's end (1.9 s without a look).

Change: a count is named until a look with it is answered, and 0 after that. What is left is the look that first names a count just as the worker crashes.

test_engine ends_are_forgotten_once failed before.

--- a/src/engine_answers.c
+++ b/src/engine_answers.c
@@ -49,6 +49,7 @@
     worker->life_ms = now_ms;
     worker->ends_seen = 0;
     worker->ends_acked = 0;
+    worker->ends_forgotten = 0;
     worker->clock_ms = -1;
     worker->fenced = false;
     worker->next_look_ms = now_ms;
@@ -243,6 +244,10 @@
         }
         SrEngine_OnNewLife(engine, worker, answer->born, now_ms);
     }
+    if (order->u.look.acked > worker->ends_forgotten &&
+        order->u.look.acked <= worker->ends_acked) {
+        worker->ends_forgotten = order->u.look.acked;
+    }
     SrEngine_TakeBackNote(engine, worker);
     worker->silent_looks = 0;
     worker->fenced = true;
--- a/src/engine_orders.c
+++ b/src/engine_orders.c
@@ -35,6 +35,16 @@
     return SrFleet_Deadline(&engine->fleet, worker, now_ms);
 }
 
+/* Ends are counted anew in each life of the worker, and a look may reach a
+ * life of which nothing has told yet: it names a count only once, so that it
+ * does not have ends forgotten that nobody has seen. */
+static uint64_t
+ends_to_forget(const struct SrWorker *worker)
+{
+    return worker->ends_acked > worker->ends_forgotten ? worker->ends_acked
+                                                       : 0;
+}
+
 static void
 send_look(struct SrEngine *engine, struct SrWorker *worker, int64_t wait_ms,
           int64_t now_ms)
@@ -45,7 +55,7 @@
         .u.look =
             {
                 .deadline_ms = look_deadline(engine, worker, now_ms),
-                .acked = worker->ends_acked,
+                .acked = ends_to_forget(worker),
                 .wait_ms = wait_ms,
             },
     };
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -104,9 +104,11 @@
     bool noted;
     /* The change that takes the note back; 0 if there is none. */
     uint64_t unnoted_change;
-    /* Ends seen, and those of them that are written. */
+    /* Ends seen, those of them that are written, and those that an answered
+     * look has told the worker to forget. */
     uint64_t ends_seen;
     uint64_t ends_acked;
+    uint64_t ends_forgotten;
     /* The change that must be written before the ends seen are. */
     uint64_t ends_change;
     bool look_in_flight;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "engine.h"
 #include "fleet_sim.h"
 #include "log.h"
 #include "util.h"
@@ -135,6 +136,77 @@
     }
 }
 
+struct Captured {
+    struct SrOrder order;
+    unsigned looks;
+};
+
+static void
+capture(void *context, const struct SrOrder *order)
+{
+    struct Captured *captured = context;
+    if (order->kind == SR_ORDER_LOOK) {
+        captured->order = *order;
+        captured->looks++;
+    }
+}
+
+/* Lets the engine send looks, answers each with the ends, and returns what the
+ * last one had the worker forget. */
+static uint64_t
+forgotten_by_next_look(struct SrEngine *engine, struct Captured *captured,
+                       const struct SrEndedReport *ended, int64_t *now_ms)
+{
+    unsigned looks = captured->looks;
+    while (captured->looks == looks) {
+        *now_ms += 50;
+        SrEngine_Pump(engine, true, *now_ms, *now_ms);
+    }
+    struct SrOrder order = captured->order;
+    SrEngine_OnAnswer(engine, &order,
+                      &(struct SrOrderAnswer){
+                          .result = SR_ORDER_DONE,
+                          .clock_ms = *now_ms,
+                          .born = 1,
+                          .ended = (struct SrEndedReport *)ended,
+                          .ended_count = ended != NULL ? 1 : 0,
+                      },
+                      *now_ms);
+    return order.u.look.acked;
+}
+
+/* Each look named the count of ends of the life that was known; the next life,
+ * which counts anew, forgot ends that nobody had seen. */
+static void
+ends_are_forgotten_once(void **state)
+{
+    (void)state;
+    struct Captured captured = {.looks = 0};
+    struct SrWorkerEntry entry = {
+        .id = "w", .address = "a", .service = "s", .born = 1};
+    struct SrEndedReport end = {
+        .number = 7, .task = "0000000000000001.0.0.0", .run = 1};
+    struct SrCatalog *catalog = SrCatalog_Create(0, 0, 0);
+    int64_t now_ms = 1000;
+    struct SrEngine *engine = SrEngine_Create(
+        &(struct SrEngineOptions){
+            .lease_ms = 6000,
+            .send = capture,
+            .context = &captured,
+        },
+        1, now_ms);
+    SrEngine_SetCatalog(engine, catalog);
+    SrEngine_SetWorker(engine, "w", &entry, now_ms);
+    assert_int_equal(forgotten_by_next_look(engine, &captured, &end, &now_ms),
+                     0);
+    assert_int_equal(forgotten_by_next_look(engine, &captured, NULL, &now_ms),
+                     7);
+    assert_int_equal(forgotten_by_next_look(engine, &captured, NULL, &now_ms),
+                     0);
+    SrEngine_Destroy(engine);
+    SrCatalog_Destroy(catalog);
+}
+
 int
 main(void)
 {
@@ -142,6 +214,7 @@
         cmocka_unit_test(keeps_promises_under_faults),
         cmocka_unit_test(seeds_that_failed_once),
         cmocka_unit_test(gangs_meet_when_calm),
+        cmocka_unit_test(ends_are_forgotten_once),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
