Expired jobs are removed one after the other, not four a second

Cause: the leader looked for one expired job each 250 ms, while a grown site sends up to 20 a second: the rows, and the leader's memory, would have grown for as long as the load lasts.

Change: the removal that is done starts the next one.

test_leader many_expired_jobs_go_one_after_the_other failed before (33 of 40 left after 1.8 s).

--- a/src/leader.c
+++ b/src/leader.c
@@ -77,6 +77,7 @@
 };
 
 static void read_progress(void *context);
+static void remove_expired(void *context);
 
 static void
 run_pump(void *context)
@@ -212,9 +213,12 @@
     leader->removal = NULL;
     SR_INFO("leader", "expired", "id=%s result=%s", removal->id,
             SrRows_ErrorText(answer->error));
-    SrEngine_OnRemoved(leader->engine, removal->id,
-                       answer->error == SR_ROWS_OK, SrOs_MonotonicMs());
+    bool gone = answer->error == SR_ROWS_OK;
+    SrEngine_OnRemoved(leader->engine, removal->id, gone, SrOs_MonotonicMs());
     SrLedger_Wake(leader->options.ledger);
+    if (gone) {
+        remove_expired(leader);
+    }
 }
 
 /* The callers' rows go first: a job without them is no longer known, while one
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -254,6 +254,31 @@
     end(&world);
 }
 
+/* Jobs end as fast as they come, 20 a second for 350 workers. */
+static void
+many_expired_jobs_go_one_after_the_other(void **state)
+{
+    (void)state;
+    enum { JOBS = 40 };
+    struct World world;
+    char id[SR_ID_SIZE];
+    unsigned left = 0;
+    begin(&world, 0);
+    for (unsigned i = 0; i < JOBS; i++) {
+        snprintf(id, sizeof(id), "%016x", i);
+        store_job(&world, id);
+        store_progress(&world, id, SR__FLOW_STATUS__FLOW_COMPLETED);
+    }
+    lead(&world);
+    run_for(&world, 2 * SOON_MS);
+    for (unsigned i = 0; i < JOBS; i++) {
+        snprintf(id, sizeof(id), "%016x", i);
+        left += is_stored(&world, SR_TABLE_JOBS, id) ? 1 : 0;
+    }
+    assert_int_equal(left, 0);
+    end(&world);
+}
+
 /* An earlier leader ended between the two removals. */
 static void
 progress_that_is_left_over_goes(void **state)
@@ -278,6 +303,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(jobs_of_all_partitions_are_found),
         cmocka_unit_test(progress_goes_after_the_job),
+        cmocka_unit_test(many_expired_jobs_go_one_after_the_other),
         cmocka_unit_test(progress_that_is_left_over_goes),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
