--- /dev/null
+++ b/tests/soak_site.c
@@ -0,0 +1,399 @@
+#include "soak_site.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "harness.h"
+#include "os.h"
+#include "util.h"
+
+#define WORKERS 6
+#define GRACE_S 4
+/* A start takes less: 0.5 s is the platform's aim for it. */
+#define START_MS 500
+/* Runs have addresses 127.0.N.x of their own. */
+#define HOSTS_FROM 180
+#define HOSTS 70
+#define CLAIM_PORT 7999
+#define FORWARD "11:7100"
+
+void
+SoakSite_Break(struct SoakSite *site, const char *what, const char *id)
+{
+    if (site->failure[0] == '\0') {
+        snprintf(site->failure, sizeof(site->failure), "%s %s", what, id);
+    }
+}
+
+unsigned
+SoakSite_Draw(struct SoakSite *site, unsigned below)
+{
+    return (unsigned)gsl_rng_uniform_int(site->random, below);
+}
+
+int64_t
+SoakSite_DrawMs(struct SoakSite *site, unsigned from_ms, unsigned to_ms)
+{
+    return from_ms + SoakSite_Draw(site, to_ms - from_ms);
+}
+
+static void
+write_settings(const struct SoakSite *site, unsigned number, const char *path)
+{
+    FILE *file = fopen(path, "w");
+    fprintf(file,
+            "node_name=n%u\nzone=d%u\nregion=r\n"
+            "listen_addresses.front=%s.%u:8521\n"
+            "listen_addresses.ready_address=%s.%u:8523\n"
+            "internal_port_range=7000,7015\nplatform.address=%s.11:%u\n"
+            "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=200\n"
+            "bounds.grace_s=%d\nbounds.status_s=120\n"
+            "bounds.remote_factor=3\nbounds.reclaim_ms=2900\n"
+            "limits.cpu_share=1\n",
+            number, number, site->host, 20 + number, site->host, 20 + number,
+            site->host, 7300 + number, GRACE_S);
+    fclose(file);
+}
+
+static void
+start_node(struct SoakSite *site, unsigned number)
+{
+    struct SoakNode *node = &site->nodes[number];
+    char settings[128];
+    char log[128];
+    char *arguments[] = {(char *)Harness_Binary(), (char *)"node", NULL};
+    snprintf(settings, sizeof(settings), "%s/n%u.conf", site->folder, number);
+    snprintf(log, sizeof(log), "%s/n%u.log", site->folder, number);
+    snprintf(node->address, sizeof(node->address), "%s.%u:8521", site->host,
+             20 + number);
+    write_settings(site, number, settings);
+    setenv("SASSAFRASRELAY_CONFIG", settings, 1);
+    node->pid = Harness_Spawn(log, arguments);
+    node->state = NODE_UP;
+    node->started_ms = SrOs_MonotonicMs();
+}
+
+static pid_t
+start_standin(const struct SoakSite *site, const char *role,
+              const char *listen, const char *option, const char *name)
+{
+    char log[128];
+    char listen_option[96];
+    char *arguments[] = {
+        (char *)Harness_Standin(),
+        (char *)role,
+        listen_option,
+        (char *)option,
+        NULL,
+    };
+    snprintf(listen_option, sizeof(listen_option), "--listen=%s.%s",
+             site->host, listen);
+    snprintf(log, sizeof(log), "%s/%s.log", site->folder, name);
+    return Harness_Spawn(log, arguments);
+}
+
+static void
+ignore_answer(void *context, const struct SrHttpAnswer *answer)
+{
+    (void)context;
+    (void)answer;
+}
+
+/* Sets faults of a stand-in. */
+static void
+set_fault(struct SoakSite *site, const char *at, const char *words)
+{
+    char address[64];
+    snprintf(address, sizeof(address), "%s.%s", site->host, at);
+    SrHttpClient_Post(site->http, &(struct SrHttpPost){
+                                      .type = "text/plain",
+                                      .address = address,
+                                      .path = "/fault",
+                                      .body = words,
+                                      .size = strlen(words),
+                                      .timeout_ms = SOAK_START_LIMIT_MS,
+                                      .answer_max = 1024,
+                                      .done = ignore_answer,
+                                  });
+}
+
+static void
+set_cuts(struct SoakSite *site)
+{
+    char words[64] = "cut=,";
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        if (site->nodes[i].cut) {
+            size_t length = strlen(words);
+            snprintf(words + length, sizeof(words) - length, "%u,", i);
+        }
+    }
+    set_fault(site, FORWARD, words);
+}
+
+static void
+kill_node(struct SoakSite *site, struct SoakNode *node)
+{
+    if (node->state == NODE_DOWN) {
+        return;
+    }
+    kill(node->pid, SIGKILL);
+    waitpid(node->pid, NULL, 0);
+    node->state = NODE_DOWN;
+    node->until_ms = SrOs_MonotonicMs() + SoakSite_DrawMs(site, 200, 2500);
+}
+
+static void
+set_store_fault(struct SoakSite *site, const char *words, unsigned to_ms)
+{
+    set_fault(site, SOAK_STORE, words);
+    site->store_until_ms =
+        SrOs_MonotonicMs() + SoakSite_DrawMs(site, 300, to_ms);
+}
+
+void
+SoakSite_BeginFault(struct SoakSite *site, enum SoakFault kind)
+{
+    char words[64];
+    struct SoakNode *node = &site->nodes[SoakSite_Draw(site, SOAK_NODES)];
+    int64_t now_ms = SrOs_MonotonicMs();
+    switch (kind) {
+    case SOAK_NODE_KILLED:
+        kill_node(site, node);
+        break;
+    case SOAK_NODE_STOPPED:
+        /* A process that has just been started does not handle the signal. */
+        if (node->state == NODE_UP && now_ms - node->started_ms > START_MS) {
+            kill(node->pid, SIGTERM);
+            node->state = NODE_STOPPING;
+        }
+        break;
+    case SOAK_NODE_PAUSED:
+        if (node->state == NODE_UP) {
+            kill(node->pid, SIGSTOP);
+            node->state = NODE_PAUSED;
+            node->until_ms = now_ms + SoakSite_DrawMs(site, 100, 4000);
+        }
+        break;
+    case SOAK_ALL_NODES_KILLED:
+        for (unsigned i = 0; i < SOAK_NODES; i++) {
+            kill_node(site, &site->nodes[i]);
+        }
+        break;
+    case SOAK_LINK_CUT:
+        node->cut = true;
+        node->cut_until_ms = now_ms + SoakSite_DrawMs(site, 300, 5000);
+        set_cuts(site);
+        break;
+    case SOAK_STORE_REFUSES:
+        set_store_fault(site, "refuse=1", 3000);
+        break;
+    case SOAK_STORE_SILENT:
+        set_store_fault(site, "dead=store", 3000);
+        break;
+    case SOAK_STORE_SLOW:
+        set_store_fault(site, "slow_ms=250", 4000);
+        break;
+    case SOAK_STORE_LOSES_ANSWERS:
+        set_fault(site, SOAK_STORE,
+                  "lose=4 lose_path=/sassafrasrelay/rows-tx");
+        break;
+    case SOAK_STORE_FORGETS:
+        set_fault(site, SOAK_STORE, "forget=1");
+        break;
+    case SOAK_CONFIG_CHANGED:
+        site->config += 1 + SoakSite_Draw(site, 5);
+        snprintf(words, sizeof(words), "config=%lu", site->config);
+        set_fault(site, SOAK_STORE, words);
+        break;
+    case SOAK_WORKER_CRASHES:
+        snprintf(words, sizeof(words), "crash=w%u",
+                 SoakSite_Draw(site, WORKERS));
+        set_fault(site, SOAK_STORE, words);
+        break;
+    case SOAK_WORKER_SILENT:
+        if (site->store_until_ms == 0 && site->worker_until_ms == 0) {
+            snprintf(words, sizeof(words), "dead=w%u",
+                     SoakSite_Draw(site, WORKERS));
+            set_fault(site, SOAK_STORE, words);
+            site->worker_until_ms = now_ms + SoakSite_DrawMs(site, 500, 9000);
+        }
+        break;
+    case SOAK_FAULTS:
+        break;
+    }
+}
+
+/* Ends faults whose time has come. */
+static void
+heal(struct SoakSite *site, int64_t now_ms)
+{
+    bool mended = false;
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        struct SoakNode *node = &site->nodes[i];
+        if (node->state == NODE_DOWN && now_ms >= node->until_ms) {
+            start_node(site, i);
+        }
+        if (node->state == NODE_PAUSED && now_ms >= node->until_ms) {
+            kill(node->pid, SIGCONT);
+            node->state = NODE_UP;
+        }
+        if (node->cut && now_ms >= node->cut_until_ms) {
+            node->cut = false;
+            mended = true;
+        }
+    }
+    if (mended) {
+        set_cuts(site);
+    }
+    if (site->store_until_ms != 0 && now_ms >= site->store_until_ms) {
+        site->store_until_ms = 0;
+        set_fault(site, SOAK_STORE, "refuse=0 dead= slow_ms=0");
+    }
+    if (site->worker_until_ms != 0 && now_ms >= site->worker_until_ms) {
+        site->worker_until_ms = 0;
+        set_fault(site, SOAK_STORE, "dead=");
+    }
+}
+
+/* A node ends only when it is told to, and then well. */
+static void
+reap(struct SoakSite *site)
+{
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        struct SoakNode *node = &site->nodes[i];
+        int status = 0;
+        if (node->state == NODE_DOWN ||
+            waitpid(node->pid, &status, WNOHANG) != node->pid) {
+            continue;
+        }
+        bool well = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+        if (node->state != NODE_STOPPING || !well) {
+            char text[32];
+            snprintf(text, sizeof(text), "n%u status=%d", i, status);
+            SoakSite_Break(site, "a node ended by itself:", text);
+        }
+        node->state = NODE_DOWN;
+        node->until_ms = SrOs_MonotonicMs() + SoakSite_DrawMs(site, 100, 1500);
+    }
+}
+
+/* Finds addresses that no other run uses: several may run side by side. */
+static void
+claim_host(struct SoakSite *site)
+{
+    for (unsigned i = 0; i < HOSTS; i++) {
+        struct sockaddr_in address = {
+            .sin_family = AF_INET,
+            .sin_port = htons(CLAIM_PORT),
+            .sin_addr.s_addr = htonl(0x7f000001U | (HOSTS_FROM + i) << 8),
+        };
+        site->claim = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if (bind(site->claim, (struct sockaddr *)&address, sizeof(address)) ==
+            0) {
+            snprintf(site->host, sizeof(site->host), "127.0.%u",
+                     HOSTS_FROM + i);
+            return;
+        }
+        close(site->claim);
+    }
+    SoakSite_Break(site, "no free addresses", "");
+}
+
+void
+SoakSite_Tick(struct SoakSite *site, int64_t now_ms)
+{
+    reap(site);
+    heal(site, now_ms);
+}
+
+void
+SoakSite_Begin(struct SoakSite *site, unsigned seed)
+{
+    char pairs[512] = "--pairs=";
+    char count[32];
+    site->seed = seed;
+    site->random = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(site->random, seed);
+    site->kernel = SrKernel_Create(NULL);
+    site->http = SrHttpClient_Create(site->kernel->loop, 0);
+    site->config = 1;
+    snprintf(site->folder, sizeof(site->folder), "/tmp/sr-soak-%d-%u",
+             (int)getpid(), seed);
+    claim_host(site);
+    mkdir(site->folder, 0755);
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        size_t length = strlen(pairs);
+        snprintf(pairs + length, sizeof(pairs) - length,
+                 "%s%s.11:%u=%s.10:7000", i > 0 ? "," : "", site->host,
+                 7300 + i, site->host);
+    }
+    snprintf(count, sizeof(count), "--count=%u", WORKERS);
+    site->standin = start_standin(site, "site", SOAK_STORE, count, "site");
+    site->forward = start_standin(site, "forward", FORWARD, pairs, "forward");
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        start_node(site, i);
+    }
+}
+
+static void
+remove_folder(const struct SoakSite *site)
+{
+    char path[128];
+    static const char *const names[] = {
+        "n0.log",  "n1.log",  "n2.log",  "n3.log",   "n0.conf",
+        "n1.conf", "n2.conf", "n3.conf", "site.log", "forward.log",
+    };
+    for (size_t i = 0; i < SR_LENGTH(names); i++) {
+        snprintf(path, sizeof(path), "%s/%s", site->folder, names[i]);
+        unlink(path);
+    }
+    rmdir(site->folder);
+}
+
+static void
+keep_record(const struct SoakSite *site, const char *record)
+{
+    char path[128];
+    snprintf(path, sizeof(path), "%s/record", site->folder);
+    FILE *file = fopen(path, "w");
+    if (file != NULL && record != NULL) {
+        fputs(record, file);
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+}
+
+void
+SoakSite_End(struct SoakSite *site, const char *record)
+{
+    pid_t pids[SOAK_NODES + 2] = {site->standin, site->forward};
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        pids[i + 2] =
+            site->nodes[i].state != NODE_DOWN ? site->nodes[i].pid : 0;
+    }
+    for (size_t i = 0; i < SR_LENGTH(pids); i++) {
+        if (pids[i] > 0) {
+            kill(pids[i], SIGKILL);
+            waitpid(pids[i], NULL, 0);
+        }
+    }
+    close(site->claim);
+    if (site->failure[0] == '\0') {
+        remove_folder(site);
+    }
+    else {
+        keep_record(site, record);
+        printf("logs are kept in %s\n", site->folder);
+    }
+    SrHttpClient_Destroy(site->http);
+    SrKernel_Destroy(site->kernel);
+    gsl_rng_free(site->random);
+}
