--- a/bench/bench_relay.c
+++ b/bench/bench_relay.c
@@ -97,7 +97,12 @@
     memset(&load->latency, 0, sizeof(load->latency));
     load->failures = 0;
     load->loop = ev_loop_new(EVFLAG_AUTO);
-    load->client = SrHttpClient_Create(load->loop, CALLERS_MAX);
+    load->client = SrHttpClient_Create(&(struct SrHttpClientOptions){
+        .loop = load->loop,
+        .connections_per_host = CALLERS_MAX,
+        .connections_kept = CALLERS_MAX,
+        .shards = 1,
+    });
     load->end_us = SrOs_MonotonicUs() + RUN_MS * SR_US_PER_MS;
     load->active_callers = callers;
     int64_t from_us = SrOs_MonotonicUs();
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -18,6 +18,10 @@
 
 /* Maximum number of open connections of callers. */
 #define CONNECTIONS_MAX 8000
+/* Maximum number of connections to workers and backend servers that are kept
+ * for reuse. */
+#define CONNECTIONS_KEPT 4096
+#define HTTP_CLIENT_SHARDS 16
 #define TYPE_PROTOBUF "application/x-protobuf"
 #define TYPE_TEXT "text/plain; version=0.0.4"
 #define EXIT_CANNOT_START 3
@@ -255,8 +259,12 @@
     if (daemon.kernel == NULL) {
         goto cleanup_libraries;
     }
-    daemon.http = SrHttpClient_Create(daemon.kernel->loop,
-                                      options->connections_per_host);
+    daemon.http = SrHttpClient_Create(&(struct SrHttpClientOptions){
+        .loop = daemon.kernel->loop,
+        .connections_per_host = options->connections_per_host,
+        .connections_kept = CONNECTIONS_KEPT,
+        .shards = HTTP_CLIENT_SHARDS,
+    });
     if (daemon.http == NULL || !start_bus(&daemon)) {
         goto destroy_kernel;
     }
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -13,7 +13,7 @@
     Sr__Role role;
     /* Maximum number of HTTP client connections to one address; 0 for no
      * limit. */
-    long connections_per_host;
+    unsigned connections_per_host;
     /* Handles HTTP requests for paths other than /metrics, /healthz and
      * /readyz. NULL to respond to them with status 404. */
     void (*handle)(void *context, struct SrHttpRequest *request);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -8,8 +8,10 @@
 #include <string.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <xxhash.h>
 
 #include "list.h"
+#include "log.h"
 #include "os.h"
 #include "util.h"
 
@@ -18,17 +20,24 @@
 /* Maximum number of curl easy handles kept for reuse. */
 #define IDLE_HANDLES_MAX 256
 #define CONNECT_TIMEOUT_MS 1000
-/* Maximum number of connections kept for reuse. */
-#define CONNECTIONS_KEPT 4096
 /* Time without acknowledgement of sent data after which a connection is
  * closed. It is below 3 s, the shortest time limit of any exchange. */
 #define UNACKED_TIMEOUT_MS 2000U
 #define NOT_STARTED_HEADER "Not-Started:"
 
-struct SrHttpClient {
-    struct ev_loop *loop;
+/* Multi handle for a share of the addresses. libcurl walks all connections of
+ * a multi handle when a call ends, and polls the unused ones each second. */
+struct Shard {
+    struct SrHttpClient *client;
+    /* NULL until a call is sent to one of the addresses. */
     CURLM *multi;
     ev_timer timer;
+};
+
+struct SrHttpClient {
+    struct ev_loop *loop;
+    struct SrHttpClientOptions options;
+    struct Shard shards[SR_HTTP_CLIENT_SHARDS_MAX];
     /* List of struct SrHttpCall. */
     struct SrList calls;
     /* Easy handles that are not in use. */
@@ -40,7 +49,7 @@
 
 struct SrHttpCall {
     struct SrList link;
-    struct SrHttpClient *client;
+    struct Shard *shard;
     CURL *easy;
     struct curl_slist *headers;
     /* Body of the response, its size so far and the allocated size. */
@@ -59,7 +68,7 @@
 /* Event watcher of a connection that libcurl has opened. */
 struct SocketWatcher {
     ev_io watcher;
-    struct SrHttpClient *client;
+    struct Shard *shard;
 };
 
 static const char *const error_texts[] = {
@@ -103,11 +112,12 @@
 static void
 free_call(struct SrHttpCall *call)
 {
-    struct SrHttpClient *client = call->client;
+    struct SrHttpClient *client = call->shard->client;
     SrList_Remove(&call->link);
-    curl_multi_remove_handle(client->multi, call->easy);
+    curl_multi_remove_handle(call->shard->multi, call->easy);
     if (client->idle_count < IDLE_HANDLES_MAX) {
-        curl_easy_reset(call->easy);
+        /* Frees the copy of the request's body. */
+        curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, NULL);
         client->idle[client->idle_count++] = call->easy;
     }
     else {
@@ -127,7 +137,7 @@
     curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
     curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
     curl_easy_getinfo(call->easy, CURLINFO_HEADER_SIZE, &header_size);
-    call->client->bytes +=
+    call->shard->client->bytes +=
         (uint64_t)(uploaded + downloaded + header_size + request_size);
 }
 
@@ -159,11 +169,11 @@
 }
 
 static void
-collect_finished(struct SrHttpClient *client)
+collect_finished(struct Shard *shard)
 {
     CURLMsg *message;
     int left;
-    while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+    while ((message = curl_multi_info_read(shard->multi, &left)) != NULL) {
         if (message->msg != CURLMSG_DONE) {
             continue;
         }
@@ -180,12 +190,12 @@
 {
     (void)loop;
     struct SocketWatcher *socket = watcher->data;
-    struct SrHttpClient *client = socket->client;
+    struct Shard *shard = socket->shard;
     int running;
     int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0) |
                ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-    curl_multi_socket_action(client->multi, watcher->fd, mask, &running);
-    collect_finished(client);
+    curl_multi_socket_action(shard->multi, watcher->fd, mask, &running);
+    collect_finished(shard);
 }
 
 static void
@@ -193,10 +203,10 @@
 {
     (void)loop;
     (void)events;
-    struct SrHttpClient *client = watcher->data;
+    struct Shard *shard = watcher->data;
     int running;
-    curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-    collect_finished(client);
+    curl_multi_socket_action(shard->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    collect_finished(shard);
 }
 
 /* Called by libcurl to start its timer, or to stop it if `wait_ms` is
@@ -205,11 +215,12 @@
 set_timer(CURLM *multi, long wait_ms, void *context)
 {
     (void)multi;
-    struct SrHttpClient *client = context;
-    ev_timer_stop(client->loop, &client->timer);
+    struct Shard *shard = context;
+    struct ev_loop *loop = shard->client->loop;
+    ev_timer_stop(loop, &shard->timer);
     if (wait_ms >= 0) {
-        ev_timer_set(&client->timer, (double)wait_ms / SR_MS_PER_SECOND, 0);
-        ev_timer_start(client->loop, &client->timer);
+        ev_timer_set(&shard->timer, (double)wait_ms / SR_MS_PER_SECOND, 0);
+        ev_timer_start(loop, &shard->timer);
     }
     return 0;
 }
@@ -220,12 +231,13 @@
              void *socket_data)
 {
     (void)easy;
-    struct SrHttpClient *client = context;
+    struct Shard *shard = context;
+    struct ev_loop *loop = shard->client->loop;
     struct SocketWatcher *socket = socket_data;
     if (what == CURL_POLL_REMOVE) {
         if (socket != NULL) {
-            ev_io_stop(client->loop, &socket->watcher);
-            curl_multi_assign(client->multi, fd, NULL);
+            ev_io_stop(loop, &socket->watcher);
+            curl_multi_assign(shard->multi, fd, NULL);
             free(socket);
         }
         return 0;
@@ -234,39 +246,67 @@
                  ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
     if (socket == NULL) {
         socket = SrUtil_Calloc(1, sizeof(*socket));
-        socket->client = client;
-        curl_multi_assign(client->multi, fd, socket);
+        socket->shard = shard;
+        curl_multi_assign(shard->multi, fd, socket);
     }
     else {
-        ev_io_stop(client->loop, &socket->watcher);
+        ev_io_stop(loop, &socket->watcher);
     }
     ev_io_init(&socket->watcher, on_socket_event, fd, events);
     socket->watcher.data = socket;
-    ev_io_start(client->loop, &socket->watcher);
+    ev_io_start(loop, &socket->watcher);
     return 0;
 }
 
+/* Creates the multi handle of the shard. Returns false if libcurl fails. */
+static bool
+open_shard(struct SrHttpClient *client, struct Shard *shard)
+{
+    shard->multi = curl_multi_init();
+    if (shard->multi == NULL) {
+        return false;
+    }
+    shard->client = client;
+    ev_timer_init(&shard->timer, on_timer, 0, 0);
+    shard->timer.data = shard;
+    curl_multi_setopt(shard->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+    curl_multi_setopt(shard->multi, CURLMOPT_SOCKETDATA, shard);
+    curl_multi_setopt(shard->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(shard->multi, CURLMOPT_TIMERDATA, shard);
+    curl_multi_setopt(
+        shard->multi, CURLMOPT_MAXCONNECTS,
+        (long)(client->options.connections_kept / client->options.shards));
+    curl_multi_setopt(shard->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      (long)client->options.connections_per_host);
+    return true;
+}
+
+/* Returns the address's shard. A shard that cannot be opened is replaced by
+ * the first one, which is always open. */
+static struct Shard *
+shard_of(struct SrHttpClient *client, const char *address)
+{
+    size_t index =
+        XXH3_64bits(address, strlen(address)) % client->options.shards;
+    struct Shard *shard = &client->shards[index];
+    if (shard->multi == NULL && !open_shard(client, shard)) {
+        SR_WARN("http", "no-multi-handle", "shard=%lu", (unsigned long)index);
+        return &client->shards[0];
+    }
+    return shard;
+}
+
 struct SrHttpClient *
-SrHttpClient_Create(struct ev_loop *loop, long connections_per_host)
+SrHttpClient_Create(const struct SrHttpClientOptions *options)
 {
     struct SrHttpClient *client = SrUtil_Calloc(1, sizeof(*client));
-    client->loop = loop;
+    client->loop = options->loop;
+    client->options = *options;
     SrList_Init(&client->calls);
-    client->multi = curl_multi_init();
-    if (client->multi == NULL) {
+    if (!open_shard(client, &client->shards[0])) {
         free(client);
         return NULL;
     }
-    ev_timer_init(&client->timer, on_timer, 0, 0);
-    client->timer.data = client;
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
-    curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-    curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-    curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
-                      (long)CONNECTIONS_KEPT);
-    curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                      connections_per_host);
     return client;
 }
 
@@ -283,8 +323,12 @@
     for (size_t i = 0; i < client->idle_count; i++) {
         curl_easy_cleanup(client->idle[i]);
     }
-    curl_multi_cleanup(client->multi);
-    ev_timer_stop(client->loop, &client->timer);
+    for (size_t i = 0; i < client->options.shards; i++) {
+        if (client->shards[i].multi != NULL) {
+            curl_multi_cleanup(client->shards[i].multi);
+            ev_timer_stop(client->loop, &client->shards[i].timer);
+        }
+    }
     free(client);
 }
 
@@ -334,16 +378,6 @@
     return size;
 }
 
-/* Returns an idle easy handle, or a new one. */
-static CURL *
-take_handle(struct SrHttpClient *client)
-{
-    if (client->idle_count > 0) {
-        return client->idle[--client->idle_count];
-    }
-    return curl_easy_init();
-}
-
 /* Makes the operating system close the connection if the peer stops
  * acknowledging data, since a peer behind a network partition cannot reset
  * the connection. */
@@ -358,6 +392,35 @@
     return CURL_SOCKOPT_OK;
 }
 
+/* Sets the options that are the same for all calls. */
+static void
+set_common_options(CURL *easy)
+{
+    /* Addresses are numeric, and libcurl looks for entries to expire in its
+     * whole cache of addresses whenever an exchange ends. */
+    curl_easy_setopt(easy, CURLOPT_DNS_CACHE_TIMEOUT, -1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+}
+
+/* Returns an idle easy handle, or a new one. */
+static CURL *
+take_handle(struct SrHttpClient *client)
+{
+    if (client->idle_count > 0) {
+        return client->idle[--client->idle_count];
+    }
+    CURL *easy = curl_easy_init();
+    set_common_options(easy);
+    return easy;
+}
+
 static void
 set_body(struct SrHttpCall *call, const struct SrHttpCallOptions *options)
 {
@@ -370,6 +433,7 @@
     snprintf(type, sizeof(type), "Content-Type: %s",
              options->type != NULL ? options->type : "application/x-protobuf");
     call->headers = curl_slist_append(call->headers, type);
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)options->size);
     curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
                      options->size > 0 ? options->body : "");
@@ -390,20 +454,12 @@
         }
     }
     curl_easy_setopt(easy, CURLOPT_URL, url);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_socket_options);
     set_body(call, options);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      options->at_most_once ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 }
@@ -413,14 +469,14 @@
                   const struct SrHttpCallOptions *options)
 {
     struct SrHttpCall *call = SrUtil_Calloc(1, sizeof(*call));
-    call->client = client;
+    call->shard = shard_of(client, options->address);
     call->easy = take_handle(client);
     call->response_max = options->response_max;
     call->done = options->done;
     call->context = options->context;
     SrList_Append(&client->calls, &call->link);
     set_call_options(call, options);
-    curl_multi_add_handle(client->multi, call->easy);
+    curl_multi_add_handle(call->shard->multi, call->easy);
     return call;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -7,6 +7,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define SR_HTTP_CLIENT_SHARDS_MAX 32
+
 struct SrHttpClient;
 struct SrHttpCall;
 
@@ -69,10 +71,22 @@
 /* Returns a static description of the error. */
 const char *SrHttpClient_ErrorText(enum SrHttpClientError error);
 
-/* Creates a client that opens at most `connections_per_host` connections to
- * one address, or any number if that is 0. Returns NULL if libcurl fails. */
-struct SrHttpClient *SrHttpClient_Create(struct ev_loop *loop,
-                                         long connections_per_host);
+struct SrHttpClientOptions {
+    struct ev_loop *loop;
+    /* Maximum number of connections to one address; 0 for any number. */
+    unsigned connections_per_host;
+    /* Maximum number of connections that are kept open for reuse. */
+    unsigned connections_kept;
+    /* Number of groups into which the addresses are divided, 1 to
+     * SR_HTTP_CLIENT_SHARDS_MAX. The processor time of a call grows with the
+     * number of connections in its group. Each group that is in use takes two
+     * descriptors and about 33 KB. */
+    unsigned shards;
+};
+
+/* Creates a client. Returns NULL if libcurl fails. */
+struct SrHttpClient *
+SrHttpClient_Create(const struct SrHttpClientOptions *options);
 
 /* Cancels all calls and frees the client. `client` may be NULL. */
 void SrHttpClient_Destroy(struct SrHttpClient *client);
--- a/src/node.c
+++ b/src/node.c
@@ -39,6 +39,14 @@
  * descriptors, less those for connections to workers and the store. */
 #define CALLER_CONNECTIONS_MAX 3000
 #define CHECK_CONNECTIONS_MAX 64
+/* Maximum number of connections to the store that are kept for reuse: the
+ * watches of a leader and its calls beside them. */
+#define STORE_CONNECTIONS_KEPT 256
+/* Descriptors that are not used for connections to workers: files, connections
+ * to the store and those of callers. */
+#define OTHER_DESCRIPTORS 1000
+/* Fewest connections to workers that are kept for reuse. */
+#define WORKER_CONNECTIONS_MIN 512
 #define READ_TIMEOUT_MS 10000
 /* Largest body of a caller's request, bytes: the highest limit that the
  * platform's configuration allows. */
@@ -62,7 +70,10 @@
 struct SrNode {
     struct SrNodeSettings settings;
     struct SrKernel *kernel;
-    struct SrHttpClient *http;
+    /* For calls to the store. */
+    struct SrHttpClient *store_http;
+    /* For commands to workers and to the advisor. */
+    struct SrHttpClient *worker_http;
     struct SrPlatformRows *platform_rows;
     struct SrRows rows;
     struct SrPlatformCommands *commands;
@@ -433,22 +444,41 @@
     return step * STAGGER_MS + small_ms;
 }
 
+/* Maximum number of connections to workers that are kept for reuse. */
+static unsigned
+worker_connections(const struct SrNodeSettings *settings)
+{
+    int64_t left = settings->descriptors_max - OTHER_DESCRIPTORS;
+    return left > WORKER_CONNECTIONS_MIN ? (unsigned)left
+                                         : WORKER_CONNECTIONS_MIN;
+}
+
 static bool
 start_services(struct SrNode *node)
 {
     static const char *const operator_partition = "";
-    node->http = SrHttpClient_Create(node->kernel->loop, 0);
-    if (node->http == NULL) {
+    node->store_http = SrHttpClient_Create(&(struct SrHttpClientOptions){
+        .loop = node->kernel->loop,
+        .connections_kept = STORE_CONNECTIONS_KEPT,
+        .shards = 1,
+    });
+    node->worker_http = SrHttpClient_Create(&(struct SrHttpClientOptions){
+        .loop = node->kernel->loop,
+        .connections_kept = worker_connections(&node->settings),
+        .shards = SR_HTTP_CLIENT_SHARDS_MAX,
+    });
+    if (node->store_http == NULL || node->worker_http == NULL) {
         return false;
     }
     node->platform_rows =
-        SrPlatformRows_Create(node->http, node->settings.store_address);
+        SrPlatformRows_Create(node->store_http, node->settings.store_address);
     node->rows = (struct SrRows){
         .kind = SR_ROWS_PLATFORM,
         .u.platform = node->platform_rows,
     };
-    node->commands = SrPlatformCommands_Create(
-        node->http, node->settings.advisor_address, on_command_response, node);
+    node->commands = SrPlatformCommands_Create(node->worker_http,
+                                               node->settings.advisor_address,
+                                               on_command_response, node);
     node->operator_rows = SrFollower_Create(&(struct SrFollowerOptions){
         .kernel = node->kernel,
         .rows = &node->rows,
@@ -493,7 +523,8 @@
 stop_services(struct SrNode *node)
 {
     SrShutdown_Cancel(&node->shutdown);
-    SrHttpClient_Destroy(node->http);
+    SrHttpClient_Destroy(node->store_http);
+    SrHttpClient_Destroy(node->worker_http);
     SrIntake_Destroy(node->intake);
     SrHttpServer_Destroy(node->callers_server);
     SrHttpServer_Destroy(node->ready_server);
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -35,6 +35,8 @@
     char advisor_address[SR_ID_SIZE];
     /* Share of one processor core that the VM has; 1 for a whole core. */
     double cpu_share;
+    /* Maximum number of open file descriptors of the process. */
+    int64_t descriptors_max;
     /* Longest lease that workers accept, ms. */
     int64_t lease_max_ms;
     /* Time within which a worker must stop a run, ms. */
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -17,6 +17,7 @@
 #define WORKER_COUNT 6
 /* Time in which a node must end after SIGTERM (bounds.grace_s). */
 #define GRACE_S 4
+#define CONNECTIONS_KEPT 256
 /* Time from the start of a node until it must handle SIGTERM; the platform's
  * target for the start is 0.5 s. */
 #define NODE_START_MS 500
@@ -338,7 +339,11 @@
     site->random = gsl_rng_alloc(gsl_rng_mt19937);
     gsl_rng_set(site->random, seed);
     site->kernel = SrKernel_Create(NULL);
-    site->http = SrHttpClient_Create(site->kernel->loop, 0);
+    site->http = SrHttpClient_Create(&(struct SrHttpClientOptions){
+        .loop = site->kernel->loop,
+        .connections_kept = CONNECTIONS_KEPT,
+        .shards = 1,
+    });
     site->config_version = 1;
     snprintf(site->folder, sizeof(site->folder), "/tmp/sr-soak-%d-%u",
              (int)getpid(), seed);
