Engine: a cancellation that is read before its job takes effect when the job is added

Cause: jobs and cancellations are read by separate watches.

Ruled out: a lost row (the job's own row was read 0.4 s later by the same watch mechanism).

Change: the engine remembers cancellations of jobs that it does not know, and applies them when the job is added; the deletion of the row forgets them.

Result: test_leader cancellation_read_before_its_job_holds fails before (no progress row as cancelled) and passes now.

--- a/src/engine.c
+++ b/src/engine.c
@@ -50,6 +50,12 @@
     }
 }
 
+/* Cancellation of a job that is not known yet. */
+struct EarlyCancellation {
+    struct SrMapEntry entry;
+    char id[SR_ID_SIZE];
+};
+
 struct SrEngine *
 SrEngine_Create(const struct SrEngineOptions *options, uint64_t term,
                 int64_t now_ms)
@@ -60,6 +66,7 @@
     engine->created_ms = now_ms;
     SrFleet_Init(&engine->fleet, options->lease_ms);
     SrMap_Init(&engine->flows_by_id);
+    SrMap_Init(&engine->early_cancellations);
     SrList_Init(&engine->flows);
     SrList_Init(&engine->dirty);
     return engine;
@@ -84,6 +91,11 @@
         SrEngine_RemoveFlow(engine, SR_CONTAINER(link, struct SrFlow, link));
     }
     SrMap_Clear(&engine->flows_by_id);
+    SR_MAP_EACH(entry, &engine->early_cancellations)
+    {
+        free(SR_CONTAINER(entry, struct EarlyCancellation, entry));
+    }
+    SrMap_Clear(&engine->early_cancellations);
     free(engine);
 }
 
@@ -193,6 +205,56 @@
     }
 }
 
+static void
+remember_cancellation(struct SrEngine *engine, const char *id)
+{
+    if (SrMap_Find(&engine->early_cancellations, id) != NULL) {
+        return;
+    }
+    struct EarlyCancellation *early = SrUtil_Calloc(1, sizeof(*early));
+    SrUtil_Copy(early->id, sizeof(early->id), id);
+    SrMap_Add(&engine->early_cancellations, &early->entry, early->id);
+    SR_INFO("engine", "cancelled-unknown", "id=%s", id);
+}
+
+void
+SrEngine_ForgetCancellation(struct SrEngine *engine, const char *id)
+{
+    struct SrMapEntry *entry = SrMap_Find(&engine->early_cancellations, id);
+    if (entry != NULL) {
+        SrMap_Remove(&engine->early_cancellations, entry);
+        free(SR_CONTAINER(entry, struct EarlyCancellation, entry));
+    }
+}
+
+static void
+apply_early_cancellation(struct SrEngine *engine, const struct SrFlow *flow,
+                         int64_t now_ms)
+{
+    if (SrMap_Find(&engine->early_cancellations, flow->id) != NULL) {
+        SrEngine_CancelFlow(engine, flow->id, now_ms);
+        SrEngine_ForgetCancellation(engine, flow->id);
+    }
+}
+
+/* Applies the stored progress of the flow. */
+static void
+load_progress(struct SrEngine *engine, struct SrFlow *flow,
+              const Sr__FlowProgress *progress, int64_t now_ms)
+{
+    enum SrFlowError error = SrFlow_Load(flow, progress);
+    if (error != SR_FLOW_OK) {
+        SR_ERROR("engine", "bad-progress", "id=%s error=%s", flow->id,
+                 SrFlow_ErrorText(error));
+        return;
+    }
+    inherit_runs(engine, flow, progress, now_ms);
+    if (SrFlow_HasEnded(flow)) {
+        flow->ended_ms = now_ms;
+    }
+    flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
+}
+
 void
 SrEngine_AddFlow(struct SrEngine *engine, const char *id,
                  Sr__FlowRecord *record, const Sr__FlowProgress *progress,
@@ -213,20 +275,10 @@
     engine->replan = true;
     SrList_Append(&engine->flows, &flow->link);
     SrMap_Add(&engine->flows_by_id, &flow->entry, flow->id);
-    if (progress == NULL) {
-        return;
+    if (progress != NULL) {
+        load_progress(engine, flow, progress, now_ms);
     }
-    error = SrFlow_Load(flow, progress);
-    if (error != SR_FLOW_OK) {
-        SR_ERROR("engine", "bad-progress", "id=%s error=%s", id,
-                 SrFlow_ErrorText(error));
-        return;
-    }
-    inherit_runs(engine, flow, progress, now_ms);
-    if (SrFlow_HasEnded(flow)) {
-        flow->ended_ms = now_ms;
-    }
-    flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
+    apply_early_cancellation(engine, flow, now_ms);
 }
 
 static void
@@ -246,7 +298,11 @@
 SrEngine_CancelFlow(struct SrEngine *engine, const char *id, int64_t now_ms)
 {
     struct SrFlow *flow = SrEngine_FindFlow(engine, id);
-    if (flow == NULL || flow->cancelled) {
+    if (flow == NULL) {
+        remember_cancellation(engine, id);
+        return;
+    }
+    if (flow->cancelled) {
         return;
     }
     flow->cancelled = true;
--- a/src/engine.h
+++ b/src/engine.h
@@ -105,10 +105,14 @@
                       int64_t now_ms);
 
 /* Cancels the job and stops its runs. A job that has ended keeps its status.
- * No effect if the job is not known: the cancellation is not remembered. */
+ * The cancellation of a job that is not known yet takes effect when the job is
+ * added. */
 void SrEngine_CancelFlow(struct SrEngine *engine, const char *id,
                          int64_t now_ms);
 
+/* Forgets the cancellation of a job that was never added. */
+void SrEngine_ForgetCancellation(struct SrEngine *engine, const char *id);
+
 /* Passes in the worker's entry as read from the store; NULL if the entry has
  * been deleted or is invalid. */
 void SrEngine_SetWorker(struct SrEngine *engine, const char *id,
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -14,6 +14,8 @@
     const struct SrCatalog *catalog;
     struct SrFleet fleet;
     struct SrMap flows_by_id;
+    /* Cancellations of jobs that are not known yet, by job id. */
+    struct SrMap early_cancellations;
     /* List of struct SrFlow, in order of `arrived_ms`. */
     struct SrList flows;
     /* List of the flows whose progress is to be written. */
--- a/src/leader.c
+++ b/src/leader.c
@@ -126,10 +126,12 @@
 on_cancel(void *context, const struct SrRow *row)
 {
     struct SrLeader *leader = context;
-    if (!row->deleted) {
-        SrEngine_CancelFlow(leader->engine, row->key, SrOs_MonotonicMs());
-        SrLeader_Wake(leader);
+    if (row->deleted) {
+        SrEngine_ForgetCancellation(leader->engine, row->key);
+        return;
     }
+    SrEngine_CancelFlow(leader->engine, row->key, SrOs_MonotonicMs());
+    SrLeader_Wake(leader);
 }
 
 static void
@@ -279,8 +281,7 @@
 }
 
 /* Called when all jobs are loaded. Cancellations are followed only from now
- * on, because the engine ignores the cancellation of a job that it does not
- * know. */
+ * on, so that the engine remembers few of jobs that it does not know. */
 static void
 on_jobs_loaded(void *context)
 {
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -131,6 +131,13 @@
     store(world, SR_LEADER_PARTITION, SR_TABLE_PROGRESS, id, &progress);
 }
 
+static void
+store_cancellation(struct World *world, const char *id)
+{
+    Sr__FlowProgress value = SR__FLOW_PROGRESS__INIT;
+    store(world, SrJobRows_PartitionOf(id), SR_TABLE_CANCEL, id, &value);
+}
+
 /* The rows of an ended job are kept for `retention_ms`. */
 static void
 begin(struct World *world, int64_t retention_ms)
@@ -303,6 +310,32 @@
     end(&world);
 }
 
+/* Jobs and cancellations are read by separate watches, so that a cancellation
+ * may be read first. It was ignored then, and the job ran after the caller had
+ * been told that it was cancelled. */
+static void
+cancellation_read_before_its_job_holds(void **state)
+{
+    (void)state;
+    struct World world;
+    size_t size;
+    begin(&world, LIMIT_MS);
+    start_ledger(&world);
+    run_for(&world, SOON_MS);
+    store_cancellation(&world, JOB);
+    run_for(&world, SOON_MS);
+    store_job(&world, JOB);
+    run_for(&world, SOON_MS);
+    const uint8_t *value =
+        SrMemoryRows_Value(world.memory, SR_TABLE_PROGRESS, JOB, &size);
+    assert_non_null(value);
+    Sr__FlowProgress *progress =
+        SrCodec_Unpack(&sr__flow_progress__descriptor, value, size);
+    assert_int_equal(progress->status, SR__FLOW_STATUS__FLOW_CANCELLED);
+    SrCodec_Free(progress);
+    end(&world);
+}
+
 int
 main(void)
 {
@@ -311,6 +344,7 @@
         cmocka_unit_test(progress_is_deleted_after_the_job),
         cmocka_unit_test(many_expired_jobs_are_deleted_one_by_one),
         cmocka_unit_test(orphaned_progress_is_deleted),
+        cmocka_unit_test(cancellation_read_before_its_job_holds),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
