--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 BUILD=${1:-build}
 rows=$(mktemp)
-for bench in bench_cost bench_exchange bench_relay bench_system bench_placement; do
+for bench in bench_cost bench_exchange bench_plan bench_relay bench_system bench_placement; do
     echo "# $bench"
     "$BUILD/$bench" | tee -a "$rows"
 done
--- a/src/engine.c
+++ b/src/engine.c
@@ -19,6 +19,8 @@
  * still place something, since waiting times run out and workers become
  * usable. */
 #define REPLAN_INTERVAL_MS 40
+/* Interval of the checks of all runs for expired leases and stalls. */
+#define CHECK_INTERVAL_MS 20
 /* A run without progress for this long is stalled. The time must exceed the
  * interval between two reports of progress: on a slow worker a run may take a
  * second to progress by a percent, and a worker is polled once a second. */
@@ -149,6 +151,25 @@
     engine->domains_out_count = kept;
 }
 
+void
+SrEngine_LookUp(const struct SrCatalog *catalog, struct SrFlow *flow)
+{
+    if (flow->looked_up && flow->catalog_version == catalog->version) {
+        return;
+    }
+    const struct SrCatalogQueue *queue =
+        SrCatalog_QueueByName(catalog, flow->record->queue);
+    const struct SrCatalogAccount *account =
+        SrCatalog_AccountByName(catalog, flow->record->account);
+    flow->looked_up = true;
+    flow->catalog_version = catalog->version;
+    flow->queue_index =
+        queue != NULL ? (size_t)(queue - catalog->queues) : SR_FLOW_NOT_FOUND;
+    flow->account_index = account != NULL
+                              ? (size_t)(account - catalog->accounts)
+                              : SR_FLOW_NOT_FOUND;
+}
+
 void
 SrEngine_MarkDirty(struct SrEngine *engine, struct SrFlow *flow)
 {
@@ -197,9 +218,10 @@
         }
         struct SrWorker *worker =
             SrFleet_FindOrAdd(&engine->fleet, stored->worker);
-        struct SrRun *run =
-            SrFleet_Allocate(worker, &flow->tasks[i], stored->run, now_ms);
+        struct SrRun *run = SrFleet_Allocate(
+            &engine->fleet, worker, &flow->tasks[i], stored->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
+        worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
         inherit_lease_grant(engine, worker, stored, now_ms);
     }
@@ -358,7 +380,7 @@
         SR_INFO("engine", "worker-seen", "worker=%s domain=%s rack=%s", id,
                 entry->domain, entry->rack);
     }
-    worker->info = *entry;
+    SrFleet_SetInfo(&engine->fleet, worker, entry);
     worker->present = true;
 }
 
@@ -489,6 +511,7 @@
     }
     run->stopping = true;
     run->next_send_ms = now_ms;
+    SrFleet_MarkUnsettled(&engine->fleet, run);
 }
 
 /* Ends the runs of workers whose lease has expired, and removes the workers
@@ -637,8 +660,11 @@
         return;
     }
     engine->unix_ms = unix_ms;
-    end_runs_without_lease(engine, now_ms);
-    stop_stalled_runs(engine, now_ms);
+    if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
+        engine->last_check_ms = now_ms;
+        end_runs_without_lease(engine, now_ms);
+        stop_stalled_runs(engine, now_ms);
+    }
     if (writable) {
         SrPlan_MoveRunsOffDraining(engine, now_ms);
     }
@@ -660,19 +686,21 @@
     return engine->fenced;
 }
 
-unsigned
-SrEngine_CountWaiting(const struct SrEngine *engine, const char *queue)
+void
+SrEngine_CountWaiting(struct SrEngine *engine, unsigned *counts)
 {
-    unsigned count = 0;
+    memset(counts, 0, engine->catalog->queue_count * sizeof(*counts));
     SR_LIST_EACH(link, &engine->flows)
     {
-        const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
-        if (!flow->begun && !SrFlow_HasEnded(flow) &&
-            strcmp(flow->record->queue, queue) == 0) {
-            count++;
+        struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
+        if (flow->begun || SrFlow_HasEnded(flow)) {
+            continue;
+        }
+        SrEngine_LookUp(engine->catalog, flow);
+        if (flow->queue_index != SR_FLOW_NOT_FOUND) {
+            counts[flow->queue_index]++;
         }
     }
-    return count;
 }
 
 struct SrEngineStats
--- a/src/engine.h
+++ b/src/engine.h
@@ -160,10 +160,10 @@
  * sent commands to it. The engine then sends no more. */
 bool SrEngine_IsFenced(const struct SrEngine *engine);
 
-/* Returns the number of the queue's jobs that have not ended and of which no
- * run has been allocated yet. */
-unsigned SrEngine_CountWaiting(const struct SrEngine *engine,
-                               const char *queue);
+/* Sets `counts`, one for each queue of the catalog in force, to the number of
+ * the queue's jobs that have not ended and of which no run has been allocated
+ * yet. */
+void SrEngine_CountWaiting(struct SrEngine *engine, unsigned *counts);
 
 struct SrEngineStats {
     unsigned workers;
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -83,11 +83,14 @@
  * succeeded since the leader learned of the worker, of its restart or of the
  * expiry of its lease, or one of its runs may be over. */
 static bool
-needs_quick_poll(const struct SrWorker *worker)
+needs_quick_poll(struct SrWorker *worker)
 {
     if (!worker->fenced || worker->clock_ms < 0) {
         return true;
     }
+    if (!worker->has_unconfirmed_runs) {
+        return false;
+    }
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
@@ -95,6 +98,7 @@
             return true;
         }
     }
+    worker->has_unconfirmed_runs = false;
     return false;
 }
 
@@ -247,15 +251,14 @@
 void
 SrEngine_SendCommands(struct SrEngine *engine, int64_t now_ms)
 {
-    SR_LIST_EACH(worker_link, &engine->fleet.workers)
+    SR_LIST_EACH_SAFE(run_link, &engine->fleet.unsettled_runs)
     {
-        struct SrWorker *worker =
-            SR_CONTAINER(worker_link, struct SrWorker, link);
-        SR_LIST_EACH_SAFE(link, &worker->runs)
-        {
-            send_run_commands(engine, SR_CONTAINER(link, struct SrRun, link),
-                              now_ms);
+        struct SrRun *run = SR_CONTAINER(run_link, struct SrRun, unsettled);
+        if (run->state == SR_RUNSTATE_STARTED && !run->stopping) {
+            SrList_Remove(&run->unsettled);
+            continue;
         }
+        send_run_commands(engine, run, now_ms);
     }
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -349,6 +349,7 @@
         run->stopping = true;
         run->stop_acked = true;
         run->response_ms = now_ms;
+        worker->has_unconfirmed_runs = true;
         break;
     case SR_COMMAND_FENCED:
         engine->fenced = true;
@@ -391,6 +392,7 @@
     case SR_COMMAND_INVALID:
         run->stop_acked = true;
         run->response_ms = now_ms;
+        worker->has_unconfirmed_runs = true;
         /* A poll sent from now on shows whether any incarnation of the worker
          * executes the run. */
         worker->next_quick_poll_ms = now_ms;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -34,6 +34,8 @@
     bool replan;
     /* When the latest placement pass was executed. */
     int64_t last_pass_ms;
+    /* When all runs were last checked for expired leases and stalls. */
+    int64_t last_check_ms;
     /* Number of the latest successful status poll. */
     uint64_t poll_number;
     /* Bounds of the store's clock minus the local monotonic clock, ms. */
@@ -48,6 +50,10 @@
 /* Removes and frees a flow without outstanding runs. */
 void SrEngine_RemoveFlow(struct SrEngine *engine, struct SrFlow *flow);
 
+/* Looks up the flow's queue and account, once for each version of the catalog.
+ */
+void SrEngine_LookUp(const struct SrCatalog *catalog, struct SrFlow *flow);
+
 /* Reports an event of the flow to the metrics of its queue. */
 void SrEngine_Observe(const struct SrEngine *engine, enum SrEngineEvent event,
                       const struct SrFlow *flow, int64_t ms);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -46,6 +46,7 @@
 {
     SrMap_Init(&fleet->by_id);
     SrList_Init(&fleet->workers);
+    SrList_Init(&fleet->unsettled_runs);
     fleet->lease_ms = lease_ms;
 }
 
@@ -73,6 +74,42 @@
         free_worker(SR_CONTAINER(link, struct SrWorker, link));
     }
     SrMap_Clear(&fleet->by_id);
+    free(fleet->racks.names);
+    free(fleet->services.names);
+    fleet->racks = (struct SrNames){0};
+    fleet->services = (struct SrNames){0};
+}
+
+unsigned
+SrNames_Find(const struct SrNames *names, const char *name)
+{
+    unsigned i = 0;
+    while (i < names->count && strcmp(names->names[i], name) != 0) {
+        i++;
+    }
+    return i;
+}
+
+/* Returns the name's number; adds the name if it is new. */
+static unsigned
+intern(struct SrNames *names, const char *name)
+{
+    unsigned number = SrNames_Find(names, name);
+    if (number == names->count) {
+        names->names = SrUtil_Realloc(names->names, (names->count + 1) *
+                                                        sizeof(*names->names));
+        SrUtil_Copy(names->names[names->count++], SR_ID_SIZE, name);
+    }
+    return number;
+}
+
+void
+SrFleet_SetInfo(struct SrFleet *fleet, struct SrWorker *worker,
+                const struct SrWorkerEntry *info)
+{
+    worker->info = *info;
+    worker->rack = intern(&fleet->racks, info->rack);
+    worker->service = intern(&fleet->services, info->service);
 }
 
 struct SrWorker *
@@ -91,6 +128,8 @@
     }
     worker = SrUtil_Calloc(1, sizeof(*worker));
     SrUtil_Copy(worker->info.id, sizeof(worker->info.id), id);
+    worker->rack = intern(&fleet->racks, "");
+    worker->service = intern(&fleet->services, "");
     worker->clock_ms = -1;
     worker->speed = 1;
     SrList_Init(&worker->runs);
@@ -139,33 +178,47 @@
 }
 
 struct SrRun *
-SrFleet_Allocate(struct SrWorker *worker, struct SrFlowTask *task,
-                 uint32_t number, int64_t now_ms)
+SrFleet_Allocate(struct SrFleet *fleet, struct SrWorker *worker,
+                 struct SrFlowTask *task, uint32_t number, int64_t now_ms)
 {
     struct SrRun *run = SrUtil_Calloc(1, sizeof(*run));
-    struct SrResources demand = SrFleet_TaskDemand(SrFlow_StepOf(task));
     run->task = task;
+    run->step = SrFlow_StepOf(task);
+    run->demand = SrFleet_TaskDemand(run->step);
     run->worker = worker;
     run->number = number;
     run->allocated_ms = now_ms;
     run->percent = -1;
     run->percent_ms = now_ms;
-    SrResources_Add(&worker->allocated, &demand, 1);
+    SrResources_Add(&worker->allocated, &run->demand, 1);
     SrList_Append(&worker->runs, &run->link);
+    SrList_Append(&fleet->unsettled_runs, &run->unsettled);
+    if (!task->done && task->active_run == NULL) {
+        task->flow->waiting--;
+    }
     task->active_run = run;
     task->run = number;
     task->flow->outstanding++;
     return run;
 }
 
+void
+SrFleet_MarkUnsettled(struct SrFleet *fleet, struct SrRun *run)
+{
+    if (SrList_IsEmpty(&run->unsettled)) {
+        SrList_Append(&fleet->unsettled_runs, &run->unsettled);
+    }
+}
+
 void
 SrFleet_Release(struct SrRun *run)
 {
-    struct SrResources demand = SrFleet_TaskDemand(SrFlow_StepOf(run->task));
-    SrResources_Add(&run->worker->allocated, &demand, -1);
+    SrResources_Add(&run->worker->allocated, &run->demand, -1);
     SrList_Remove(&run->link);
+    SrList_Remove(&run->unsettled);
     if (run->task->active_run == run) {
         run->task->active_run = NULL;
+        run->task->flow->waiting += run->task->done ? 0 : 1;
     }
     run->task->flow->outstanding--;
     free(run);
@@ -244,7 +297,7 @@
 int64_t
 SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms)
 {
-    int64_t estimated_ms = SrFlow_StepOf(run->task)->estimated_ms;
+    int64_t estimated_ms = run->step->estimated_ms;
     int64_t span_ms = run->percent_ms - run->first_percent_ms;
     int progress = run->percent - run->first_percent;
     if (run->state != SR_RUNSTATE_STARTED) {
@@ -283,7 +336,7 @@
 void
 SrFleet_UpdateSpeed(struct SrFleet *fleet, const struct SrRun *run)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    const Sr__FlowStep *step = run->step;
     struct SrWorker *worker = run->worker;
     double span_ms = (double)(run->percent_ms - run->first_percent_ms);
     double progress = run->percent - run->first_percent;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -42,7 +42,12 @@
 struct SrRun {
     /* Link in the worker's `runs`. */
     struct SrList link;
+    /* Link in the fleet's `unsettled_runs`. */
+    struct SrList unsettled;
     struct SrFlowTask *task;
+    const Sr__FlowStep *step;
+    /* Resources allocated to the run. */
+    struct SrResources demand;
     struct SrWorker *worker;
     uint32_t number;
     enum SrRunState state;
@@ -89,6 +94,9 @@
     uint64_t listed_by_poll;
     /* Advice ticket for the start command; empty if none. */
     char ticket[SR_ID_SIZE];
+    /* When the run is expected to end; valid within one placement pass only.
+     */
+    int64_t expected_end_ms;
 };
 
 /* A start command without a response, which may still reach the worker. An
@@ -114,6 +122,9 @@
     struct SrWorkerEntry info;
     /* False if the store has no entry of the worker. */
     bool present;
+    /* Numbers of `info.rack` and `info.service` (see SrFleet_SetInfo). */
+    unsigned rack;
+    unsigned service;
     /* Sum over `runs`. */
     struct SrResources allocated;
     /* List of struct SrRun. */
@@ -162,6 +173,9 @@
     int64_t quick_poll_sent_ms;
     int64_t next_poll_ms;
     int64_t next_quick_poll_ms;
+    /* A run on the worker may be inherited, or may have a stop that the worker
+     * acknowledged. */
+    bool has_unconfirmed_runs;
     /* Failed polls since the latest successful one. */
     unsigned failed_polls;
     /* Grows with each failure (see SrFleet_RecordFailure) and shrinks with
@@ -183,8 +197,10 @@
     struct SrResources free;
     /* `free` plus the resources of the runs that are being stopped. */
     struct SrResources free_after_stops;
-    /* Index in the racks of the pass. */
-    unsigned rack;
+    /* Over the runs that may end or be preempted: the earliest expected end,
+     * and the highest rank. */
+    int64_t earliest_end_ms;
+    uint32_t highest_rank;
     /* The worker may get new work. */
     bool usable;
 
@@ -208,6 +224,12 @@
 
 #define SR_ESTIMATE_ERRORS_MAX 64
 
+/* Names, numbered in the order in which they were added. */
+struct SrNames {
+    char (*names)[SR_ID_SIZE];
+    unsigned count;
+};
+
 struct SrFleet {
     struct SrEstimateError errors[SR_ESTIMATE_ERRORS_MAX];
     unsigned error_count;
@@ -215,6 +237,12 @@
     struct SrMap by_id;
     /* List of struct SrWorker. */
     struct SrList workers;
+    /* Runs, by `unsettled`, that are not started or are to be stopped, and so
+     * may need a command. */
+    struct SrList unsettled_runs;
+    /* Racks and services of all workers known so far. */
+    struct SrNames racks;
+    struct SrNames services;
     /* Longest lease that workers accept, ms. */
     int64_t lease_ms;
 };
@@ -236,6 +264,14 @@
 /* Returns the worker; adds it with `present` false if it is not known. */
 struct SrWorker *SrFleet_FindOrAdd(struct SrFleet *fleet, const char *id);
 
+/* Sets the worker's entry as read from the store. */
+void SrFleet_SetInfo(struct SrFleet *fleet, struct SrWorker *worker,
+                     const struct SrWorkerEntry *info);
+
+/* Returns the name's number, or the number of names if it is not among them.
+ */
+unsigned SrNames_Find(const struct SrNames *names, const char *name);
+
 /* Removes and frees a worker that has no runs and no entry in the store. */
 void SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker);
 
@@ -257,10 +293,13 @@
 
 /* Allocates the task's resources on the worker to a new run, which the worker
  * owns. */
-struct SrRun *SrFleet_Allocate(struct SrWorker *worker,
+struct SrRun *SrFleet_Allocate(struct SrFleet *fleet, struct SrWorker *worker,
                                struct SrFlowTask *task, uint32_t number,
                                int64_t now_ms);
 
+/* Adds the run to the unsettled ones, if it is not among them. */
+void SrFleet_MarkUnsettled(struct SrFleet *fleet, struct SrRun *run);
+
 /* Releases the resources of the run and frees it. */
 void SrFleet_Release(struct SrRun *run);
 
--- a/src/flow.c
+++ b/src/flow.c
@@ -87,6 +87,18 @@
     }
 }
 
+static uint64_t
+widest_step_accelerators(const Sr__FlowRecord *record)
+{
+    uint64_t widest = 0;
+    for (size_t s = 0; s < record->n_steps; s++) {
+        const Sr__FlowStep *step = record->steps[s];
+        uint64_t demand = (uint64_t)step->count * step->accelerators;
+        widest = demand > widest ? demand : widest;
+    }
+    return widest;
+}
+
 struct SrFlow *
 SrFlow_Create(const char *id, Sr__FlowRecord *record)
 {
@@ -100,6 +112,9 @@
     flow->tasks =
         SrUtil_Calloc((size_t)flow->tasks_per_occurrence * flow->occurrences,
                       sizeof(*flow->tasks));
+    flow->waiting = flow->tasks_per_occurrence * flow->occurrences;
+    flow->critical_path_ms = SrFlow_CriticalPathMs(flow);
+    flow->widest_step_accelerators = widest_step_accelerators(record);
     init_tasks(flow);
     SrList_Init(&flow->link);
     SrList_Init(&flow->dirty);
@@ -133,6 +148,7 @@
         struct SrFlowTask *to = &flow->tasks[i];
         to->run = from->run;
         to->failures = from->failures;
+        flow->waiting -= from->done && !to->done ? 1 : 0;
         to->done = from->done;
         SrUtil_Copy(to->checkpoint, sizeof(to->checkpoint), from->checkpoint);
     }
@@ -225,6 +241,9 @@
 bool
 SrFlow_IsDone(const struct SrFlow *flow)
 {
+    if (flow->waiting > 0) {
+        return false;
+    }
     size_t count = (size_t)flow->tasks_per_occurrence * flow->occurrences;
     for (size_t i = 0; i < count; i++) {
         if (!flow->tasks[i].done) {
@@ -275,14 +294,12 @@
 void
 SrFlow_MarkDone(struct SrFlowTask *task)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(task);
-    if (!step->gang) {
-        task->done = true;
-        return;
-    }
-    struct SrFlowTask *first =
-        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
-    for (uint32_t i = 0; i < step->count; i++) {
+    uint32_t count;
+    struct SrFlowTask *first = SrFlow_UnitOf(task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (!first[i].done && first[i].active_run == NULL) {
+            task->flow->waiting--;
+        }
         first[i].done = true;
     }
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -26,6 +26,8 @@
 #define SR_FLOW_STEPS_MAX 64
 #define SR_FLOW_TASKS_MAX 1000
 
+#define SR_FLOW_NOT_FOUND SIZE_MAX
+
 struct SrRun;
 
 struct SrFlowTask {
@@ -100,11 +102,23 @@
     bool expired;
     /* Number of outstanding runs of all tasks. */
     uint32_t outstanding;
+    /* Number of tasks that are neither done nor have an outstanding run. */
+    uint32_t waiting;
+    /* See SrFlow_CriticalPathMs. */
+    int64_t critical_path_ms;
     /* Runs of other jobs were preempted for a gang of this job, and none of
      * the job's runs has been allocated since. */
     bool has_preempted;
     /* Precedence in the current placement pass; 0 is the highest. */
     uint32_t rank;
+    /* Number of accelerators that the widest step needs. */
+    uint64_t widest_step_accelerators;
+    /* The job's queue and account have been looked up in the catalog of that
+     * version; their indices in it, or SR_FLOW_NOT_FOUND. */
+    bool looked_up;
+    uint64_t catalog_version;
+    size_t queue_index;
+    size_t account_index;
 };
 
 /* Returns a static, human-readable text. */
@@ -183,7 +197,8 @@
 void SrFlow_SetCheckpoint(struct SrFlowTask *task, const char *checkpoint);
 
 /* Returns the length of the critical path, ms: the sum of the estimates along
- * the longest sequence of dependent steps. */
+ * the longest sequence of dependent steps. The same for the whole life of the
+ * flow, which has it in `critical_path_ms`. */
 int64_t SrFlow_CriticalPathMs(const struct SrFlow *flow);
 
 #endif
--- a/src/leader.c
+++ b/src/leader.c
@@ -17,6 +17,9 @@
 /* Interval between the calls of SrEngine_Tick without events, for leases and
  * retries. */
 #define ENGINE_INTERVAL_MS 40
+/* After a call of SrEngine_Tick, the next one follows no sooner than this many
+ * times the duration of the call, so that responses are read in between. */
+#define ENGINE_PAUSE_FACTOR 2
 /* Time for which a watch of the jobs or cancellations waits for a change. A
  * lost response is detected after this time plus the grace period of the store
  * adapter, well within the 3 s in which a cancellation must take effect. */
@@ -54,6 +57,8 @@
     struct SrFollower *workers;
     /* Runs the engine ENGINE_DELAY_MS after an event. */
     struct SrTimer wake_timer;
+    /* The engine is not called before this time, us of the monotonic clock. */
+    int64_t next_tick_us;
     struct SrTimer engine_timer;
     /* Retries a failed read of progress rows. */
     struct SrTimer retry_timer;
@@ -106,8 +111,17 @@
     if (!leader->loaded) {
         return;
     }
+    int64_t from_us = SrOs_MonotonicUs();
+    if (from_us < leader->next_tick_us) {
+        SrLeader_Wake(leader);
+        return;
+    }
     SrEngine_Tick(leader->engine, SrLedger_IsWritable(leader->options.ledger),
                   SrOs_MonotonicMs(), SrOs_UnixMs());
+    int64_t now_us = SrOs_MonotonicUs();
+    leader->next_tick_us = now_us + ENGINE_PAUSE_FACTOR * (now_us - from_us);
+    SrMetrics_Observe(leader->options.kernel->metrics, "sr_engine_tick_us",
+                      NULL, NULL, (uint64_t)(now_us - from_us));
     if (SrEngine_HasChanges(leader->engine)) {
         SrLedger_ScheduleCommit(leader->options.ledger);
     }
@@ -117,8 +131,11 @@
 SrLeader_Wake(struct SrLeader *leader)
 {
     if (!ev_is_active(&leader->wake_timer.watcher)) {
+        int64_t pause_ms =
+            (leader->next_tick_us - SrOs_MonotonicUs()) / SR_US_PER_MS + 1;
         SrTimer_Start(&leader->wake_timer, leader->options.kernel,
-                      ENGINE_DELAY_MS, 0, run_engine, leader);
+                      pause_ms > ENGINE_DELAY_MS ? pause_ms : ENGINE_DELAY_MS,
+                      0, run_engine, leader);
     }
 }
 
@@ -474,14 +491,16 @@
     Sr__QueueSummary summary = SR__QUEUE_SUMMARY__INIT;
     size_t count = leader->catalog->queue_count;
     SR_CLEANUP(SrUtil_FreePointer)
+    unsigned *waiting = SrUtil_Calloc(count, sizeof(*waiting));
+    SR_CLEANUP(SrUtil_FreePointer)
     Sr__QueueCount *counts = SrUtil_Calloc(count, sizeof(*counts));
     SR_CLEANUP(SrUtil_FreePointer)
     Sr__QueueCount **pointers = SrUtil_Calloc(count, sizeof(Sr__QueueCount *));
+    SrEngine_CountWaiting(leader->engine, waiting);
     for (size_t i = 0; i < count; i++) {
         sr__queue_count__init(&counts[i]);
         counts[i].queue = leader->catalog->queues[i].name;
-        counts[i].waiting =
-            SrEngine_CountWaiting(leader->engine, counts[i].queue);
+        counts[i].waiting = waiting[i];
         if (counts[i].waiting > 0) {
             pointers[summary.n_queues++] = &counts[i];
         }
--- a/src/plan.c
+++ b/src/plan.c
@@ -9,6 +9,9 @@
  * free resources only: no resources are reserved or preempted for them. This
  * bounds the time of a pass under peak load. */
 #define WAITING_GANGS_MAX 16
+/* Maximum number of urgent gangs for which one pass reserves resources;
+ * further ones get free resources only. */
+#define RESERVED_URGENT_GANGS_MAX 64
 /* Maximum number of non-urgent gangs for which one pass reserves resources. */
 #define RESERVED_GANGS_MAX 3
 
@@ -16,11 +19,11 @@
 allocate(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
          struct SrWorker *worker, struct SrFlowTask *task, uint32_t number)
 {
-    struct SrRun *run = SrFleet_Allocate(worker, task, number, pass->now_ms);
+    struct SrRun *run = SrFleet_Allocate(&pass->engine->fleet, worker, task,
+                                         number, pass->now_ms);
     run->incarnation = worker->info.incarnation;
     run->state = SR_RUNSTATE_PLANNED;
-    SrResources_Add(&worker->free, &unit->demand, -1);
-    SrResources_Add(&worker->free_after_stops, &unit->demand, -1);
+    SrPlan_Take(pass, worker, &unit->demand, 1);
     if (!unit->flow->begun) {
         SrEngine_Observe(pass->engine, SR_ENGINE_BEGUN, unit->flow,
                          pass->now_ms - unit->flow->arrived_ms);
@@ -76,10 +79,9 @@
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
-        SrResources_Add(&worker->free_after_stops, &unit->demand,
-                        -(int64_t)worker->assigned);
-        SrResources_Add(&worker->free, &unit->demand,
-                        -(int64_t)worker->assigned);
+        if (worker->assigned > 0) {
+            SrPlan_Take(pass, worker, &unit->demand, worker->assigned);
+        }
     }
 }
 
@@ -95,7 +97,8 @@
             run->task->flow->id, run->task->step, run->number,
             run->task->flow->rank, unit->flow->id, unit->flow->rank,
             (long)SrPlan_StopCost(pass, run));
-    struct SrResources demand = SrFleet_TaskDemand(SrFlow_StepOf(run->task));
+    struct SrResources demand = run->demand;
+    SrPlan_ForgetMisses(pass);
     for (uint32_t i = 0; i < count; i++) {
         struct SrRun *member = first[i].active_run;
         if (member != NULL && !member->stopping) {
@@ -167,11 +170,13 @@
         }
         return false;
     }
-    if (pass->waiting_gangs >= WAITING_GANGS_MAX) {
+    if (pass->waiting_gangs >= WAITING_GANGS_MAX ||
+        pass->reserved_urgent_gangs >= RESERVED_URGENT_GANGS_MAX) {
         return false;
     }
     if (assign(pass, unit, SR_AVAILABLE_AFTER_STOPS) ||
         assign(pass, unit, SR_AVAILABLE_IN_TIME)) {
+        pass->reserved_urgent_gangs++;
         reserve(pass, unit);
         log_wait(pass, unit, "room-held");
         return true;
@@ -180,6 +185,7 @@
         SrPlan_IsPreemptionWorthwhile(pass, unit)) {
         preempt_for_gang(pass, unit);
         unit->flow->has_preempted = true;
+        pass->reserved_urgent_gangs++;
         reserve(pass, unit);
         log_wait(pass, unit, "room-claimed");
         return true;
@@ -222,7 +228,7 @@
         struct SrWorker *worker = SrFleet_WorkerAt(link);
         bool in_rack = rack[0] == '\0' || strcmp(worker->info.rack, rack) == 0;
         if ((rack_required && !in_rack) ||
-            SrPlan_TasksThatFitOn(pass, worker, unit, kind) == 0) {
+            SrPlan_TasksThatFitOn(worker, unit, kind) == 0) {
             continue;
         }
         int64_t penalty = SrPlan_PenaltyOf(pass, worker, unit, kind);
@@ -246,8 +252,13 @@
 place_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
            struct SrFlowTask *task)
 {
-    struct SrWorker *worker =
-        choose_worker(pass, unit, task, SR_AVAILABLE_NOW);
+    struct SrWorker *worker = NULL;
+    if (!SrPlan_IsMiss(pass, unit, 1, SR_AVAILABLE_NOW, false)) {
+        worker = choose_worker(pass, unit, task, SR_AVAILABLE_NOW);
+        if (worker == NULL && unit->step->data_rack[0] == '\0') {
+            SrPlan_AddMiss(pass, unit, 1, SR_AVAILABLE_NOW, false);
+        }
+    }
     if (worker != NULL) {
         allocate(pass, unit, worker, task, task->run + 1);
         return true;
@@ -273,21 +284,33 @@
         }
         preempt(pass, run, unit);
     }
-    SrResources_Add(&worker->free_after_stops, &unit->demand, -1);
-    SrResources_Add(&worker->free, &unit->demand, -1);
+    SrPlan_Take(pass, worker, &unit->demand, 1);
     return true;
 }
 
 static void
 place_tasks(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
+    /* Worker of the preceding task: it is the best one for the next task too,
+     * since each task that it gets leaves it fewer free accelerators. */
+    struct SrWorker *previous = NULL;
     for (uint32_t i = 0; i < unit->step->count; i++) {
         struct SrFlowTask *task = &unit->first[i];
-        if (!task->done && task->active_run == NULL &&
-            !place_task(pass, unit, task)) {
+        if (task->done || task->active_run != NULL) {
+            continue;
+        }
+        if (previous != NULL && task->failed_on[0] == '\0' &&
+            SrPlan_TasksThatFitOn(previous, unit, SR_AVAILABLE_NOW) > 0) {
+            allocate(pass, unit, previous, task, task->run + 1);
+            continue;
+        }
+        if (!place_task(pass, unit, task)) {
             log_wait(pass, unit, "no-room");
             return;
         }
+        previous = task->failed_on[0] == '\0' && task->active_run != NULL
+                       ? task->active_run->worker
+                       : NULL;
     }
 }
 
@@ -320,6 +343,7 @@
     }
     size_t allocated = pass->allocated;
     free(pass->workers);
+    free(pass->racks);
     free(pass->urgent_accelerators);
     free(pass->units);
     return allocated;
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -37,8 +37,7 @@
 static bool
 is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit)
 {
-    return worker->usable &&
-           strcmp(worker->info.service, unit->service) == 0 &&
+    return worker->usable && worker->service == unit->service &&
            (unit->step->label[0] == '\0' ||
             has_label(worker, unit->step->label));
 }
@@ -64,21 +63,20 @@
 {
     const struct SrFlow *flow = run->task->flow;
     return !run->stopping && flow->rank > unit->flow->rank &&
-           !SrFlow_StepOf(run->task)->continuous;
+           !run->step->continuous;
 }
 
 static bool
-ends_in_time(const struct SrPlanPass *pass, const struct SrRun *run,
-             const struct SrPlanUnit *unit)
+ends_in_time(const struct SrRun *run, const struct SrPlanUnit *unit)
 {
-    return !run->stopping && !SrFlow_StepOf(run->task)->continuous &&
-           SrFleet_ExpectedEndMs(run, pass->now_ms) <= unit->wait_until_ms;
+    return !run->stopping && !run->step->continuous &&
+           run->expected_end_ms <= unit->wait_until_ms;
 }
 
 /* Returns the worker's resources that count as available to the unit. */
 static struct SrResources
-available_on(const struct SrPlanPass *pass, const struct SrWorker *worker,
-             const struct SrPlanUnit *unit, enum SrAvailability kind)
+available_on(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+             enum SrAvailability kind)
 {
     struct SrResources available = worker->free_after_stops;
     switch (kind) {
@@ -89,27 +87,43 @@
     case SR_AVAILABLE_TOTAL:
         return SrFleet_Capacity(worker);
     case SR_AVAILABLE_IN_TIME:
+        if (worker->earliest_end_ms > unit->wait_until_ms) {
+            return available;
+        }
+        break;
     case SR_AVAILABLE_BY_PREEMPTION:
+        if (worker->highest_rank <= unit->flow->rank) {
+            return available;
+        }
         break;
     }
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (kind == SR_AVAILABLE_IN_TIME ? ends_in_time(pass, run, unit)
+        if (kind == SR_AVAILABLE_IN_TIME ? ends_in_time(run, unit)
                                          : is_preemptible_by(run, unit)) {
-            struct SrResources demand =
-                SrFleet_TaskDemand(SrFlow_StepOf(run->task));
-            SrResources_Add(&available, &demand, 1);
+            SrResources_Add(&available, &run->demand, 1);
         }
     }
     return available;
 }
 
+/* Returns true if the resources `a` are contained in `b`. */
+static bool
+is_at_most(const struct SrResources *a, const struct SrResources *b)
+{
+    return a->cpu_millis <= b->cpu_millis && a->memory_mb <= b->memory_mb &&
+           a->accelerators <= b->accelerators;
+}
+
 unsigned
 SrPlan_TasksThatFit(const struct SrResources *available,
                     const struct SrResources *demand)
 {
     int64_t fit = SR_FLOW_TASKS_MAX;
+    if (!is_at_most(demand, available)) {
+        return 0;
+    }
     if (demand->cpu_millis > 0 &&
         available->cpu_millis / demand->cpu_millis < fit) {
         fit = available->cpu_millis / demand->cpu_millis;
@@ -126,14 +140,13 @@
 }
 
 unsigned
-SrPlan_TasksThatFitOn(const struct SrPlanPass *pass,
-                      const struct SrWorker *worker,
+SrPlan_TasksThatFitOn(const struct SrWorker *worker,
                       const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
     if (!is_eligible(worker, unit)) {
         return 0;
     }
-    struct SrResources available = available_on(pass, worker, unit, kind);
+    struct SrResources available = available_on(worker, unit, kind);
     unsigned fit = SrPlan_TasksThatFit(&available, &unit->demand);
     if (unit->step->max_per_worker > 0) {
         unsigned outstanding = count_step_runs(worker, unit);
@@ -147,11 +160,11 @@
 
 /* Returns the index of a rack in which the unit fits: that of the unit's data
  * or else the one in which the fewest of its tasks fit. Returns
- * SR_PLAN_RACKS_MAX if there is none. */
+ * SR_PLAN_NO_RACK if there is none. */
 static unsigned
 tightest_rack(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
-    unsigned best = SR_PLAN_RACKS_MAX;
+    unsigned best = SR_PLAN_NO_RACK;
     for (unsigned i = 0; i < pass->rack_count; i++) {
         if (pass->racks[i].fit < unit->count) {
             continue;
@@ -160,7 +173,7 @@
             strcmp(pass->racks[i].name, unit->step->data_rack) == 0) {
             return i;
         }
-        if (best == SR_PLAN_RACKS_MAX ||
+        if (best == SR_PLAN_NO_RACK ||
             pass->racks[i].fit < pass->racks[best].fit) {
             best = i;
         }
@@ -171,7 +184,7 @@
 int64_t
 SrPlan_StopCost(const struct SrPlanPass *pass, const struct SrRun *run)
 {
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
+    const Sr__FlowStep *step = run->step;
     int64_t cores = CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
                     step->cpu_millis / 1000;
     int64_t members = step->gang ? step->count : 1;
@@ -228,9 +241,7 @@
             break;
         }
         run->is_victim = true;
-        struct SrResources demand =
-            SrFleet_TaskDemand(SrFlow_StepOf(run->task));
-        SrResources_Add(&available, &demand, 1);
+        SrResources_Add(&available, &run->demand, 1);
         cost += SrPlan_StopCost(pass, run);
     }
     clear_victims(worker);
@@ -257,7 +268,7 @@
 SrPlan_PenaltyOf(const struct SrPlanPass *pass, const struct SrWorker *worker,
                  const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
-    struct SrResources available = available_on(pass, worker, unit, kind);
+    struct SrResources available = available_on(worker, unit, kind);
     int64_t penalty =
         (int64_t)worker->failure_score * SR_PLAN_PENALTY_FAILURE_SCORE;
     if (kind == SR_AVAILABLE_BY_PREEMPTION) {
@@ -273,6 +284,118 @@
     return penalty + available.accelerators;
 }
 
+/* Returns an upper bound of the number of the unit's tasks that fit in the
+ * free resources. */
+static uint64_t
+fit_bound(const struct SrPlanFree *free, const struct SrPlanUnit *unit)
+{
+    uint64_t accelerators = (uint64_t)unit->demand.accelerators;
+    if (accelerators == 0) {
+        return UINT64_MAX;
+    }
+    uint64_t sum = free->others / accelerators;
+    for (uint64_t i = accelerators; i <= SR_PLAN_ACCELERATORS_MAX; i++) {
+        sum += free->workers[i] * (i / accelerators);
+    }
+    return sum;
+}
+
+/* Returns true if the second unit does not fit either, because it needs at
+ * least as much as the first, and no more is available to it. */
+static bool
+implies(const struct SrPlanMiss *miss, const struct SrPlanMiss *other)
+{
+    return miss->service == other->service &&
+           miss->in_rack <= other->in_rack && miss->count <= other->count &&
+           miss->rank <= other->rank &&
+           miss->wait_until_ms >= other->wait_until_ms &&
+           is_at_most(&miss->demand, &other->demand);
+}
+
+static struct SrPlanMiss
+miss_of(const struct SrPlanUnit *unit, uint32_t count,
+        enum SrAvailability kind, bool in_rack)
+{
+    return (struct SrPlanMiss){
+        .in_rack = in_rack,
+        .count = count,
+        .service = unit->service,
+        .demand = unit->demand,
+        .rank = kind == SR_AVAILABLE_BY_PREEMPTION ? unit->flow->rank : 0,
+        .wait_until_ms =
+            kind == SR_AVAILABLE_IN_TIME ? unit->wait_until_ms : 0,
+    };
+}
+
+bool
+SrPlan_IsMiss(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+              uint32_t count, enum SrAvailability kind, bool in_rack)
+{
+    if (kind == SR_AVAILABLE_NOW && fit_bound(&pass->free, unit) < count) {
+        return true;
+    }
+    struct SrPlanMiss miss = miss_of(unit, count, kind, in_rack);
+    const struct SrPlanMisses *misses = &pass->misses[kind];
+    for (unsigned i = 0; i < misses->count; i++) {
+        if (implies(&misses->entries[i], &miss)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+SrPlan_AddMiss(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+               uint32_t count, enum SrAvailability kind, bool in_rack)
+{
+    struct SrPlanMisses *misses = &pass->misses[kind];
+    struct SrPlanMiss miss = miss_of(unit, count, kind, in_rack);
+    /* Units without these limits may fit. */
+    if (unit->step->label[0] != '\0' || unit->step->max_per_worker > 0) {
+        return;
+    }
+    for (unsigned i = 0; i < misses->count; i++) {
+        if (implies(&miss, &misses->entries[i])) {
+            misses->entries[i] = miss;
+            return;
+        }
+    }
+    if (misses->count < SR_PLAN_MISSES_MAX) {
+        misses->entries[misses->count++] = miss;
+        return;
+    }
+    misses->entries[misses->next] = miss;
+    misses->next = (misses->next + 1) % SR_PLAN_MISSES_MAX;
+}
+
+void
+SrPlan_ForgetMisses(struct SrPlanPass *pass)
+{
+    for (int kind = 0; kind < SR_AVAILABILITY_COUNT; kind++) {
+        if (kind != SR_AVAILABLE_NOW) {
+            pass->misses[kind].count = 0;
+        }
+    }
+}
+
+/* Sets `fit` of the rack and of its workers, and the penalties of the workers
+ * on which any task fits. */
+static void
+compute_rack_fit(const struct SrPlanPass *pass, struct SrPlanRack *rack,
+                 const struct SrPlanUnit *unit, enum SrAvailability kind)
+{
+    rack->fit = 0;
+    for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
+        struct SrWorker *worker = pass->workers[i];
+        worker->assigned = 0;
+        worker->fit = SrPlan_TasksThatFitOn(worker, unit, kind);
+        if (worker->fit > 0) {
+            worker->penalty = SrPlan_PenaltyOf(pass, worker, unit, kind);
+        }
+        rack->fit += worker->fit;
+    }
+}
+
 /* Sets `fit` of each worker and rack, and the penalties of the workers on
  * which any task fits; returns the number of the unit's tasks that fit on all
  * workers together. */
@@ -282,30 +405,38 @@
 {
     unsigned sum = 0;
     for (unsigned i = 0; i < pass->rack_count; i++) {
-        pass->racks[i].fit = 0;
+        compute_rack_fit(pass, &pass->racks[i], unit, kind);
+        sum += pass->racks[i].fit;
     }
-    for (unsigned i = 0; i < pass->worker_count; i++) {
-        struct SrWorker *worker = pass->workers[i];
-        worker->assigned = 0;
-        worker->fit = SrPlan_TasksThatFitOn(pass, worker, unit, kind);
-        if (worker->fit > 0) {
-            worker->penalty = SrPlan_PenaltyOf(pass, worker, unit, kind);
+    return sum;
+}
+
+/* Same as compute_fit, but leaves out the racks that are known to have too few
+ * free resources for the whole unit: their `fit` is 0. */
+static void
+compute_fit_of_racks(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                     enum SrAvailability kind)
+{
+    for (unsigned i = 0; i < pass->rack_count; i++) {
+        struct SrPlanRack *rack = &pass->racks[i];
+        if (kind == SR_AVAILABLE_NOW &&
+            fit_bound(&rack->free, unit) < unit->count) {
+            rack->fit = 0;
+            continue;
         }
-        pass->racks[worker->rack].fit += worker->fit;
-        sum += worker->fit;
+        compute_rack_fit(pass, rack, unit, kind);
     }
-    return sum;
 }
 
 /* Assigns the unit's tasks to the workers with the lowest penalties in the
- * given rack, or in all racks if it is SR_PLAN_RACKS_MAX. Each worker's `fit`
+ * given rack, or in all racks if it is SR_PLAN_NO_RACK. Each worker's `fit`
  * and `penalty` must be set. Returns false if the tasks do not fit. */
 static bool
 assign(struct SrPlanPass *pass, const struct SrPlanUnit *unit, unsigned rack)
 {
-    unsigned from = rack != SR_PLAN_RACKS_MAX ? pass->racks[rack].first : 0;
-    unsigned to = rack != SR_PLAN_RACKS_MAX ? from + pass->racks[rack].count
-                                            : pass->worker_count;
+    unsigned from = rack != SR_PLAN_NO_RACK ? pass->racks[rack].first : 0;
+    unsigned to = rack != SR_PLAN_NO_RACK ? from + pass->racks[rack].count
+                                          : pass->worker_count;
     uint32_t left = unit->count;
     while (left > 0) {
         struct SrWorker *best = NULL;
@@ -325,14 +456,14 @@
     return true;
 }
 
-/* Returns the speed of the slowest worker of the latest assignment. */
+/* Returns the speed of the slowest worker of the assignment in the rack. */
 static double
-slowest_assigned_speed(const struct SrPlanPass *pass)
+slowest_assigned_speed(const struct SrPlanPass *pass,
+                       const struct SrPlanRack *rack)
 {
     double slowest = 0;
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        const struct SrWorker *worker = SrFleet_WorkerAt(link);
+    for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
+        const struct SrWorker *worker = pass->workers[i];
         if (worker->assigned > 0 &&
             (slowest == 0 || worker->speed < slowest)) {
             slowest = worker->speed;
@@ -341,14 +472,15 @@
     return slowest;
 }
 
-/* Returns the cost of the preemptions that the latest assignment needs. */
+/* Returns the cost of the preemptions that the latest assignment needs on
+ * `count` workers of the pass, from index `first`. */
 static int64_t
-assignment_cost(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+assignment_cost(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                unsigned first, unsigned count)
 {
     int64_t cost = 0;
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        const struct SrWorker *worker = SrFleet_WorkerAt(link);
+    for (unsigned i = first; i < first + count; i++) {
+        const struct SrWorker *worker = pass->workers[i];
         if (worker->assigned > 0) {
             cost += preemption_cost(pass, worker, unit, worker->assigned);
         }
@@ -368,26 +500,25 @@
                     step->cpu_millis / 1000;
     int64_t unit_cost = cores * unit->count * step->estimated_ms / 1000;
     return pass->now_ms < unit->start_by_ms &&
-           assignment_cost(pass, unit) <= unit_cost;
+           assignment_cost(pass, unit, 0, pass->worker_count) <= unit_cost;
 }
 
 static void
-clear_assigned(struct SrPlanPass *pass)
+clear_assigned(const struct SrPlanPass *pass, const struct SrPlanRack *rack)
 {
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        SrFleet_WorkerAt(link)->assigned = 0;
+    for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
+        pass->workers[i]->assigned = 0;
     }
 }
 
 /* Returns the index of a rack in which the unit fits: that of the unit's data
  * or else the one in which the unit runs fastest, and of about equally fast
- * ones that in which the fewest of its tasks fit. Returns SR_PLAN_RACKS_MAX if
+ * ones that in which the fewest of its tasks fit. Returns SR_PLAN_NO_RACK if
  * there is none. */
 static unsigned
 fastest_rack(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
-    unsigned best = SR_PLAN_RACKS_MAX;
+    unsigned best = SR_PLAN_NO_RACK;
     double best_speed = 0;
     for (unsigned i = 0; i < pass->rack_count; i++) {
         if (pass->racks[i].fit < unit->count) {
@@ -395,49 +526,46 @@
         }
         if (unit->step->data_rack[0] != '\0' &&
             strcmp(pass->racks[i].name, unit->step->data_rack) == 0) {
-            clear_assigned(pass);
             return i;
         }
-        clear_assigned(pass);
         assign(pass, unit, i);
-        double speed = slowest_assigned_speed(pass);
-        if (best == SR_PLAN_RACKS_MAX ||
-            speed > best_speed + SPEED_TOLERANCE ||
+        double speed = slowest_assigned_speed(pass, &pass->racks[i]);
+        clear_assigned(pass, &pass->racks[i]);
+        if (best == SR_PLAN_NO_RACK || speed > best_speed + SPEED_TOLERANCE ||
             (speed > best_speed - SPEED_TOLERANCE &&
              pass->racks[i].fit < pass->racks[best].fit)) {
             best = i;
             best_speed = speed;
         }
     }
-    clear_assigned(pass);
     return best;
 }
 
 /* Returns the index of the rack, of those in which the unit fits, where the
- * preemptions for the unit cost least; SR_PLAN_RACKS_MAX if there is none. */
+ * preemptions for the unit cost least; SR_PLAN_NO_RACK if there is none. */
 static unsigned
 cheapest_rack(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
-    unsigned best = SR_PLAN_RACKS_MAX;
+    unsigned best = SR_PLAN_NO_RACK;
     int64_t best_cost = 0;
     for (unsigned i = 0; i < pass->rack_count; i++) {
         if (pass->racks[i].fit < unit->count) {
             continue;
         }
-        clear_assigned(pass);
         assign(pass, unit, i);
-        int64_t cost = assignment_cost(pass, unit);
-        if (best == SR_PLAN_RACKS_MAX || cost < best_cost) {
+        int64_t cost = assignment_cost(pass, unit, pass->racks[i].first,
+                                       pass->racks[i].count);
+        clear_assigned(pass, &pass->racks[i]);
+        if (best == SR_PLAN_NO_RACK || cost < best_cost) {
             best = i;
             best_cost = cost;
         }
     }
-    clear_assigned(pass);
     return best;
 }
 
 /* Returns the index of the rack to which the unit is assigned;
- * SR_PLAN_RACKS_MAX if it fits in none. */
+ * SR_PLAN_NO_RACK if it fits in none. */
 static unsigned
 choose_rack(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
             enum SrAvailability kind)
@@ -465,25 +593,59 @@
 }
 
 bool
-SrPlan_FitsInRack(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+SrPlan_FitsInRack(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    for (unsigned r = 0; r < pass->rack_count; r++) {
+        const struct SrPlanRack *rack = &pass->racks[r];
+        unsigned fit = 0;
+        for (unsigned i = 0; i < rack->count && fit < unit->count; i++) {
+            fit += SrPlan_TasksThatFitOn(pass->workers[rack->first + i], unit,
+                                         SR_AVAILABLE_TOTAL);
+        }
+        if (fit >= unit->count) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Racks that compute_fit_of_racks leaves out keep the assignments of the unit
+ * before. */
+static void
+clear_all_assigned(const struct SrPlanPass *pass)
 {
-    compute_fit(pass, unit, SR_AVAILABLE_TOTAL);
-    return tightest_rack(pass, unit) != SR_PLAN_RACKS_MAX;
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        pass->workers[i]->assigned = 0;
+    }
 }
 
 bool
 SrPlan_AssignInRack(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
                     enum SrAvailability kind)
 {
-    compute_fit(pass, unit, kind);
+    if (SrPlan_IsMiss(pass, unit, unit->count, kind, true)) {
+        return false;
+    }
+    clear_all_assigned(pass);
+    compute_fit_of_racks(pass, unit, kind);
     unsigned rack = choose_rack(pass, unit, kind);
-    return rack != SR_PLAN_RACKS_MAX && assign(pass, unit, rack);
+    if (rack == SR_PLAN_NO_RACK) {
+        SrPlan_AddMiss(pass, unit, unit->count, kind, true);
+        return false;
+    }
+    return assign(pass, unit, rack);
 }
 
 bool
 SrPlan_AssignAnywhere(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
                       enum SrAvailability kind)
 {
-    return compute_fit(pass, unit, kind) >= unit->count &&
-           assign(pass, unit, SR_PLAN_RACKS_MAX);
+    if (SrPlan_IsMiss(pass, unit, unit->count, kind, false)) {
+        return false;
+    }
+    if (compute_fit(pass, unit, kind) < unit->count) {
+        SrPlan_AddMiss(pass, unit, unit->count, kind, false);
+        return false;
+    }
+    return assign(pass, unit, SR_PLAN_NO_RACK);
 }
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -3,12 +3,13 @@
 #ifndef SR_PLAN_STATE_H
 #define SR_PLAN_STATE_H
 
+#include <limits.h>
+
 #include "engine_state.h"
 #include "plan.h"
 
-/* Maximum number of racks that a pass distinguishes; all further racks are
- * treated as part of the last one. The target site has 59. */
-#define SR_PLAN_RACKS_MAX 256
+/* Stands for no rack where a function returns the index of one. */
+#define SR_PLAN_NO_RACK UINT_MAX
 /* Time to replace a run by another, in addition to the stop itself, ms: three
  * exchanges with workers in another region and two writes to the store. */
 #define SR_PLAN_RESTART_MS 700
@@ -33,6 +34,17 @@
 #define SR_RANK_GUARANTEED 0
 #define SR_RANK_URGENT 1
 
+/* Largest number of accelerators of a worker that is counted separately. */
+#define SR_PLAN_ACCELERATORS_MAX 16
+#define SR_PLAN_MISSES_MAX 16
+
+/* Numbers of usable workers by free accelerators. */
+struct SrPlanFree {
+    unsigned workers[SR_PLAN_ACCELERATORS_MAX + 1];
+    /* Free accelerators of workers that have more of them free. */
+    uint64_t others;
+};
+
 struct SrPlanRack {
     const char *name;
     /* Index of the rack's first worker in the `workers` of the pass. */
@@ -41,14 +53,53 @@
     unsigned count;
     /* Number of tasks of the unit being placed that fit in the rack. */
     unsigned fit;
+    /* Free resources of the rack's usable workers. */
+    struct SrPlanFree free;
+};
+
+/* Which of a worker's resources count as available to a unit. */
+enum SrAvailability {
+    /* Free now. */
+    SR_AVAILABLE_NOW,
+    /* Free once the runs being stopped have stopped. */
+    SR_AVAILABLE_AFTER_STOPS,
+    /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that are expected to end
+     * while the unit may wait. */
+    SR_AVAILABLE_IN_TIME,
+    /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that the unit may
+     * preempt. */
+    SR_AVAILABLE_BY_PREEMPTION,
+    /* All resources of the worker. */
+    SR_AVAILABLE_TOTAL,
+};
+
+#define SR_AVAILABILITY_COUNT (SR_AVAILABLE_TOTAL + 1)
+
+/* A unit of which too few tasks fit in the available resources, in any one
+ * rack if `in_rack` is true, and the properties on which these depend. */
+struct SrPlanMiss {
+    bool in_rack;
+    uint32_t count;
+    unsigned service;
+    struct SrResources demand;
+    uint32_t rank;
+    int64_t wait_until_ms;
+};
+
+/* Latest misses of one availability. */
+struct SrPlanMisses {
+    struct SrPlanMiss entries[SR_PLAN_MISSES_MAX];
+    unsigned count;
+    /* Entry that is replaced next. */
+    unsigned next;
 };
 
 /* The waiting tasks of one step in one occurrence of a job. The tasks of a
  * gang are placed all at once, others one by one. */
 struct SrPlanUnit {
     struct SrFlow *flow;
-    /* Service whose workers may run the tasks. */
-    const char *service;
+    /* Number of the service whose workers may run the tasks. */
+    unsigned service;
     /* `start_by_ms` is past. False for guaranteed work. */
     bool late;
     const Sr__FlowStep *step;
@@ -73,8 +124,14 @@
 struct SrPlanPass {
     struct SrEngine *engine;
     int64_t now_ms;
-    struct SrPlanRack racks[SR_PLAN_RACKS_MAX];
+    struct SrPlanRack *racks;
     unsigned rack_count;
+    /* Free resources of all usable workers. */
+    struct SrPlanFree free;
+    /* What was found not to fit. Available resources only shrink during a
+     * pass, except when runs are preempted, so that units that need more are
+     * not tried. */
+    struct SrPlanMisses misses[SR_AVAILABILITY_COUNT];
     /* In order of precedence. */
     struct SrPlanUnit *units;
     size_t unit_count;
@@ -85,7 +142,9 @@
     /* For each account of the catalog: number of accelerators that its urgent
      * jobs need, as far as they have been ranked. */
     uint64_t *urgent_accelerators;
-    /* Number of non-urgent gangs for which resources are reserved. */
+    /* Numbers of urgent and of other gangs for which resources are reserved.
+     */
+    unsigned reserved_urgent_gangs;
     unsigned reserved_gangs;
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
@@ -94,28 +153,16 @@
     size_t allocated;
 };
 
-/* Which of a worker's resources count as available to a unit. */
-enum SrAvailability {
-    /* Free now. */
-    SR_AVAILABLE_NOW,
-    /* Free once the runs being stopped have stopped. */
-    SR_AVAILABLE_AFTER_STOPS,
-    /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that are expected to end
-     * while the unit may wait. */
-    SR_AVAILABLE_IN_TIME,
-    /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that the unit may
-     * preempt. */
-    SR_AVAILABLE_BY_PREEMPTION,
-    /* All resources of the worker. */
-    SR_AVAILABLE_TOTAL,
-};
-
 /* Collects the units that can run now, in order of precedence. */
 void SrPlan_CollectUnits(struct SrPlanPass *pass);
 
 /* Computes each worker's free resources, and groups the workers by rack. */
 void SrPlan_GroupWorkersByRack(struct SrPlanPass *pass);
 
+/* Takes the demand of `tasks` tasks from the free resources of the worker. */
+void SrPlan_Take(struct SrPlanPass *pass, struct SrWorker *worker,
+                 const struct SrResources *demand, unsigned tasks);
+
 /* Returns the time needed to stop a run and start another in its place, ms. */
 int64_t SrPlan_PreemptionMs(const struct SrPlanPass *pass);
 
@@ -125,8 +172,7 @@
 
 /* Returns how many tasks of the unit fit on the worker; 0 if the worker may
  * not run them. */
-unsigned SrPlan_TasksThatFitOn(const struct SrPlanPass *pass,
-                               const struct SrWorker *worker,
+unsigned SrPlan_TasksThatFitOn(const struct SrWorker *worker,
                                const struct SrPlanUnit *unit,
                                enum SrAvailability kind);
 
@@ -172,6 +218,21 @@
                            const struct SrPlanUnit *unit);
 
 /* Returns true if the whole unit would fit in some rack if that were empty. */
-bool SrPlan_FitsInRack(struct SrPlanPass *pass, const struct SrPlanUnit *unit);
+bool SrPlan_FitsInRack(const struct SrPlanPass *pass,
+                       const struct SrPlanUnit *unit);
+
+/* Returns true if it is known that `count` tasks of the unit do not fit in the
+ * available resources, or with `in_rack` in those of any one rack. */
+bool SrPlan_IsMiss(const struct SrPlanPass *pass,
+                   const struct SrPlanUnit *unit, uint32_t count,
+                   enum SrAvailability kind, bool in_rack);
+
+/* Records that `count` of the unit's tasks do not fit. */
+void SrPlan_AddMiss(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                    uint32_t count, enum SrAvailability kind, bool in_rack);
+
+/* Forgets what did not fit, except in the resources that are free now. Must be
+ * called after runs have been preempted. */
+void SrPlan_ForgetMisses(struct SrPlanPass *pass);
 
 #endif
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -7,53 +7,67 @@
  * free within this time. */
 #define RESERVE_AHEAD_MS 3000
 
-static unsigned
-find_rack(struct SrPlanPass *pass, const char *name)
-{
-    for (unsigned i = 0; i < pass->rack_count; i++) {
-        if (strcmp(pass->racks[i].name, name) == 0) {
-            return i;
-        }
-    }
-    if (pass->rack_count == SR_PLAN_RACKS_MAX) {
-        return SR_PLAN_RACKS_MAX - 1;
-    }
-    pass->racks[pass->rack_count].name = name;
-    return pass->rack_count++;
-}
-
 /* Computes the fields of the worker that are valid within one pass. */
 static void
 init_worker_for_pass(struct SrPlanPass *pass, struct SrWorker *worker)
 {
-    worker->rack = find_rack(pass, worker->info.rack);
     worker->usable = SrFleet_IsUsable(worker, pass->now_ms) &&
                      !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
     worker->free = SrFleet_Capacity(worker);
     SrResources_Add(&worker->free, &worker->allocated, -1);
     worker->free_after_stops = worker->free;
+    worker->earliest_end_ms = INT64_MAX;
+    worker->highest_rank = 0;
     SR_LIST_EACH(link, &worker->runs)
     {
-        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
         if (run->stopping) {
-            struct SrResources demand =
-                SrFleet_TaskDemand(SrFlow_StepOf(run->task));
-            SrResources_Add(&worker->free_after_stops, &demand, 1);
+            SrResources_Add(&worker->free_after_stops, &run->demand, 1);
+            continue;
+        }
+        run->expected_end_ms = SrFleet_ExpectedEndMs(run, pass->now_ms);
+        if (run->step->continuous) {
+            continue;
+        }
+        if (run->expected_end_ms < worker->earliest_end_ms) {
+            worker->earliest_end_ms = run->expected_end_ms;
+        }
+        if (run->task->flow->rank > worker->highest_rank) {
+            worker->highest_rank = run->task->flow->rank;
         }
     }
 }
 
-/* Returns the number of accelerators that the job's widest step needs. */
-static uint64_t
-widest_step_accelerators(const struct SrFlow *flow)
+/* Adds `times`, which may be -1, workers with that many free accelerators. */
+static void
+count_free(struct SrPlanFree *free, int64_t accelerators, int times)
 {
-    uint64_t widest = 0;
-    for (size_t s = 0; s < flow->record->n_steps; s++) {
-        const Sr__FlowStep *step = flow->record->steps[s];
-        uint64_t demand = (uint64_t)step->count * step->accelerators;
-        widest = demand > widest ? demand : widest;
+    if (accelerators <= 0) {
+        free->workers[0] += (unsigned)times;
+    }
+    else if (accelerators <= SR_PLAN_ACCELERATORS_MAX) {
+        free->workers[accelerators] += (unsigned)times;
+    }
+    else {
+        free->others += (uint64_t)(times * accelerators);
     }
-    return widest;
+}
+
+void
+SrPlan_Take(struct SrPlanPass *pass, struct SrWorker *worker,
+            const struct SrResources *demand, unsigned tasks)
+{
+    int64_t before = worker->free.accelerators;
+    SrResources_Add(&worker->free, demand, -(int64_t)tasks);
+    SrResources_Add(&worker->free_after_stops, demand, -(int64_t)tasks);
+    if (!worker->usable || before == worker->free.accelerators) {
+        return;
+    }
+    struct SrPlanRack *rack = &pass->racks[worker->rack];
+    count_free(&pass->free, before, -1);
+    count_free(&rack->free, before, -1);
+    count_free(&pass->free, worker->free.accelerators, 1);
+    count_free(&rack->free, worker->free.accelerators, 1);
 }
 
 /* Returns true if the job fits in the part of its account's guarantee that the
@@ -62,25 +76,26 @@
 static bool
 is_guaranteed(struct SrPlanPass *pass, const struct SrFlow *flow)
 {
-    const struct SrCatalog *catalog = pass->engine->catalog;
-    const struct SrCatalogAccount *account =
-        SrCatalog_AccountByName(catalog, flow->record->account);
-    if (account == NULL || account->guaranteed_accelerators == 0) {
+    if (flow->account_index == SR_FLOW_NOT_FOUND) {
         return false;
     }
+    const struct SrCatalogAccount *account =
+        &pass->engine->catalog->accounts[flow->account_index];
     uint64_t *urgent_accelerators =
-        &pass->urgent_accelerators[account - catalog->accounts];
-    *urgent_accelerators += widest_step_accelerators(flow);
-    return *urgent_accelerators <= account->guaranteed_accelerators;
+        &pass->urgent_accelerators[flow->account_index];
+    *urgent_accelerators += flow->widest_step_accelerators;
+    return account->guaranteed_accelerators > 0 &&
+           *urgent_accelerators <= account->guaranteed_accelerators;
 }
 
 static void
 rank_flow(struct SrPlanPass *pass, struct SrFlow *flow)
 {
-    const struct SrCatalogQueue *queue =
-        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
-    uint32_t priority =
-        queue != NULL ? queue->priority : flow->record->priority;
+    const struct SrCatalog *catalog = pass->engine->catalog;
+    SrEngine_LookUp(catalog, flow);
+    uint32_t priority = flow->queue_index != SR_FLOW_NOT_FOUND
+                            ? catalog->queues[flow->queue_index].priority
+                            : flow->record->priority;
     flow->rank = priority + SR_RANK_URGENT;
     if (priority == 0 && is_guaranteed(pass, flow)) {
         flow->rank = SR_RANK_GUARANTEED;
@@ -135,12 +150,15 @@
     return waiting;
 }
 
-static const char *
+/* Returns the number of the service that runs the job. */
+static unsigned
 service_of(const struct SrPlanPass *pass, const struct SrFlow *flow)
 {
-    const struct SrCatalogQueue *queue =
-        SrCatalog_QueueByName(pass->engine->catalog, flow->record->queue);
-    return queue != NULL ? queue->service : flow->record->service;
+    const char *service =
+        flow->queue_index != SR_FLOW_NOT_FOUND
+            ? pass->engine->catalog->queues[flow->queue_index].service
+            : flow->record->service;
+    return SrNames_Find(&pass->engine->fleet.services, service);
 }
 
 static void
@@ -157,7 +175,7 @@
     if (first->ready_ms == 0) {
         first->ready_ms = pass->now_ms;
     }
-    int64_t critical_path_ms = SrFlow_CriticalPathMs(flow);
+    int64_t critical_path_ms = flow->critical_path_ms;
     struct SrPlanUnit unit = {
         .flow = flow,
         .step = step,
@@ -221,7 +239,9 @@
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
         if (!SrFlow_HasEnded(flow)) {
             rank_flow(pass, flow);
-            add_flow(pass, flow);
+            if (flow->waiting > 0) {
+                add_flow(pass, flow);
+            }
         }
     }
     if (pass->unit_count == 0) {
@@ -233,12 +253,23 @@
 void
 SrPlan_GroupWorkersByRack(struct SrPlanPass *pass)
 {
+    const struct SrNames *racks = &pass->engine->fleet.racks;
     unsigned count = 0;
+    pass->rack_count = racks->count;
+    pass->racks = SrUtil_Calloc(racks->count, sizeof(*pass->racks));
+    for (unsigned i = 0; i < racks->count; i++) {
+        pass->racks[i].name = racks->names[i];
+    }
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
         init_worker_for_pass(pass, worker);
         pass->racks[worker->rack].count++;
+        if (worker->usable) {
+            count_free(&pass->free, worker->free.accelerators, 1);
+            count_free(&pass->racks[worker->rack].free,
+                       worker->free.accelerators, 1);
+        }
         count++;
     }
     pass->workers = SrUtil_Calloc(count, sizeof(struct SrWorker *));
