Plan: what an account has running stays within its limit

Change: a pass counts what each account holds, from the allocation of a run until its end is known, over changes of leaders and starts without a response. A unit that would exceed the limit waits, and keeps its account's later units from using it up; urgent work preempts other runs of its account instead. A gang that is too large for its account's limit waits.

--- a/src/catalog.h
+++ b/src/catalog.h
@@ -9,6 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "resources.h"
+
 /* Decoded, but not enforced by the engine. */
 struct SrAdvicePolicy {
     /* Steps may run only on workers that the platform's advisor names. */
@@ -42,6 +44,11 @@
     char **keys;
     size_t key_count;
     uint32_t guaranteed_accelerators;
+    /* Limit on what the account may have running on all workers together; 0
+     * for a resource without a limit. */
+    struct SrResources cap;
+    /* Share of the account relative to others; decoded, but not used. */
+    uint32_t weight;
 };
 
 struct SrCatalogService {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -158,15 +158,6 @@
     };
 }
 
-void
-SrResources_Add(struct SrResources *to, const struct SrResources *resources,
-                int64_t times)
-{
-    to->cpu_millis += times * resources->cpu_millis;
-    to->memory_mb += times * resources->memory_mb;
-    to->accelerators += times * resources->accelerators;
-}
-
 struct SrResources
 SrFleet_Capacity(const struct SrWorker *worker)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -16,15 +16,9 @@
 #include "flow.h"
 #include "list.h"
 #include "map.h"
+#include "resources.h"
 #include "worker_entry.h"
 
-struct SrResources {
-    /* Thousandths of a core. */
-    int64_t cpu_millis;
-    int64_t memory_mb;
-    int64_t accelerators;
-};
-
 enum SrRunState {
     /* Allocated; the progress row with the allocation is not written yet. */
     SR_RUNSTATE_PLANNED,
@@ -281,10 +275,6 @@
     return SR_CONTAINER(link, struct SrWorker, link);
 }
 
-/* Adds `times` times the resources; subtracts if `times` is negative. */
-void SrResources_Add(struct SrResources *to,
-                     const struct SrResources *resources, int64_t times);
-
 /* Returns the worker's resources, whether allocated or free. */
 struct SrResources SrFleet_Capacity(const struct SrWorker *worker);
 
--- a/src/plan.c
+++ b/src/plan.c
@@ -24,6 +24,7 @@
     run->incarnation = worker->info.incarnation;
     run->state = SR_RUNSTATE_PLANNED;
     SrPlan_Take(pass, worker, &unit->demand, 1);
+    SrPlan_ChargeAccount(pass, unit, 1);
     if (!unit->flow->begun) {
         SrEngine_Observe(pass->engine, SR_ENGINE_BEGUN, unit->flow,
                          pass->now_ms - unit->flow->arrived_ms);
@@ -76,6 +77,7 @@
 static void
 reserve(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
+    SrPlan_ChargeAccount(pass, unit, unit->count);
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
@@ -85,10 +87,9 @@
     }
 }
 
-/* Preempts the run for the unit, and with it the rest of the run's gang. */
-static void
-preempt(struct SrPlanPass *pass, struct SrRun *run,
-        const struct SrPlanUnit *unit)
+void
+SrPlan_Preempt(struct SrPlanPass *pass, struct SrRun *run,
+               const struct SrPlanUnit *unit)
 {
     uint32_t count;
     struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
@@ -121,7 +122,7 @@
             if (run == NULL) {
                 break;
             }
-            preempt(pass, run, unit);
+            SrPlan_Preempt(pass, run, unit);
         }
     }
 }
@@ -196,6 +197,11 @@
 static void
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
+    if (SrPlan_TasksWithinLimit(pass, unit) < unit->count) {
+        SrPlan_WaitForLimit(pass, unit, unit->count);
+        log_wait(pass, unit, "account-limit");
+        return;
+    }
     bool prefers_rack =
         unit->step->same_rack || unit->step->data_rack[0] != '\0';
     if (prefers_rack && try_place_gang(pass, unit, SrPlan_AssignInRack)) {
@@ -282,9 +288,10 @@
         if (run == NULL) {
             break;
         }
-        preempt(pass, run, unit);
+        SrPlan_Preempt(pass, run, unit);
     }
     SrPlan_Take(pass, worker, &unit->demand, 1);
+    SrPlan_ChargeAccount(pass, unit, 1);
     return true;
 }
 
@@ -299,6 +306,11 @@
         if (task->done || task->active_run != NULL) {
             continue;
         }
+        if (SrPlan_TasksWithinLimit(pass, unit) == 0) {
+            SrPlan_WaitForLimit(pass, unit, 1);
+            log_wait(pass, unit, "account-limit");
+            return;
+        }
         if (previous != NULL && task->failed_on[0] == '\0' &&
             SrPlan_TasksThatFitOn(previous, unit, SR_AVAILABLE_NOW) > 0) {
             allocate(pass, unit, previous, task, task->run + 1);
@@ -334,17 +346,21 @@
     struct SrPlanPass *pass = SrUtil_Calloc(1, sizeof(*pass));
     pass->engine = engine;
     pass->now_ms = now_ms;
-    pass->urgent_accelerators = SrUtil_Calloc(
-        engine->catalog->account_count, sizeof(*pass->urgent_accelerators));
+    pass->accounts =
+        SrUtil_Calloc(engine->catalog->account_count, sizeof(*pass->accounts));
+    for (size_t i = 0; i < engine->catalog->account_count; i++) {
+        pass->accounts[i].cap = &engine->catalog->accounts[i].cap;
+    }
     SrPlan_CollectUnits(pass);
     if (pass->unit_count > 0) {
         SrPlan_GroupWorkersByRack(pass);
+        SrPlan_CountAccounts(pass);
         place_units(pass);
     }
     size_t allocated = pass->allocated;
     free(pass->workers);
     free(pass->racks);
-    free(pass->urgent_accelerators);
+    free(pass->accounts);
     free(pass->units);
     return allocated;
 }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -57,9 +57,8 @@
     return count;
 }
 
-/* Returns true if the unit may preempt the run. */
-static bool
-is_preemptible_by(const struct SrRun *run, const struct SrPlanUnit *unit)
+bool
+SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run)
 {
     const struct SrFlow *flow = run->task->flow;
     return !run->stopping && flow->rank > unit->flow->rank &&
@@ -101,7 +100,7 @@
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
         if (kind == SR_AVAILABLE_IN_TIME ? ends_in_time(run, unit)
-                                         : is_preemptible_by(run, unit)) {
+                                         : SrPlan_MayPreempt(unit, run)) {
             SrResources_Add(&available, &run->demand, 1);
         }
     }
@@ -206,7 +205,7 @@
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim || !is_preemptible_by(run, unit)) {
+        if (run->is_victim || !SrPlan_MayPreempt(unit, run)) {
             continue;
         }
         int64_t cost = SrPlan_StopCost(pass, run);
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -121,6 +121,19 @@
     int64_t wait_until_ms;
 };
 
+/* State of an account in a pass. */
+struct SrPlanAccount {
+    /* Limit on what the account may have running. */
+    const struct SrResources *cap;
+    /* What the account's runs hold, and what is reserved for its units;
+     * without the runs that are being stopped in `used_after_stops`. */
+    struct SrResources used;
+    struct SrResources used_after_stops;
+    /* Number of accelerators that the account's urgent jobs need, as far as
+     * they have been ranked. */
+    uint64_t urgent_accelerators;
+};
+
 struct SrPlanPass {
     struct SrEngine *engine;
     int64_t now_ms;
@@ -139,9 +152,8 @@
     /* Grouped by rack. */
     struct SrWorker **workers;
     unsigned worker_count;
-    /* For each account of the catalog: number of accelerators that its urgent
-     * jobs need, as far as they have been ranked. */
-    uint64_t *urgent_accelerators;
+    /* One for each account of the catalog. */
+    struct SrPlanAccount *accounts;
     /* Numbers of urgent and of other gangs for which resources are reserved.
      */
     unsigned reserved_urgent_gangs;
@@ -163,6 +175,31 @@
 void SrPlan_Take(struct SrPlanPass *pass, struct SrWorker *worker,
                  const struct SrResources *demand, unsigned tasks);
 
+/* Counts what each account has running. */
+void SrPlan_CountAccounts(struct SrPlanPass *pass);
+
+/* Returns how many tasks of the unit its account may start now. */
+unsigned SrPlan_TasksWithinLimit(const struct SrPlanPass *pass,
+                                 const struct SrPlanUnit *unit);
+
+/* Counts that many tasks of the unit as running. */
+void SrPlan_ChargeAccount(struct SrPlanPass *pass,
+                          const struct SrPlanUnit *unit, unsigned tasks);
+
+/* Lets the unit wait until its account may start that many of its tasks:
+ * keeps the account's later units of the pass from using up the limit and,
+ * for urgent work, preempts runs of the account. Does nothing if the limit is
+ * too low for the tasks alone. */
+void SrPlan_WaitForLimit(struct SrPlanPass *pass,
+                         const struct SrPlanUnit *unit, unsigned tasks);
+
+/* Returns true if the unit may preempt the run. */
+bool SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run);
+
+/* Preempts the run for the unit, and with it the rest of the run's gang. */
+void SrPlan_Preempt(struct SrPlanPass *pass, struct SrRun *run,
+                    const struct SrPlanUnit *unit);
+
 /* Returns the time needed to stop a run and start another in its place, ms. */
 int64_t SrPlan_PreemptionMs(const struct SrPlanPass *pass);
 
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -82,7 +82,7 @@
     const struct SrCatalogAccount *account =
         &pass->engine->catalog->accounts[flow->account_index];
     uint64_t *urgent_accelerators =
-        &pass->urgent_accelerators[flow->account_index];
+        &pass->accounts[flow->account_index].urgent_accelerators;
     *urgent_accelerators += flow->widest_step_accelerators;
     return account->guaranteed_accelerators > 0 &&
            *urgent_accelerators <= account->guaranteed_accelerators;
--- /dev/null
+++ b/src/resources.h
@@ -0,0 +1,24 @@
+/* Amounts of the resources that tasks need and workers have. */
+#ifndef SR_RESOURCES_H
+#define SR_RESOURCES_H
+
+#include <stdint.h>
+
+struct SrResources {
+    /* Thousandths of a core. */
+    int64_t cpu_millis;
+    int64_t memory_mb;
+    int64_t accelerators;
+};
+
+/* Adds `times` times the resources; subtracts if `times` is negative. */
+static inline void
+SrResources_Add(struct SrResources *to, const struct SrResources *resources,
+                int64_t times)
+{
+    to->cpu_millis += times * resources->cpu_millis;
+    to->memory_mb += times * resources->memory_mb;
+    to->accelerators += times * resources->accelerators;
+}
+
+#endif
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -299,6 +299,22 @@
     }
 }
 
+/* Returns the number of accelerators that the account has running. */
+static uint32_t
+running_accelerators(struct Sim *sim)
+{
+    uint32_t sum = 0;
+    for (unsigned w = 0; w < sim->options->workers; w++) {
+        const struct Worker *worker = &sim->workers[w];
+        for (unsigned i = 0; worker->alive && i < worker->running_count; i++) {
+            uint32_t index;
+            sum +=
+                find_job(sim, worker->running[i].task, &index)->accelerators;
+        }
+    }
+    return sum;
+}
+
 /* Checks that the task may be started on the worker `target`. */
 static void
 check_start(struct Sim *sim, const struct Worker *target,
@@ -325,6 +341,13 @@
         record_violation(sim, &result->too_many_attempts, "too many attempts",
                          task);
     }
+    /* Invariant: an account has no more running than its limit and one task
+     * more. */
+    if (sim->options->cap > 0 &&
+        running_accelerators(sim) > sim->options->cap) {
+        record_violation(sim, &result->over_cap, "over the account's limit",
+                         task);
+    }
     /* Invariant: the runs of a worker never need more accelerators than it
      * has. */
     uint32_t used = job->accelerators;
@@ -1043,6 +1066,7 @@
     sim->catalog->accounts[0].name = SrUtil_Strdup("account");
     sim->catalog->accounts[0].guaranteed_accelerators =
         sim->options->guarantee > 0 ? sim->options->guarantee : 16;
+    sim->catalog->accounts[0].cap.accelerators = sim->options->cap;
     for (unsigned i = 0; i < 3; i++) {
         struct SrCatalogQueue *queue = &sim->catalog->queues[i];
         queue->name = SrUtil_Strdup(queues[i]);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -68,6 +68,9 @@
     const struct SimJob *fixed_jobs;
     /* Accelerators guaranteed to the only account; 0 for 16. */
     uint32_t guarantee;
+    /* Limit on the accelerators that the account may have running; 0 for none.
+     */
+    uint32_t cap;
     /* Faults are injected, and generated jobs submitted, in the first half of
      * this time. */
     int64_t duration_ms;
@@ -81,6 +84,9 @@
     /* Violation: number of starts on a worker without enough free
      * accelerators. */
     unsigned overcommitted;
+    /* Violation: number of starts with which the account had more running than
+     * its limit and one task more. */
+    unsigned over_cap;
     /* Violation: number of starts of a task that was done. */
     unsigned after_done;
     /* Violation: number of starts of a task without attempts left. */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -120,7 +120,8 @@
     "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
     "\"limits\":{\"max_body_bytes\":262144},"
     "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
-    "\"guaranteed_gpus\":{\"gpu\":72}}]}";
+    "\"guaranteed_gpus\":{\"gpu\":72},\"weight\":4,"
+    "\"cap\":{\"cpu\":1006623,\"mem_mb\":0,\"gpu\":498}}]}";
 
 struct RouteCase {
     const char *host;
@@ -163,8 +164,13 @@
     }
     assert_non_null(SrCatalog_AccountByKey(catalog, "k2"));
     assert_null(SrCatalog_AccountByKey(catalog, "k3"));
-    assert_int_equal(
-        SrCatalog_AccountByName(catalog, "t")->guaranteed_accelerators, 72);
+    const struct SrCatalogAccount *account =
+        SrCatalog_AccountByName(catalog, "t");
+    assert_int_equal(account->guaranteed_accelerators, 72);
+    assert_int_equal(account->weight, 4);
+    assert_int_equal(account->cap.cpu_millis, 1006623);
+    assert_int_equal(account->cap.memory_mb, 0);
+    assert_int_equal(account->cap.accelerators, 498);
     assert_int_equal(catalog->version, 7);
     SrCatalog_Destroy(catalog);
 }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -15,37 +15,51 @@
 
 struct FaultMix {
     const char *name;
+    /* Limit on what the account may have running; 0 for none. */
+    uint32_t cap;
     struct SimFaults faults;
 };
 
 static const struct FaultMix mixes[] = {
-    {"no faults", {0}},
-    {"failing runs", {.failed_runs = 80}},
+    {"no faults", .faults = {0}},
+    {"failing runs", .faults = {.failed_runs = 80}},
     {"lost commands and responses",
-     {.lost_commands = 30, .lost_responses = 50}},
-    {"late commands", {.late_commands = 50}},
-    {"workers crash", {.crashes = 12}},
-    {"network partitions", {.partitions = 8}},
+     .faults = {.lost_commands = 30, .lost_responses = 50}},
+    {"late commands", .faults = {.late_commands = 50}},
+    {"workers crash", .faults = {.crashes = 12}},
+    {"network partitions", .faults = {.partitions = 8}},
     /* Guards against polls that extend the lease of a worker although they
      * fail: the runs of a worker that had left stayed allocated
      * indefinitely. */
-    {"workers leave", {.leaves = 4}},
-    {"leaders change", {.takeovers = 6}},
-    {"store outages", {.store_outages = 4}},
-    {"cancels", {.cancels = 10}},
-    {"all at once",
-     {
-         .lost_commands = 10,
-         .lost_responses = 20,
-         .late_commands = 20,
-         .failed_runs = 30,
-         .crashes = 4,
-         .partitions = 3,
-         .leaves = 2,
-         .takeovers = 3,
-         .store_outages = 2,
-         .cancels = 4,
-     }},
+    {"workers leave", .faults = {.leaves = 4}},
+    {"leaders change", .faults = {.takeovers = 6}},
+    {"store outages", .faults = {.store_outages = 4}},
+    {"cancels", .faults = {.cancels = 10}},
+    {"limited account", .cap = 40,
+     .faults =
+         {
+             .lost_commands = 10,
+             .lost_responses = 20,
+             .failed_runs = 30,
+             .partitions = 3,
+             .leaves = 2,
+             .takeovers = 4,
+             .store_outages = 2,
+             .cancels = 4,
+         }},
+    {"all at once", .faults =
+                        {
+                            .lost_commands = 10,
+                            .lost_responses = 20,
+                            .late_commands = 20,
+                            .failed_runs = 30,
+                            .crashes = 4,
+                            .partitions = 3,
+                            .leaves = 2,
+                            .takeovers = 3,
+                            .store_outages = 2,
+                            .cancels = 4,
+                        }},
 };
 
 /* A seed with which the simulation once showed a fault. */
@@ -83,6 +97,7 @@
             .workers = 16,
             .jobs = 40,
             .duration_ms = 120000,
+            .cap = mix->cap,
             .faults = mix->faults,
         },
         &result);
@@ -91,6 +106,7 @@
     }
     assert_int_equal(result.twice, 0);
     assert_int_equal(result.overcommitted, 0);
+    assert_int_equal(result.over_cap, 0);
     assert_int_equal(result.after_done, 0);
     assert_int_equal(result.too_many_attempts, 0);
     assert_int_equal(result.unfinished, 0);
--- a/tests/test_mutations.c
+++ b/tests/test_mutations.c
@@ -30,7 +30,8 @@
     "\"max_attempts\":4,\"stretch\":3.0,\"advisor\":{\"validity_ms\":3000}}],"
     "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
     "\"limits\":{\"max_body_bytes\":262144},\"tenants\":[{\"name\":\"t\","
-    "\"api_keys\":[\"k1\",\"k2\"],\"guaranteed_gpus\":{\"gpu\":72}}]}";
+    "\"api_keys\":[\"k1\",\"k2\"],\"guaranteed_gpus\":{\"gpu\":72},"
+    "\"weight\":4,\"cap\":{\"cpu\":1000,\"gpu\":8}}]}";
 static const char job_text[] =
     "{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":256,"
     "\"gpu\":2,\"estimated_ms\":900,\"gang\":true,\"same_rack\":true},"
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -13,6 +13,8 @@
     unsigned workers;
     unsigned workers_per_rack;
     uint32_t guarantee;
+    /* Limit of the account; 0 for none. */
+    uint32_t cap;
     struct SimJob jobs[8];
     unsigned count;
     struct SimDrain drain;
@@ -108,6 +110,48 @@
         .begun_within_ms = 300,
         .stopped_max = 0,
     },
+    {
+        /* Guards against an account that gets all free workers beyond the
+         * limit of what it may have running. */
+        .name = "an account stays within its limit",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 8,
+        .cap = 12,
+        .jobs = {{1000, 2, 24, 1, 3000, false, false},
+                 {1100, 1, 2, 4, 3000, true, true},
+                 {1200, 2, 4, 2, 3000, true, true}},
+        .count = 3,
+    },
+    {
+        /* Guards against guaranteed work that waits because other work of its
+         * account has used up the limit, though workers are free. */
+        .name =
+            "guaranteed work preempts its account's other work at the limit",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 16,
+        .cap = 16,
+        .jobs = {{1000, 2, 16, 1, 30000, false, false},
+                 {5000, 0, 2, 8, 4000, true, true}},
+        .count = 2,
+        .begun_within_ms = RECLAIM_MS,
+        .stopped_max = 16,
+    },
+    {
+        /* Guards against a gang that never starts because it needs more than
+         * the account's limit less what its smaller jobs always have running.
+         */
+        .name = "small jobs do not keep a gang below its account's limit",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 1,
+        .cap = 16,
+        .jobs = {{1000, 2, 30, 1, 4000, false, false},
+                 {1500, 1, 2, 8, 4000, true, true}},
+        .count = 2,
+        .begun_within_ms = 12000,
+    },
     {
         .name = "unguaranteed work does not preempt more than its own size",
         .workers = 2,
@@ -132,6 +176,7 @@
             .jobs = pattern->count,
             .fixed_jobs = pattern->jobs,
             .guarantee = pattern->guarantee,
+            .cap = pattern->cap,
             .drain = pattern->drain,
             .duration_ms = 60000,
         },
