Log: why a run was stopped and the work that its end lost

Cause: what is thrown away could not be told by cause from the logs.

Change: run-ended has stopped-for and lost-core-s; the estimate moves from the plan to the fleet.

--- a/src/engine.c
+++ b/src/engine.c
@@ -467,11 +467,16 @@
     uint32_t number = run->number;
     const Sr__FlowStep *step = SrFlow_StepOf(task);
     SR_INFO("engine", "run-ended",
-            "id=%s step=%u index=%u run=%u worker=%s how=%s percent=%d "
-            "after-ms=%ld",
+            "id=%s step=%u index=%u run=%u worker=%s how=%s stopped-for=%s "
+            "percent=%d after-ms=%ld lost-core-s=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
-            SrRun_OutcomeText(outcome), run->percent,
-            (long)(now_ms - run->allocated_ms));
+            SrRun_OutcomeText(outcome),
+            run->stop_reason != NULL ? run->stop_reason : "-", run->percent,
+            (long)(now_ms - run->allocated_ms),
+            outcome == SR_RUN_DONE
+                ? 0L
+                : (long)SrFleet_LostWork(run, engine->options.checkpoint_ms,
+                                         now_ms));
     SrEngine_Observe(engine, event_of_outcome(outcome), task->flow,
                      now_ms - run->allocated_ms);
     SrFleet_UpdateSpeed(&engine->fleet, run);
@@ -510,6 +515,7 @@
         return;
     }
     run->stopping = true;
+    run->stop_reason = reason;
     run->next_send_ms = now_ms;
     SrFleet_MarkUnsettled(&engine->fleet, run);
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -285,6 +285,21 @@
            fleet->lease_ms - LEASE_DEADLINE_MARGIN_MS;
 }
 
+int64_t
+SrFleet_LostWork(const struct SrRun *run, int64_t checkpoint_ms,
+                 int64_t now_ms)
+{
+    int64_t cores =
+        SR_CORES_PER_ACCELERATOR * (int64_t)run->step->accelerators +
+        run->step->cpu_millis / 1000;
+    int64_t lost_ms =
+        run->state == SR_RUNSTATE_STARTED ? now_ms - run->started_ms : 0;
+    if (run->step->checkpoints && lost_ms > checkpoint_ms) {
+        lost_ms = checkpoint_ms;
+    }
+    return cores * lost_ms / 1000;
+}
+
 int64_t
 SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -50,6 +50,8 @@
     uint64_t allocation_change;
     /* The run is to be stopped. */
     bool stopping;
+    /* Why, as logged; NULL while it is not to be stopped. Static text. */
+    const char *stop_reason;
     /* The worker acknowledged the stop command, rejected it as old or invalid,
      * or rejected the start command as old. No further stop is sent. */
     bool stop_acked;
@@ -322,6 +324,12 @@
 int64_t SrFleet_LeaseDeadlineMs(const struct SrFleet *fleet,
                                 const struct SrWorker *worker, int64_t now_ms);
 
+/* Returns an estimate of the work that is lost if the run ends now without a
+ * result, in core-seconds: that since the start or the latest checkpoint,
+ * which is taken each `checkpoint_ms`. An accelerator counts as 8 cores. */
+int64_t SrFleet_LostWork(const struct SrRun *run, int64_t checkpoint_ms,
+                         int64_t now_ms);
+
 /* Returns when the run is expected to end: by its rate of progress or, while
  * the rate is unknown, by its step's estimate. */
 int64_t SrFleet_ExpectedEndMs(const struct SrRun *run, int64_t now_ms);
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -6,9 +6,6 @@
 /* A gang or task waits for its preferred rack for at most this share of the
  * time that it would lose by running more slowly in another one. */
 #define RACK_WAIT_SHARE 0.75
-/* Number of cores that count as much as one accelerator in the platform's cost
- * of lost work. */
-#define CORES_PER_ACCELERATOR 8
 /* Penalty for each core-second of work lost by preemption on the worker. */
 #define STOP_COST_PENALTY 100
 /* Workers below this speed are avoided. The speeds of healthy workers differ
@@ -183,16 +180,10 @@
 int64_t
 SrPlan_StopCost(const struct SrPlanPass *pass, const struct SrRun *run)
 {
-    const Sr__FlowStep *step = run->step;
-    int64_t cores = CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
-                    step->cpu_millis / 1000;
-    int64_t members = step->gang ? step->count : 1;
-    int64_t lost_ms =
-        run->state == SR_RUNSTATE_STARTED ? pass->now_ms - run->started_ms : 0;
-    if (step->checkpoints && lost_ms > pass->engine->options.checkpoint_ms) {
-        lost_ms = pass->engine->options.checkpoint_ms;
-    }
-    return 1 + cores * members * lost_ms / 1000;
+    int64_t members = run->step->gang ? run->step->count : 1;
+    return 1 + members * SrFleet_LostWork(run,
+                                          pass->engine->options.checkpoint_ms,
+                                          pass->now_ms);
 }
 
 struct SrRun *
@@ -495,7 +486,7 @@
     if (unit->flow->rank == SR_RANK_GUARANTEED) {
         return true;
     }
-    int64_t cores = CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
+    int64_t cores = SR_CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
                     step->cpu_millis / 1000;
     int64_t unit_cost = cores * unit->count * step->estimated_ms / 1000;
     return pass->now_ms < unit->start_by_ms &&
--- a/src/resources.h
+++ b/src/resources.h
@@ -4,6 +4,10 @@
 
 #include <stdint.h>
 
+/* Number of cores that count as much as one accelerator in the platform's cost
+ * of lost work. */
+#define SR_CORES_PER_ACCELERATOR 8
+
 struct SrResources {
     /* Thousandths of a core. */
     int64_t cpu_millis;
