Worker responses: a malformed entry makes the whole response count as none

Cause: a malformed entry of a worker's list was skipped. A running run that was left out was taken as over, and its task was started elsewhere while it ran; a terminated run that was left out was acknowledged unread.

The decoder is public and its input is mutated.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -7,6 +7,7 @@
 #include "catalog.h"
 #include "codec.h"
 #include "flow.h"
+#include "platform_commands.h"
 #include "platform_decode.h"
 #include "platform_front.h"
 #include "platform_settings.h"
@@ -175,6 +176,68 @@
     SrCatalog_Destroy(catalog);
 }
 
+struct ResponseCase {
+    const char *name;
+    const char *text;
+    enum SrCommandResult result;
+};
+
+/* A malformed running run was left out of the list: the engine took the run as
+ * over and started the task elsewhere while it was running. */
+static const struct ResponseCase response_cases[] = {
+    {"lists",
+     "{\"clock_ms\":5,\"born\":7,\"running\":[[\"a.0.0.1\",2,\"\",41]],"
+     "\"ended\":[[58,\"a.0.0.9\",1,\"done\",\"\"]]}",
+     SR_COMMAND_DONE},
+    {"a fifth entry of a run",
+     "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",41,7]]}",
+     SR_COMMAND_DONE},
+    {"no lists", "{\"clock_ms\":5}", SR_COMMAND_DONE},
+    {"no JSON", "{\"clock_ms\":", SR_COMMAND_NO_RESPONSE},
+    {"empty", "", SR_COMMAND_NO_RESPONSE},
+    {"running is no list", "{\"clock_ms\":5,\"running\":7}",
+     SR_COMMAND_NO_RESPONSE},
+    {"a running run is no list",
+     "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",41],3]}",
+     SR_COMMAND_NO_RESPONSE},
+    {"a run's number is a text",
+     "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",\"2\",\"\",41]]}",
+     SR_COMMAND_NO_RESPONSE},
+    {"a run's number is negative",
+     "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",-2,\"\",41]]}",
+     SR_COMMAND_NO_RESPONSE},
+    {"an unknown outcome",
+     "{\"clock_ms\":5,\"ended\":[[58,\"a.0.0.9\",1,\"odd\",\"\"]]}",
+     SR_COMMAND_NO_RESPONSE},
+    {"the number of an end is 0",
+     "{\"clock_ms\":5,\"ended\":[[0,\"a.0.0.9\",1,\"done\",\"\"]]}",
+     SR_COMMAND_NO_RESPONSE},
+    {"the clock is a text", "{\"clock_ms\":\"5\"}", SR_COMMAND_NO_RESPONSE},
+};
+
+static void
+malformed_responses_count_as_none(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(response_cases); i++) {
+        const struct ResponseCase *c = &response_cases[i];
+        struct SrCommandResponse response;
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = 200,
+                .body = (const uint8_t *)c->text,
+                .size = strlen(c->text),
+            },
+            &response);
+        if (response.result != c->result) {
+            print_message("%s\n", c->name);
+        }
+        assert_int_equal(response.result, c->result);
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 struct BadCatalog {
     const char *body;
     enum SrDecodeError error;
@@ -337,6 +400,7 @@
         cmocka_unit_test(job_bodies),
         cmocka_unit_test(malformed_jobs_are_refused),
         cmocka_unit_test(settings_files),
+        cmocka_unit_test(malformed_responses_count_as_none),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_mutations.c
+++ b/tests/test_mutations.c
@@ -9,6 +9,7 @@
 #include "codec.h"
 #include "flow.h"
 #include "log.h"
+#include "platform_commands.h"
 #include "platform_decode.h"
 #include "platform_front.h"
 
@@ -180,6 +181,35 @@
     }
 }
 
+static const char response_text[] =
+    "{\"clock_ms\":482113,\"born\":1700000000000,\"running\":[[\"a.0.1.17\",2,"
+    "\"00bb\",41,7],[\"a.0.1.18\",2,\"\",0,9]],\"ended\":[[58,\"a.0.1.9\",1,"
+    "\"done\",\"\"],[59,\"a.0.1.8\",1,\"stopped\",\"00\"]],\"reason\":\"old\","
+    "\"good\":[[\"w1\",\"t1\"]],\"validity_ms\":3000}";
+
+static void
+check_response(const void *data, size_t size)
+{
+    static const unsigned statuses[] = {200, 409};
+    for (size_t i = 0; i < SR_LENGTH(statuses); i++) {
+        struct SrCommandResponse response;
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = statuses[i],
+                .body = data,
+                .size = size,
+            },
+            &response);
+        for (size_t t = 0; t < response.terminated_count &&
+                           response.result == SR_COMMAND_DONE;
+             t++) {
+            assert_true(response.terminated[t].number > 0);
+        }
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 /* Calls `check` with mutations of `from`. */
 static void
 run_mutations(const void *from, size_t size,
@@ -213,6 +243,7 @@
     run_mutations(catalog_text, strlen(catalog_text), check_catalog, 2);
     run_mutations(job_text, strlen(job_text), check_job, 3);
     run_mutations(row, size, check_row, 4);
+    run_mutations(response_text, strlen(response_text), check_response, 5);
     free(row);
     SrCodec_Free(record);
 }
