--- a/src/engine.c
+++ b/src/engine.c
@@ -15,6 +15,9 @@
  * heartbeat intervals. Until then, an entry of an earlier incarnation is
  * ignored. */
 #define STALE_ENTRY_MS 6000
+/* Minimum interval of placement passes. With many events a pass then handles
+ * several at once. */
+#define PASS_INTERVAL_MS 12
 /* Interval of the placement passes while no flow changes. Such a pass may
  * still place something, since waiting times run out and workers become
  * usable. */
@@ -677,8 +680,8 @@
     update_written(engine);
     if (writable && engine->catalog != NULL &&
         now_ms - engine->created_ms >= FIRST_PASS_DELAY_MS &&
-        (engine->replan ||
-         now_ms - engine->last_pass_ms >= REPLAN_INTERVAL_MS)) {
+        now_ms - engine->last_pass_ms >=
+            (engine->replan ? PASS_INTERVAL_MS : REPLAN_INTERVAL_MS)) {
         engine->replan = false;
         engine->last_pass_ms = now_ms;
         SrPlan_Pass(engine, now_ms);
