Loop lag: a process knows and says that it is behind

Cause: that the leader had run out of processor time showed in no metric or log line.

Change: each 200 ms the lateness of a timer goes into sr_loop_lag_us; over 100 ms the process is behind (sr_loop_behind, one log line), after five timers on time it has caught up.

Nothing is shed while behind yet.

--- a/src/node.c
+++ b/src/node.c
@@ -15,6 +15,7 @@
 #include "leader.h"
 #include "ledger.h"
 #include "log.h"
+#include "loop_lag.h"
 #include "metrics.h"
 #include "node_settings.h"
 #include "os.h"
@@ -94,6 +95,7 @@
     ev_signal interrupt;
     ev_signal reload;
     struct SrShutdown shutdown;
+    struct SrLoopLag loop_lag;
 };
 
 static const struct SrCatalog *
@@ -561,6 +563,7 @@
     if (!start_services(&node)) {
         goto end_services;
     }
+    SrLoopLag_Start(&node.loop_lag, node.kernel);
     watch_signal(&node, &node.terminate, SIGTERM, on_stop_signal);
     watch_signal(&node, &node.interrupt, SIGINT, on_stop_signal);
     watch_signal(&node, &node.reload, SIGHUP, on_reload_signal);
@@ -568,6 +571,7 @@
             node.settings.callers_address, node.settings.domain,
             node.settings.store_address);
     ev_run(node.kernel->loop, 0);
+    SrLoopLag_Stop(&node.loop_lag);
     code = 0;
 end_services:
     stop_services(&node);
