--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -36,6 +36,7 @@
 
 /* Largest number of accelerators of a worker that is counted separately. */
 #define SR_PLAN_ACCELERATORS_MAX 16
+/* Number of misses that are remembered for each availability. */
 #define SR_PLAN_MISSES_MAX 16
 
 /* Numbers of usable workers by free accelerators. */
