Ledger and lease-out: how long leadership is unconfirmed, who granted a lease

Cause: when tasks ran twice after a zone cut, the logs did not tell whether a leader still acted without knowing that it leads, nor whether an expired lease had been granted by the leader that reports it or by its predecessor.

Change: the ledger knows when the last call was sent that showed that the process leads, by a clock that counts suspended time. `store-lost`, `store-regained` and `lost` say how long ago that was (`unconfirmed-ms`), and the gauge sr_leadership_unconfirmed_ms shows it. `lease-out` says which leader granted the lease (`granted-by`). No decision changes.

--- a/src/engine.c
+++ b/src/engine.c
@@ -206,6 +206,7 @@
     }
     if (granted_ms > worker->granted_ms) {
         worker->granted_ms = granted_ms;
+        worker->grant_inherited = true;
     }
 }
 
@@ -542,8 +543,10 @@
             continue;
         }
         SR_WARN("engine", "lease-out",
-                "worker=%s answered-to-this-leader=%d lease-ms-ago=%ld",
+                "worker=%s answered-to-this-leader=%d granted-by=%s "
+                "lease-ms-ago=%ld",
                 worker->info.id, worker->response_ms != 0,
+                worker->grant_inherited ? "former-leader" : "this-leader",
                 (long)(now_ms - worker->granted_ms));
         worker->fenced = false;
         while (!SrList_IsEmpty(&worker->runs)) {
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -44,6 +44,13 @@
     return SrFleet_LeaseDeadlineMs(&engine->fleet, worker, now_ms);
 }
 
+static void
+record_grant(struct SrWorker *worker, int64_t now_ms)
+{
+    worker->granted_ms = now_ms;
+    worker->grant_inherited = false;
+}
+
 /* Returns the number up to which the worker may delete its terminated runs; 0
  * if there is nothing new to acknowledge. Each incarnation of the worker
  * numbers its terminated runs from 1, and a poll may reach a new incarnation
@@ -74,7 +81,7 @@
     };
     set_destination(engine, worker, &command);
     if (command.u.poll.deadline_ms > 0) {
-        worker->granted_ms = now_ms;
+        record_grant(worker, now_ms);
     }
     engine->options.send(engine->options.context, &command);
 }
@@ -157,7 +164,7 @@
                 run->task->checkpoint);
     SrUtil_Copy(command.u.start.ticket, sizeof(command.u.start.ticket),
                 run->ticket);
-    worker->granted_ms = now_ms;
+    record_grant(worker, now_ms);
     run->start_in_flight = true;
     run->starts_sent++;
     engine->options.send(engine->options.context, &command);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -142,6 +142,8 @@
     /* When this or a previous leader last sent a command that grants or
      * extends the worker's lease. */
     int64_t granted_ms;
+    /* `granted_ms` is that of a previous leader. */
+    bool grant_inherited;
     /* The progress rows of the worker's runs contain `granted_ms`, or are to
      * be written with it, so that the next leader need not wait for a whole
      * lease. The rows must be rewritten without it before the worker is
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -74,10 +74,15 @@
     /* The last transaction that was sent releases leadership. */
     bool release_sent;
     int64_t committed_ms;
+    /* When the last call was sent that showed that this process leads, by
+     * SrOs_BootMs; valid while this process leads. */
+    int64_t confirmed_boot_ms;
     /* The batch of the last commit, kept to be sent again. */
     struct SrLedgerBatch batch;
     /* Local time at which the last call to the store was sent, ms. */
     int64_t sent_ms;
+    /* The same by SrOs_BootMs. */
+    int64_t sent_boot_ms;
     /* The store's current latency: duration of the last call, ms. */
     int64_t latency_ms;
     /* See SrLedger_StoreClockOffset. */
@@ -105,6 +110,7 @@
     ledger->call = call;
     ledger->in_flight = true;
     ledger->sent_ms = SrOs_MonotonicMs();
+    ledger->sent_boot_ms = SrOs_BootMs();
     return call;
 }
 
@@ -221,9 +227,11 @@
 static void
 step_down(struct SrLedger *ledger, const Sr__LeaderRecord *record)
 {
-    SR_WARN("ledger", "lost", "term=%lu other=%s other-term=%lu",
+    SR_WARN("ledger", "lost",
+            "term=%lu other=%s other-term=%lu unconfirmed-ms=%ld",
             (unsigned long)ledger->term, record != NULL ? record->holder : "-",
-            (unsigned long)(record != NULL ? record->term : 0));
+            (unsigned long)(record != NULL ? record->term : 0),
+            (long)SrLedger_UnconfirmedMs(ledger));
     ledger->options.on_lost(ledger->options.context);
     start_polling(ledger, POLL_MS);
 }
@@ -236,6 +244,7 @@
     ledger->sequence = sequence;
     ledger->retrying = false;
     ledger->committed_ms = SrOs_MonotonicMs();
+    ledger->confirmed_boot_ms = ledger->sent_boot_ms;
     SR_INFO("ledger", "elected", "term=%lu version=%lu",
             (unsigned long)ledger->term, (unsigned long)version);
     ledger->options.on_elected(ledger->options.context, ledger->term);
@@ -397,9 +406,11 @@
     ledger->sequence++;
     ledger->committed_ms = SrOs_MonotonicMs();
     if (ledger->retrying) {
-        SR_INFO("ledger", "store-regained", "term=%lu",
-                (unsigned long)ledger->term);
+        SR_INFO("ledger", "store-regained", "term=%lu unconfirmed-ms=%ld",
+                (unsigned long)ledger->term,
+                (long)SrLedger_UnconfirmedMs(ledger));
     }
+    ledger->confirmed_boot_ms = ledger->sent_boot_ms;
     ledger->retrying = false;
     if (ledger->release_sent) {
         SR_INFO("ledger", "released", "term=%lu", (unsigned long)ledger->term);
@@ -436,9 +447,10 @@
         break;
     default:
         if (!ledger->retrying) {
-            SR_WARN("ledger", "store-lost", "term=%lu error=%s",
-                    (unsigned long)ledger->term,
-                    SrRows_ErrorText(response->error));
+            SR_WARN(
+                "ledger", "store-lost", "term=%lu error=%s unconfirmed-ms=%ld",
+                (unsigned long)ledger->term, SrRows_ErrorText(response->error),
+                (long)SrLedger_UnconfirmedMs(ledger));
         }
         ledger->retrying = true;
         run_after(ledger, RETRY_MS, commit);
@@ -522,6 +534,12 @@
            !ledger->releasing;
 }
 
+int64_t
+SrLedger_UnconfirmedMs(const struct SrLedger *ledger)
+{
+    return SrOs_BootMs() - ledger->confirmed_boot_ms;
+}
+
 void
 SrLedger_StoreClockOffset(const struct SrLedger *ledger, int64_t *low,
                           int64_t *high)
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -78,6 +78,12 @@
  * transaction did not fail. */
 bool SrLedger_IsWritable(const struct SrLedger *ledger);
 
+/* Time, ms, since the sending of the last call to the store that showed that
+ * this process leads; another process may have claimed leadership since. Time
+ * for which the machine was suspended counts. Only valid while this process
+ * leads. */
+int64_t SrLedger_UnconfirmedMs(const struct SrLedger *ledger);
+
 /* Lower and upper bound of the store's monotonic clock minus the local one,
  * ms; both are 0 until the store has sent its clock. */
 void SrLedger_StoreClockOffset(const struct SrLedger *ledger, int64_t *low,
--- a/src/node.c
+++ b/src/node.c
@@ -323,6 +323,10 @@
                   (uint64_t)SrRows_MsSinceResponse(&node->rows));
     SrMetrics_Set(metrics, "sr_leading", NULL, NULL,
                   SrLedger_IsLeading(node->ledger) ? 1 : 0);
+    SrMetrics_Set(metrics, "sr_leadership_unconfirmed_ms", NULL, NULL,
+                  SrLedger_IsLeading(node->ledger)
+                      ? (uint64_t)SrLedger_UnconfirmedMs(node->ledger)
+                      : 0);
     SrMetrics_Set(metrics, "sr_term", NULL, NULL, SrLedger_Term(node->ledger));
     if (node->leader == NULL) {
         return;
--- a/src/os.c
+++ b/src/os.c
@@ -27,6 +27,12 @@
     return read_clock_us(CLOCK_MONOTONIC);
 }
 
+int64_t
+SrOs_BootMs(void)
+{
+    return read_clock_us(CLOCK_BOOTTIME) / SR_US_PER_MS;
+}
+
 int64_t
 SrOs_UnixMs(void)
 {
--- a/src/os.h
+++ b/src/os.h
@@ -13,6 +13,10 @@
 /* Returns the monotonic clock in microseconds, from an arbitrary start. */
 int64_t SrOs_MonotonicUs(void);
 
+/* Returns a clock in milliseconds that, unlike the monotonic one, also counts
+ * the time for which the machine was suspended, from an arbitrary start. */
+int64_t SrOs_BootMs(void);
+
 /* Returns the wall clock in milliseconds since the Unix epoch. It may jump
  * when the clock is set. */
 int64_t SrOs_UnixMs(void);
