Engine simulation: a leader lives on, cut off with workers, beside its successor

The simulation ended a leader before the next one took over, so no test showed it; and it saw a start after a result only if the result had been acknowledged before.

Change: the fault domain_cuts cuts the leader and a group of workers off from the store and the other workers for 4 to 9 s. Another leader takes over after 1 to 2 s, and the former one goes on until shortly after the cut. A result "done" that is acknowledged after a later start of its task is a violation, unless the lease had expired before the start. The fault draws no numbers in mixes without it.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -22,6 +22,13 @@
 #define RUNNING_MAX 64
 #define TERMINATED_MAX 512
 #define RECLAIM_MS 2900
+/* Time from a domain cut until another leader takes over: the leader's timeout
+ * and a claim. */
+#define CUT_TAKEOVER_MIN_MS 1000
+#define CUT_TAKEOVER_RANGE_MS 1000
+/* Maximum time from the end of a domain cut until the former leader learns
+ * that it has lost leadership. */
+#define LOSS_LEARNED_MS 400
 #define TASKS_MAX 64
 
 /* A run as a worker executes it. */
@@ -46,12 +53,17 @@
      * The leader may have ended the run without the result, so the
      * acknowledgement does not count. */
     bool lapsed;
+    /* The task was started again while the lease had not expired since the end
+     * of the run. */
+    bool started_again;
 };
 
 struct Worker {
     struct SrWorkerEntry entry;
     bool alive;
     int64_t partition_until_ms;
+    /* End of the domain cut that cuts the worker off. */
+    int64_t cut_until_ms;
     /* Highest fencing token received. */
     uint64_t fencing_token;
     /* When the current incarnation started. */
@@ -121,13 +133,27 @@
     bool poll_waits;
     /* The engine has received the response or the timeout. */
     bool delivered;
+    /* A domain cut separates the leader from the worker: what has not arrived
+     * is lost. */
+    bool lost;
     /* Number of events that refer to the exchange. */
     unsigned references;
-    /* Ordinal of the leader that sent the command. */
-    unsigned leader;
     struct SrCommandResponse response;
 };
 
+struct Leader {
+    /* NULL if there is no such leader. */
+    struct SrEngine *engine;
+    /* Also the fencing token of its commands. */
+    uint64_t term;
+    /* When the leader last could write to the store. */
+    int64_t confirmed_ms;
+    /* End of the domain cut that cuts the leader off. */
+    int64_t cut_until_ms;
+    /* When a former leader learns that it has lost leadership. */
+    int64_t end_ms;
+};
+
 struct Sim {
     const struct SimOptions *options;
     struct SimResult *result;
@@ -139,11 +165,10 @@
     /* Events of the polls that wait at a worker. */
     struct SrList waiting_polls;
     struct SrCatalog *catalog;
-    /* The leader's engine; NULL while there is no leader. */
-    struct SrEngine *engine;
-    uint64_t term;
-    /* Ordinal of the current or latest leader. */
-    unsigned leader;
+    /* The leader that the store accepts writes of, or the latest one. */
+    struct Leader leader;
+    /* The latest leader that a domain cut has cut off from the store. */
+    struct Leader former_leader;
     /* While there is no leader: when the next one takes over. */
     int64_t next_leader_ms;
     int64_t store_outage_until_ms;
@@ -315,6 +340,21 @@
     return sum;
 }
 
+/* Marks the task's unacknowledged results "done" that count. */
+static void
+mark_results_started_again(struct Sim *sim, const char *task)
+{
+    for (unsigned w = 0; w < sim->options->workers; w++) {
+        struct Worker *worker = &sim->workers[w];
+        for (unsigned i = 0; i < worker->terminated_count; i++) {
+            struct TerminatedRun *terminated = &worker->terminated[i];
+            terminated->started_again |= terminated->outcome == SR_RUN_DONE &&
+                                         !terminated->lapsed &&
+                                         strcmp(terminated->task, task) == 0;
+        }
+    }
+}
+
 /* Checks that the task may be started on the worker `target`. */
 static void
 check_start(struct Sim *sim, const struct Worker *target,
@@ -330,11 +370,12 @@
         }
     }
     /* Invariant: a task is not started again once the leader has acknowledged,
-     * and hence stored, that it is done. */
+     * and hence stored, that it is done; see also `acknowledge`. */
     if (job->done[index]) {
         record_violation(sim, &result->after_done, "started after its end",
                          task);
     }
+    mark_results_started_again(sim, task);
     /* Invariant: a task is not started again after `max_attempts` failures
      * that the leader has acknowledged. */
     if (job->failures[index] >= 3) {
@@ -483,6 +524,13 @@
             continue;
         }
         struct Job *job = find_job(sim, terminated->task, &index);
+        /* Invariant: no result "done" is acknowledged after a later start of
+         * the task, unless the lease expired between the end and the start. */
+        if (terminated->started_again) {
+            record_violation(sim, &sim->result->after_done,
+                             "acknowledged as done after a later start",
+                             terminated->task);
+        }
         if (terminated->lapsed) {
             continue;
         }
@@ -576,6 +624,18 @@
     return NULL;
 }
 
+/* Returns true if the domain cut separates the command's leader from its
+ * worker. */
+static bool
+is_separated(struct Sim *sim, const struct SrCommand *command)
+{
+    const struct Worker *worker = find_worker(sim, command);
+    bool leader_cut_off = command->term == sim->former_leader.term &&
+                          sim->former_leader.cut_until_ms > sim->now_ms;
+    return worker != NULL &&
+           leader_cut_off != (worker->cut_until_ms > sim->now_ms);
+}
+
 /* Sends the worker's response to a command, unless the response gets lost. */
 static void
 respond(struct Sim *sim, struct Worker *worker, struct Exchange *exchange,
@@ -602,7 +662,7 @@
     const struct SrCommand *command = &exchange->command;
     struct Worker *worker = find_worker(sim, command);
     enum SrCommandResult result = SR_COMMAND_DONE;
-    if (worker == NULL || !worker->alive ||
+    if (worker == NULL || !worker->alive || exchange->lost ||
         worker->partition_until_ms > sim->now_ms) {
         return;
     }
@@ -647,7 +707,7 @@
     struct Exchange *exchange = SrUtil_Calloc(1, sizeof(*exchange));
     exchange->command = *command;
     exchange->sent_ms = sim->now_ms;
-    exchange->leader = sim->leader;
+    exchange->lost = is_separated(sim, command);
     schedule(sim, EVENT_TIMEOUT, command->timeout_ms, exchange);
     unsigned draw = random_below(sim, 1000);
     /* A command that is lost gets a timeout only. */
@@ -660,8 +720,19 @@
     }
 }
 
-/* Passes the response, or the lack of one, to the engine, unless the engine
- * has received one already or another leader has taken over. */
+/* Returns the engine of the term's leader; NULL if that leader has ended. */
+static struct SrEngine *
+find_engine(const struct Sim *sim, uint64_t term)
+{
+    /* Until another leader takes over, both have the same term. */
+    if (term == sim->former_leader.term) {
+        return sim->former_leader.engine;
+    }
+    return term == sim->leader.term ? sim->leader.engine : NULL;
+}
+
+/* Passes the response, or the lack of one, to the engine that sent the
+ * command, unless the engine has received one already or has ended. */
 static void
 deliver(struct Sim *sim, struct Exchange *exchange,
         const struct SrCommandResponse *response)
@@ -670,9 +741,9 @@
         return;
     }
     exchange->delivered = true;
-    if (sim->engine != NULL && exchange->leader == sim->leader) {
-        SrEngine_OnResponse(sim->engine, &exchange->command, response,
-                            sim->now_ms);
+    struct SrEngine *engine = find_engine(sim, exchange->command.term);
+    if (engine != NULL) {
+        SrEngine_OnResponse(engine, &exchange->command, response, sim->now_ms);
     }
 }
 
@@ -700,7 +771,9 @@
         execute_command(sim, exchange, true);
         break;
     case EVENT_RESPONSE:
-        deliver(sim, exchange, &exchange->response);
+        if (!exchange->lost) {
+            deliver(sim, exchange, &exchange->response);
+        }
         break;
     case EVENT_TIMEOUT:
         deliver(sim, exchange, &no_response);
@@ -730,7 +803,8 @@
 }
 
 /* Responds to the waiting polls whose waiting time is over or whose worker has
- * a result. Polls at a worker that left or has no network get no response. */
+ * a result. Polls at a worker that left, that has no network or that is cut
+ * off from the leader get no response. */
 static void
 respond_to_waiting_polls(struct Sim *sim)
 {
@@ -739,7 +813,8 @@
         struct Event *event = SR_CONTAINER(link, struct Event, link);
         struct Exchange *exchange = event->exchange;
         struct Worker *worker = find_worker(sim, &exchange->command);
-        bool lost = !worker->alive || worker->partition_until_ms > sim->now_ms;
+        bool lost = !worker->alive || exchange->lost ||
+                    worker->partition_until_ms > sim->now_ms;
         if (!lost && worker->terminated_count == 0 &&
             exchange->poll_until_ms > sim->now_ms) {
             continue;
@@ -812,16 +887,18 @@
     worker->entry_due_ms = sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
 }
 
-/* Passes the worker's changed entry, or its deletion, to the engine if due. */
+/* Passes the worker's changed entry, or its deletion, to the engine if due. A
+ * worker that is cut off from the store changes its entry after the cut. */
 static void
 update_entry(struct Sim *sim, struct Worker *worker)
 {
-    if (worker->entry_due_ms == 0 || sim->now_ms < worker->entry_due_ms) {
+    if (worker->entry_due_ms == 0 || sim->now_ms < worker->entry_due_ms ||
+        (worker->alive && worker->cut_until_ms > sim->now_ms)) {
         return;
     }
     worker->entry_due_ms = 0;
-    if (sim->engine != NULL) {
-        SrEngine_SetWorker(sim->engine, worker->entry.id,
+    if (sim->leader.engine != NULL) {
+        SrEngine_SetWorker(sim->leader.engine, worker->entry.id,
                            worker->alive ? &worker->entry : NULL, sim->now_ms);
     }
 }
@@ -840,9 +917,12 @@
 static void
 start_leader(struct Sim *sim)
 {
-    sim->term++;
-    sim->leader++;
-    sim->engine = SrEngine_Create(
+    struct Leader *leader = &sim->leader;
+    *leader = (struct Leader){
+        .term = leader->term + 1,
+        .confirmed_ms = sim->now_ms,
+    };
+    leader->engine = SrEngine_Create(
         &(struct SrEngineOptions){
             .lease_ms = LEASE_MS,
             .stop_ms = STOP_MS,
@@ -852,43 +932,128 @@
             .send = send_command,
             .context = sim,
         },
-        sim->term, sim->now_ms);
-    SrEngine_SetCatalog(sim->engine, sim->catalog);
+        leader->term, sim->now_ms);
+    SrEngine_SetCatalog(leader->engine, sim->catalog);
     for (unsigned i = 0; i < sim->submitted_count; i++) {
         struct Job *job = &sim->jobs[i];
         Sr__FlowProgress *progress = SrCodec_Unpack(
             &sr__flow_progress__descriptor, job->progress, job->progress_size);
-        SrEngine_AddFlow(sim->engine, job->id,
+        SrEngine_AddFlow(leader->engine, job->id,
                          SrCodec_Unpack(&sr__flow_record__descriptor,
                                         job->record, job->record_size),
                          progress, sim->now_ms);
         SrCodec_Free(progress);
         if (job->cancelled_ms != 0) {
-            SrEngine_CancelFlow(sim->engine, job->id, sim->now_ms);
+            SrEngine_CancelFlow(leader->engine, job->id, sim->now_ms);
         }
     }
     for (unsigned w = 0; w < sim->options->workers; w++) {
         if (sim->workers[w].alive) {
-            SrEngine_SetWorker(sim->engine, sim->workers[w].entry.id,
+            SrEngine_SetWorker(leader->engine, sim->workers[w].entry.id,
                                &sim->workers[w].entry, sim->now_ms);
         }
     }
 }
 
-/* Stops the leader; the changes that it was writing are lost. */
+/* Drops the changes that the leader was writing. */
 static void
-stop_leader(struct Sim *sim)
+drop_write(struct Sim *sim)
 {
-    SrEngine_Destroy(sim->engine);
-    sim->engine = NULL;
     sim->writing = false;
     for (size_t i = 0; i < sim->change_count; i++) {
         free(sim->changes[i].progress);
     }
     sim->change_count = 0;
+}
+
+/* Stops the leader; the changes that it was writing are lost. */
+static void
+stop_leader(struct Sim *sim)
+{
+    SrEngine_Destroy(sim->leader.engine);
+    sim->leader.engine = NULL;
+    drop_write(sim);
     sim->next_leader_ms = sim->now_ms + 1000 + random_below(sim, 3000);
 }
 
+static void
+lose_separated_exchanges(struct Sim *sim, struct SrList *events)
+{
+    SR_LIST_EACH(link, events)
+    {
+        struct Exchange *exchange =
+            SR_CONTAINER(link, struct Event, link)->exchange;
+        exchange->lost |= is_separated(sim, &exchange->command);
+    }
+}
+
+/* Cuts the leader and the workers whose `cut_until_ms` is `until_ms` off from
+ * the store and from the other workers. What is in flight between the two
+ * sides is lost. The leader does not learn that another one takes over. */
+static void
+cut_leader_off(struct Sim *sim, int64_t until_ms, int64_t takeover_ms)
+{
+    sim->former_leader = sim->leader;
+    sim->former_leader.cut_until_ms = until_ms;
+    sim->former_leader.end_ms = until_ms + random_below(sim, LOSS_LEARNED_MS);
+    sim->leader.engine = NULL;
+    sim->next_leader_ms = takeover_ms;
+    drop_write(sim);
+    lose_separated_exchanges(sim, &sim->events);
+    lose_separated_exchanges(sim, &sim->waiting_polls);
+}
+
+/* Returns true if there is a leader, and no former leader beside it. */
+static bool
+can_cut(const struct Sim *sim)
+{
+    return sim->leader.engine != NULL && sim->former_leader.engine == NULL;
+}
+
+static unsigned
+workers_per_rack(const struct Sim *sim)
+{
+    return sim->options->workers_per_rack > 0 ? sim->options->workers_per_rack
+                                              : 4;
+}
+
+/* Cuts the leader off with a random rack or a random third of the workers. */
+static void
+cut_random_domain(struct Sim *sim)
+{
+    unsigned first = random_below(sim, sim->options->workers);
+    unsigned count = sim->options->workers / 3;
+    int64_t until_ms = sim->now_ms + 4000 + random_below(sim, 5000);
+    int64_t takeover_ms = sim->now_ms + CUT_TAKEOVER_MIN_MS +
+                          random_below(sim, CUT_TAKEOVER_RANGE_MS);
+    if (random_below(sim, 2) == 0) {
+        count = workers_per_rack(sim);
+        first -= first % count;
+    }
+    for (unsigned i = 0; i < count; i++) {
+        sim->workers[(first + i) % sim->options->workers].cut_until_ms =
+            until_ms;
+    }
+    cut_leader_off(sim, until_ms, takeover_ms);
+}
+
+/* Starts the domain cut of the options when it is due. */
+static void
+cut_domain_of_runs(struct Sim *sim)
+{
+    const struct SimCut *cut = &sim->options->cut;
+    if (cut->at_ms == 0 || sim->now_ms != cut->at_ms || !can_cut(sim)) {
+        return;
+    }
+    for (unsigned w = 0; w < sim->options->workers; w++) {
+        if (sim->workers[w].running_count > 0) {
+            sim->workers[w].cut_until_ms = cut->at_ms + cut->length_ms;
+        }
+    }
+    cut_leader_off(sim, cut->at_ms + cut->length_ms,
+                   cut->at_ms + CUT_TAKEOVER_MIN_MS);
+}
+
 static void
 inject_faults(struct Sim *sim)
 {
@@ -908,17 +1073,23 @@
     if (is_drawn(sim, faults->store_outages)) {
         sim->store_outage_until_ms = sim->now_ms + 3000;
     }
-    if (is_drawn(sim, faults->takeovers) && sim->engine != NULL) {
+    if (is_drawn(sim, faults->takeovers) && sim->leader.engine != NULL) {
         stop_leader(sim);
     }
     if (is_drawn(sim, faults->cancels) && sim->submitted_count > 0) {
         struct Job *job = &sim->jobs[random_below(sim, sim->submitted_count)];
         job->cancelled_ms =
             job->cancelled_ms != 0 ? job->cancelled_ms : sim->now_ms;
-        if (sim->engine != NULL) {
-            SrEngine_CancelFlow(sim->engine, job->id, sim->now_ms);
+        if (sim->leader.engine != NULL) {
+            SrEngine_CancelFlow(sim->leader.engine, job->id, sim->now_ms);
         }
     }
+    /* Without this fault no number is drawn, so that the seeds of the other
+     * mixes keep their meaning. */
+    if (faults->domain_cuts > 0 && is_drawn(sim, faults->domain_cuts) &&
+        can_cut(sim)) {
+        cut_random_domain(sim);
+    }
 }
 
 /* Makes a worker drain, and leave, at the times of the options. */
@@ -935,8 +1106,8 @@
             sim->draining = worker;
             worker->entry.draining = true;
             worker->entry.remaining_ms = drain->notice_ms;
-            SrEngine_SetWorker(sim->engine, worker->entry.id, &worker->entry,
-                               sim->now_ms);
+            SrEngine_SetWorker(sim->leader.engine, worker->entry.id,
+                               &worker->entry, sim->now_ms);
         }
     }
     if (sim->draining != NULL && sim->draining->alive &&
@@ -961,14 +1132,14 @@
                     job->progress_size = change->size;
                 }
             }
-            SrEngine_OnWritten(sim->engine, change->id, change->change);
+            SrEngine_OnWritten(sim->leader.engine, change->id, change->change);
         }
         sim->change_count = 0;
     }
     if (!sim->writing && sim->now_ms >= sim->store_outage_until_ms &&
-        SrEngine_HasChanges(sim->engine)) {
-        sim->change_count = SrEngine_TakeChanges(sim->engine, sim->changes,
-                                                 SR_LENGTH(sim->changes));
+        SrEngine_HasChanges(sim->leader.engine)) {
+        sim->change_count = SrEngine_TakeChanges(
+            sim->leader.engine, sim->changes, SR_LENGTH(sim->changes));
         sim->writing = sim->change_count > 0;
         sim->write_due_ms = sim->now_ms + 5 + random_below(sim, 60);
     }
@@ -980,8 +1151,8 @@
     while (sim->submitted_count < sim->options->jobs &&
            sim->jobs[sim->submitted_count].submitted_ms <= sim->now_ms) {
         struct Job *job = &sim->jobs[sim->submitted_count++];
-        if (sim->engine != NULL) {
-            SrEngine_AddFlow(sim->engine, job->id,
+        if (sim->leader.engine != NULL) {
+            SrEngine_AddFlow(sim->leader.engine, job->id,
                              SrCodec_Unpack(&sr__flow_record__descriptor,
                                             job->record, job->record_size),
                              NULL, sim->now_ms);
@@ -1059,9 +1230,6 @@
 create_site(struct Sim *sim)
 {
     static const char *const queues[] = {"urgent", "large", "small"};
-    unsigned workers_per_rack = sim->options->workers_per_rack > 0
-                                    ? sim->options->workers_per_rack
-                                    : 4;
     sim->catalog = SrCatalog_Create(3, 1, 0);
     sim->catalog->accounts[0].name = SrUtil_Strdup("account");
     sim->catalog->accounts[0].guaranteed_accelerators =
@@ -1085,7 +1253,8 @@
         SrUtil_Copy(worker->entry.service, SR_ID_SIZE, "service");
         SrUtil_Copy(worker->entry.address, SR_ID_SIZE, "address");
         snprintf(worker->entry.id, SR_ID_SIZE, "w%u", w);
-        snprintf(worker->entry.rack, SR_ID_SIZE, "r%u", w / workers_per_rack);
+        snprintf(worker->entry.rack, SR_ID_SIZE, "r%u",
+                 w / workers_per_rack(sim));
     }
     for (unsigned i = 0; i < sim->options->jobs; i++) {
         create_job(sim, i);
@@ -1134,9 +1303,10 @@
 static void
 free_site(struct Sim *sim)
 {
-    if (sim->engine != NULL) {
+    if (sim->leader.engine != NULL) {
         stop_leader(sim);
     }
+    SrEngine_Destroy(sim->former_leader.engine);
     free_events(&sim->events);
     free_events(&sim->waiting_polls);
     for (unsigned i = 0; i < sim->options->jobs; i++) {
@@ -1149,11 +1319,37 @@
     free(sim);
 }
 
+/* Lets the leader decide. */
+static void
+tick_leader(struct Sim *sim, struct Leader *leader, bool writable)
+{
+    if (writable) {
+        leader->confirmed_ms = sim->now_ms;
+    }
+    SrEngine_Tick(leader->engine, writable, sim->now_ms,
+                  1000000 + sim->now_ms);
+}
+
+/* Lets a former leader decide until it learns that it has lost leadership. */
+static void
+tick_former_leader(struct Sim *sim)
+{
+    struct Leader *former = &sim->former_leader;
+    if (former->engine != NULL && sim->now_ms >= former->end_ms) {
+        SrEngine_Destroy(former->engine);
+        former->engine = NULL;
+    }
+    if (former->engine != NULL) {
+        tick_leader(sim, former, false);
+    }
+}
+
 static void
 run_step(struct Sim *sim)
 {
     submit_due_jobs(sim);
     inject_faults(sim);
+    cut_domain_of_runs(sim);
     drain_worker(sim);
     for (unsigned w = 0; w < sim->options->workers; w++) {
         end_due_executions(sim, &sim->workers[w]);
@@ -1161,14 +1357,15 @@
     }
     respond_to_waiting_polls(sim);
     handle_due_events(sim);
-    if (sim->engine == NULL && sim->now_ms >= sim->next_leader_ms) {
+    if (sim->leader.engine == NULL && sim->now_ms >= sim->next_leader_ms) {
         start_leader(sim);
     }
-    if (sim->engine != NULL) {
+    if (sim->leader.engine != NULL) {
         run_store_writes(sim);
-        SrEngine_Tick(sim->engine, sim->now_ms >= sim->store_outage_until_ms,
-                      sim->now_ms, 1000000 + sim->now_ms);
+        tick_leader(sim, &sim->leader,
+                    sim->now_ms >= sim->store_outage_until_ms);
     }
+    tick_former_leader(sim);
 }
 
 void
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -35,6 +35,11 @@
     unsigned store_outages;
     /* A job is cancelled. */
     unsigned cancels;
+    /* The leader and a group of workers, a rack or a third of all, are cut off
+     * from the store and from the other workers for 4 to 9 s. Another leader
+     * takes over meanwhile, which cannot reach the group, and the former one
+     * lives on until shortly after the cut. */
+    unsigned domain_cuts;
 };
 
 /* A job of one step. */
@@ -56,6 +61,14 @@
     int64_t notice_ms;
 };
 
+/* At `at_ms`, a multiple of 5, the leader and all workers that have runs are
+ * cut off as by the fault `domain_cuts`. */
+struct SimCut {
+    /* 0 for no cut. */
+    int64_t at_ms;
+    int64_t length_ms;
+};
+
 #define SIM_JOBS_MAX 128
 
 struct SimOptions {
@@ -75,6 +88,7 @@
      * this time. */
     int64_t duration_ms;
     struct SimDrain drain;
+    struct SimCut cut;
     struct SimFaults faults;
 };
 
@@ -87,7 +101,9 @@
     /* Violation: number of starts with which the account had more running than
      * its limit and one task more. */
     unsigned over_cap;
-    /* Violation: number of starts of a task that was done. */
+    /* Violation: number of starts of a task that was done, and of results
+     * "done" that were acknowledged although the task had been started again
+     * since while the lease had not expired. */
     unsigned after_done;
     /* Violation: number of starts of a task without attempts left. */
     unsigned too_many_attempts;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -62,6 +62,19 @@
                         }},
 };
 
+/* Mixes in which a leader is cut off together with workers. */
+static const struct FaultMix cut_mixes[] = {
+    {"domain cut off with its leader", .faults = {.domain_cuts = 4}},
+    {"domain cuts, cancels, crashes and lost responses",
+     .faults =
+         {
+             .lost_responses = 20,
+             .crashes = 4,
+             .cancels = 6,
+             .domain_cuts = 4,
+         }},
+};
+
 /* A seed with which the simulation once showed a fault. */
 struct Regression {
     const char *mix;
@@ -124,6 +137,66 @@
     }
 }
 
+static void
+keeps_promises_under_domain_cuts(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(cut_mixes); i++) {
+        for (uint64_t seed = 1; seed <= seed_count(); seed++) {
+            simulate(&cut_mixes[i], seed);
+        }
+    }
+}
+
+/* A leader, and the workers that execute its runs, are cut off. */
+struct CutCase {
+    const char *name;
+    /* Duration of the runs, which start before the cut. */
+    int64_t work_ms;
+};
+
+static const struct CutCase cut_cases[] = {
+    {"the runs outlast the cut", .work_ms = 20000},
+    {"the runs end during the cut", .work_ms = 6000},
+};
+
+/* Guards against a leader that is cut off from the store and goes on extending
+ * the leases of the workers that it reaches. Its successor does not reach
+ * these workers. It counted their leases as expired 6.5 s after it had taken
+ * over, and started their tasks again, although they were still running or had
+ * ended with a result that the successor read when the cut was over. */
+static void
+leases_end_with_leadership(void **state)
+{
+    (void)state;
+    unsigned violations = 0;
+    for (size_t i = 0; i < SR_LENGTH(cut_cases); i++) {
+        struct SimJob job = {
+            .submitted_ms = 500,
+            .count = 4,
+            .accelerators = 1,
+            .work_ms = cut_cases[i].work_ms,
+        };
+        struct SimResult result;
+        Sim_Run(
+            &(struct SimOptions){
+                .seed = 1,
+                .workers = 16,
+                .jobs = 1,
+                .fixed_jobs = &job,
+                .duration_ms = 60000,
+                .cut = {.at_ms = 3000, .length_ms = 9000},
+            },
+            &result);
+        if (result.violation[0] != '\0') {
+            print_message("%s: %s\n", cut_cases[i].name, result.violation);
+        }
+        violations += result.twice + result.after_done;
+        assert_int_equal(result.completed, 1);
+    }
+    assert_int_equal(violations, 0);
+}
+
 static void
 regression_seeds(void **state)
 {
@@ -235,6 +308,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(keeps_promises_under_faults),
+        cmocka_unit_test(keeps_promises_under_domain_cuts),
+        cmocka_unit_test(leases_end_with_leadership),
         cmocka_unit_test(regression_seeds),
         cmocka_unit_test(gangs_start_together_without_faults),
         cmocka_unit_test(results_are_acknowledged_once),
