Engine: leases are granted only while leadership is confirmed

Cause: a process acted on a permission that had run out. A leader that did not reach the store went on extending the leases of the workers that it reached. Its successor, which did not reach them, counted these leases as expired 6.5 s after it had taken over, and started their tasks again.

The first runs had been acknowledged before the cut, and no worker had restarted.

Change: a leader grants leases, by polls and by starts, for 6 s after the sending of the last call to the store that showed that it leads, by a clock that counts suspended time. A new leader assumes that its predecessor grants until 6 s after its own election, unless a row holds an earlier last grant or the worker has responded to it, from when on the worker refuses the predecessor. So no lease that a leader counts as expired can be in force, whichever workers it reaches. A leader that may grant nothing polls a worker with unwritten results twice a second, not at every tick.

--- a/bench/bench_plan.c
+++ b/bench/bench_plan.c
@@ -282,6 +282,7 @@
         respond_to_all(&bench, false);
         end_runs(&bench);
         bench.now_ms += TICK_MS;
+        SrEngine_SetConfirmed(bench.engine, bench.now_ms);
         from_us = SrOs_MonotonicUs();
         SrEngine_Tick(bench.engine, true, bench.now_ms, bench.now_ms);
         SrHistogram_Add(&histogram, (uint64_t)(SrOs_MonotonicUs() - from_us));
--- a/src/engine.c
+++ b/src/engine.c
@@ -69,6 +69,7 @@
     engine->options = *options;
     engine->term = term;
     engine->created_ms = now_ms;
+    engine->confirmed_ms = now_ms;
     SrFleet_Init(&engine->fleet, options->lease_ms);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
@@ -118,6 +119,18 @@
     engine->store_offset_max_ms = high_ms;
 }
 
+void
+SrEngine_SetConfirmed(struct SrEngine *engine, int64_t confirmed_ms)
+{
+    engine->confirmed_ms = confirmed_ms;
+}
+
+bool
+SrEngine_MayGrant(const struct SrEngine *engine, int64_t now_ms)
+{
+    return now_ms - engine->confirmed_ms < SR_ENGINE_UNCONFIRMED_GRANT_MS;
+}
+
 bool
 SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain)
 {
@@ -193,14 +206,14 @@
 
 /* Sets the time at which a previous leader last granted the worker a lease. If
  * the task's stored progress does not contain that time, the previous leader
- * may have granted a lease at any time until now. */
+ * may grant leases until it must know that it no longer leads. */
 static void
 inherit_lease_grant(const struct SrEngine *engine, struct SrWorker *worker,
-                    const Sr__FlowTask *stored, int64_t now_ms)
+                    const Sr__FlowTask *stored)
 {
-    int64_t granted_ms = now_ms;
+    int64_t granted_ms = engine->created_ms + SR_ENGINE_UNCONFIRMED_GRANT_MS;
     if (stored->granted_ms > 0 &&
-        stored->granted_ms - engine->store_offset_min_ms < now_ms) {
+        stored->granted_ms - engine->store_offset_min_ms < granted_ms) {
         granted_ms = stored->granted_ms - engine->store_offset_min_ms;
         worker->grant_stored = true;
     }
@@ -227,7 +240,7 @@
         run->state = SR_RUNSTATE_INHERITED;
         worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
-        inherit_lease_grant(engine, worker, stored, now_ms);
+        inherit_lease_grant(engine, worker, stored);
     }
 }
 
@@ -663,6 +676,18 @@
     }
 }
 
+static void
+log_grants(struct SrEngine *engine, int64_t now_ms)
+{
+    bool paused = !SrEngine_MayGrant(engine, now_ms);
+    if (paused != engine->grants_paused) {
+        engine->grants_paused = paused;
+        SR_WARN("engine", paused ? "grants-paused" : "grants-resumed",
+                "term=%lu unconfirmed-ms=%ld", (unsigned long)engine->term,
+                (long)(now_ms - engine->confirmed_ms));
+    }
+}
+
 void
 SrEngine_Tick(struct SrEngine *engine, bool writable, int64_t now_ms,
               int64_t unix_ms)
@@ -672,6 +697,7 @@
         return;
     }
     engine->unix_ms = unix_ms;
+    log_grants(engine, now_ms);
     if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
         engine->last_check_ms = now_ms;
         end_runs_without_lease(engine, now_ms);
--- a/src/engine.h
+++ b/src/engine.h
@@ -20,6 +20,12 @@
 
 struct SrEngine;
 
+/* Time for which a leader that does not know whether it still leads goes on
+ * granting leases, ms. Its successor may not reach the same workers, so it
+ * counts their leases from the end of this time. All nodes must use the same
+ * value. */
+#define SR_ENGINE_UNCONFIRMED_GRANT_MS 6000
+
 /* Events that are reported to `observe`, each with a duration. */
 enum SrEngineEvent {
     /* The first run of a job was allocated; time since the job arrived. */
@@ -75,7 +81,9 @@
     uint64_t change;
 };
 
-/* Creates a leader's engine; `term` is the fencing token of its commands. */
+/* Creates a leader's engine; `term` is the fencing token of its commands. To
+ * be called when the process knows that it leads: a former leader may grant
+ * leases until SR_ENGINE_UNCONFIRMED_GRANT_MS after `now_ms`. */
 struct SrEngine *SrEngine_Create(const struct SrEngineOptions *options,
                                  uint64_t term, int64_t now_ms);
 void SrEngine_Destroy(struct SrEngine *engine);
@@ -91,6 +99,12 @@
 void SrEngine_SetStoreClock(struct SrEngine *engine, int64_t low_ms,
                             int64_t high_ms);
 
+/* Reports when the last call to the store was sent that showed that this
+ * process leads; on the local clock of `now_ms`. Leases are granted until
+ * SR_ENGINE_UNCONFIRMED_GRANT_MS later. Before the first call, that time
+ * counts from the creation of the engine. */
+void SrEngine_SetConfirmed(struct SrEngine *engine, int64_t confirmed_ms);
+
 /* Excludes the workers of a failure domain from new work, or readmits them. At
  * most 64 domains can be excluded; any further one is logged and ignored. */
 void SrEngine_SetDomainOut(struct SrEngine *engine, const char *domain,
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -30,15 +30,16 @@
 }
 
 /* Returns the lease deadline for a poll; 0 if the poll must not extend the
- * lease. An unresponsive worker's lease is not extended, so that it expires at
- * a known time, after which the worker executes no runs any more. Nor is a
- * lease extended while the rows contain the time of an earlier grant. */
+ * lease. A leader that may have a successor extends no lease. An unresponsive
+ * worker's lease is not extended, so that it expires at a known time, after
+ * which the worker executes no runs any more. Nor is a lease extended while
+ * the rows contain the time of an earlier grant. */
 static int64_t
 poll_deadline(const struct SrEngine *engine, const struct SrWorker *worker,
               int64_t now_ms)
 {
-    if (worker->failed_polls > 0 || worker->grant_stored ||
-        worker->grant_clear_change != 0) {
+    if (!SrEngine_MayGrant(engine, now_ms) || worker->failed_polls > 0 ||
+        worker->grant_stored || worker->grant_clear_change != 0) {
         return 0;
     }
     return SrFleet_LeaseDeadlineMs(&engine->fleet, worker, now_ms);
@@ -131,6 +132,7 @@
     if (!results_are_written) {
         /* The worker would not wait, but return the same results at once. */
         if (now_ms - worker->granted_ms >= RENEW_INTERVAL_MS &&
+            now_ms - worker->quick_poll_sent_ms >= RENEW_INTERVAL_MS &&
             !worker->quick_poll_in_flight) {
             worker->quick_poll_in_flight = true;
             worker->quick_poll_sent_ms = now_ms;
@@ -215,10 +217,10 @@
         SrEngine_StopRun(engine, run, "worker-barred", now_ms);
         return;
     }
-    /* A start command grants a lease, so it is not sent while the rows contain
-     * the time of an earlier grant. */
-    if (run->worker->clock_ms >= 0 && !run->worker->grant_stored &&
-        run->worker->grant_clear_change == 0) {
+    /* A start command grants a lease, so it is sent under the same conditions
+     * as a poll that extends one. */
+    if (SrEngine_MayGrant(engine, now_ms) && run->worker->clock_ms >= 0 &&
+        !run->worker->grant_stored && run->worker->grant_clear_change == 0) {
         send_start(engine, run, now_ms);
     }
 }
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -268,6 +268,10 @@
     SrEngine_ClearLeaseGrant(engine, worker);
     worker->failed_polls = 0;
     worker->fenced = true;
+    if (worker->granted_ms > now_ms) {
+        /* From now on the worker refuses the grants of former leaders. */
+        worker->granted_ms = now_ms;
+    }
     update_clock(worker, response, now_ms);
     engine->poll_number++;
     update_terminated(engine, worker, response, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -11,6 +11,11 @@
     struct SrEngineOptions options;
     uint64_t term;
     int64_t created_ms;
+    /* See SrEngine_SetConfirmed. */
+    int64_t confirmed_ms;
+    /* Leadership has been unconfirmed for too long to grant leases; as last
+     * logged. */
+    bool grants_paused;
     const struct SrCatalog *catalog;
     struct SrFleet fleet;
     struct SrMap flows_by_id;
@@ -93,6 +98,10 @@
 /* Sends the status polls, start commands and stop commands that are due. */
 void SrEngine_SendCommands(struct SrEngine *engine, int64_t now_ms);
 
+/* Returns true if the leader may grant leases: a successor, if there is one,
+ * does not count them as expired yet. */
+bool SrEngine_MayGrant(const struct SrEngine *engine, int64_t now_ms);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -140,7 +140,8 @@
      * next response. */
     bool fenced;
     /* When this or a previous leader last sent a command that grants or
-     * extends the worker's lease. */
+     * extends the worker's lease. In the future while a previous leader may
+     * still send one. */
     int64_t granted_ms;
     /* `granted_ms` is that of a previous leader. */
     bool grant_inherited;
--- a/src/leader.c
+++ b/src/leader.c
@@ -116,6 +116,9 @@
         SrLeader_Wake(leader);
         return;
     }
+    SrEngine_SetConfirmed(leader->engine,
+                          SrOs_MonotonicMs() -
+                              SrLedger_UnconfirmedMs(leader->options.ledger));
     SrEngine_Tick(leader->engine, SrLedger_IsWritable(leader->options.ledger),
                   SrOs_MonotonicMs(), SrOs_UnixMs());
     int64_t now_us = SrOs_MonotonicUs();
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1326,6 +1326,7 @@
     if (writable) {
         leader->confirmed_ms = sim->now_ms;
     }
+    SrEngine_SetConfirmed(leader->engine, leader->confirmed_ms);
     SrEngine_Tick(leader->engine, writable, sim->now_ms,
                   1000000 + sim->now_ms);
 }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -255,6 +255,7 @@
     unsigned count = captured->count;
     while (captured->count == count) {
         *now_ms += 50;
+        SrEngine_SetConfirmed(engine, *now_ms);
         SrEngine_Tick(engine, true, *now_ms, *now_ms);
     }
     struct SrCommand command = captured->latest;
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -356,6 +356,55 @@
     end(&world);
 }
 
+/* Runs the loop until a call to the store is in flight. */
+static void
+await_call(struct World *world)
+{
+    while (SrMemoryRows_Pending(world->memory) == 0) {
+        ev_run(world->kernel->loop, EVRUN_ONCE);
+    }
+}
+
+/* Guards against a leader that overestimates until when it certainly led: a
+ * response shows that it led when the call was sent, and calls that fail show
+ * nothing. */
+static void
+leadership_is_confirmed_from_the_sending_of_a_call(void **state)
+{
+    (void)state;
+    struct timespec delay = {.tv_nsec = 200000000};
+    struct World world;
+    begin(&world);
+    add_candidate(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    const struct SrLedger *ledger = world.candidates[0].ledger;
+    static const struct {
+        enum SrMemoryOutcome outcome;
+        bool confirms;
+    } cases[] = {
+        {SR_MEMORY_SERVE, true},
+        {SR_MEMORY_REFUSE, false},
+        {SR_MEMORY_SERVE, true},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        await_call(&world);
+        int64_t sent_ms = SrOs_BootMs();
+        int64_t before_ms = SrLedger_UnconfirmedMs(ledger);
+        nanosleep(&delay, NULL);
+        SrMemoryRows_Step(world.memory, cases[i].outcome);
+        int64_t since_call_ms = SrOs_BootMs() - sent_ms;
+        if (cases[i].confirms) {
+            assert_in_range(SrLedger_UnconfirmedMs(ledger), since_call_ms,
+                            before_ms + since_call_ms);
+        }
+        else {
+            assert_true(SrLedger_UnconfirmedMs(ledger) >=
+                        before_ms + since_call_ms);
+        }
+    }
+    end(&world);
+}
+
 int
 main(void)
 {
@@ -365,6 +414,7 @@
         cmocka_unit_test(row_that_is_old_at_first_sight_is_claimed_at_once),
         cmocka_unit_test(released_leadership_is_taken),
         cmocka_unit_test(release_follows_the_transaction_in_flight),
+        cmocka_unit_test(leadership_is_confirmed_from_the_sending_of_a_call),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
