Engine: no start on a worker that executes runs which the leader does not know

Cause: resources in use were not counted. The worker listed a run that the leader had counted as over; the leader sent a stop, but did not count the run's resources while it was being stopped, and 0.2 s later started another run beside it. That the run had been counted as over too early was another fault; runs that the leader does not know also arise from starts that are executed late.

Change: a worker that lists an unknown run gets no start command, also not one that is allocated or sent again, until the response to a later poll lists none. Since the leader cannot tell what the unknown run uses, the worker gets nothing at all.

Ruled out: work on a worker whose lease was counted as expired before its first list of runs; there is none.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -105,14 +105,15 @@
     engine->options.send(engine->options.context, &command);
 }
 
-static void
+/* Returns false if the leader does not know the run, which is then stopped. */
+static bool
 update_running(struct SrEngine *engine, struct SrWorker *worker,
                const struct SrRunningReport *report, int64_t now_ms)
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
         stop_unknown(engine, worker, report);
-        return;
+        return false;
     }
     run->listed_by_poll = engine->poll_number;
     if (run->state != SR_RUNSTATE_STARTED) {
@@ -130,6 +131,29 @@
         run->percent_ms = now_ms;
     }
     SrFlow_SetCheckpoint(run->task, report->checkpoint);
+    return true;
+}
+
+/* Handles the list of running runs in the response to a poll sent at
+ * `sent_ms`. */
+static void
+update_all_running(struct SrEngine *engine, struct SrWorker *worker,
+                   const struct SrCommandResponse *response, int64_t sent_ms,
+                   int64_t now_ms)
+{
+    bool all_known = true;
+    for (size_t i = 0; i < response->running_count; i++) {
+        all_known &=
+            update_running(engine, worker, &response->running[i], now_ms);
+    }
+    if (!all_known) {
+        worker->unknown_runs_ms = now_ms;
+    }
+    else if (sent_ms >= worker->unknown_runs_ms) {
+        /* The response to a poll sent earlier may be older than the list that
+         * contained the unknown run. */
+        worker->unknown_runs_ms = 0;
+    }
 }
 
 static void
@@ -275,9 +299,7 @@
     update_clock(worker, response, now_ms);
     engine->poll_number++;
     update_terminated(engine, worker, response, now_ms);
-    for (size_t i = 0; i < response->running_count; i++) {
-        update_running(engine, worker, &response->running[i], now_ms);
-    }
+    update_all_running(engine, worker, response, sent_ms, now_ms);
     end_unlisted(engine, worker, sent_ms, now_ms);
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -246,6 +246,12 @@
     }
 }
 
+bool
+SrFleet_MayExecuteUnknownRuns(const struct SrWorker *worker)
+{
+    return worker->unknown_runs_ms != 0;
+}
+
 struct SrRun *
 SrFleet_FindRun(const struct SrWorker *worker, const struct SrFlowTask *task,
                 uint32_t number)
@@ -271,7 +277,8 @@
            worker->clock_ms >= 0 && !worker->grant_stored &&
            worker->grant_clear_change == 0 &&
            now_ms - worker->response_ms < RESPONSE_FRESH_MS &&
-           now_ms >= worker->avoid_until_ms;
+           now_ms >= worker->avoid_until_ms &&
+           !SrFleet_MayExecuteUnknownRuns(worker);
 }
 
 int64_t
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -190,6 +190,10 @@
     /* The worker's runs have been checked against `leaves_ms`. */
     bool drain_handled;
 
+    /* When a response last listed a run that the leader does not know; 0 if
+     * none did, or the response to a later poll lists none. */
+    int64_t unknown_runs_ms;
+
     /* The following fields are valid within one placement pass only. */
 
     /* Neither allocated nor reserved for a unit of the pass. */
@@ -308,6 +312,11 @@
 void SrFleet_RemoveUnackedStart(struct SrWorker *worker, const char *task,
                                 uint32_t run);
 
+/* Returns true if the worker may execute runs whose resources are not counted
+ * as allocated: it listed a run that the leader does not know, which is being
+ * stopped. It must get no start command meanwhile. */
+bool SrFleet_MayExecuteUnknownRuns(const struct SrWorker *worker);
+
 /* Returns the task's run if it has this number and is allocated on the worker,
  * otherwise NULL. */
 struct SrRun *SrFleet_FindRun(const struct SrWorker *worker,
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "codec.h"
 #include "engine.h"
 #include "fleet_sim.h"
 #include "log.h"
@@ -304,6 +305,311 @@
     SrCatalog_Destroy(catalog);
 }
 
+/* Accelerators of the worker of struct DrivenLeader. */
+#define DRIVEN_ACCELERATORS 8
+#define DRIVEN_STEP_MS 10
+#define DRIVEN_COMMANDS_MAX 8
+
+/* A leader's engine with one worker, "w", whose responses the test gives. */
+struct DrivenLeader {
+    struct SrEngine *engine;
+    struct SrCatalog *catalog;
+    int64_t now_ms;
+    struct SrWorkerEntry entry;
+    /* Commands without a response, in the order of sending. */
+    struct SrCommand pending[DRIVEN_COMMANDS_MAX];
+    unsigned pending_count;
+    /* Number of commands of each kind that were sent. */
+    unsigned sent[SR_COMMAND_ADVISE + 1];
+};
+
+static void
+keep_command(void *context, const struct SrCommand *command)
+{
+    struct DrivenLeader *leader = context;
+    leader->sent[command->kind]++;
+    assert_true(leader->pending_count < DRIVEN_COMMANDS_MAX);
+    leader->pending[leader->pending_count++] = *command;
+}
+
+static void
+lead(struct DrivenLeader *leader)
+{
+    *leader = (struct DrivenLeader){
+        .catalog = SrCatalog_Create(1, 0, 0),
+        .now_ms = 1000,
+        .entry = {.id = "w",
+                  .address = "a",
+                  .service = "s",
+                  .cpu_millis = 64000,
+                  .memory_mb = 64000,
+                  .accelerators = DRIVEN_ACCELERATORS,
+                  .incarnation = 1},
+    };
+    leader->catalog->queues[0].name = SrUtil_Strdup("q");
+    leader->catalog->queues[0].host = SrUtil_Strdup("h");
+    leader->catalog->queues[0].prefix = SrUtil_Strdup("/");
+    leader->catalog->queues[0].service = SrUtil_Strdup("s");
+    leader->engine = SrEngine_Create(
+        &(struct SrEngineOptions){
+            .lease_ms = 6000,
+            .stop_ms = 200,
+            .retention_ms = 60000,
+            .remote_factor = 1,
+            .send = keep_command,
+            .context = leader,
+        },
+        1, leader->now_ms);
+    SrEngine_SetCatalog(leader->engine, leader->catalog);
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
+static void
+resign(struct DrivenLeader *leader)
+{
+    SrEngine_Destroy(leader->engine);
+    SrCatalog_Destroy(leader->catalog);
+}
+
+static void
+write_changes(struct DrivenLeader *leader)
+{
+    struct SrEngineChange changes[8];
+    size_t count =
+        SrEngine_TakeChanges(leader->engine, changes, SR_LENGTH(changes));
+    for (size_t i = 0; i < count; i++) {
+        free(changes[i].progress);
+        SrEngine_OnWritten(leader->engine, changes[i].id, changes[i].change);
+    }
+}
+
+/* Lets the time pass. While it does, changes are written to the store at once
+ * or, if `writable` is false, not at all. */
+static void
+pass_time(struct DrivenLeader *leader, int64_t ms, bool writable)
+{
+    for (int64_t end_ms = leader->now_ms + ms; leader->now_ms < end_ms;) {
+        leader->now_ms += DRIVEN_STEP_MS;
+        SrEngine_SetConfirmed(leader->engine, leader->now_ms);
+        SrEngine_Tick(leader->engine, true, leader->now_ms, leader->now_ms);
+        if (writable) {
+            write_changes(leader);
+        }
+    }
+}
+
+/* Submits job number `job`, which has one step of `count` tasks: a gang if
+ * there are several. */
+static void
+submit(struct DrivenLeader *leader, unsigned job, uint32_t count,
+       uint32_t accelerators)
+{
+    char id[SR_ID_SIZE];
+    size_t size;
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep step = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&step};
+    snprintf(id, sizeof(id), "%016u", job);
+    step.count = count;
+    step.accelerators = accelerators;
+    step.gang = count > 1;
+    step.cpu_millis = 1000;
+    step.memory_mb = 1000;
+    step.estimated_ms = 1000;
+    record.steps = steps;
+    record.n_steps = 1;
+    record.payload = (char *)"work";
+    record.queue = (char *)"q";
+    record.service = (char *)"s";
+    record.account = (char *)"account";
+    record.priority = 1;
+    record.max_attempts = 3;
+    record.stretch = 2;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *packed = SrCodec_Pack(&record, &size);
+    SrEngine_AddFlow(
+        leader->engine, id,
+        SrCodec_Unpack(&sr__flow_record__descriptor, packed, size), NULL,
+        leader->now_ms);
+}
+
+/* Removes the oldest command of the kind from those without a response, and
+ * returns it. Lets time pass until there is one. */
+static struct SrCommand
+take_command(struct DrivenLeader *leader, enum SrCommandKind kind)
+{
+    for (unsigned tries = 0; tries < 300; tries++) {
+        for (unsigned i = 0; i < leader->pending_count; i++) {
+            struct SrCommand command = leader->pending[i];
+            if (command.kind != kind) {
+                continue;
+            }
+            leader->pending_count--;
+            memmove(&leader->pending[i], &leader->pending[i + 1],
+                    (leader->pending_count - i) * sizeof(command));
+            return command;
+        }
+        pass_time(leader, DRIVEN_STEP_MS, true);
+    }
+    fail_msg("no command of kind %d", (int)kind);
+    return (struct SrCommand){.kind = kind};
+}
+
+/* Gives the response to the oldest command of the kind. */
+static void
+respond(struct DrivenLeader *leader, enum SrCommandKind kind,
+        enum SrCommandResult result)
+{
+    struct SrCommand command = take_command(leader, kind);
+    SrEngine_OnResponse(
+        leader->engine, &command,
+        &(struct SrCommandResponse){.result = result, .clock_ms = -1},
+        leader->now_ms);
+}
+
+/* Responds to the poll with a list of the task's run 1; of no run if `task` is
+ * NULL. */
+static void
+respond_to(struct DrivenLeader *leader, const struct SrCommand *poll,
+           const char *task)
+{
+    struct SrRunningReport running = {.run = 1};
+    SrUtil_Copy(running.task, sizeof(running.task), task != NULL ? task : "");
+    SrEngine_OnResponse(leader->engine, poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader->now_ms,
+                            .incarnation = leader->entry.incarnation,
+                            .running = &running,
+                            .running_count = task != NULL ? 1 : 0,
+                        },
+                        leader->now_ms);
+}
+
+static void
+list_runs(struct DrivenLeader *leader, const char *task)
+{
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    respond_to(leader, &poll, task);
+}
+
+#define UNKNOWN_TASK "0000000000000009.0.0.0"
+
+/* Guards against a start on a worker that lists a run which the leader does
+ * not know: while the run is being stopped it still holds its resources, and
+ * the start brought the worker over its capacity. */
+static void
+unknown_runs_keep_new_work_away(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, UNKNOWN_TASK);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    /* The stop is acknowledged, but the run is still being stopped. */
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against start commands of runs that were allocated before the worker
+ * listed an unknown run. */
+static void
+unknown_runs_hold_up_allocated_starts(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 300, false);
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against a start that is sent again after its worker has listed an
+ * unknown run: if the first one was lost, the second brings the worker over
+ * its capacity. */
+static void
+unknown_runs_hold_up_repeated_starts(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
+/* Guards against a response that overtakes another: a poll that the worker
+ * answered before the unknown run began shows nothing about it. */
+static void
+earlier_polls_do_not_clear_unknown_runs(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    SrEngine_CancelFlow(leader.engine, "0000000000000001", leader.now_ms);
+    struct SrCommand earlier = take_command(&leader, SR_COMMAND_POLL);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(&leader, UNKNOWN_TASK);
+    respond_to(&leader, &earlier, NULL);
+    submit(&leader, 2, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against work on a worker whose lease was counted as expired, before
+ * its first list of runs. */
+static void
+expired_lease_keeps_new_work_away(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    for (unsigned polls = 0; polls < 6; polls++) {
+        respond(&leader, SR_COMMAND_POLL, SR_COMMAND_NO_RESPONSE);
+        pass_time(&leader, 1000, true);
+    }
+    pass_time(&leader, 3000, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    list_runs(&leader, "0000000000000001.0.0.0");
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    /* The first of these responses is that to a poll sent before the list. */
+    list_runs(&leader, NULL);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -314,6 +620,11 @@
         cmocka_unit_test(regression_seeds),
         cmocka_unit_test(gangs_start_together_without_faults),
         cmocka_unit_test(results_are_acknowledged_once),
+        cmocka_unit_test(unknown_runs_keep_new_work_away),
+        cmocka_unit_test(unknown_runs_hold_up_allocated_starts),
+        cmocka_unit_test(unknown_runs_hold_up_repeated_starts),
+        cmocka_unit_test(earlier_polls_do_not_clear_unknown_runs),
+        cmocka_unit_test(expired_lease_keeps_new_work_away),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
