Engine: unacknowledged starts are remembered while they may be executed

What callers saw: nothing yet; found while runs that the leader does not know were traced.

Cause: the leader forgot a start that may be executed up to 13 s later, in three ways. It dropped the record when an incarnation of the worker had acknowledged the stop, though the next incarnation, which knows of no stop, may execute the start. It kept no record if the run was over before the command timed out. And it dropped a worker without an entry together with its records.

Change: the record is kept for its 13 s, whatever acknowledges the stop, and so is the worker. A new incarnation gets the stops, and no start before it has acknowledged them.

Ruled out: that the incarnation which received the stop executes the start later; it rejects runs that are not higher than a stopped one. So the resources of the start are not kept back while that incarnation lasts.

--- a/src/engine.c
+++ b/src/engine.c
@@ -538,7 +538,7 @@
 }
 
 /* Ends the runs of workers whose lease has expired, and removes the workers
- * that have neither runs nor an entry in the store. */
+ * that have neither runs, unacknowledged starts nor an entry in the store. */
 static void
 end_runs_without_lease(struct SrEngine *engine, int64_t now_ms)
 {
@@ -546,8 +546,11 @@
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
         if (SrList_IsEmpty(&worker->runs)) {
+            /* Unacknowledged starts are remembered, since the worker may
+             * return. */
             if (!worker->present && !worker->poll_in_flight &&
-                !worker->quick_poll_in_flight) {
+                !worker->quick_poll_in_flight &&
+                SrList_IsEmpty(&worker->unacked_starts)) {
                 SrFleet_Remove(&engine->fleet, worker);
             }
             continue;
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -238,10 +238,10 @@
         struct SrUnackedStart *start =
             SR_CONTAINER(link, struct SrUnackedStart, link);
         if (start->until_ms < now_ms) {
-            SrFleet_RemoveUnackedStart(worker, start->task, start->run);
+            SrFleet_RemoveUnackedStart(start);
             continue;
         }
-        if (start->unacked_since_ms >= worker->incarnation_seen_ms ||
+        if (!SrFleet_IsStartUnblocked(worker, start) ||
             now_ms - start->stop_sent_ms < EXCHANGE_TIMEOUT_MS) {
             continue;
         }
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -320,14 +320,27 @@
     SrEngine_EndRun(engine, run, SR_RUN_STOPPED, "", now_ms);
 }
 
+/* Remembers that the start may still be executed. `run` is NULL if the run is
+ * over already. */
+static void
+remember_unacked_start(struct SrWorker *worker, struct SrRun *run,
+                       const struct SrCommand *command, int64_t now_ms)
+{
+    int64_t until_ms = now_ms + UNACKED_START_MS;
+    /* A run that is not over was to be executed by the incarnation that the
+     * leader knows, or is being stopped there. One that is over may have been
+     * sent to a former one. */
+    int64_t since_ms = run != NULL ? now_ms : now_ms - command->timeout_ms;
+    SrFleet_AddUnackedStart(worker, command->u.start.task,
+                            command->u.start.run, since_ms, until_ms);
+    if (run != NULL) {
+        run->unacked_until_ms = until_ms;
+    }
+}
+
 static void
 on_start_unacked(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
 {
-    char name[SR_TASK_NAME_SIZE];
-    SrFlow_TaskName(run->task, name);
-    run->unacked_until_ms = now_ms + UNACKED_START_MS;
-    SrFleet_AddUnackedStart(run->worker, name, run->number, now_ms,
-                            run->unacked_until_ms);
     run->next_send_ms = now_ms + RETRY_DELAY_MS;
     SR_INFO("engine", "start-unanswered",
             "id=%s step=%u index=%u run=%u worker=%s sends=%u",
@@ -346,6 +359,9 @@
 {
     struct SrRun *run =
         find_run(engine, worker, command->u.start.task, command->u.start.run);
+    if (response->result == SR_COMMAND_NO_RESPONSE) {
+        remember_unacked_start(worker, run, command, now_ms);
+    }
     if (run == NULL) {
         return;
     }
@@ -405,8 +421,11 @@
     struct SrRun *run =
         find_run(engine, worker, command->u.stop.task, command->u.stop.run);
     if (response->result == SR_COMMAND_DONE) {
-        SrFleet_RemoveUnackedStart(worker, command->u.stop.task,
-                                   command->u.stop.run);
+        struct SrUnackedStart *start = SrFleet_FindUnackedStart(
+            worker, command->u.stop.task, command->u.stop.run);
+        if (start != NULL) {
+            start->stop_acked_ms = start->stop_sent_ms;
+        }
     }
     if (run == NULL) {
         return;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -59,8 +59,8 @@
     }
     SR_LIST_EACH_SAFE(link, &worker->unacked_starts)
     {
-        SrList_Remove(link);
-        free(SR_CONTAINER(link, struct SrUnackedStart, link));
+        SrFleet_RemoveUnackedStart(
+            SR_CONTAINER(link, struct SrUnackedStart, link));
     }
     SrList_Remove(&worker->link);
     free(worker);
@@ -219,37 +219,61 @@
 SrFleet_AddUnackedStart(struct SrWorker *worker, const char *task,
                         uint32_t run, int64_t now_ms, int64_t until_ms)
 {
-    SrFleet_RemoveUnackedStart(worker, task, run);
-    struct SrUnackedStart *start = SrUtil_Calloc(1, sizeof(*start));
-    SrUtil_Copy(start->task, sizeof(start->task), task);
-    start->run = run;
+    struct SrUnackedStart *start = SrFleet_FindUnackedStart(worker, task, run);
+    if (start == NULL) {
+        start = SrUtil_Calloc(1, sizeof(*start));
+        SrUtil_Copy(start->task, sizeof(start->task), task);
+        start->run = run;
+        SrList_Append(&worker->unacked_starts, &start->link);
+    }
     start->unacked_since_ms = now_ms;
     start->until_ms = until_ms;
-    SrList_Append(&worker->unacked_starts, &start->link);
 }
 
-void
-SrFleet_RemoveUnackedStart(struct SrWorker *worker, const char *task,
-                           uint32_t run)
+struct SrUnackedStart *
+SrFleet_FindUnackedStart(const struct SrWorker *worker, const char *task,
+                         uint32_t run)
 {
-    SR_LIST_EACH_SAFE(link, &worker->unacked_starts)
+    SR_LIST_EACH(link, &worker->unacked_starts)
     {
         struct SrUnackedStart *start =
             SR_CONTAINER(link, struct SrUnackedStart, link);
         if (start->run == run && strcmp(start->task, task) == 0) {
-            SrList_Remove(&start->link);
-            free(start);
-            /* There is at most one record for each run. `task` may point into
-             * the freed record, so it must not be read any more. */
-            return;
+            return start;
         }
     }
+    return NULL;
+}
+
+void
+SrFleet_RemoveUnackedStart(struct SrUnackedStart *start)
+{
+    SrList_Remove(&start->link);
+    free(start);
+}
+
+bool
+SrFleet_IsStartUnblocked(const struct SrWorker *worker,
+                         const struct SrUnackedStart *start)
+{
+    return start->unacked_since_ms < worker->incarnation_seen_ms &&
+           start->stop_acked_ms < worker->incarnation_seen_ms;
 }
 
 bool
 SrFleet_MayExecuteUnknownRuns(const struct SrWorker *worker)
 {
-    return worker->unknown_runs_ms != 0;
+    if (worker->unknown_runs_ms != 0) {
+        return true;
+    }
+    SR_LIST_EACH(link, &worker->unacked_starts)
+    {
+        if (SrFleet_IsStartUnblocked(
+                worker, SR_CONTAINER(link, struct SrUnackedStart, link))) {
+            return true;
+        }
+    }
+    return false;
 }
 
 struct SrRun *
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -97,19 +97,24 @@
 
 /* A start command without a response, which may still reach the worker. An
  * incarnation that has executed or stopped the run ignores the command, but
- * the next incarnation may execute it. */
+ * any later incarnation may execute it, so the record is kept until
+ * `until_ms`. */
 struct SrUnackedStart {
     /* Link in the worker's `unacked_starts`. */
     struct SrList link;
     char task[SR_TASK_NAME_SIZE];
     uint32_t run;
-    /* When the command timed out. */
+    /* When the command timed out or, if its run was over by then, no later
+     * than when it was sent. */
     int64_t unacked_since_ms;
     /* Until when the command may still be executed. */
     int64_t until_ms;
-    /* When a stop command was last sent to prevent the next incarnation from
+    /* When a stop command was last sent to prevent a later incarnation from
      * executing the start; 0 if none was. */
     int64_t stop_sent_ms;
+    /* When a stop command was last sent that the worker acknowledged; 0 if
+     * none was. */
+    int64_t stop_acked_ms;
 };
 
 struct SrWorker {
@@ -275,7 +280,8 @@
  */
 unsigned SrNames_Find(const struct SrNames *names, const char *name);
 
-/* Removes and frees a worker that has no runs and no entry in the store. */
+/* Removes and frees a worker that has no runs and no entry in the store, and
+ * the records of its unacknowledged starts. */
 void SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker);
 
 static inline struct SrWorker *
@@ -307,14 +313,25 @@
 void SrFleet_AddUnackedStart(struct SrWorker *worker, const char *task,
                              uint32_t run, int64_t now_ms, int64_t until_ms);
 
-/* Removes the record of an unacknowledged start, if there is one, once the
- * start can have no effect any more. */
-void SrFleet_RemoveUnackedStart(struct SrWorker *worker, const char *task,
-                                uint32_t run);
+/* Returns the record of the run's unacknowledged start; NULL if there is none.
+ */
+struct SrUnackedStart *SrFleet_FindUnackedStart(const struct SrWorker *worker,
+                                                const char *task,
+                                                uint32_t run);
+
+/* Removes and frees the record of an unacknowledged start. */
+void SrFleet_RemoveUnackedStart(struct SrUnackedStart *start);
+
+/* Returns true if the start was sent to a former incarnation of the worker and
+ * the current one has not acknowledged a stop of the run, so that it may
+ * execute the start. */
+bool SrFleet_IsStartUnblocked(const struct SrWorker *worker,
+                              const struct SrUnackedStart *start);
 
 /* Returns true if the worker may execute runs whose resources are not counted
  * as allocated: it listed a run that the leader does not know, which is being
- * stopped. It must get no start command meanwhile. */
+ * stopped, or may execute a start that was sent to a former incarnation. It
+ * must get no start command meanwhile. */
 bool SrFleet_MayExecuteUnknownRuns(const struct SrWorker *worker);
 
 /* Returns the task's run if it has this number and is allocated on the worker,
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -61,6 +61,10 @@
                             .store_outages = 2,
                             .cancels = 4,
                         }},
+    /* Guards against work on a restarted worker that may still execute starts
+     * sent to its former incarnation. */
+    {"late commands and crashes",
+     .faults = {.late_commands = 50, .crashes = 12}},
 };
 
 /* Mixes in which a leader is cut off together with workers. */
@@ -92,6 +96,11 @@
      * incarnation. The leader ended the run when the stop was acknowledged,
      * although the run was executed until the stop took effect. */
     {"workers crash", 39},
+    /* A restarted worker executed a start of a run that had been given up, and
+     * that its former incarnation had stopped, beside new work. */
+    {"late commands and crashes", 60},
+    {"late commands and crashes", 122},
+    {"late commands and crashes", 314},
 };
 
 static uint64_t
@@ -493,6 +502,14 @@
     respond_to(leader, &poll, task);
 }
 
+/* The worker restarts, and its new entry is read. */
+static void
+restart_worker(struct DrivenLeader *leader)
+{
+    leader->entry.incarnation++;
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
 #define UNKNOWN_TASK "0000000000000009.0.0.0"
 
 /* Guards against a start on a worker that lists a run which the leader does
@@ -610,6 +627,100 @@
     resign(&leader);
 }
 
+/* Lets the start of job 1 get no response and be given up, until the leader
+ * knows that the run is over. */
+static void
+give_up_start(struct DrivenLeader *leader)
+{
+    list_runs(leader, NULL);
+    submit(leader, 1, 1, DRIVEN_ACCELERATORS);
+    for (unsigned sends = 0; sends < 4; sends++) {
+        respond(leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    }
+    SrEngine_CancelFlow(leader->engine, "0000000000000001", leader->now_ms);
+    respond(leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(leader, NULL);
+    pass_time(leader, 50, true);
+    list_runs(leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader->engine, leader->now_ms).running,
+                     0);
+}
+
+/* Checks that the restarted worker gets no work before it has acknowledged the
+ * stop of job 1's run, and gets some then. `starts` is the number of start
+ * commands that were sent before. */
+static void
+check_blocked_before_work(struct DrivenLeader *leader, unsigned starts)
+{
+    list_runs(leader, NULL);
+    submit(leader, 2, 1, DRIVEN_ACCELERATORS);
+    pass_time(leader, 300, true);
+    assert_int_equal(leader->sent[SR_COMMAND_START], starts);
+    respond(leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    pass_time(leader, 300, true);
+    assert_int_equal(leader->sent[SR_COMMAND_START], starts + 1);
+}
+
+/* Guards against a start without a response that the worker's next incarnation
+ * executes beside new work. The former incarnation had acknowledged the stop
+ * of the run, upon which the leader no longer reckoned with the start; but the
+ * next incarnation does not know of that stop. */
+static void
+unacked_start_is_blocked_after_restart(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    give_up_start(&leader);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 4);
+    resign(&leader);
+}
+
+/* Guards against the same where the run is over before its start command times
+ * out: the leader did not remember the start. */
+static void
+start_that_times_out_late_is_blocked_after_restart(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    struct SrCommand start = take_command(&leader, SR_COMMAND_START);
+    SrEngine_CancelFlow(leader.engine, "0000000000000001", leader.now_ms);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 50, true);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    SrEngine_OnResponse(leader.engine, &start,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_NO_RESPONSE, .clock_ms = -1},
+                        leader.now_ms);
+    pass_time(&leader, 50, true);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 1);
+    resign(&leader);
+}
+
+/* Guards against the same where the worker's entry is missing for a while
+ * before its restart: with the worker the leader forgot the start. */
+static void
+unacked_start_is_blocked_after_absence(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    give_up_start(&leader);
+    SrEngine_SetWorker(leader.engine, "w", NULL, leader.now_ms);
+    respond(&leader, SR_COMMAND_POLL, SR_COMMAND_NO_RESPONSE);
+    pass_time(&leader, 2000, true);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 4);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -625,6 +736,9 @@
         cmocka_unit_test(unknown_runs_hold_up_repeated_starts),
         cmocka_unit_test(earlier_polls_do_not_clear_unknown_runs),
         cmocka_unit_test(expired_lease_keeps_new_work_away),
+        cmocka_unit_test(unacked_start_is_blocked_after_restart),
+        cmocka_unit_test(unacked_start_is_blocked_after_absence),
+        cmocka_unit_test(start_that_times_out_late_is_blocked_after_restart),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
