Soak: a failure domain is cut off together with the leading node

Cause: tasks ran twice when a failure domain was cut off together with the leader. The soak cut a node off from the store, but the workers always reached all nodes, so that a former leader was refused by its fencing token and ended at once.

A worker reports a violation when it is told to drop a result "done" after its task was started again, unless the lease expired before the start. Domain cuts are drawn from a generator of their own, so that the seeds without them keep their faults.

In the logs of seed 72 a later leader reports lease-out for the workers that are cut off, starts run 2 and then reads that run 1 is done.

--- a/standin/main.c
+++ b/standin/main.c
@@ -241,6 +241,9 @@
     else if (strcmp(name, "crash") == 0) {
         SrUtil_Copy(faults->crash, SR_ID_SIZE, value);
     }
+    else if (strcmp(name, "cut_workers") == 0) {
+        SrUtil_Copy(faults->cut_workers, sizeof(faults->cut_workers), value);
+    }
     else if (strcmp(name, "cut") == 0) {
         SrUtil_Copy(faults->cut, sizeof(faults->cut), value);
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -53,6 +53,9 @@
     unsigned long config;
     /* Role site: worker that restarts and loses its state. */
     char crash[SR_ID_SIZE];
+    /* Role site: workers that are cut off together with the leader, as in
+     * ",w0,w3,"; empty for none. */
+    char cut_workers[4 * SR_ID_SIZE];
     /* Role forward: numbers of the links that carry no data, as in ",3,5,".
      */
     char cut[4 * SR_ID_SIZE];
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -29,6 +29,10 @@
 #define CLAIM_PORT 7999
 /* Address of the forwarder: last byte of the host, and port. */
 #define FORWARDER "11:7100"
+/* Port of a node's metrics. */
+#define METRICS_PORT 7000
+#define METRICS_MAX (1024 * 1024)
+#define METRICS_TIMEOUT_MS 500
 
 void
 SoakSite_Fail(struct SoakSite *site, const char *what, const char *id)
@@ -139,7 +143,7 @@
 {
     char faults[64] = "cut=,";
     for (unsigned i = 0; i < SOAK_NODES; i++) {
-        if (site->nodes[i].cut) {
+        if (site->nodes[i].cut || site->nodes[i].domain_cut) {
             size_t length = strlen(faults);
             snprintf(faults + length, sizeof(faults) - length, "%u,", i);
         }
@@ -244,6 +248,74 @@
     }
 }
 
+/* Cuts the node off from the store, and half of the workers with it. */
+static void
+cut_domain(struct SoakSite *site, struct SoakNode *node)
+{
+    char faults[64] = "cut_workers=,";
+    unsigned first =
+        (unsigned)gsl_rng_uniform_int(site->cut_random, WORKER_COUNT);
+    site->domain_cut_end_ms =
+        SrOs_MonotonicMs() + 4000 +
+        (int64_t)gsl_rng_uniform_int(site->cut_random, 5000);
+    for (unsigned i = 0; i < WORKER_COUNT / 2; i++) {
+        size_t length = strlen(faults);
+        snprintf(faults + length, sizeof(faults) - length, "w%u,",
+                 (first + i) % WORKER_COUNT);
+    }
+    node->domain_cut = true;
+    send_cuts(site);
+    set_faults(site, SOAK_STORE, faults);
+}
+
+static void
+on_metrics(void *context, const struct SrHttpResponse *response)
+{
+    static const char leading[] = "\nsr_leading 1\n";
+    struct SoakNode *node = context;
+    if (response->error == SR_HTTP_CLIENT_OK && response->status == 200 &&
+        node->site->domain_cut_end_ms == 0 &&
+        memmem(response->body, response->size, leading, strlen(leading)) !=
+            NULL) {
+        cut_domain(node->site, node);
+    }
+}
+
+void
+SoakSite_CutDomain(struct SoakSite *site)
+{
+    for (unsigned i = 0; i < SOAK_NODES && site->domain_cut_end_ms == 0; i++) {
+        char address[64];
+        snprintf(address, sizeof(address), "%s.%u:%d", site->host, 20 + i,
+                 METRICS_PORT);
+        site->nodes[i].site = site;
+        SrHttpClient_Send(site->http, &(struct SrHttpCallOptions){
+                                          .method = "GET",
+                                          .address = address,
+                                          .path = "/metrics",
+                                          .timeout_ms = METRICS_TIMEOUT_MS,
+                                          .response_max = METRICS_MAX,
+                                          .done = on_metrics,
+                                          .context = &site->nodes[i],
+                                      });
+    }
+}
+
+/* Ends the domain cut if its time is over. */
+static void
+end_domain_cut(struct SoakSite *site, int64_t now_ms)
+{
+    if (site->domain_cut_end_ms == 0 || now_ms < site->domain_cut_end_ms) {
+        return;
+    }
+    site->domain_cut_end_ms = 0;
+    for (unsigned i = 0; i < SOAK_NODES; i++) {
+        site->nodes[i].domain_cut = false;
+    }
+    send_cuts(site);
+    set_faults(site, SOAK_STORE, "cut_workers=");
+}
+
 /* Ends the faults whose time is over and restarts the nodes that are due. */
 static void
 end_faults(struct SoakSite *site, int64_t now_ms)
@@ -328,6 +400,7 @@
 {
     check_ended_nodes(site);
     end_faults(site, now_ms);
+    end_domain_cut(site, now_ms);
 }
 
 void
@@ -338,6 +411,8 @@
     site->seed = seed;
     site->random = gsl_rng_alloc(gsl_rng_mt19937);
     gsl_rng_set(site->random, seed);
+    site->cut_random = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(site->cut_random, seed);
     site->kernel = SrKernel_Create(NULL);
     site->http = SrHttpClient_Create(&(struct SrHttpClientOptions){
         .loop = site->kernel->loop,
@@ -418,4 +493,5 @@
     SrHttpClient_Destroy(site->http);
     SrKernel_Destroy(site->kernel);
     gsl_rng_free(site->random);
+    gsl_rng_free(site->cut_random);
 }
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -41,6 +41,8 @@
     SOAK_FAULT_COUNT,
 };
 
+struct SoakSite;
+
 enum NodeState {
     NODE_DOWN,
     NODE_UP,
@@ -49,6 +51,7 @@
 };
 
 struct SoakNode {
+    struct SoakSite *site;
     pid_t pid;
     enum NodeState state;
     /* When a paused node is resumed, or a node that is down is restarted, in
@@ -61,12 +64,17 @@
     /* True while the link to the store is cut. */
     bool cut;
     int64_t cut_until_ms;
+    /* True while the node's failure domain is cut off from the store. */
+    bool domain_cut;
 };
 
 struct SoakSite {
     /* Seed of all random choices of the test process. */
     unsigned seed;
     gsl_rng *random;
+    /* For domain cuts, so that they do not change the other faults of the
+     * seed. */
+    gsl_rng *cut_random;
     struct SrKernel *kernel;
     struct SrHttpClient *http;
     /* Directory of the settings files and logs. */
@@ -86,6 +94,8 @@
      * monotonic clock; 0 if there is none. */
     int64_t store_fault_end_ms;
     int64_t worker_fault_end_ms;
+    /* The same for a domain cut. */
+    int64_t domain_cut_end_ms;
     /* Description of the first failure; empty if there is none. */
     char failure[256];
 };
@@ -102,6 +112,11 @@
  * is in the wrong state for it. */
 void SoakSite_InjectFault(struct SoakSite *site, enum SoakFault kind);
 
+/* Cuts the leading node and half of the workers off from the store and from
+ * the other workers, for 4 to 9 s. Does nothing during a domain cut, or if no
+ * node reports that it leads. */
+void SoakSite_CutDomain(struct SoakSite *site);
+
 /* Ends faults that have lasted long enough, starts nodes that are down and
  * checks the exit status of nodes that ended. */
 void SoakSite_Tick(struct SoakSite *site, int64_t now_ms);
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -4,7 +4,7 @@
  * the workers is checked too.
  *
  * Without arguments the test runs the seeds of CI. With
- *     test_soak --from=SEED --seeds=N --length-ms=MS
+ *     test_soak --from=SEED --seeds=N --length-ms=MS [--domain-cuts]
  * it prints one line per seed and keeps the logs of seeds that fail. */
 #include "test_support.h"
 
@@ -36,6 +36,9 @@
 #define TICK_MS 20
 /* Delay of the first fault; all processes are started by then. */
 #define FIRST_FAULT_MS 1500
+/* Interval of the attempts to cut a failure domain off; each has no effect
+ * during a cut. */
+#define DOMAIN_CUT_INTERVAL_MS 1500
 
 enum JobState {
     JOB_SUBMITTING,
@@ -71,6 +74,7 @@
     struct SrTimer submit;
     struct SrTimer query;
     struct SrTimer fault;
+    struct SrTimer domain_cut;
     struct SrTimer tick;
     /* True after the last fault: no more jobs are submitted, and the test
      * waits for the accepted ones to be completed. */
@@ -94,6 +98,15 @@
                   soak);
 }
 
+static void
+on_domain_cut(void *context)
+{
+    struct Soak *soak = context;
+    if (SrOs_MonotonicMs() < soak->faults_until_ms) {
+        SoakSite_CutDomain(&soak->site);
+    }
+}
+
 /* Returns true if the state of each job is known and the accepted ones are
  * completed. */
 static bool
@@ -326,7 +339,8 @@
 }
 
 static void
-start_soak(struct Soak *soak, unsigned seed, int64_t length_ms)
+start_soak(struct Soak *soak, unsigned seed, int64_t length_ms,
+           bool domain_cuts)
 {
     SoakSite_Start(&soak->site, seed);
     struct SrKernel *kernel = soak->site.kernel;
@@ -336,6 +350,10 @@
     SrTimer_Start(&soak->query, kernel, QUERY_DELAY_MS, QUERY_DELAY_MS / 3,
                   on_query, soak);
     SrTimer_Start(&soak->fault, kernel, FIRST_FAULT_MS, 0, on_fault, soak);
+    if (domain_cuts) {
+        SrTimer_Start(&soak->domain_cut, kernel, FIRST_FAULT_MS,
+                      DOMAIN_CUT_INTERVAL_MS, on_domain_cut, soak);
+    }
     SrTimer_Start(&soak->tick, kernel, TICK_MS, TICK_MS, on_tick, soak);
 }
 
@@ -345,6 +363,7 @@
     SrTimer_Stop(&soak->submit);
     SrTimer_Stop(&soak->query);
     SrTimer_Stop(&soak->fault);
+    SrTimer_Stop(&soak->domain_cut);
     SrTimer_Stop(&soak->tick);
     for (unsigned i = 0; i < soak->job_count; i++) {
         SrTimer_Stop(&soak->jobs[i].retry);
@@ -356,11 +375,11 @@
 /* Runs the test with one seed. Returns true if no check failed and at least
  * one job was accepted. */
 static bool
-run_seed(unsigned seed, int64_t length_ms)
+run_seed(unsigned seed, int64_t length_ms, bool domain_cuts)
 {
     struct Soak *soak = SrUtil_Calloc(1, sizeof(*soak));
     unsigned counts[4];
-    start_soak(soak, seed, length_ms);
+    start_soak(soak, seed, length_ms, domain_cuts);
     ev_run(soak->site.kernel->loop, 0);
     SrTimer_Stop(&soak->tick);
     SrTimer_Stop(&soak->query);
@@ -379,10 +398,12 @@
 
 /* Seeds for CI. Those with a comment failed before, because of the fault that
  * the comment describes. */
-static const struct {
+struct Seed {
     unsigned seed;
     int64_t length_ms;
-} ci_seeds[] = {
+};
+
+static const struct Seed ci_seeds[] = {
     {1, 5000},
     {2, 5000},
     /* Start commands sent to one incarnation of a worker got their responses
@@ -400,12 +421,31 @@
     {1419, 8000},
 };
 
+/* Seeds for CI that are run with domain cuts. */
+static const struct Seed domain_cut_seeds[] = {
+    /* A leader that was cut off from the store went on extending the leases of
+     * the workers that it reached. A later leader started their tasks again,
+     * and read the results of the first runs when the cut was over. */
+    {72, 8000},
+    {87, 8000},
+};
+
 static void
 promises_hold_under_faults(void **state)
 {
     (void)state;
     for (size_t i = 0; i < SR_LENGTH(ci_seeds); i++) {
-        assert_true(run_seed(ci_seeds[i].seed, ci_seeds[i].length_ms));
+        assert_true(run_seed(ci_seeds[i].seed, ci_seeds[i].length_ms, false));
+    }
+}
+
+static void
+promises_hold_under_domain_cuts(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(domain_cut_seeds); i++) {
+        assert_true(run_seed(domain_cut_seeds[i].seed,
+                             domain_cut_seeds[i].length_ms, true));
     }
 }
 
@@ -413,12 +453,16 @@
     unsigned from;
     unsigned seeds;
     int64_t length_ms;
+    bool domain_cuts;
 };
 
 static const struct argp_option options[] = {
     {.name = "from", .key = 'f', .arg = "SEED", .doc = "first seed"},
     {.name = "seeds", .key = 's', .arg = "N", .doc = "number of seeds"},
     {.name = "length-ms", .key = 'l', .arg = "MS", .doc = "fault duration"},
+    {.name = "domain-cuts",
+     .key = 'd',
+     .doc = "cut the leader off together with workers"},
     {0},
 };
 
@@ -436,6 +480,9 @@
     case 'l':
         arguments->length_ms = strtoll(text, NULL, 10);
         return 0;
+    case 'd':
+        arguments->domain_cuts = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -456,14 +503,17 @@
     if (arguments.seeds > 0) {
         unsigned failed = 0;
         for (unsigned i = 0; i < arguments.seeds; i++) {
-            failed +=
-                run_seed(arguments.from + i, arguments.length_ms) ? 0 : 1;
+            failed += run_seed(arguments.from + i, arguments.length_ms,
+                               arguments.domain_cuts)
+                          ? 0
+                          : 1;
         }
         print_message("%u of %u seeds failed\n", failed, arguments.seeds);
         return failed > 0 ? 1 : 0;
     }
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(promises_hold_under_faults),
+        cmocka_unit_test(promises_hold_under_domain_cuts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
