Engine: a new leader stops the runs of a job that is stored as ended

Callers cancelled a job, got their 2xx, and its tasks ran on to their end (UNASKED). The leader had read the cancellation and stored the status CANCELLED, but its stop commands had not taken effect when it ended: the workers were cut off, or the commands were lost or late. The next leader loaded the status, took the outstanding runs over and extended their leases. It sent no stop: loading sets `cancelled`, with which SrEngine_CancelFlow returns when the cancellation is read again. Runs of a job stored as failed or completed were never stopped either.

Ruled out: the follower of the cancellations, the request's path to the row, and placement, which leaves ended jobs out. In each trace the leader logged `cancelled` and `stop`, and its successor no `stop`.

Change: loading the progress of an ended job stops its outstanding runs.

--- a/src/engine.c
+++ b/src/engine.c
@@ -276,7 +276,36 @@
     }
 }
 
-/* Applies the stored progress of the flow. */
+static void
+stop_runs(struct SrEngine *engine, struct SrFlow *flow, const char *reason,
+          int64_t now_ms)
+{
+    size_t count = (size_t)flow->tasks_per_occurrence * flow->occurrences;
+    for (size_t i = 0; i < count && flow->outstanding > 0; i++) {
+        if (flow->tasks[i].active_run != NULL) {
+            SrEngine_StopRun(engine, flow->tasks[i].active_run, reason,
+                             now_ms);
+        }
+    }
+}
+
+/* Returns why the runs of an ended job are stopped, for the log. */
+static const char *
+stop_reason_of(Sr__FlowStatus status)
+{
+    switch (status) {
+    case SR__FLOW_STATUS__FLOW_CANCELLED:
+        return "cancelled";
+    case SR__FLOW_STATUS__FLOW_FAILED:
+        return "job-failed";
+    default:
+        return "job-completed";
+    }
+}
+
+/* Applies the stored progress of the flow. If the job has ended, its
+ * outstanding runs are stopped, as the previous leader may have ended before
+ * its stop commands took effect. */
 static void
 load_progress(struct SrEngine *engine, struct SrFlow *flow,
               const Sr__FlowProgress *progress, int64_t now_ms)
@@ -288,10 +317,11 @@
         return;
     }
     inherit_runs(engine, flow, progress, now_ms);
+    flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
     if (SrFlow_HasEnded(flow)) {
         flow->ended_ms = now_ms;
+        stop_runs(engine, flow, stop_reason_of(flow->status), now_ms);
     }
-    flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
 }
 
 void
@@ -320,19 +350,6 @@
     apply_early_cancellation(engine, flow, now_ms);
 }
 
-static void
-stop_runs(struct SrEngine *engine, struct SrFlow *flow, const char *reason,
-          int64_t now_ms)
-{
-    size_t count = (size_t)flow->tasks_per_occurrence * flow->occurrences;
-    for (size_t i = 0; i < count && flow->outstanding > 0; i++) {
-        if (flow->tasks[i].active_run != NULL) {
-            SrEngine_StopRun(engine, flow->tasks[i].active_run, reason,
-                             now_ms);
-        }
-    }
-}
-
 void
 SrEngine_CancelFlow(struct SrEngine *engine, const char *id, int64_t now_ms)
 {
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -17,6 +17,11 @@
 /* Maximum time until the store has the entry of a restarted worker, or has
  * deleted that of a worker that left. */
 #define ENTRY_DELAY_MS 1500
+/* Time within which a run is over after its job was cancelled: that for the
+ * cancellation to take effect, and that for the stop. The time counts while
+ * nothing has been disturbed for CONTACT_MS. */
+#define CANCEL_MS 3000
+#define CONTACT_MS 4000
 /* Virtual time of one step of the simulation. */
 #define STEP_MS 5
 #define RUNNING_MAX 64
@@ -40,6 +45,9 @@
     int64_t due_ms;
     /* When the run ends by a stop command; 0 if the worker received none. */
     int64_t stop_due_ms;
+    /* The run has been counted as one that goes on after its job was
+     * cancelled. */
+    bool after_cancel;
     /* The run fails when it ends by itself. */
     bool will_fail;
 };
@@ -146,6 +154,8 @@
     struct SrEngine *engine;
     /* Also the fencing token of its commands. */
     uint64_t term;
+    /* When the leader took over. */
+    int64_t since_ms;
     /* When the leader last could write to the store. */
     int64_t confirmed_ms;
     /* End of the domain cut that cuts the leader off. */
@@ -862,6 +872,40 @@
     }
 }
 
+static int64_t
+later(int64_t a_ms, int64_t b_ms)
+{
+    return a_ms > b_ms ? a_ms : b_ms;
+}
+
+/* Invariant: a run does not go on after its job was cancelled, once the
+ * leader, the store, the worker and the network between them have been
+ * undisturbed for CONTACT_MS. */
+static void
+check_cancelled_runs(struct Sim *sim, struct Worker *worker)
+{
+    int64_t disturbed_ms =
+        later(later(sim->leader.since_ms, sim->store_outage_until_ms),
+              later(worker->partition_until_ms, worker->incarnation_start_ms));
+    disturbed_ms = later(disturbed_ms, worker->cut_until_ms);
+    for (unsigned i = 0;
+         sim->leader.engine != NULL && i < worker->running_count; i++) {
+        struct Execution *execution = &worker->running[i];
+        uint32_t index;
+        const struct Job *job = find_job(sim, execution->task, &index);
+        int64_t calm_ms =
+            later(disturbed_ms, execution->started_ms) + CONTACT_MS;
+        if (job->cancelled_ms != 0 && !execution->after_cancel &&
+            sim->now_ms - later(job->cancelled_ms, calm_ms) >
+                CANCEL_MS + STOP_MS) {
+            execution->after_cancel = true;
+            record_violation(sim, &sim->result->after_cancel,
+                             "goes on after the cancellation",
+                             execution->task);
+        }
+    }
+}
+
 /* Ends the worker's incarnation, with the loss of all that it had in memory.
  * If `restarts` is true, the next incarnation starts at once; otherwise the
  * worker has left for good. */
@@ -920,6 +964,7 @@
     struct Leader *leader = &sim->leader;
     *leader = (struct Leader){
         .term = leader->term + 1,
+        .since_ms = sim->now_ms,
         .confirmed_ms = sim->now_ms,
     };
     leader->engine = SrEngine_Create(
@@ -1354,6 +1399,7 @@
     drain_worker(sim);
     for (unsigned w = 0; w < sim->options->workers; w++) {
         end_due_executions(sim, &sim->workers[w]);
+        check_cancelled_runs(sim, &sim->workers[w]);
         update_entry(sim, &sim->workers[w]);
     }
     respond_to_waiting_polls(sim);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -1,7 +1,8 @@
 /* Runs the real engine against simulated workers, network and store in virtual
  * time. All random choices are determined by a seed. Checks what the workers
  * execute: no task runs twice at a time, after it is done or after its last
- * attempt, no worker is overcommitted, and every job ends. */
+ * attempt, no run goes on after its job was cancelled, no worker is
+ * overcommitted, and every job ends. */
 #ifndef SR_FLEET_SIM_H
 #define SR_FLEET_SIM_H
 
@@ -110,6 +111,9 @@
     /* Not a violation: number of runs that ended because the other members of
      * their gang did not start in time. */
     unsigned gang_timeouts;
+    /* Violation: number of runs that were executed for too long after their
+     * job had been cancelled. */
+    unsigned after_cancel;
     /* Violation: number of jobs that had not ended at the end. */
     unsigned unfinished;
     /* Number of jobs that completed. */
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -132,6 +132,7 @@
     assert_int_equal(result.over_cap, 0);
     assert_int_equal(result.after_done, 0);
     assert_int_equal(result.too_many_attempts, 0);
+    assert_int_equal(result.after_cancel, 0);
     assert_int_equal(result.unfinished, 0);
     assert_true(result.completed > 0);
 }
@@ -239,6 +240,56 @@
     }
 }
 
+/* Jobs whose runs last until they are cancelled; each fault hinders either the
+ * leader that reads the cancellation or its stop commands. */
+static void
+runs_of_cancelled_jobs_end(void **state)
+{
+    (void)state;
+    enum { JOBS = 30, DURATION_MS = 60000 };
+    static const struct SimFaults faults[] = {
+        {.cancels = 60, .takeovers = 8, .partitions = 40},
+        {.cancels = 60, .takeovers = 8, .late_commands = 100},
+        {.cancels = 60,
+         .takeovers = 8,
+         .crashes = 30,
+         .partitions = 20,
+         .late_commands = 50},
+    };
+    struct SimJob jobs[JOBS];
+    for (unsigned i = 0; i < JOBS; i++) {
+        jobs[i] = (struct SimJob){
+            .submitted_ms = 400 * (int64_t)i,
+            .priority = i % 3,
+            .count = 1 + i % 4,
+            .accelerators = 1,
+            /* Different, so that no two jobs tie for a place in the order of
+             * a pass, which would make the run depend on addresses. */
+            .work_ms = DURATION_MS + 100 * (int64_t)i,
+            .gang = i % 3 != 2,
+        };
+    }
+    for (size_t i = 0; i < SR_LENGTH(faults); i++) {
+        for (uint64_t seed = 1; seed <= seed_count(); seed++) {
+            struct SimResult result;
+            Sim_Run(
+                &(struct SimOptions){
+                    .seed = seed,
+                    .workers = 8,
+                    .jobs = JOBS,
+                    .fixed_jobs = jobs,
+                    .duration_ms = DURATION_MS,
+                    .faults = faults[i],
+                },
+                &result);
+            if (result.after_cancel > 0) {
+                print_message("faults %zu: %s\n", i, result.violation);
+            }
+            assert_int_equal(result.after_cancel, 0);
+        }
+    }
+}
+
 struct CapturedPolls {
     struct SrCommand latest;
     unsigned count;
@@ -730,6 +781,7 @@
         cmocka_unit_test(leases_end_with_leadership),
         cmocka_unit_test(regression_seeds),
         cmocka_unit_test(gangs_start_together_without_faults),
+        cmocka_unit_test(runs_of_cancelled_jobs_end),
         cmocka_unit_test(results_are_acknowledged_once),
         cmocka_unit_test(unknown_runs_keep_new_work_away),
         cmocka_unit_test(unknown_runs_hold_up_allocated_starts),
