Engine: a stop is sent again while its run is listed

A worker acknowledged the stop of a run of a cancelled job and restarted, and its next incarnation, which knows nothing of the stop, executed a start command that was still under way. The polls listed the run from then on and extended its lease, but no stop was sent any more: the leader had an acknowledgement, and SrEngine_StopRun returns for a run that is stopping.

Change: if a poll lists a run although the stop must have taken effect when the poll was sent (`stop_ms` after its acknowledgement), the stop is sent again and `stop-without-effect` is logged. That holds for each way in which an acknowledged stop has no effect, such as one rejected as invalid.

Test: stop_is_repeated_while_its_run_is_listed failed before (no stop within 3 s, with the same incarnation and with the next one); its first case requires that no stop is sent again before it can have taken effect.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -105,10 +105,33 @@
     engine->options.send(engine->options.context, &command);
 }
 
+/* Lets the stop command of a run be sent again if the poll sent at `sent_ms`,
+ * which lists the run, shows that the acknowledged stop had no effect: the
+ * worker may have restarted after it, and may then have executed a start
+ * command that was under way. */
+static void
+repeat_stop_without_effect(struct SrEngine *engine, struct SrRun *run,
+                           int64_t sent_ms, int64_t now_ms)
+{
+    if (!run->stop_acked ||
+        sent_ms - run->response_ms <= engine->options.stop_ms) {
+        return;
+    }
+    SR_WARN("engine", "stop-without-effect",
+            "id=%s step=%u index=%u run=%u worker=%s acked-ms-ago=%ld",
+            run->task->flow->id, run->task->step, run->task->index,
+            run->number, run->worker->info.id,
+            (long)(now_ms - run->response_ms));
+    run->stop_acked = false;
+    run->next_send_ms = now_ms;
+    SrFleet_MarkUnsettled(&engine->fleet, run);
+}
+
 /* Returns false if the leader does not know the run, which is then stopped. */
 static bool
 update_running(struct SrEngine *engine, struct SrWorker *worker,
-               const struct SrRunningReport *report, int64_t now_ms)
+               const struct SrRunningReport *report, int64_t sent_ms,
+               int64_t now_ms)
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
@@ -122,6 +145,7 @@
         run->started_ms = now_ms;
         run->percent_ms = now_ms;
     }
+    repeat_stop_without_effect(engine, run, sent_ms, now_ms);
     if (report->percent > 0 && run->first_percent_ms == 0) {
         run->first_percent = report->percent;
         run->first_percent_ms = now_ms;
@@ -143,8 +167,8 @@
 {
     bool all_known = true;
     for (size_t i = 0; i < response->running_count; i++) {
-        all_known &=
-            update_running(engine, worker, &response->running[i], now_ms);
+        all_known &= update_running(engine, worker, &response->running[i],
+                                    sent_ms, now_ms);
     }
     if (!all_known) {
         worker->unknown_runs_ms = now_ms;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -53,7 +53,8 @@
     /* Why, as logged; NULL while it is not to be stopped. Static text. */
     const char *stop_reason;
     /* The worker acknowledged the stop command, rejected it as old or invalid,
-     * or rejected the start command as old. No further stop is sent. */
+     * or rejected the start command as old. No further stop is sent, unless a
+     * poll lists the run although the stop must have taken effect. */
     bool stop_acked;
     bool start_in_flight;
     bool stop_in_flight;
--- a/tests/test_stops.c
+++ b/tests/test_stops.c
@@ -159,11 +159,59 @@
     }
 }
 
+/* Responds to the stop command, which takes effect unless the worker restarts.
+ */
+static void
+acknowledge_stop(struct OneRun *one)
+{
+    assert_true(one->has_stop);
+    one->has_stop = false;
+    SrEngine_OnResponse(one->engine, &one->stop,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = one->now_ms,
+                        },
+                        one->now_ms);
+}
+
+/* Guards against a stop that counts for the next incarnation of the worker: a
+ * worker acknowledged the stop and restarted, and its next incarnation
+ * executed a start command that had been under way. The polls listed the run
+ * from then on, but no stop was sent any more. */
+static void
+stop_is_repeated_while_its_run_is_listed(void **state)
+{
+    (void)state;
+    static const struct {
+        int64_t incarnation;
+        int64_t listed_ms;
+        bool repeats;
+    } cases[] = {
+        /* The stop is about to take effect. */
+        {.incarnation = 1, .listed_ms = STOP_MS, .repeats = false},
+        /* The stop has had no effect. */
+        {.incarnation = 1, .listed_ms = CANCEL_MS, .repeats = true},
+        {.incarnation = 2, .listed_ms = CANCEL_MS, .repeats = true},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct OneRun one;
+        take_over(&one, SR__FLOW_STATUS__FLOW_RUNNING);
+        list_run_until_stop(&one, 1, 100);
+        SrEngine_CancelFlow(one.engine, JOB, one.now_ms);
+        list_run_until_stop(&one, 1, CANCEL_MS);
+        acknowledge_stop(&one);
+        list_run_until_stop(&one, cases[i].incarnation, cases[i].listed_ms);
+        assert_int_equal(one.has_stop, cases[i].repeats);
+        destroy_one_run(&one);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(inherited_runs_of_an_ended_job_are_stopped),
+        cmocka_unit_test(stop_is_repeated_while_its_run_is_listed),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
