Engine: log stops without a response, and how many stops a run took

For a run that went on after its job was cancelled, the log showed `stop` and nothing more: whether its stop was not acknowledged, not sent because the worker had no entry, or sent by none but an earlier leader could not be told.

The first stop of a run that the worker does not acknowledge is now logged (`stop-unanswered`, with the result); `run-ended` has the number of stops that this leader sent (`stops`), and `stop` whether the worker has an entry (`present`). At most one more line for each run.

--- a/src/engine.c
+++ b/src/engine.c
@@ -502,11 +502,11 @@
     const Sr__FlowStep *step = SrFlow_StepOf(task);
     SR_INFO("engine", "run-ended",
             "id=%s step=%u index=%u run=%u worker=%s how=%s stopped-for=%s "
-            "percent=%d after-ms=%ld lost-core-s=%ld",
+            "stops=%u percent=%d after-ms=%ld lost-core-s=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_OutcomeText(outcome),
-            run->stop_reason != NULL ? run->stop_reason : "-", run->percent,
-            (long)(now_ms - run->allocated_ms),
+            run->stop_reason != NULL ? run->stop_reason : "-", run->stops_sent,
+            run->percent, (long)(now_ms - run->allocated_ms),
             outcome == SR_RUN_DONE
                 ? 0L
                 : (long)SrFleet_LostWork(run, engine->options.checkpoint_ms,
@@ -538,10 +538,11 @@
         return;
     }
     SR_INFO("engine", "stop",
-            "id=%s step=%u index=%u run=%u worker=%s "
+            "id=%s step=%u index=%u run=%u worker=%s present=%d "
             "reason=%s percent=%d",
             run->task->flow->id, run->task->step, run->task->index,
-            run->number, run->worker->info.id, reason, run->percent);
+            run->number, run->worker->info.id, run->worker->present, reason,
+            run->percent);
     if (run->state == SR_RUNSTATE_PLANNED ||
         (run->state == SR_RUNSTATE_STARTING && run->starts_sent == 0)) {
         SrEngine_MarkDirty(engine, run->task->flow);
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -183,6 +183,7 @@
     set_destination(engine, run->worker, &command);
     SrFlow_TaskName(run->task, command.u.stop.task);
     run->stop_in_flight = true;
+    run->stops_sent++;
     engine->options.send(engine->options.context, &command);
 }
 
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -437,6 +437,22 @@
     }
 }
 
+/* Logs the first stop command of the run that the worker did not acknowledge;
+ * `stops` of the run's end has the number of all of them. */
+static void
+log_stop_unacked(struct SrRun *run, enum SrCommandResult result)
+{
+    if (run->stop_unacked_logged) {
+        return;
+    }
+    run->stop_unacked_logged = true;
+    SR_INFO("engine", "stop-unanswered",
+            "id=%s step=%u index=%u run=%u worker=%s result=%s sends=%u",
+            run->task->flow->id, run->task->step, run->task->index,
+            run->number, run->worker->info.id, SrCommand_ResultText(result),
+            run->stops_sent);
+}
+
 static void
 on_stop_response(struct SrEngine *engine, struct SrWorker *worker,
                  const struct SrCommand *command,
@@ -470,6 +486,7 @@
         engine->fenced = true;
         break;
     default:
+        log_stop_unacked(run, response->result);
         run->next_send_ms = now_ms + RETRY_DELAY_MS;
         break;
     }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -58,8 +58,11 @@
     bool stop_acked;
     bool start_in_flight;
     bool stop_in_flight;
-    /* Number of start commands sent. */
+    /* Numbers of start and of stop commands sent. */
     unsigned starts_sent;
+    unsigned stops_sent;
+    /* The first stop command without a response has been logged. */
+    bool stop_unacked_logged;
     int64_t allocated_ms;
     /* Earliest time of the next start or stop command. */
     int64_t next_send_ms;
