Engine: a run is over only once the worker's next incarnation has stopped it

A run that has a start without a response may still be executed by the worker's next incarnation, and is stopped there. But when that incarnation was learned of from a status poll, the same response, which did not list the run, ended it before the stop was sent; and a stop that the former incarnation had acknowledged counted for the next one too. The task was started elsewhere, and then the late start was executed.

Change: such a run counts as not started and its stop as not acknowledged, so it is over only when a poll sent after the acknowledgement does not list it.

Measured: the new test of the engine fails before and passes now.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -64,9 +64,12 @@
         if (run->incarnation == incarnation) {
             continue;
         }
-        /* The new incarnation may still execute the unacknowledged start. */
+        /* The new incarnation may still execute the unacknowledged start, and
+         * does not know of a stop that the former one acknowledged. */
         if (run->unacked_until_ms > now_ms || run->start_in_flight) {
             SrEngine_StopRun(engine, run, "worker-reborn", now_ms);
+            run->state = SR_RUNSTATE_STARTING;
+            run->stop_acked = false;
             continue;
         }
         /* No poll has listed the run yet, so the new incarnation may be the
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -772,6 +772,34 @@
     resign(&leader);
 }
 
+/* Guards against a task that runs twice: a run that a restarted worker may
+ * still execute, because one of its starts got no response, counted as over
+ * when the first list of the new incarnation did not contain it, before the
+ * stop was acknowledged. */
+static void
+run_is_not_over_before_the_next_incarnation_has_stopped_it(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    list_runs(&leader, "0000000000000001.0.0.0");
+    struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+    leader.entry.incarnation++;
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 50, true);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    pass_time(&leader, 200, true);
+    list_runs(&leader, NULL);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -791,6 +819,8 @@
         cmocka_unit_test(unacked_start_is_blocked_after_restart),
         cmocka_unit_test(unacked_start_is_blocked_after_absence),
         cmocka_unit_test(start_that_times_out_late_is_blocked_after_restart),
+        cmocka_unit_test(
+            run_is_not_over_before_the_next_incarnation_has_stopped_it),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
