Engine: a start that no longer fits its worker's shrunk capacity is not sent

Cause: a worker's capacity may shrink while it runs. Placement reads it in each pass, but a run that was allocated before the leader read the smaller capacity was still started, and a start without a response was sent again: while the store accepts no writes, or commands are lost, seconds after the leader knew. The worker was brought over its capacity.

Ruled out: that runs beyond the capacity wrap what is counted as free. All amounts are signed, what is below 0 fits no task and counts as no free accelerators; the test runs_beyond_the_capacity_leave_no_room, which passes before as well, shows it for a task and a gang. Responses to polls contain no capacity; it comes with the worker's entry only.

Change: before a start is sent, the worker's allocated resources must be within its capacity. Otherwise the run is stopped with the rest of its gang, which releases it at once if no start was sent, and is placed anew. Runs that the worker has acknowledged or lists go on.

The fault is drawn only in this mix; the other mixes play as before.

--- a/src/engine.c
+++ b/src/engine.c
@@ -555,6 +555,19 @@
     SrFleet_MarkUnsettled(&engine->fleet, run);
 }
 
+void
+SrEngine_StopUnit(struct SrEngine *engine, struct SrRun *run,
+                  const char *reason, int64_t now_ms)
+{
+    uint32_t count;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (first[i].active_run != NULL) {
+            SrEngine_StopRun(engine, first[i].active_run, reason, now_ms);
+        }
+    }
+}
+
 /* Ends the runs of workers whose lease has expired, and removes the workers
  * that have neither runs, unacknowledged starts nor an entry in the store. */
 static void
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -198,25 +198,32 @@
             run->incarnation != worker->info.incarnation);
 }
 
-static void
+/* Sends the command that the run needs. Returns false if other runs may have
+ * been released. */
+static bool
 send_run_commands(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
 {
     if (now_ms < run->next_send_ms) {
-        return;
+        return true;
     }
     if (run->stopping) {
         if (!run->stop_acked && !run->stop_in_flight &&
             run->worker->info.address[0] != '\0') {
             send_stop(engine, run);
         }
-        return;
+        return true;
     }
     if (run->state != SR_RUNSTATE_STARTING || run->start_in_flight) {
-        return;
+        return true;
     }
     if (is_start_forbidden(engine, run)) {
         SrEngine_StopRun(engine, run, "worker-barred", now_ms);
-        return;
+        return true;
+    }
+    if (SrFleet_IsOverCapacity(run->worker)) {
+        /* The capacity has shrunk since the run was allocated. */
+        SrEngine_StopUnit(engine, run, "worker-shrunk", now_ms);
+        return false;
     }
     /* A start command grants a lease, so it is sent under the same conditions
      * as a poll that extends one. */
@@ -225,6 +232,7 @@
         !SrFleet_MayExecuteUnknownRuns(run->worker)) {
         send_start(engine, run, now_ms);
     }
+    return true;
 }
 
 /* Sends stop commands for the unacknowledged starts that were sent to an
@@ -269,7 +277,11 @@
             SrList_Remove(&run->unsettled);
             continue;
         }
-        send_run_commands(engine, run, now_ms);
+        if (!send_run_commands(engine, run, now_ms)) {
+            /* `run_link_next` may have been released too, so the iteration
+             * restarts. */
+            run_link_next = engine->fleet.unsettled_runs.next;
+        }
     }
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -72,6 +72,11 @@
 void SrEngine_StopRun(struct SrEngine *engine, struct SrRun *run,
                       const char *reason, int64_t now_ms);
 
+/* Stops the run, together with the other members of its gang, as
+ * SrEngine_StopRun does. */
+void SrEngine_StopUnit(struct SrEngine *engine, struct SrRun *run,
+                       const char *reason, int64_t now_ms);
+
 /* Releases a run that is known to be over, which frees it, and updates its
  * task and job. Stops the other members of its gang, which may free them too,
  * unless the task is done. `checkpoint` is empty if there is no new one. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -168,6 +168,13 @@
     };
 }
 
+bool
+SrFleet_IsOverCapacity(const struct SrWorker *worker)
+{
+    struct SrResources capacity = SrFleet_Capacity(worker);
+    return !SrResources_AreWithin(&worker->allocated, &capacity);
+}
+
 struct SrRun *
 SrFleet_Allocate(struct SrFleet *fleet, struct SrWorker *worker,
                  struct SrFlowTask *task, uint32_t number, int64_t now_ms)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -294,9 +294,14 @@
     return SR_CONTAINER(link, struct SrWorker, link);
 }
 
-/* Returns the worker's resources, whether allocated or free. */
+/* Returns the worker's resources, whether allocated or free. A worker's
+ * capacity may shrink, so that less is left than is allocated. */
 struct SrResources SrFleet_Capacity(const struct SrWorker *worker);
 
+/* Returns true if the worker's runs need more than its capacity, because that
+ * has shrunk. */
+bool SrFleet_IsOverCapacity(const struct SrWorker *worker);
+
 /* Returns the resources that one task of the step needs. */
 struct SrResources SrFleet_TaskDemand(const Sr__FlowStep *step);
 
--- a/src/plan_drain.c
+++ b/src/plan_drain.c
@@ -39,20 +39,6 @@
     return expected_end_ms(run, now_ms) > leaves_ms + slack_ms;
 }
 
-/* Stops the run, together with the other members of its gang. */
-static void
-stop_to_move(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
-{
-    uint32_t count;
-    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
-    for (uint32_t i = 0; i < count; i++) {
-        if (first[i].active_run != NULL) {
-            SrEngine_StopRun(engine, first[i].active_run, "worker-leaves",
-                             now_ms);
-        }
-    }
-}
-
 void
 SrPlan_MoveRunsOffDraining(struct SrEngine *engine, int64_t now_ms)
 {
@@ -68,7 +54,7 @@
         {
             struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
             if (should_move(run, worker->leaves_ms, now_ms)) {
-                stop_to_move(engine, run, now_ms);
+                SrEngine_StopUnit(engine, run, "worker-leaves", now_ms);
                 /* The stop may have released further runs of the worker,
                  * possibly `link_next`, so the iteration restarts. */
                 link_next = worker->runs.next;
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -104,20 +104,12 @@
     return available;
 }
 
-/* Returns true if the resources `a` are contained in `b`. */
-static bool
-is_at_most(const struct SrResources *a, const struct SrResources *b)
-{
-    return a->cpu_millis <= b->cpu_millis && a->memory_mb <= b->memory_mb &&
-           a->accelerators <= b->accelerators;
-}
-
 unsigned
 SrPlan_TasksThatFit(const struct SrResources *available,
                     const struct SrResources *demand)
 {
     int64_t fit = SR_FLOW_TASKS_MAX;
-    if (!is_at_most(demand, available)) {
+    if (!SrResources_AreWithin(demand, available)) {
         return 0;
     }
     if (demand->cpu_millis > 0 &&
@@ -299,7 +291,7 @@
            miss->in_rack <= other->in_rack && miss->count <= other->count &&
            miss->rank <= other->rank &&
            miss->wait_until_ms >= other->wait_until_ms &&
-           is_at_most(&miss->demand, &other->demand);
+           SrResources_AreWithin(&miss->demand, &other->demand);
 }
 
 static struct SrPlanMiss
--- a/src/resources.h
+++ b/src/resources.h
@@ -2,6 +2,7 @@
 #ifndef SR_RESOURCES_H
 #define SR_RESOURCES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Number of cores that count as much as one accelerator in the platform's cost
@@ -25,4 +26,14 @@
     to->accelerators += times * resources->accelerators;
 }
 
+/* Returns true if the resources are contained in `in`. */
+static inline bool
+SrResources_AreWithin(const struct SrResources *resources,
+                      const struct SrResources *in)
+{
+    return resources->cpu_millis <= in->cpu_millis &&
+           resources->memory_mb <= in->memory_mb &&
+           resources->accelerators <= in->accelerators;
+}
+
 #endif
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -22,6 +22,9 @@
  * nothing has been disturbed for CONTACT_MS. */
 #define CANCEL_MS 3000
 #define CONTACT_MS 4000
+/* Time after which a start that was sent before the engine learned of a
+ * smaller capacity has arrived. */
+#define START_ARRIVED_MS 100
 /* Virtual time of one step of the simulation. */
 #define STEP_MS 5
 #define RUNNING_MAX 64
@@ -35,6 +38,7 @@
  * that it has lost leadership. */
 #define LOSS_LEARNED_MS 400
 #define TASKS_MAX 64
+#define SIM_ACCELERATORS 8
 
 /* A run as a worker executes it. */
 struct Execution {
@@ -90,6 +94,15 @@
     /* When the engine gets the changed entry or its deletion; 0 if the engine
      * has the current one. */
     int64_t entry_due_ms;
+    /* Accelerators that the engine must not exceed: those of the entry, but
+     * fewer than before only from START_ARRIVED_MS after the engine got it. */
+    uint32_t binding_accelerators;
+    /* Those of the entry that the engine got last, and when they become
+     * binding; 0 if they are. */
+    uint32_t known_accelerators;
+    int64_t binding_due_ms;
+    /* When the capacity grows again; 0 if it has not shrunk. */
+    int64_t grows_ms;
 };
 
 /* A job as the callers submitted it, with its rows in the store. */
@@ -406,7 +419,7 @@
         uint32_t other;
         used += find_job(sim, target->running[i].task, &other)->accelerators;
     }
-    if (used > target->entry.accelerators) {
+    if (used > target->binding_accelerators) {
         record_violation(sim, &result->overcommitted, "overcommitted",
                          target->entry.id);
     }
@@ -931,6 +944,29 @@
     worker->entry_due_ms = sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
 }
 
+/* Shrinks the capacity of the worker, or lets it grow again if due. */
+static void
+update_capacity(struct Sim *sim, struct Worker *worker, bool shrinks)
+{
+    if (shrinks && worker->grows_ms == 0) {
+        worker->entry.accelerators = random_below(sim, SIM_ACCELERATORS);
+        worker->grows_ms = sim->now_ms + 3000 + random_below(sim, 7000);
+        worker->entry_due_ms =
+            sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
+    }
+    if (worker->grows_ms != 0 && sim->now_ms >= worker->grows_ms) {
+        worker->entry.accelerators = SIM_ACCELERATORS;
+        worker->binding_accelerators = SIM_ACCELERATORS;
+        worker->grows_ms = 0;
+        worker->entry_due_ms =
+            sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
+    }
+    if (worker->binding_due_ms != 0 && sim->now_ms >= worker->binding_due_ms) {
+        worker->binding_accelerators = worker->known_accelerators;
+        worker->binding_due_ms = 0;
+    }
+}
+
 /* Passes the worker's changed entry, or its deletion, to the engine if due. A
  * worker that is cut off from the store changes its entry after the cut. */
 static void
@@ -942,6 +978,8 @@
     }
     worker->entry_due_ms = 0;
     if (sim->leader.engine != NULL) {
+        worker->known_accelerators = worker->entry.accelerators;
+        worker->binding_due_ms = sim->now_ms + START_ARRIVED_MS;
         SrEngine_SetWorker(sim->leader.engine, worker->entry.id,
                            worker->alive ? &worker->entry : NULL, sim->now_ms);
     }
@@ -1121,6 +1159,9 @@
     if (is_drawn(sim, faults->takeovers) && sim->leader.engine != NULL) {
         stop_leader(sim);
     }
+    if (faults->shrinks > 0) {
+        update_capacity(sim, worker, is_drawn(sim, faults->shrinks));
+    }
     if (is_drawn(sim, faults->cancels) && sim->submitted_count > 0) {
         struct Job *job = &sim->jobs[random_below(sim, sim->submitted_count)];
         job->cancelled_ms =
@@ -1291,7 +1332,8 @@
     for (unsigned w = 0; w < sim->options->workers; w++) {
         struct Worker *worker = &sim->workers[w];
         worker->alive = true;
-        worker->entry.accelerators = 8;
+        worker->entry.accelerators = SIM_ACCELERATORS;
+        worker->binding_accelerators = SIM_ACCELERATORS;
         worker->entry.cpu_millis = 64000;
         worker->entry.memory_mb = 64000;
         worker->entry.incarnation = 1000;
@@ -1400,6 +1442,7 @@
     for (unsigned w = 0; w < sim->options->workers; w++) {
         end_due_executions(sim, &sim->workers[w]);
         check_cancelled_runs(sim, &sim->workers[w]);
+        update_capacity(sim, &sim->workers[w], false);
         update_entry(sim, &sim->workers[w]);
     }
     respond_to_waiting_polls(sim);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -41,6 +41,9 @@
      * takes over meanwhile, which cannot reach the group, and the former one
      * lives on until shortly after the cut. */
     unsigned domain_cuts;
+    /* A worker's capacity shrinks, to nothing at times, and grows again 3 to
+     * 10 s later. */
+    unsigned shrinks;
 };
 
 /* A job of one step. */
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -65,6 +65,10 @@
      * sent to its former incarnation. */
     {"late commands and crashes",
      .faults = {.late_commands = 50, .crashes = 12}},
+    /* Guards against starts on a worker whose capacity has shrunk since they
+     * were allocated. */
+    {"workers shrink",
+     .faults = {.lost_commands = 30, .store_outages = 6, .shrinks = 60}},
 };
 
 /* Mixes in which a leader is cut off together with workers. */
@@ -800,6 +804,88 @@
     resign(&leader);
 }
 
+static void
+set_capacity(struct DrivenLeader *leader, uint32_t accelerators)
+{
+    leader->entry.accelerators = accelerators;
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
+/* A worker whose capacity changes after work for it was allocated. */
+struct CapacityChange {
+    const char *name;
+    uint32_t tasks;
+    uint32_t accelerators;
+    /* The first start command is sent, and gets no response, before the change
+     * instead of after it. */
+    bool sent;
+    /* Capacity after the change, and start commands sent by then. */
+    uint32_t capacity;
+    unsigned starts;
+    /* The same for a second change. */
+    uint32_t later_capacity;
+    unsigned later_starts;
+};
+
+static const struct CapacityChange capacity_changes[] = {
+    {"shrinks and grows", 1, 8, false, 4, 0, 8, 1},
+    {"shrinks to nothing", 1, 1, false, 0, 0, 1, 1},
+    {"what still fits is started", 1, 4, false, 4, 1, 8, 1},
+    /* Guards against a gang of which only some members are started: they end
+     * without result when the others do not come. */
+    {"a gang is started as a whole", 2, 4, false, 4, 0, 8, 2},
+    {"a start is not sent again", 1, 8, true, 4, 1, 4, 1},
+};
+
+/* Guards against starts that were allocated, or sent once, before the leader
+ * learned that the worker's capacity has shrunk. */
+static void
+shrunk_workers_get_only_what_fits(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(capacity_changes); i++) {
+        const struct CapacityChange *change = &capacity_changes[i];
+        struct DrivenLeader leader;
+        print_message("%s\n", change->name);
+        lead(&leader);
+        list_runs(&leader, NULL);
+        submit(&leader, 1, change->tasks, change->accelerators);
+        pass_time(&leader, 300, change->sent);
+        if (change->sent) {
+            respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+        }
+        set_capacity(&leader, change->capacity);
+        pass_time(&leader, 300, true);
+        assert_int_equal(leader.sent[SR_COMMAND_START], change->starts);
+        set_capacity(&leader, change->later_capacity);
+        list_runs(&leader, NULL);
+        pass_time(&leader, 300, true);
+        assert_int_equal(leader.sent[SR_COMMAND_START], change->later_starts);
+        resign(&leader);
+    }
+}
+
+/* Guards against new work on a worker whose runs exceed its capacity, which
+ * would follow if what is free were counted without a sign. */
+static void
+runs_beyond_the_capacity_leave_no_room(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    set_capacity(&leader, 2);
+    submit(&leader, 2, 1, 1);
+    submit(&leader, 3, 2, 1);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    assert_int_equal(leader.sent[SR_COMMAND_STOP], 0);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -821,6 +907,8 @@
         cmocka_unit_test(start_that_times_out_late_is_blocked_after_restart),
         cmocka_unit_test(
             run_is_not_over_before_the_next_incarnation_has_stopped_it),
+        cmocka_unit_test(shrunk_workers_get_only_what_fits),
+        cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
