Simulation: tasks that crash the workers that start them

Cause: nothing counts the workers that crash under a task. A run that ends because its worker has a new incarnation, or vanished, counts as lost, and the task is started again without limit, so that one task takes down worker after worker and the runs beside it.

Change: with `crashing_jobs` a job has a task that crashes each worker that starts it 0.1 to 1 s later; the worker is back after 1 to 5 s, as a new incarnation or under a new id. Checked: three more starts after three crashes, and jobs that fail although none of their tasks crashes workers or failed three times. The other mixes draw as before. The case is red and listed.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -39,6 +39,10 @@
 #define LOSS_LEARNED_MS 400
 #define TASKS_MAX 64
 #define SIM_ACCELERATORS 8
+/* A task that crashes its workers may be started less than this many times
+ * after CRASHES_ALLOWED of them have crashed. */
+#define CRASHES_ALLOWED 3
+#define STARTS_AFTER_CRASHES 3
 
 /* A run as a worker executes it. */
 struct Execution {
@@ -54,6 +58,8 @@
     bool after_cancel;
     /* The run fails when it ends by itself. */
     bool will_fail;
+    /* When the run crashes its worker; 0 if it does not. */
+    int64_t crash_due_ms;
 };
 
 struct TerminatedRun {
@@ -103,6 +109,8 @@
     int64_t binding_due_ms;
     /* When the capacity grows again; 0 if it has not shrunk. */
     int64_t grows_ms;
+    /* When a crashed worker is back; 0 if it is not down after a crash. */
+    int64_t back_ms;
 };
 
 /* A job as the callers submitted it, with its rows in the store. */
@@ -124,6 +132,13 @@
     unsigned failures[TASKS_MAX];
     /* Number of the latest failed run. */
     uint32_t failed_run[TASKS_MAX];
+    /* The task `crashing_task` crashes each worker that starts it. */
+    bool crashes_workers;
+    uint32_t crashing_task;
+    /* Workers that the task has crashed, and its starts after the first
+     * CRASHES_ALLOWED of them. */
+    unsigned crashes;
+    unsigned starts_after_crashes;
 };
 
 enum EventKind {
@@ -425,6 +440,26 @@
     }
 }
 
+/* Lets the execution crash its worker if its task does so. Invariant: once
+ * CRASHES_ALLOWED workers have crashed under a task, it is not started
+ * STARTS_AFTER_CRASHES times more. */
+static void
+schedule_crash(struct Sim *sim, struct Job *job, uint32_t index,
+               struct Execution *execution)
+{
+    if (!job->crashes_workers || index != job->crashing_task) {
+        return;
+    }
+    int64_t limit_ms = job->work_ms < 1000 ? job->work_ms : 1000;
+    execution->crash_due_ms =
+        sim->now_ms + 100 + random_below(sim, (unsigned)limit_ms - 100);
+    if (job->crashes >= CRASHES_ALLOWED &&
+        ++job->starts_after_crashes >= STARTS_AFTER_CRASHES) {
+        record_violation(sim, &sim->result->too_many_crashes,
+                         "started again after its crashes", execution->task);
+    }
+}
+
 /* Records in `begun_ms` that the job has begun if all of its tasks are running
  * now. */
 static void
@@ -505,6 +540,7 @@
     record_begin_if_complete(sim, job);
     execution->will_fail =
         random_below(sim, 1000) < sim->options->faults.failed_runs;
+    schedule_crash(sim, job, index, execution);
     if (job->gang) {
         start_gang_work_if_complete(sim, job, run);
     }
@@ -836,7 +872,7 @@
         struct Event *event = SR_CONTAINER(link, struct Event, link);
         struct Exchange *exchange = event->exchange;
         struct Worker *worker = find_worker(sim, &exchange->command);
-        bool lost = !worker->alive || exchange->lost ||
+        bool lost = worker == NULL || !worker->alive || exchange->lost ||
                     worker->partition_until_ms > sim->now_ms;
         if (!lost && worker->terminated_count == 0 &&
             exchange->poll_until_ms > sim->now_ms) {
@@ -944,6 +980,41 @@
     worker->entry_due_ms = sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
 }
 
+/* Lets the worker crash if one of its executions does so now. */
+static void
+crash_if_due(struct Sim *sim, struct Worker *worker)
+{
+    for (unsigned i = 0; i < worker->running_count; i++) {
+        const struct Execution *execution = &worker->running[i];
+        uint32_t index;
+        if (execution->crash_due_ms == 0 ||
+            sim->now_ms < execution->crash_due_ms) {
+            continue;
+        }
+        find_job(sim, execution->task, &index)->crashes++;
+        sim->result->crashes++;
+        end_incarnation(sim, worker, false);
+        worker->back_ms = sim->now_ms + 1000 + random_below(sim, 4001);
+        return;
+    }
+}
+
+/* Starts the next incarnation of a crashed worker if it is due. */
+static void
+restart_if_due(struct Sim *sim, struct Worker *worker)
+{
+    if (worker->back_ms == 0 || sim->now_ms < worker->back_ms ||
+        (sim->options->faults.new_ids && worker->entry_due_ms != 0)) {
+        return;
+    }
+    worker->back_ms = 0;
+    if (sim->options->faults.new_ids) {
+        snprintf(worker->entry.id, SR_ID_SIZE, "w%u-%lld",
+                 (unsigned)(worker - sim->workers), (long long)sim->now_ms);
+    }
+    end_incarnation(sim, worker, true);
+}
+
 /* Shrinks the capacity of the worker, or lets it grow again if due. */
 static void
 update_capacity(struct Sim *sim, struct Worker *worker, bool shrinks)
@@ -1347,6 +1418,24 @@
         create_job(sim, i);
     }
     qsort(sim->jobs, sim->options->jobs, sizeof(sim->jobs[0]), compare_jobs);
+    for (unsigned i = 0; i < sim->options->faults.crashing_jobs; i++) {
+        struct Job *job = &sim->jobs[random_below(sim, sim->options->jobs)];
+        job->crashes_workers = true;
+        job->crashing_task = random_below(sim, job->count);
+    }
+}
+
+/* Returns true if a task of the job crashes workers or has failed as often as
+ * is allowed. */
+static bool
+may_fail(const struct Job *job)
+{
+    for (uint32_t i = 0; i < job->count; i++) {
+        if (job->failures[i] >= 3) {
+            return true;
+        }
+    }
+    return job->crashes_workers;
 }
 
 /* Counts the jobs by their stored status. Invariant: every job has ended. */
@@ -1363,6 +1452,10 @@
             break;
         case SR__FLOW_STATUS__FLOW_FAILED:
             sim->result->failed++;
+            if (!may_fail(job)) {
+                record_violation(sim, &sim->result->failed_without_cause,
+                                 "failed without cause", job->id);
+            }
             break;
         case SR__FLOW_STATUS__FLOW_CANCELLED:
             break;
@@ -1440,10 +1533,12 @@
     cut_domain_of_runs(sim);
     drain_worker(sim);
     for (unsigned w = 0; w < sim->options->workers; w++) {
+        crash_if_due(sim, &sim->workers[w]);
         end_due_executions(sim, &sim->workers[w]);
         check_cancelled_runs(sim, &sim->workers[w]);
         update_capacity(sim, &sim->workers[w], false);
         update_entry(sim, &sim->workers[w]);
+        restart_if_due(sim, &sim->workers[w]);
     }
     respond_to_waiting_polls(sim);
     handle_due_events(sim);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -44,6 +44,12 @@
     /* A worker's capacity shrinks, to nothing at times, and grows again 3 to
      * 10 s later. */
     unsigned shrinks;
+
+    /* Number of jobs with a task that crashes each worker that starts it, 0.1
+     * to 1 s later. The worker is back after 1 to 5 s. */
+    unsigned crashing_jobs;
+    /* Such a worker is back under another id. */
+    bool new_ids;
 };
 
 /* A job of one step. */
@@ -111,6 +117,14 @@
     unsigned after_done;
     /* Violation: number of starts of a task without attempts left. */
     unsigned too_many_attempts;
+    /* Violation: number of starts of a task that crashes its workers, from the
+     * third one after three workers have crashed. */
+    unsigned too_many_crashes;
+    /* Violation: number of jobs that failed although none of their tasks
+     * crashes workers or failed three times. */
+    unsigned failed_without_cause;
+    /* Number of workers that tasks crashed. */
+    unsigned crashes;
     /* Not a violation: number of runs that ended because the other members of
      * their gang did not start in time. */
     unsigned gang_timeouts;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -107,6 +107,29 @@
     {"late commands and crashes", 314},
 };
 
+/* Guards against a task that takes down worker after worker: its run counted
+ * as lost and was started again without limit. */
+static const struct FaultMix crashing_mixes[] = {
+    {"a task crashes workers", .faults = {.crashing_jobs = 1}},
+    {"tasks crash workers, back under new ids",
+     .faults = {.crashing_jobs = 2, .new_ids = true}},
+    {"tasks and workers crash", .faults = {.crashing_jobs = 3, .crashes = 12}},
+    {"tasks crash workers, partitions",
+     .faults = {.crashing_jobs = 2, .partitions = 8}},
+    {"tasks crash workers, leaders change",
+     .faults = {.crashing_jobs = 2, .takeovers = 6}},
+    {"tasks crash workers, all at once", .faults =
+                                             {
+                                                 .crashing_jobs = 3,
+                                                 .lost_commands = 10,
+                                                 .lost_responses = 20,
+                                                 .crashes = 6,
+                                                 .partitions = 3,
+                                                 .takeovers = 3,
+                                                 .store_outages = 2,
+                                             }},
+};
+
 static uint64_t
 seed_count(void)
 {
@@ -114,7 +137,7 @@
     return text != NULL ? strtoull(text, NULL, 10) : SEEDS;
 }
 
-static void
+static struct SimResult
 simulate(const struct FaultMix *mix, uint64_t seed)
 {
     struct SimResult result;
@@ -137,8 +160,13 @@
     assert_int_equal(result.after_done, 0);
     assert_int_equal(result.too_many_attempts, 0);
     assert_int_equal(result.after_cancel, 0);
+    assert_int_equal(result.too_many_crashes, 0);
+    if (mix->faults.failed_runs == 0) {
+        assert_int_equal(result.failed_without_cause, 0);
+    }
     assert_int_equal(result.unfinished, 0);
     assert_true(result.completed > 0);
+    return result;
 }
 
 static void
@@ -152,6 +180,20 @@
     }
 }
 
+/* A task that crashes its workers is given up in time, and no other job is. */
+static void
+crashing_tasks_are_given_up(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(crashing_mixes); i++) {
+        unsigned crashes = 0;
+        for (uint64_t seed = 1; seed <= seed_count(); seed++) {
+            crashes += simulate(&crashing_mixes[i], seed).crashes;
+        }
+        assert_true(crashes > 0);
+    }
+}
+
 static void
 keeps_promises_under_domain_cuts(void **state)
 {
@@ -893,6 +935,7 @@
         cmocka_unit_test(keeps_promises_under_faults),
         cmocka_unit_test(keeps_promises_under_domain_cuts),
         cmocka_unit_test(leases_end_with_leadership),
+        cmocka_unit_test(crashing_tasks_are_given_up),
         cmocka_unit_test(regression_seeds),
         cmocka_unit_test(gangs_start_together_without_faults),
         cmocka_unit_test(runs_of_cancelled_jobs_end),
