Engine: a task is not started while a worker lists an unknown run of it

Cause: a worker's next incarnation executed a start that was late. The list that told the leader of the incarnation, and so ended the task's run in the former one, also contained the late run. The leader did not know that run, and sent a stop; but it started the task at once on another worker, while the late run went on until the stop took effect. An unknown run kept new work off its worker, and nothing kept its task from being started.

Change: the leader remembers of which tasks a worker lists runs that it does not know. Such a task gets no run, and no start command, until a later list of the worker does not contain the run, the worker has a new incarnation, or its lease has expired.

Measured: unknown_runs_keep_their_task_from_starting failed before.

--- a/src/engine.c
+++ b/src/engine.c
@@ -576,17 +576,22 @@
     SR_LIST_EACH_SAFE(link, &engine->fleet.workers)
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        bool expired = SrFleet_IsLeaseExpired(&engine->fleet, worker, now_ms);
+        if (expired) {
+            SrEngine_ClearUnknownRuns(engine, worker);
+        }
         if (SrList_IsEmpty(&worker->runs)) {
             /* Unacknowledged starts are remembered, since the worker may
              * return. */
             if (!worker->present && !worker->poll_in_flight &&
                 !worker->quick_poll_in_flight &&
-                SrList_IsEmpty(&worker->unacked_starts)) {
+                SrList_IsEmpty(&worker->unacked_starts) &&
+                SrList_IsEmpty(&worker->unknown_runs)) {
                 SrFleet_Remove(&engine->fleet, worker);
             }
             continue;
         }
-        if (!SrFleet_IsLeaseExpired(&engine->fleet, worker, now_ms)) {
+        if (!expired) {
             continue;
         }
         SR_WARN("engine", "lease-out",
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -229,7 +229,8 @@
      * as a poll that extends one. */
     if (SrEngine_MayGrant(engine, now_ms) && run->worker->clock_ms >= 0 &&
         !run->worker->grant_stored && run->worker->grant_clear_change == 0 &&
-        !SrFleet_MayExecuteUnknownRuns(run->worker)) {
+        !SrFleet_MayExecuteUnknownRuns(run->worker) &&
+        run->task->unknown_runs == 0) {
         send_start(engine, run, now_ms);
     }
     return true;
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "engine_state.h"
@@ -58,6 +59,7 @@
     worker->clock_ms = -1;
     worker->fenced = false;
     worker->next_poll_ms = now_ms;
+    SrEngine_ClearUnknownRuns(engine, worker);
     SR_LIST_EACH_SAFE(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
@@ -87,6 +89,45 @@
     }
 }
 
+void
+SrEngine_ClearUnknownRuns(struct SrEngine *engine, struct SrWorker *worker)
+{
+    SR_LIST_EACH_SAFE(link, &worker->unknown_runs)
+    {
+        struct SrUnknownRun *unknown =
+            SR_CONTAINER(link, struct SrUnknownRun, link);
+        struct SrFlowTask *task = find_task(engine, unknown->task);
+        if (task != NULL && task->unknown_runs > 0) {
+            task->unknown_runs--;
+            engine->replan = true;
+        }
+        SrList_Remove(link);
+        free(unknown);
+    }
+}
+
+/* Keeps the run's task from being started until the run is over. */
+static void
+remember_unknown_run(struct SrEngine *engine, struct SrWorker *worker,
+                     const char *name)
+{
+    struct SrFlowTask *task = find_task(engine, name);
+    SR_LIST_EACH(link, &worker->unknown_runs)
+    {
+        if (strcmp(SR_CONTAINER(link, struct SrUnknownRun, link)->task,
+                   name) == 0) {
+            return;
+        }
+    }
+    if (task == NULL) {
+        return;
+    }
+    struct SrUnknownRun *unknown = SrUtil_Calloc(1, sizeof(*unknown));
+    SrUtil_Copy(unknown->task, sizeof(unknown->task), name);
+    SrList_Append(&worker->unknown_runs, &unknown->link);
+    task->unknown_runs++;
+}
+
 /* Stops a run that the worker lists but the leader does not know. */
 static void
 stop_unknown(struct SrEngine *engine, const struct SrWorker *worker,
@@ -138,6 +179,7 @@
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
+        remember_unknown_run(engine, worker, report->task);
         stop_unknown(engine, worker, report);
         return false;
     }
@@ -169,6 +211,12 @@
                    int64_t now_ms)
 {
     bool all_known = true;
+    /* The response to a poll sent before the latest list that contained an
+     * unknown run may be older than that list. */
+    bool is_latest = sent_ms >= worker->unknown_runs_ms;
+    if (is_latest) {
+        SrEngine_ClearUnknownRuns(engine, worker);
+    }
     for (size_t i = 0; i < response->running_count; i++) {
         all_known &= update_running(engine, worker, &response->running[i],
                                     sent_ms, now_ms);
@@ -176,9 +224,7 @@
     if (!all_known) {
         worker->unknown_runs_ms = now_ms;
     }
-    else if (sent_ms >= worker->unknown_runs_ms) {
-        /* The response to a poll sent earlier may be older than the list that
-         * contained the unknown run. */
+    else if (is_latest) {
         worker->unknown_runs_ms = 0;
     }
 }
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -100,6 +100,11 @@
 void SrEngine_ClearLeaseGrant(struct SrEngine *engine,
                               struct SrWorker *worker);
 
+/* Forgets the runs that the worker lists and the leader does not know, since
+ * they are over or a later list follows. */
+void SrEngine_ClearUnknownRuns(struct SrEngine *engine,
+                               struct SrWorker *worker);
+
 /* Sends the status polls, start commands and stop commands that are due. */
 void SrEngine_SendCommands(struct SrEngine *engine, int64_t now_ms);
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -62,6 +62,11 @@
         SrFleet_RemoveUnackedStart(
             SR_CONTAINER(link, struct SrUnackedStart, link));
     }
+    SR_LIST_EACH_SAFE(link, &worker->unknown_runs)
+    {
+        SrList_Remove(link);
+        free(SR_CONTAINER(link, struct SrUnknownRun, link));
+    }
     SrList_Remove(&worker->link);
     free(worker);
 }
@@ -134,6 +139,7 @@
     worker->speed = 1;
     SrList_Init(&worker->runs);
     SrList_Init(&worker->unacked_starts);
+    SrList_Init(&worker->unknown_runs);
     SrList_Append(&fleet->workers, &worker->link);
     SrMap_Add(&fleet->by_id, &worker->entry, worker->info.id);
     return worker;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -121,6 +121,14 @@
     int64_t stop_acked_ms;
 };
 
+/* A run that the worker lists and the leader does not know, of a task that the
+ * leader knows. It counts in the task's `unknown_runs`. */
+struct SrUnknownRun {
+    /* Link in the worker's `unknown_runs`. */
+    struct SrList link;
+    char task[SR_TASK_NAME_SIZE];
+};
+
 struct SrWorker {
     struct SrMapEntry entry;
     struct SrList link;
@@ -136,6 +144,9 @@
     struct SrList runs;
     /* List of struct SrUnackedStart. */
     struct SrList unacked_starts;
+    /* List of struct SrUnknownRun, as of the poll that set `unknown_runs_ms`.
+     */
+    struct SrList unknown_runs;
     /* When the leader learned that the worker had restarted; 0 if only one
      * incarnation is known. */
     int64_t incarnation_seen_ms;
--- a/src/flow.c
+++ b/src/flow.c
@@ -291,6 +291,12 @@
            task->failures >= task->flow->record->max_attempts;
 }
 
+bool
+SrFlow_MayStart(const struct SrFlowTask *task)
+{
+    return !task->done && task->active_run == NULL && task->unknown_runs == 0;
+}
+
 void
 SrFlow_MarkDone(struct SrFlowTask *task)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -48,6 +48,9 @@
     char checkpoint[SR_CHECKPOINT_SIZE];
     /* Id of the worker on which the task last failed; empty if none. */
     char failed_on[SR_ID_SIZE];
+    /* Number of workers that execute a run of the task which the leader does
+     * not know. The task must not be started meanwhile. */
+    unsigned unknown_runs;
     /* The reason why the task waits has been logged. Set for the first task of
      * a step only. */
     bool wait_logged;
@@ -189,6 +192,10 @@
  * job fails; always false for a continuous step. */
 bool SrFlow_RecordFailure(struct SrFlowTask *task, uint32_t run);
 
+/* Returns true if the task is not done, and no run of it is known that may be
+ * executing. */
+bool SrFlow_MayStart(const struct SrFlowTask *task);
+
 /* Marks the task as done; if it belongs to a gang, all members. */
 void SrFlow_MarkDone(struct SrFlowTask *task);
 
--- a/src/plan.c
+++ b/src/plan.c
@@ -303,7 +303,7 @@
     struct SrWorker *previous = NULL;
     for (uint32_t i = 0; i < unit->step->count; i++) {
         struct SrFlowTask *task = &unit->first[i];
-        if (task->done || task->active_run != NULL) {
+        if (!SrFlow_MayStart(task)) {
             continue;
         }
         if (SrPlan_TasksWithinLimit(pass, unit) == 0) {
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -139,13 +139,13 @@
     pass->units[pass->unit_count++] = *unit;
 }
 
-/* Counts the tasks of the step that are neither done nor have a run. */
+/* Counts the tasks of the step that may be started. */
 static uint32_t
 count_waiting(const struct SrFlowTask *first, uint32_t count)
 {
     uint32_t waiting = 0;
     for (uint32_t i = 0; i < count; i++) {
-        waiting += !first[i].done && first[i].active_run == NULL ? 1 : 0;
+        waiting += SrFlow_MayStart(&first[i]) ? 1 : 0;
     }
     return waiting;
 }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -633,6 +633,48 @@
     resign(&leader);
 }
 
+/* Removes the oldest poll of the worker from the commands without a response,
+ * and returns it. Lets time pass until there is one. */
+static struct SrCommand
+take_poll_of(struct DrivenLeader *leader, const char *worker)
+{
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    for (unsigned tries = 0;
+         tries < DRIVEN_COMMANDS_MAX && strcmp(poll.worker, worker) != 0;
+         tries++) {
+        leader->pending[leader->pending_count++] = poll;
+        poll = take_command(leader, SR_COMMAND_POLL);
+    }
+    assert_string_equal(poll.worker, worker);
+    return poll;
+}
+
+/* Guards against a task that runs twice: a worker lists a run of it that the
+ * leader does not know, for example of a start that was executed late, and the
+ * task is started on another worker before that run has been stopped. */
+static void
+unknown_runs_keep_their_task_from_starting(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    struct SrWorkerEntry other = leader.entry;
+    SrUtil_Copy(other.id, sizeof(other.id), "other");
+    SrEngine_SetWorker(leader.engine, "other", &other, leader.now_ms);
+    submit(&leader, 1, 1, 1);
+    struct SrCommand poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, "0000000000000001.0.0.0");
+    poll = take_poll_of(&leader, "other");
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
 /* Guards against start commands of runs that were allocated before the worker
  * listed an unknown run. */
 static void
@@ -941,6 +983,7 @@
         cmocka_unit_test(runs_of_cancelled_jobs_end),
         cmocka_unit_test(results_are_acknowledged_once),
         cmocka_unit_test(unknown_runs_keep_new_work_away),
+        cmocka_unit_test(unknown_runs_keep_their_task_from_starting),
         cmocka_unit_test(unknown_runs_hold_up_allocated_starts),
         cmocka_unit_test(unknown_runs_hold_up_repeated_starts),
         cmocka_unit_test(earlier_polls_do_not_clear_unknown_runs),
