Soak: a task that crashes its workers, with real nodes

Cause: the count of crashes was only played in the simulation of the engine, without the adapters, the store and the change of processes.

The seeds of the other case draw as before. `--crashing-job` plays other seeds.

--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -5,6 +5,7 @@
  *
  * Without arguments the test runs the seeds of CI. With
  *     test_soak --from=SEED --seeds=N --length-ms=MS [--domain-cuts]
+ *         [--crashing-job]
  * it prints one line per seed and keeps the logs of seeds that fail. */
 #include "test_support.h"
 
@@ -34,11 +35,16 @@
 #define SETTLE_LIMIT_MS 60000
 #define RECORD_MAX (16 * 1024 * 1024)
 #define TICK_MS 20
+/* Time from the start of a task that crashes workers to the crash. */
+#define CRASH_MS 300
 /* Delay of the first fault; all processes are started by then. */
 #define FIRST_FAULT_MS 1500
 /* Interval of the attempts to cut a failure domain off; each has no effect
  * during a cut. */
 #define DOMAIN_CUT_INTERVAL_MS 1500
+/* Seeds of the test with a job that crashes workers, and its duration. */
+#define CRASHING_SEEDS 2
+#define CRASHING_LENGTH_MS 8000
 
 enum JobState {
     JOB_SUBMITTING,
@@ -59,7 +65,10 @@
     unsigned attempts;
     /* True if the outcome of some attempt is unknown. */
     bool outcome_unknown;
+    /* The job is completed, or has failed if it crashes workers. */
     bool completed;
+    /* The job's first task crashes each worker that starts it. */
+    bool crashes_workers;
     /* True while a state query is in progress. */
     bool querying;
     struct SrTimer retry;
@@ -80,6 +89,8 @@
      * waits for the accepted ones to be completed. */
     bool settling;
     int64_t settle_until_ms;
+    /* The first job crashes workers. */
+    bool has_crashing_job;
     /* Record of the workers' stand-in; NULL if it could not be read. */
     char *record;
 };
@@ -211,19 +222,25 @@
         return;
     }
     struct Job *job = &soak->jobs[soak->job_count++];
+    char crash[32] = "";
     unsigned count = 1 + SoakSite_Random(&soak->site, 4);
     unsigned accelerators = 1U << SoakSite_Random(&soak->site, 4);
     unsigned work_ms = 100 + SoakSite_Random(&soak->site, 900);
     bool gang = SoakSite_Random(&soak->site, 2) == 0;
     job->soak = soak;
     job->path = SoakSite_Random(&soak->site, 3) == 0 ? "/urgent/" : "/bulk/";
+    job->crashes_workers = soak->has_crashing_job && soak->job_count == 1;
+    if (job->crashes_workers) {
+        work_ms += CRASH_MS;
+        snprintf(crash, sizeof(crash), ";crash_ms=%d", CRASH_MS);
+    }
     snprintf(job->id, sizeof(job->id), "%08x%08x", soak->site.seed,
              soak->job_count);
     snprintf(job->body, sizeof(job->body),
-             "{\"spec\":\"ms=%u;gang=%u;gpu=%u\",\"steps\":[{\"count\":%u,"
+             "{\"spec\":\"ms=%u;gang=%u;gpu=%u%s\",\"steps\":[{\"count\":%u,"
              "\"cpu\":1000,\"mem_mb\":100,\"gpu\":%u,\"estimated_ms\":%u%s}]}",
-             work_ms, gang ? count : 0, accelerators, count, accelerators,
-             work_ms, gang ? ",\"gang\":true" : "");
+             work_ms, gang ? count : 0, accelerators, crash, count,
+             accelerators, work_ms, gang ? ",\"gang\":true" : "");
     send_submit(job);
 }
 
@@ -243,12 +260,17 @@
         return;
     }
     memcpy(state, response->body, response->size);
-    if (strstr(state, "completed") != NULL) {
+    if (strstr(state, job->crashes_workers ? "failed" : "completed") != NULL) {
         job->completed = true;
     }
+    else if (strstr(state, "completed") != NULL) {
+        SoakSite_Fail(&job->soak->site,
+                      "job that crashes workers completed:", job->id);
+    }
     else if (strstr(state, "failed") != NULL ||
              strstr(state, "cancelled") != NULL) {
-        /* No run of this test fails by itself, and no job is cancelled. */
+        /* No run of this test fails by itself, no job is cancelled, and only
+         * one that crashes workers may be given up. */
         SoakSite_Fail(&job->soak->site,
                       "job failed or was cancelled:", job->id);
     }
@@ -372,13 +394,16 @@
     free(soak->record);
 }
 
-/* Runs the test with one seed. Returns true if no check failed and at least
- * one job was accepted. */
+/* Runs the test with one seed. If `crashing_jobs` is not NULL, the first job
+ * crashes workers, and the number is incremented if it was accepted. Returns
+ * true if no check failed and at least one job was accepted. */
 static bool
-run_seed(unsigned seed, int64_t length_ms, bool domain_cuts)
+run_seed(unsigned seed, int64_t length_ms, bool domain_cuts,
+         unsigned *crashing_jobs)
 {
     struct Soak *soak = SrUtil_Calloc(1, sizeof(*soak));
     unsigned counts[4];
+    soak->has_crashing_job = crashing_jobs != NULL;
     start_soak(soak, seed, length_ms, domain_cuts);
     ev_run(soak->site.kernel->loop, 0);
     SrTimer_Stop(&soak->tick);
@@ -391,6 +416,9 @@
                   counts[JOB_UNKNOWN],
                   soak->site.failure[0] != '\0' ? soak->site.failure : "ok");
     bool passed = soak->site.failure[0] == '\0' && counts[JOB_ACCEPTED] > 0;
+    if (crashing_jobs != NULL && soak->jobs[0].state == JOB_ACCEPTED) {
+        ++*crashing_jobs;
+    }
     stop_soak(soak);
     free(soak);
     return passed;
@@ -435,7 +463,8 @@
 {
     (void)state;
     for (size_t i = 0; i < SR_LENGTH(ci_seeds); i++) {
-        assert_true(run_seed(ci_seeds[i].seed, ci_seeds[i].length_ms, false));
+        assert_true(
+            run_seed(ci_seeds[i].seed, ci_seeds[i].length_ms, false, NULL));
     }
 }
 
@@ -445,8 +474,21 @@
     (void)state;
     for (size_t i = 0; i < SR_LENGTH(domain_cut_seeds); i++) {
         assert_true(run_seed(domain_cut_seeds[i].seed,
-                             domain_cut_seeds[i].length_ms, true));
+                             domain_cut_seeds[i].length_ms, true, NULL));
+    }
+}
+
+/* A task crashes each worker that starts it, while nodes, the store and other
+ * workers have faults. It is given up in time, and all other jobs complete. */
+static void
+crashing_task_is_given_up(void **state)
+{
+    (void)state;
+    unsigned accepted = 0;
+    for (unsigned seed = 1; seed <= CRASHING_SEEDS; seed++) {
+        assert_true(run_seed(seed, CRASHING_LENGTH_MS, false, &accepted));
     }
+    assert_true(accepted > 0);
 }
 
 struct Arguments {
@@ -454,6 +496,7 @@
     unsigned seeds;
     int64_t length_ms;
     bool domain_cuts;
+    bool crashing_job;
 };
 
 static const struct argp_option options[] = {
@@ -463,6 +506,7 @@
     {.name = "domain-cuts",
      .key = 'd',
      .doc = "cut the leader off together with workers"},
+    {.name = "crashing-job", .key = 'c', .doc = "a job crashes workers"},
     {0},
 };
 
@@ -483,6 +527,9 @@
     case 'd':
         arguments->domain_cuts = true;
         return 0;
+    case 'c':
+        arguments->crashing_job = true;
+        return 0;
     default:
         return ARGP_ERR_UNKNOWN;
     }
@@ -502,18 +549,24 @@
     SrLog_Start(SR_LOG_ERROR, "soak");
     if (arguments.seeds > 0) {
         unsigned failed = 0;
+        unsigned accepted = 0;
         for (unsigned i = 0; i < arguments.seeds; i++) {
             failed += run_seed(arguments.from + i, arguments.length_ms,
-                               arguments.domain_cuts)
+                               arguments.domain_cuts,
+                               arguments.crashing_job ? &accepted : NULL)
                           ? 0
                           : 1;
         }
         print_message("%u of %u seeds failed\n", failed, arguments.seeds);
+        if (arguments.crashing_job) {
+            print_message("%u accepted jobs crashed workers\n", accepted);
+        }
         return failed > 0 ? 1 : 0;
     }
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(promises_hold_under_faults),
         cmocka_unit_test(promises_hold_under_domain_cuts),
+        cmocka_unit_test(crashing_task_is_given_up),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
