Engine: a response says nothing about a later incarnation of the worker

What callers saw: nothing yet; found by a review of the changes for tasks that run twice. It can lead to the same: a task that runs twice, and a worker over its capacity.

Cause: the response to a stop or start that the former incarnation of a worker executed may come after the leader has learned of the next one. The leader took it for the next one's: the run counted as stopped or started there, and was over when the next list did not contain it, although the incarnation may still execute another copy of the start; and the worker got new work. In the same way any acknowledged stop counted as the latest one.

Change: a command carries when the leader sent it. The response to a start or stop that was sent before the leader learned of the current incarnation changes nothing about the run, and a stop is then sent again.

--- a/src/commands.h
+++ b/src/commands.h
@@ -35,6 +35,8 @@
     /* Fencing token. */
     uint64_t term;
     int64_t timeout_ms;
+    /* When the leader sent the command, by its clock; not sent along. */
+    int64_t sent_ms;
     union {
         struct {
             /* Lease deadline on the worker's clock; 0 leaves the lease
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -18,11 +18,13 @@
  * results are not written yet. */
 #define RENEW_INTERVAL_MS 500
 
-/* Sets the command's term, and the worker to which the command is sent. */
+/* Sets the command's term and time, and the worker to which the command is
+ * sent. */
 static void
 set_destination(const struct SrEngine *engine, const struct SrWorker *worker,
-                struct SrCommand *command)
+                int64_t now_ms, struct SrCommand *command)
 {
+    command->sent_ms = now_ms;
     command->term = engine->term;
     SrUtil_Copy(command->worker, sizeof(command->worker), worker->info.id);
     SrUtil_Copy(command->address, sizeof(command->address),
@@ -80,7 +82,7 @@
                 .wait_ms = wait_ms,
             },
     };
-    set_destination(engine, worker, &command);
+    set_destination(engine, worker, now_ms, &command);
     if (command.u.poll.deadline_ms > 0) {
         record_grant(worker, now_ms);
     }
@@ -160,7 +162,7 @@
                     SrFleet_LeaseDeadlineMs(&engine->fleet, worker, now_ms),
             },
     };
-    set_destination(engine, worker, &command);
+    set_destination(engine, worker, now_ms, &command);
     SrFlow_TaskName(run->task, command.u.start.task);
     SrUtil_Copy(command.u.start.checkpoint, sizeof(command.u.start.checkpoint),
                 run->task->checkpoint);
@@ -173,14 +175,14 @@
 }
 
 static void
-send_stop(struct SrEngine *engine, struct SrRun *run)
+send_stop(struct SrEngine *engine, struct SrRun *run, int64_t now_ms)
 {
     struct SrCommand command = {
         .kind = SR_COMMAND_STOP,
         .timeout_ms = EXCHANGE_TIMEOUT_MS,
         .u.stop = {.run = run->number},
     };
-    set_destination(engine, run->worker, &command);
+    set_destination(engine, run->worker, now_ms, &command);
     SrFlow_TaskName(run->task, command.u.stop.task);
     run->stop_in_flight = true;
     run->stops_sent++;
@@ -209,7 +211,7 @@
     if (run->stopping) {
         if (!run->stop_acked && !run->stop_in_flight &&
             run->worker->info.address[0] != '\0') {
-            send_stop(engine, run);
+            send_stop(engine, run, now_ms);
         }
         return true;
     }
@@ -260,7 +262,7 @@
             .timeout_ms = EXCHANGE_TIMEOUT_MS,
             .u.stop = {.run = start->run},
         };
-        set_destination(engine, worker, &command);
+        set_destination(engine, worker, now_ms, &command);
         SrUtil_Copy(command.u.stop.task, sizeof(command.u.stop.task),
                     start->task);
         start->stop_sent_ms = now_ms;
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -132,12 +132,13 @@
 /* Stops a run that the worker lists but the leader does not know. */
 static void
 stop_unknown(struct SrEngine *engine, const struct SrWorker *worker,
-             const struct SrRunningReport *report)
+             const struct SrRunningReport *report, int64_t now_ms)
 {
     struct SrCommand command = {
         .kind = SR_COMMAND_STOP,
         .term = engine->term,
         .timeout_ms = STOP_UNKNOWN_TIMEOUT_MS,
+        .sent_ms = now_ms,
     };
     SR_WARN("engine", "unknown-run", "worker=%s task=%s run=%u",
             worker->info.id, report->task, report->run);
@@ -181,7 +182,7 @@
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
         remember_unknown_run(engine, worker, report->task);
-        stop_unknown(engine, worker, report);
+        stop_unknown(engine, worker, report, now_ms);
         return false;
     }
     run->listed_by_poll = engine->poll_number;
@@ -431,6 +432,16 @@
     }
 }
 
+/* Returns true if the command was sent before the leader learned of the
+ * worker's current incarnation. Its response then says nothing about that one,
+ * which may execute other copies of a start. */
+static bool
+is_to_former_incarnation(const struct SrWorker *worker,
+                         const struct SrCommand *command)
+{
+    return command->sent_ms <= worker->incarnation_seen_ms;
+}
+
 static void
 on_start_response(struct SrEngine *engine, struct SrWorker *worker,
                   const struct SrCommand *command,
@@ -445,7 +456,8 @@
         return;
     }
     run->start_in_flight = false;
-    if (run->state != SR_RUNSTATE_STARTING) {
+    if (run->state != SR_RUNSTATE_STARTING ||
+        is_to_former_incarnation(worker, command)) {
         return;
     }
     switch (response->result) {
@@ -515,18 +527,21 @@
 {
     struct SrRun *run =
         find_run(engine, worker, command->u.stop.task, command->u.stop.run);
-    if (response->result == SR_COMMAND_DONE) {
+    enum SrCommandResult result = is_to_former_incarnation(worker, command)
+                                      ? SR_COMMAND_NO_RESPONSE
+                                      : response->result;
+    if (result == SR_COMMAND_DONE) {
         struct SrUnackedStart *start = SrFleet_FindUnackedStart(
             worker, command->u.stop.task, command->u.stop.run);
         if (start != NULL) {
-            start->stop_acked_ms = start->stop_sent_ms;
+            start->stop_acked_ms = command->sent_ms;
         }
     }
     if (run == NULL) {
         return;
     }
     run->stop_in_flight = false;
-    switch (response->result) {
+    switch (result) {
     case SR_COMMAND_DONE:
     case SR_COMMAND_OLD_RUN:
     case SR_COMMAND_INVALID:
@@ -541,7 +556,7 @@
         engine->fenced = true;
         break;
     default:
-        log_stop_unacked(run, response->result);
+        log_stop_unacked(run, result);
         run->next_send_ms = now_ms + RETRY_DELAY_MS;
         break;
     }
