Engine: the lease of a start that a later incarnation may execute is waited for

What callers saw: nothing yet; found by a review of the changes for tasks that run twice. It can lead to the same.

Cause: a run with a start without a response waits when its worker restarts, since the next incarnation may still execute the start. If the leader knew of that incarnation from the store and did not reach it, the run ended 6.5 s after the last grant to the former one. But the clock of the next incarnation starts anew, so that the deadline in the start lies far ahead there: executed up to 13 s late, the start begins a whole lease.

Change: for such a worker the time of the last possible grant is that until which the start may be executed.

Until then the task waits, at most for 19.8 s, and so do other runs of that worker if it is lost in that time.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -45,6 +45,20 @@
     return task != NULL ? SrFleet_FindRun(worker, task, number) : NULL;
 }
 
+/* Notes until when the worker's new incarnation may execute the run's start,
+ * which then has a lease of its own: the deadline in the start is a time on
+ * the clock of the former one. */
+static void
+expect_late_start(struct SrWorker *worker, const struct SrRun *run,
+                  int64_t now_ms)
+{
+    int64_t until_ms = run->start_in_flight ? now_ms + UNACKED_START_MS
+                                            : run->unacked_until_ms;
+    if (until_ms > worker->late_start_until_ms) {
+        worker->late_start_until_ms = until_ms;
+    }
+}
+
 void
 SrEngine_OnNewIncarnation(struct SrEngine *engine, struct SrWorker *worker,
                           int64_t incarnation, int64_t now_ms)
@@ -73,6 +87,7 @@
             SrEngine_StopRun(engine, run, "worker-reborn", now_ms);
             run->state = SR_RUNSTATE_STARTING;
             run->stop_acked = false;
+            expect_late_start(worker, run, now_ms);
             continue;
         }
         /* No poll has listed the run yet, so the new incarnation may be the
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -342,8 +342,10 @@
 SrFleet_IsLeaseExpired(const struct SrFleet *fleet,
                        const struct SrWorker *worker, int64_t now_ms)
 {
-    return now_ms - worker->granted_ms >
-           SrFleet_LeaseExpiryMs(fleet->lease_ms);
+    int64_t granted_ms = worker->granted_ms > worker->late_start_until_ms
+                             ? worker->granted_ms
+                             : worker->late_start_until_ms;
+    return now_ms - granted_ms > SrFleet_LeaseExpiryMs(fleet->lease_ms);
 }
 
 bool
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -186,6 +186,9 @@
      * extends the worker's lease. In the future while a previous leader may
      * still send one. */
     int64_t granted_ms;
+    /* Until when an incarnation of the worker may execute a start that was
+     * sent to a former one, and so begin a lease. */
+    int64_t late_start_until_ms;
     /* `granted_ms` is that of a previous leader. */
     bool grant_inherited;
     /* The progress rows of the worker's runs contain `granted_ms`, or are to
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -287,6 +287,29 @@
     destroy_world(&world);
 }
 
+/* Guards against a lease that counts as expired although the next incarnation,
+ * which the leader knows of but does not reach, may execute the start later:
+ * it then has a lease of its own. */
+static void
+lease_of_next_incarnation_counts_from_late_start(void **state)
+{
+    (void)state;
+    struct World world;
+    start_unacked(&world);
+    int64_t sent_ms = world.now_ms;
+    world.silent[0] = true;
+    tick_for(&world, 300);
+    world.incarnations[0] = 2;
+    set_worker(&world, 0);
+    while (running(&world) > 0 && world.now_ms < sent_ms + 60000) {
+        tick(&world);
+    }
+    print_message("run given up %ld ms after its start was sent\n",
+                  (long)(world.now_ms - sent_ms));
+    assert_true(world.now_ms - sent_ms >= 12000 + LEASE_MS);
+    destroy_world(&world);
+}
+
 /* Guards against a worker that may get work although it may still execute a
  * start that was sent to its former incarnation: the acknowledgement of a stop
  * by that incarnation counts for the next one. */
@@ -320,6 +343,7 @@
         cmocka_unit_test(
             late_start_response_of_former_incarnation_ends_no_run),
         cmocka_unit_test(late_stop_response_does_not_block_unacked_start),
+        cmocka_unit_test(lease_of_next_incarnation_counts_from_late_start),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
