Engine: a new leader stops the rest of a gang whose member has ended

The class is the same: after a hand-over, an intention that was stored is taken for its effect.

Cause: when a member of a gang ends without a result, the leader stores that and stops the others. If it ends before the stops take effect, its successor loads the gang without that member, extends the leases of the others, which wait for it, and cannot place the gang before all have ended.

Change: loading progress stops the members of a gang of which another member is neither done nor has a run.

Measured: rest_of_an_inherited_gang_is_stopped failed before (no stop in 5 s).

--- a/src/engine.c
+++ b/src/engine.c
@@ -293,6 +293,21 @@
     }
 }
 
+/* Stops the remaining members of a gang after the run of one has ended. */
+static void
+stop_members(struct SrEngine *engine, const struct SrFlowTask *task,
+             uint32_t number, int64_t now_ms)
+{
+    struct SrFlowTask *first =
+        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
+    for (uint32_t i = 0; i < SrFlow_StepOf(task)->count; i++) {
+        struct SrRun *run = first[i].active_run;
+        if (run != NULL && run->number == number) {
+            SrEngine_StopRun(engine, run, "gang-ended", now_ms);
+        }
+    }
+}
+
 /* Returns why the runs of an ended job are stopped, for the log. */
 static const char *
 stop_reason_of(Sr__FlowStatus status)
@@ -307,6 +322,23 @@
     }
 }
 
+/* Stops the members of gangs of which another member is neither done nor has a
+ * run: the previous leader may have ended before its stop commands took
+ * effect. */
+static void
+stop_partial_gangs(struct SrEngine *engine, struct SrFlow *flow,
+                   int64_t now_ms)
+{
+    size_t count = (size_t)flow->tasks_per_occurrence * flow->occurrences;
+    for (size_t i = 0; i < count && flow->outstanding > 0; i++) {
+        const struct SrFlowTask *task = &flow->tasks[i];
+        if (SrFlow_StepOf(task)->gang && !task->done &&
+            task->active_run == NULL) {
+            stop_members(engine, task, task->run, now_ms);
+        }
+    }
+}
+
 /* Applies the stored progress of the flow. If the job has ended, its
  * outstanding runs are stopped, as the previous leader may have ended before
  * its stop commands took effect. */
@@ -325,7 +357,9 @@
     if (SrFlow_HasEnded(flow)) {
         flow->ended_ms = now_ms;
         stop_runs(engine, flow, stop_reason_of(flow->status), now_ms);
+        return;
     }
+    stop_partial_gangs(engine, flow, now_ms);
 }
 
 void
@@ -459,21 +493,6 @@
     stop_runs(engine, flow, "job-failed", now_ms);
 }
 
-/* Stops the remaining members of a gang after the run of one has ended. */
-static void
-stop_members(struct SrEngine *engine, const struct SrFlowTask *task,
-             uint32_t number, int64_t now_ms)
-{
-    struct SrFlowTask *first =
-        SrFlow_StepTasks(task->flow, task->occurrence, task->step);
-    for (uint32_t i = 0; i < SrFlow_StepOf(task)->count; i++) {
-        struct SrRun *run = first[i].active_run;
-        if (run != NULL && run->number == number) {
-            SrEngine_StopRun(engine, run, "gang-ended", now_ms);
-        }
-    }
-}
-
 static void
 record_failure(struct SrEngine *engine, struct SrFlowTask *task,
                struct SrWorker *worker, uint32_t number, int64_t now_ms)
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -310,6 +310,43 @@
     destroy_world(&world);
 }
 
+static void
+load_gang(struct World *world, const char *worker0, uint32_t failures)
+{
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    Sr__FlowTask stored[2] = {SR__FLOW_TASK__INIT, SR__FLOW_TASK__INIT};
+    Sr__FlowTask *tasks[] = {&stored[0], &stored[1]};
+    stored[0].run = 1;
+    stored[0].worker = (char *)worker0;
+    stored[1].run = 1;
+    stored[1].worker = (char *)"w1";
+    stored[1].born = 1;
+    stored[0].failures = failures;
+    stored[1].failures = failures;
+    progress.begun = true;
+    progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
+    progress.tasks = tasks;
+    progress.n_tasks = 2;
+    create_world(world, 2);
+    add_job(world, 2, true, &progress);
+}
+
+/* Guards against members of a gang that hold their workers, and wait for the
+ * others until the worker ends them as alone: a leader stored the end of a
+ * member, and ended before its stop commands reached the rest. */
+static void
+rest_of_an_inherited_gang_is_stopped(void **state)
+{
+    (void)state;
+    struct World world;
+    load_gang(&world, "", 0);
+    world.lists[1] = 1;
+    tick_for(&world, 5000);
+    assert_int_equal(running(&world), 1);
+    assert_true(world.stops > 0);
+    destroy_world(&world);
+}
+
 /* Guards against a worker that may get work although it may still execute a
  * start that was sent to its former incarnation: the acknowledgement of a stop
  * by that incarnation counts for the next one. */
@@ -344,6 +381,7 @@
             late_start_response_of_former_incarnation_ends_no_run),
         cmocka_unit_test(late_stop_response_does_not_block_unacked_start),
         cmocka_unit_test(lease_of_next_incarnation_counts_from_late_start),
+        cmocka_unit_test(rest_of_an_inherited_gang_is_stopped),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
