Engine: a gang is stopped as a whole when one member must not be started

What callers saw: nothing yet; found by a review.

Cause: a member whose worker may get no starts any more, because its failure domain was excluded, it drains, restarted or has no entry, was released before its start was sent. Nothing stopped the other members, which waited for it at their workers until they ended as alone.

Change: the whole unit is stopped. The iteration over the unsettled runs restarts, since other members may have been released.

--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -219,8 +219,8 @@
         return true;
     }
     if (is_start_forbidden(engine, run)) {
-        SrEngine_StopRun(engine, run, "worker-barred", now_ms);
-        return true;
+        SrEngine_StopUnit(engine, run, "worker-barred", now_ms);
+        return false;
     }
     if (SrFleet_IsOverCapacity(run->worker)) {
         /* The capacity has shrunk since the run was allocated. */
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -372,6 +372,36 @@
     destroy_world(&world);
 }
 
+/* Guards against members of a gang that wait for another one until the worker
+ * ends them as alone: that one must not be started any more, as its failure
+ * domain is excluded before its start is sent. */
+static void
+rest_of_a_gang_is_stopped_with_a_member_that_is_not_started(void **state)
+{
+    (void)state;
+    struct World world;
+    create_world(&world, 2);
+    tick_for(&world, 400);
+    add_job(&world, 2, true, NULL);
+    while (!SrEngine_HasChanges(world.engine)) {
+        world.now_ms += STEP_MS;
+        SrEngine_SetConfirmed(world.engine, world.now_ms);
+        SrEngine_Tick(world.engine, true, world.now_ms, world.now_ms);
+        respond(&world);
+    }
+    assert_int_equal(running(&world), 2);
+    SrEngine_SetDomainOut(world.engine, "d1", true);
+    write_changes(&world);
+    tick(&world);
+    assert_int_equal(world.starts, 1);
+    struct SrCommand start = world.last_start;
+    answer(&world, &start, SR_COMMAND_DONE, 1);
+    world.lists[worker_of(&start)] = start.u.start.task[21] - '0';
+    tick_for(&world, 3000);
+    assert_true(world.stops > 0);
+    destroy_world(&world);
+}
+
 int
 main(void)
 {
@@ -382,6 +412,8 @@
         cmocka_unit_test(late_stop_response_does_not_block_unacked_start),
         cmocka_unit_test(lease_of_next_incarnation_counts_from_late_start),
         cmocka_unit_test(rest_of_an_inherited_gang_is_stopped),
+        cmocka_unit_test(
+            rest_of_a_gang_is_stopped_with_a_member_that_is_not_started),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
