Engine: the failure of a gang's run counts once over a change of leaders

What callers saw: nothing yet; found by a review. A job could be shown as failed before its attempts were used up.

Cause: all members of a gang that fail in one run count as one failure. The number of that run was not stored: a leader that stored the failure of one member and ended before it read that of another was followed by one that counted the second as another failure.

Change: the number is in a new field of the progress row. Rows without it count as before.

Measured: gang_failure_counts_once_over_a_takeover failed before.

--- a/src/engine_store.c
+++ b/src/engine_store.c
@@ -8,6 +8,7 @@
     sr__flow_task__init(packed);
     packed->run = task->run;
     packed->failures = task->failures;
+    packed->failed_run = task->failed_run;
     packed->done = task->done;
     packed->crashes = task->crashes;
     packed->sole_crashes = task->sole_crashes;
--- a/src/flow.c
+++ b/src/flow.c
@@ -157,6 +157,7 @@
         struct SrFlowTask *to = &flow->tasks[i];
         to->run = from->run;
         to->failures = from->failures;
+        to->failed_run = from->failed_run;
         to->crashes = from->crashes;
         to->sole_crashes = from->sole_crashes;
         to->crash_age_ms = from->crash_age_ms;
--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -788,7 +788,7 @@
   (ProtobufCMessageInit) sr__flow_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr__flow_task__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sr__flow_task__field_descriptors[12] =
 {
   {
     "run",
@@ -922,6 +922,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed_run",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sr__FlowTask, failed_run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr__flow_task__field_indices_by_name[] = {
   4,   /* field[4] = born */
@@ -929,6 +941,7 @@
   9,   /* field[9] = crash_age_ms */
   7,   /* field[7] = crashes */
   2,   /* field[2] = done */
+  11,   /* field[11] = failed_run */
   1,   /* field[1] = failures */
   6,   /* field[6] = granted_ms */
   10,   /* field[10] = last_run */
@@ -939,7 +952,7 @@
 static const ProtobufCIntRange sr__flow_task__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sr__flow_task__descriptor =
 {
@@ -949,7 +962,7 @@
   "Sr__FlowTask",
   "sr",
   sizeof(Sr__FlowTask),
-  11,
+  12,
   sr__flow_task__field_descriptors,
   sr__flow_task__field_indices_by_name,
   1,  sr__flow_task__number_ranges,
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -226,10 +226,14 @@
    * if there is no limit yet.
    */
   uint32_t last_run;
+  /*
+   * Number of the last failed run; a gang's run counts as one failure.
+   */
+  uint32_t failed_run;
 };
 #define SR__FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_task__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sr__FlowProgress
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -310,19 +310,22 @@
     destroy_world(&world);
 }
 
+/* Lets a new leader load a gang of two, of which member 1 runs on worker 1 and
+ * member 0 has ended in the same run, which has failed `failures` times. */
 static void
-load_gang(struct World *world, const char *worker0, uint32_t failures)
+load_gang(struct World *world, uint32_t failures)
 {
     Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
     Sr__FlowTask stored[2] = {SR__FLOW_TASK__INIT, SR__FLOW_TASK__INIT};
     Sr__FlowTask *tasks[] = {&stored[0], &stored[1]};
     stored[0].run = 1;
-    stored[0].worker = (char *)worker0;
     stored[1].run = 1;
     stored[1].worker = (char *)"w1";
     stored[1].born = 1;
     stored[0].failures = failures;
     stored[1].failures = failures;
+    stored[0].failed_run = failures;
+    stored[1].failed_run = failures;
     progress.begun = true;
     progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
     progress.tasks = tasks;
@@ -339,7 +342,7 @@
 {
     (void)state;
     struct World world;
-    load_gang(&world, "", 0);
+    load_gang(&world, 0);
     world.lists[1] = 1;
     tick_for(&world, 5000);
     assert_int_equal(running(&world), 1);
@@ -347,6 +350,41 @@
     destroy_world(&world);
 }
 
+/* Guards against a job that fails too early: two members of one run of a gang
+ * failed, and a leader stored the first failure and ended before it read the
+ * second. */
+static void
+gang_failure_counts_once_over_a_takeover(void **state)
+{
+    (void)state;
+    struct World world;
+    load_gang(&world, 1);
+    world.now_ms += STEP_MS;
+    SrEngine_SetConfirmed(world.engine, world.now_ms);
+    SrEngine_Tick(world.engine, true, world.now_ms, world.now_ms);
+    assert_true(world.poll_count > 0);
+    for (unsigned i = 0; i < world.poll_count; i++) {
+        struct SrTerminatedReport report = {
+            .number = 1,
+            .task = JOB ".0.0.1",
+            .run = 1,
+            .outcome = SR_RUN_FAILED,
+        };
+        bool ended = worker_of(&world.polls[i]) == 1;
+        SrEngine_OnResponse(world.engine, &world.polls[i],
+                            &(struct SrCommandResponse){
+                                .result = SR_COMMAND_DONE,
+                                .clock_ms = world.now_ms,
+                                .incarnation = 1,
+                                .terminated = &report,
+                                .terminated_count = ended ? 1 : 0,
+                            },
+                            world.now_ms);
+    }
+    assert_int_not_equal(write_changes(&world), SR__FLOW_STATUS__FLOW_FAILED);
+    destroy_world(&world);
+}
+
 /* Guards against a worker that may get work although it may still execute a
  * start that was sent to its former incarnation: the acknowledgement of a stop
  * by that incarnation counts for the next one. */
@@ -414,6 +452,7 @@
         cmocka_unit_test(rest_of_an_inherited_gang_is_stopped),
         cmocka_unit_test(
             rest_of_a_gang_is_stopped_with_a_member_that_is_not_started),
+        cmocka_unit_test(gang_failure_counts_once_over_a_takeover),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
