--- /dev/null
+++ b/tests/test_starts.c
@@ -0,0 +1,591 @@
+/* When a worker gets start commands: not while it may execute runs that the
+ * leader does not know, and only within its capacity. */
+#include "test_support.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "codec.h"
+#include "engine.h"
+#include "log.h"
+
+/* Accelerators of the worker of struct DrivenLeader. */
+#define DRIVEN_ACCELERATORS 8
+#define DRIVEN_STEP_MS 10
+#define DRIVEN_COMMANDS_MAX 8
+
+/* A leader's engine with one worker, "w", whose responses the test gives. */
+struct DrivenLeader {
+    struct SrEngine *engine;
+    struct SrCatalog *catalog;
+    int64_t now_ms;
+    struct SrWorkerEntry entry;
+    /* Commands without a response, in the order of sending. */
+    struct SrCommand pending[DRIVEN_COMMANDS_MAX];
+    unsigned pending_count;
+    /* Number of commands of each kind that were sent. */
+    unsigned sent[SR_COMMAND_ADVISE + 1];
+};
+
+static void
+keep_command(void *context, const struct SrCommand *command)
+{
+    struct DrivenLeader *leader = context;
+    leader->sent[command->kind]++;
+    assert_true(leader->pending_count < DRIVEN_COMMANDS_MAX);
+    leader->pending[leader->pending_count++] = *command;
+}
+
+static void
+lead(struct DrivenLeader *leader)
+{
+    *leader = (struct DrivenLeader){
+        .catalog = SrCatalog_Create(1, 0, 0),
+        .now_ms = 1000,
+        .entry = {.id = "w",
+                  .address = "a",
+                  .service = "s",
+                  .cpu_millis = 64000,
+                  .memory_mb = 64000,
+                  .accelerators = DRIVEN_ACCELERATORS,
+                  .incarnation = 1},
+    };
+    leader->catalog->queues[0].name = SrUtil_Strdup("q");
+    leader->catalog->queues[0].host = SrUtil_Strdup("h");
+    leader->catalog->queues[0].prefix = SrUtil_Strdup("/");
+    leader->catalog->queues[0].service = SrUtil_Strdup("s");
+    leader->engine = SrEngine_Create(
+        &(struct SrEngineOptions){
+            .lease_ms = 6000,
+            .stop_ms = 200,
+            .retention_ms = 60000,
+            .remote_factor = 1,
+            .send = keep_command,
+            .context = leader,
+        },
+        1, leader->now_ms);
+    SrEngine_SetCatalog(leader->engine, leader->catalog);
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
+static void
+resign(struct DrivenLeader *leader)
+{
+    SrEngine_Destroy(leader->engine);
+    SrCatalog_Destroy(leader->catalog);
+}
+
+static void
+write_changes(struct DrivenLeader *leader)
+{
+    struct SrEngineChange changes[8];
+    size_t count =
+        SrEngine_TakeChanges(leader->engine, changes, SR_LENGTH(changes));
+    for (size_t i = 0; i < count; i++) {
+        free(changes[i].progress);
+        SrEngine_OnWritten(leader->engine, changes[i].id, changes[i].change);
+    }
+}
+
+/* Lets the time pass. While it does, changes are written to the store at once
+ * or, if `writable` is false, not at all. */
+static void
+pass_time(struct DrivenLeader *leader, int64_t ms, bool writable)
+{
+    for (int64_t end_ms = leader->now_ms + ms; leader->now_ms < end_ms;) {
+        leader->now_ms += DRIVEN_STEP_MS;
+        SrEngine_SetConfirmed(leader->engine, leader->now_ms);
+        SrEngine_Tick(leader->engine, true, leader->now_ms, leader->now_ms);
+        if (writable) {
+            write_changes(leader);
+        }
+    }
+}
+
+/* Submits job number `job`, which has one step of `count` tasks: a gang if
+ * there are several. */
+static void
+submit(struct DrivenLeader *leader, unsigned job, uint32_t count,
+       uint32_t accelerators)
+{
+    char id[SR_ID_SIZE];
+    size_t size;
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep step = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&step};
+    snprintf(id, sizeof(id), "%016u", job);
+    step.count = count;
+    step.accelerators = accelerators;
+    step.gang = count > 1;
+    step.cpu_millis = 1000;
+    step.memory_mb = 1000;
+    step.estimated_ms = 1000;
+    record.steps = steps;
+    record.n_steps = 1;
+    record.payload = (char *)"work";
+    record.queue = (char *)"q";
+    record.service = (char *)"s";
+    record.account = (char *)"account";
+    record.priority = 1;
+    record.max_attempts = 3;
+    record.stretch = 2;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *packed = SrCodec_Pack(&record, &size);
+    SrEngine_AddFlow(
+        leader->engine, id,
+        SrCodec_Unpack(&sr__flow_record__descriptor, packed, size), NULL,
+        leader->now_ms);
+}
+
+/* Removes the oldest command of the kind from those without a response, and
+ * returns it. Lets time pass until there is one. */
+static struct SrCommand
+take_command(struct DrivenLeader *leader, enum SrCommandKind kind)
+{
+    for (unsigned tries = 0; tries < 300; tries++) {
+        for (unsigned i = 0; i < leader->pending_count; i++) {
+            struct SrCommand command = leader->pending[i];
+            if (command.kind != kind) {
+                continue;
+            }
+            leader->pending_count--;
+            memmove(&leader->pending[i], &leader->pending[i + 1],
+                    (leader->pending_count - i) * sizeof(command));
+            return command;
+        }
+        pass_time(leader, DRIVEN_STEP_MS, true);
+    }
+    fail_msg("no command of kind %d", (int)kind);
+    return (struct SrCommand){.kind = kind};
+}
+
+/* Gives the response to the oldest command of the kind. */
+static void
+respond(struct DrivenLeader *leader, enum SrCommandKind kind,
+        enum SrCommandResult result)
+{
+    struct SrCommand command = take_command(leader, kind);
+    SrEngine_OnResponse(
+        leader->engine, &command,
+        &(struct SrCommandResponse){.result = result, .clock_ms = -1},
+        leader->now_ms);
+}
+
+/* Responds to the poll with a list of the task's run 1; of no run if `task` is
+ * NULL. */
+static void
+respond_to(struct DrivenLeader *leader, const struct SrCommand *poll,
+           const char *task)
+{
+    struct SrRunningReport running = {.run = 1};
+    SrUtil_Copy(running.task, sizeof(running.task), task != NULL ? task : "");
+    SrEngine_OnResponse(leader->engine, poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader->now_ms,
+                            .incarnation = leader->entry.incarnation,
+                            .running = &running,
+                            .running_count = task != NULL ? 1 : 0,
+                        },
+                        leader->now_ms);
+}
+
+static void
+list_runs(struct DrivenLeader *leader, const char *task)
+{
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    respond_to(leader, &poll, task);
+}
+
+/* The worker restarts, and its new entry is read. */
+static void
+restart_worker(struct DrivenLeader *leader)
+{
+    leader->entry.incarnation++;
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
+#define UNKNOWN_TASK "0000000000000009.0.0.0"
+
+/* Guards against a start on a worker that lists a run which the leader does
+ * not know: while the run is being stopped it still holds its resources, and
+ * the start brought the worker over its capacity. */
+static void
+unknown_runs_keep_new_work_away(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, UNKNOWN_TASK);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    /* The stop is acknowledged, but the run is still being stopped. */
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Removes the oldest poll of the worker from the commands without a response,
+ * and returns it. Lets time pass until there is one. */
+static struct SrCommand
+take_poll_of(struct DrivenLeader *leader, const char *worker)
+{
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    for (unsigned tries = 0;
+         tries < DRIVEN_COMMANDS_MAX && strcmp(poll.worker, worker) != 0;
+         tries++) {
+        leader->pending[leader->pending_count++] = poll;
+        poll = take_command(leader, SR_COMMAND_POLL);
+    }
+    assert_string_equal(poll.worker, worker);
+    return poll;
+}
+
+/* Guards against a task that runs twice: a worker lists a run of it that the
+ * leader does not know, for example of a start that was executed late, and the
+ * task is started on another worker before that run has been stopped. */
+static void
+unknown_runs_keep_their_task_from_starting(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    struct SrWorkerEntry other = leader.entry;
+    SrUtil_Copy(other.id, sizeof(other.id), "other");
+    SrEngine_SetWorker(leader.engine, "other", &other, leader.now_ms);
+    submit(&leader, 1, 1, 1);
+    struct SrCommand poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, "0000000000000001.0.0.0");
+    poll = take_poll_of(&leader, "other");
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against start commands of runs that were allocated before the worker
+ * listed an unknown run. */
+static void
+unknown_runs_hold_up_allocated_starts(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 300, false);
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against a start that is sent again after its worker has listed an
+ * unknown run: if the first one was lost, the second brings the worker over
+ * its capacity. */
+static void
+unknown_runs_hold_up_repeated_starts(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    list_runs(&leader, UNKNOWN_TASK);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
+/* Guards against a response that overtakes another: a poll that the worker
+ * answered before the unknown run began shows nothing about it. */
+static void
+earlier_polls_do_not_clear_unknown_runs(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    SrEngine_CancelFlow(leader.engine, "0000000000000001", leader.now_ms);
+    struct SrCommand earlier = take_command(&leader, SR_COMMAND_POLL);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(&leader, UNKNOWN_TASK);
+    respond_to(&leader, &earlier, NULL);
+    submit(&leader, 2, 1, DRIVEN_ACCELERATORS);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
+/* Guards against work on a worker whose lease was counted as expired, before
+ * its first list of runs. */
+static void
+expired_lease_keeps_new_work_away(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    for (unsigned polls = 0; polls < 6; polls++) {
+        respond(&leader, SR_COMMAND_POLL, SR_COMMAND_NO_RESPONSE);
+        pass_time(&leader, 1000, true);
+    }
+    pass_time(&leader, 3000, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    list_runs(&leader, "0000000000000001.0.0.0");
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    /* The first of these responses is that to a poll sent before the list. */
+    list_runs(&leader, NULL);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
+/* Lets the start of job 1 get no response and be given up, until the leader
+ * knows that the run is over. */
+static void
+give_up_start(struct DrivenLeader *leader)
+{
+    list_runs(leader, NULL);
+    submit(leader, 1, 1, DRIVEN_ACCELERATORS);
+    for (unsigned sends = 0; sends < 4; sends++) {
+        respond(leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    }
+    SrEngine_CancelFlow(leader->engine, "0000000000000001", leader->now_ms);
+    respond(leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(leader, NULL);
+    pass_time(leader, 50, true);
+    list_runs(leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader->engine, leader->now_ms).running,
+                     0);
+}
+
+/* Checks that the restarted worker gets no work before it has acknowledged the
+ * stop of job 1's run, and gets some then. `starts` is the number of start
+ * commands that were sent before. */
+static void
+check_blocked_before_work(struct DrivenLeader *leader, unsigned starts)
+{
+    list_runs(leader, NULL);
+    submit(leader, 2, 1, DRIVEN_ACCELERATORS);
+    pass_time(leader, 300, true);
+    assert_int_equal(leader->sent[SR_COMMAND_START], starts);
+    respond(leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    pass_time(leader, 300, true);
+    assert_int_equal(leader->sent[SR_COMMAND_START], starts + 1);
+}
+
+/* Guards against a start without a response that the worker's next incarnation
+ * executes beside new work. The former incarnation had acknowledged the stop
+ * of the run, upon which the leader no longer reckoned with the start; but the
+ * next incarnation does not know of that stop. */
+static void
+unacked_start_is_blocked_after_restart(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    give_up_start(&leader);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 4);
+    resign(&leader);
+}
+
+/* Guards against the same where the run is over before its start command times
+ * out: the leader did not remember the start. */
+static void
+start_that_times_out_late_is_blocked_after_restart(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    struct SrCommand start = take_command(&leader, SR_COMMAND_START);
+    SrEngine_CancelFlow(leader.engine, "0000000000000001", leader.now_ms);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    list_runs(&leader, NULL);
+    pass_time(&leader, 50, true);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    SrEngine_OnResponse(leader.engine, &start,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_NO_RESPONSE, .clock_ms = -1},
+                        leader.now_ms);
+    pass_time(&leader, 50, true);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 1);
+    resign(&leader);
+}
+
+/* Guards against the same where the worker's entry is missing for a while
+ * before its restart: with the worker the leader forgot the start. */
+static void
+unacked_start_is_blocked_after_absence(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    give_up_start(&leader);
+    SrEngine_SetWorker(leader.engine, "w", NULL, leader.now_ms);
+    respond(&leader, SR_COMMAND_POLL, SR_COMMAND_NO_RESPONSE);
+    pass_time(&leader, 2000, true);
+    restart_worker(&leader);
+    check_blocked_before_work(&leader, 4);
+    resign(&leader);
+}
+
+/* Guards against a task that runs twice: a run that a restarted worker may
+ * still execute, because one of its starts got no response, counted as over
+ * when the first list of the new incarnation did not contain it, before the
+ * stop was acknowledged. */
+static void
+run_is_not_over_before_the_next_incarnation_has_stopped_it(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    list_runs(&leader, "0000000000000001.0.0.0");
+    struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+    leader.entry.incarnation++;
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 50, true);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    pass_time(&leader, 200, true);
+    list_runs(&leader, NULL);
+    list_runs(&leader, NULL);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    resign(&leader);
+}
+
+static void
+set_capacity(struct DrivenLeader *leader, uint32_t accelerators)
+{
+    leader->entry.accelerators = accelerators;
+    SrEngine_SetWorker(leader->engine, "w", &leader->entry, leader->now_ms);
+}
+
+/* A worker whose capacity changes after work for it was allocated. */
+struct CapacityChange {
+    const char *name;
+    uint32_t tasks;
+    uint32_t accelerators;
+    /* The first start command is sent, and gets no response, before the change
+     * instead of after it. */
+    bool sent;
+    /* Capacity after the change, and start commands sent by then. */
+    uint32_t capacity;
+    unsigned starts;
+    /* The same for a second change. */
+    uint32_t later_capacity;
+    unsigned later_starts;
+};
+
+static const struct CapacityChange capacity_changes[] = {
+    {"shrinks and grows", 1, 8, false, 4, 0, 8, 1},
+    {"shrinks to nothing", 1, 1, false, 0, 0, 1, 1},
+    {"what still fits is started", 1, 4, false, 4, 1, 8, 1},
+    /* Guards against a gang of which only some members are started: they end
+     * without result when the others do not come. */
+    {"a gang is started as a whole", 2, 4, false, 4, 0, 8, 2},
+    {"a start is not sent again", 1, 8, true, 4, 1, 4, 1},
+};
+
+/* Guards against starts that were allocated, or sent once, before the leader
+ * learned that the worker's capacity has shrunk. */
+static void
+shrunk_workers_get_only_what_fits(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(capacity_changes); i++) {
+        const struct CapacityChange *change = &capacity_changes[i];
+        struct DrivenLeader leader;
+        print_message("%s\n", change->name);
+        lead(&leader);
+        list_runs(&leader, NULL);
+        submit(&leader, 1, change->tasks, change->accelerators);
+        pass_time(&leader, 300, change->sent);
+        if (change->sent) {
+            respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+        }
+        set_capacity(&leader, change->capacity);
+        pass_time(&leader, 300, true);
+        assert_int_equal(leader.sent[SR_COMMAND_START], change->starts);
+        set_capacity(&leader, change->later_capacity);
+        list_runs(&leader, NULL);
+        pass_time(&leader, 300, true);
+        assert_int_equal(leader.sent[SR_COMMAND_START], change->later_starts);
+        resign(&leader);
+    }
+}
+
+/* Guards against new work on a worker whose runs exceed its capacity, which
+ * would follow if what is free were counted without a sign. */
+static void
+runs_beyond_the_capacity_leave_no_room(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, DRIVEN_ACCELERATORS);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    set_capacity(&leader, 2);
+    submit(&leader, 2, 1, 1);
+    submit(&leader, 3, 2, 1);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    assert_int_equal(leader.sent[SR_COMMAND_STOP], 0);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    resign(&leader);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(unknown_runs_keep_new_work_away),
+        cmocka_unit_test(unknown_runs_keep_their_task_from_starting),
+        cmocka_unit_test(unknown_runs_hold_up_allocated_starts),
+        cmocka_unit_test(unknown_runs_hold_up_repeated_starts),
+        cmocka_unit_test(earlier_polls_do_not_clear_unknown_runs),
+        cmocka_unit_test(expired_lease_keeps_new_work_away),
+        cmocka_unit_test(unacked_start_is_blocked_after_restart),
+        cmocka_unit_test(unacked_start_is_blocked_after_absence),
+        cmocka_unit_test(start_that_times_out_late_is_blocked_after_restart),
+        cmocka_unit_test(
+            run_is_not_over_before_the_next_incarnation_has_stopped_it),
+        cmocka_unit_test(shrunk_workers_get_only_what_fits),
+        cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
