Codec: the progress of a job with many tasks can be decoded again

Cause: a decoded message may take 16 times its encoded size and 64 KiB. The progress of a task with default values takes 2 bytes encoded. The fields for crashes and for the last failed run made the decoded task larger, so that the row of a job with many tasks exceeded the limit: the next leader logged bad-row, took the job for one without progress, and started it anew.

Change: the factor is 96, which holds for tasks with default values alone.

Measured: progress_of_the_largest_job_can_be_decoded, with the 1,000 tasks that a job may have, failed before.

--- a/src/codec.h
+++ b/src/codec.h
@@ -8,8 +8,9 @@
 #include <stdint.h>
 
 /* A decoded message may take up to SR_CODEC_EXPANSION_MAX times its encoded
- * size plus SR_CODEC_BASE_BYTES. */
-#define SR_CODEC_EXPANSION_MAX 16
+ * size plus SR_CODEC_BASE_BYTES. A task of a job's progress with default
+ * values takes 2 bytes encoded and some 60 times as much decoded. */
+#define SR_CODEC_EXPANSION_MAX 96
 #define SR_CODEC_BASE_BYTES (64 * 1024)
 
 /* Decodes a message. Returns NULL if it is malformed or would take more memory
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -205,10 +205,43 @@
     }
 }
 
+/* Guards against progress that a new leader cannot decode: the row of a job
+ * with many tasks is small, since most of their fields have default values,
+ * and exceeded the limit on the memory for a decoded message. The tasks then
+ * ran again. */
+static void
+progress_of_the_largest_job_can_be_decoded(void **state)
+{
+    (void)state;
+    static const bool done[] = {false, true};
+    for (size_t i = 0; i < SR_LENGTH(done); i++) {
+        static Sr__FlowTask tasks[SR_FLOW_TASKS_MAX];
+        static Sr__FlowTask *pointers[SR_FLOW_TASKS_MAX];
+        Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+        size_t size;
+        for (unsigned t = 0; t < SR_FLOW_TASKS_MAX; t++) {
+            sr__flow_task__init(&tasks[t]);
+            tasks[t].done = done[i];
+            pointers[t] = &tasks[t];
+        }
+        progress.begun = true;
+        progress.tasks = pointers;
+        progress.n_tasks = SR_FLOW_TASKS_MAX;
+        SR_CLEANUP(SrUtil_FreePointer)
+        uint8_t *packed = SrCodec_Pack(&progress, &size);
+        Sr__FlowProgress *decoded =
+            SrCodec_Unpack(&sr__flow_progress__descriptor, packed, size);
+        assert_non_null(decoded);
+        assert_int_equal(decoded->n_tasks, SR_FLOW_TASKS_MAX);
+        SrCodec_Free(decoded);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(progress_of_the_largest_job_can_be_decoded),
         cmocka_unit_test(tasks_are_given_up_after_crashes),
         cmocka_unit_test(task_names),
         cmocka_unit_test(steps_wait_for_earlier_ones),
