Review: case 3, tasks that ended done are run again after an outage of the store

Cause: a worker lists 500 unacknowledged ends at a time, and the leader takes a run that an answer lists nowhere for lost, also when more ends are to come.

The stand-ins count starts after an end that was taken note of.

--- a/review/lib/rig.c
+++ b/review/lib/rig.c
@@ -96,6 +96,10 @@
     unsigned run;
     const char *how;
     char saved[RIG_TEXT_MAX * 2];
+    /* The worker's lease has lapsed since. */
+    bool lapsed;
+    /* The task has been started again since, so many times. */
+    unsigned started_again;
 };
 
 struct Highest {
@@ -166,6 +170,9 @@
 static struct SrList saved_list;
 static uint64_t newest;
 static unsigned foreign_checkpoints;
+static unsigned starts_after_done;
+/* Tasks whose end `done` has been taken note of. */
+static json_t *done_tasks;
 
 static int64_t
 monotonic_ms(void)
@@ -568,7 +575,10 @@
 {
     struct SrHttpRequest *request = call->request;
     const char *path = SrHttpRequest_Path(request);
-    if (strcmp(path, PREFIX "rows-tx") == 0) {
+    if (call->node->mode.busy) {
+        respond(request, 503, json_object());
+    }
+    else if (strcmp(path, PREFIX "rows-tx") == 0) {
         commit(request, call->node, call->lost);
     }
     else if (strcmp(path, PREFIX "rows-get") == 0) {
@@ -793,6 +803,42 @@
     return at != NULL ? strtoll(at + strlen(name), NULL, 10) : 0;
 }
 
+/* Counts the start against the rule TWICE: at once if an end `done` of the
+ * task has been taken note of, later if one is taken note of later. */
+static void
+check_done(const char *task, unsigned number)
+{
+    if (json_object_get(done_tasks, task) != NULL) {
+        starts_after_done++;
+        Rig_Record("start after done: %s run=%u", task, number);
+    }
+    for (unsigned w = 0; w < worker_count; w++) {
+        SR_LIST_EACH(link, &workers[w].ends)
+        {
+            struct End *end = SR_CONTAINER(link, struct End, link);
+            if (strcmp(end->task, task) == 0) {
+                end->started_again++;
+            }
+        }
+    }
+}
+
+/* The end is taken note of. */
+static void
+note_end(const struct End *end)
+{
+    if (strcmp(end->how, "done") != 0 || end->lapsed) {
+        return;
+    }
+    json_object_set_new(done_tasks, end->task, json_true());
+    if (end->started_again > 0) {
+        starts_after_done += end->started_again;
+        Rig_Record("end done taken note of, with the task started again %u "
+                   "times meanwhile: %s run=%u",
+                   end->started_again, end->task, end->run);
+    }
+}
+
 static void
 start_run(struct Worker *worker, const json_t *root)
 {
@@ -832,6 +878,7 @@
             Rig_Record("two runs at once: %s", task);
         }
     }
+    check_done(task, run->number);
     tally_of(task)->starts++;
     Rig_Record("start %s run=%u worker=%s", task, run->number, worker->id);
     SrList_Append(&worker->runs, &run->link);
@@ -914,6 +961,7 @@
     {
         struct End *end = SR_CONTAINER(link, struct End, link);
         if (end->number <= through) {
+            note_end(end);
             SrList_Remove(&end->link);
             free(end);
         }
@@ -1164,6 +1212,12 @@
         put("servers", worker->id, NULL);
         return;
     }
+    if (clock_of(worker) > worker->lease_end_ms) {
+        SR_LIST_EACH(link, &worker->ends)
+        {
+            SR_CONTAINER(link, struct End, link)->lapsed = true;
+        }
+    }
     SR_LIST_EACH_SAFE(link, &worker->runs)
     {
         tick_run(worker, SR_CONTAINER(link, struct Run, link));
@@ -1237,6 +1291,12 @@
     return foreign_checkpoints;
 }
 
+unsigned
+Rig_StartsAfterDone(void)
+{
+    return starts_after_done;
+}
+
 unsigned
 Rig_LoadPercent(void)
 {
@@ -1558,7 +1618,9 @@
     SrList_Init(&watches);
     SrList_Init(&tallies);
     SrList_Init(&saved_list);
-    loop = ev_default_loop(0);
+    done_tasks = json_object();
+    /* Not the default loop, which waits for child processes itself. */
+    loop = ev_loop_new(EVFLAG_AUTO);
     if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0 ||
         access("target/sassafrasrelay", X_OK) != 0) {
         give_up("target/sassafrasrelay or a library is missing");
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -103,6 +103,8 @@
     /* Every transaction is applied after `late_ms` and never answered. */
     bool lost;
     int64_t late_ms;
+    /* All calls are answered with 503, and nothing is done. */
+    bool busy;
 };
 
 void Rig_SetStore(unsigned node, const struct RigStoreMode *mode);
@@ -137,6 +139,11 @@
 /* Number of starts that carried a checkpoint that the task never gave. */
 unsigned Rig_ForeignCheckpoints(void);
 
+/* Number of starts of a task after a run of it had ended `done`, if that end
+ * was taken note of then or later, and the worker's lease did not lapse
+ * between the end and the note (the rule TWICE). */
+unsigned Rig_StartsAfterDone(void);
+
 /* Share of the workers' processors that is in use, percent. */
 unsigned Rig_LoadPercent(void);
 
