--- a/review/lib/rig.c
+++ b/review/lib/rig.c
@@ -244,8 +244,9 @@
 {
     (void)context;
     (void)reason;
-    return (struct SrHttpBody){
-        .data = (uint8_t *)strdup("{}"), .size = 2, .type = "application/json"};
+    return (struct SrHttpBody){.data = (uint8_t *)strdup("{}"),
+                               .size = 2,
+                               .type = "application/json"};
 }
 
 static struct SrHttpServer *
@@ -343,10 +344,10 @@
 static json_t *
 encode_row(const struct Row *row)
 {
-    json_t *object = json_pack(
-        "{s:s,s:s,s:s,s:s,s:I}", "table", row->table, "part", row->part, "key",
-        row->key, "value", row->value, "row_version",
-        (json_int_t)row->version);
+    json_t *object =
+        json_pack("{s:s,s:s,s:s,s:s,s:I}", "table", row->table, "part",
+                  row->part, "key", row->key, "value", row->value,
+                  "row_version", (json_int_t)row->version);
     if (row->deleted) {
         json_object_set_new(object, "deleted", json_true());
     }
@@ -653,9 +654,8 @@
             routes,
             json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:i}", "name", names[i],
                       "host", HOST, "path_prefix", prefix, "service", "work",
-                      "priority", i, "max_attempts",
-                      (int)options.max_attempts, "stretch", 3.0,
-                      "target_duration_ms", 1500));
+                      "priority", i, "max_attempts", (int)options.max_attempts,
+                      "stretch", 3.0, "target_duration_ms", 1500));
     }
     put("op", "config",
         json_pack("{s:i,s:o,s:[{s:s,s:[s],s:{s:i}}],s:[{s:s,s:b}],s:{}}",
@@ -910,10 +910,9 @@
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct Run *run = SR_CONTAINER(link, struct Run, link);
-        json_array_append_new(running,
-                              json_pack("[s,i,s,i,i]", run->task,
-                                        (int)run->number, run->saved,
-                                        percent_of(run), (int)run->cpu));
+        json_array_append_new(
+            running, json_pack("[s,i,s,i,i]", run->task, (int)run->number,
+                               run->saved, percent_of(run), (int)run->cpu));
     }
     SR_LIST_EACH(link, &worker->ends)
     {
@@ -921,10 +920,9 @@
         if (listed++ == 500) {
             break;
         }
-        json_array_append_new(ended, json_pack("[I,s,i,s,s]",
-                                               (json_int_t)end->number,
-                                               end->task, (int)end->run,
-                                               end->how, end->saved));
+        json_array_append_new(
+            ended, json_pack("[I,s,i,s,s]", (json_int_t)end->number, end->task,
+                             (int)end->run, end->how, end->saved));
     }
     json_object_set_new(answer, "running", running);
     json_object_set_new(answer, "ended", ended);
@@ -971,8 +969,7 @@
             answer_hold(worker, worker->poll);
         }
         worker->poll = request;
-        worker->poll_until_ms =
-            Rig_Now() + (wait_ms < 2000 ? wait_ms : 2000);
+        worker->poll_until_ms = Rig_Now() + (wait_ms < 2000 ? wait_ms : 2000);
         return;
     }
     answer_hold(worker, request);
@@ -1171,8 +1168,7 @@
     int64_t now_ms = Rig_Now();
     tally_of(run->task)->at_work_ms = now_ms;
     int64_t done_ms = work_done(run);
-    if (run->checkpoint_size > 0 &&
-        done_ms / CHECKPOINT_MS > run->saves) {
+    if (run->checkpoint_size > 0 && done_ms / CHECKPOINT_MS > run->saves) {
         run->saves = done_ms / CHECKPOINT_MS;
         save(run);
     }
@@ -1222,8 +1218,8 @@
     {
         tick_run(worker, SR_CONTAINER(link, struct Run, link));
     }
-    if (worker->poll != NULL && (!SrList_IsEmpty(&worker->ends) ||
-                                 now_ms >= worker->poll_until_ms)) {
+    if (worker->poll != NULL &&
+        (!SrList_IsEmpty(&worker->ends) || now_ms >= worker->poll_until_ms)) {
         struct SrHttpRequest *request = worker->poll;
         worker->poll = NULL;
         answer_hold(worker, request);
@@ -1253,10 +1249,10 @@
         SR_LIST_EACH(link, &workers[w].runs)
         {
             const struct Run *run = SR_CONTAINER(link, struct Run, link);
-            count += strncmp(run->task, id, length) == 0 &&
-                             run->task[length] == '.'
-                         ? 1
-                         : 0;
+            count +=
+                strncmp(run->task, id, length) == 0 && run->task[length] == '.'
+                    ? 1
+                    : 0;
         }
     }
     return count;
@@ -1452,8 +1448,7 @@
     struct RigCall *call = context;
     call->answered = true;
     call->answered_ms = Rig_Now();
-    call->status =
-        response->error == SR_HTTP_CLIENT_OK ? response->status : 0;
+    call->status = response->error == SR_HTTP_CLIENT_OK ? response->status : 0;
     size_t size = response->size < sizeof(call->body) - 1
                       ? response->size
                       : sizeof(call->body) - 1;
@@ -1476,22 +1471,21 @@
     snprintf(deadline, sizeof(deadline), "X-Deadline-Ms: %lld",
              (long long)deadline_ms);
     *call = (struct RigCall){.sent_ms = Rig_Now()};
-    SrHttpClient_Send(client,
-                      &(struct SrHttpCallOptions){
-                          .method = strcmp(method, "POST") == 0 ? NULL
-                                                                : method,
-                          .type = "application/json",
-                          .address = address,
-                          .path = path,
-                          .body = body != NULL ? body : "",
-                          .size = body != NULL ? strlen(body) : 0,
-                          .headers = {"Host: " HOST,
-                                      "Authorization: Bearer key", deadline},
-                          .timeout_ms = deadline_ms + 3000,
-                          .response_max = 65536,
-                          .done = on_answer,
-                          .context = call,
-                      });
+    SrHttpClient_Send(
+        client,
+        &(struct SrHttpCallOptions){
+            .method = strcmp(method, "POST") == 0 ? NULL : method,
+            .type = "application/json",
+            .address = address,
+            .path = path,
+            .body = body != NULL ? body : "",
+            .size = body != NULL ? strlen(body) : 0,
+            .headers = {"Host: " HOST, "Authorization: Bearer key", deadline},
+            .timeout_ms = deadline_ms + 3000,
+            .response_max = 65536,
+            .done = on_answer,
+            .context = call,
+        });
 }
 
 unsigned
@@ -1601,8 +1595,7 @@
     options = *from;
     options.rack_size = options.rack_size > 0 ? options.rack_size : 8;
     options.guarantee = options.guarantee > 0 ? options.guarantee : 16;
-    options.max_attempts =
-        options.max_attempts > 0 ? options.max_attempts : 4;
+    options.max_attempts = options.max_attempts > 0 ? options.max_attempts : 4;
     record = fopen(record_path != NULL ? record_path : "record.txt", "w");
     if (record == NULL) {
         fprintf(stderr, "could not run: cannot write the record\n");
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -66,8 +66,7 @@
 void Rig_Wait(int64_t ms);
 
 /* Adds a line to record.txt. */
-void Rig_Record(const char *format, ...)
-    __attribute__((format(printf, 1, 2)));
+void Rig_Record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
 /* Sends a client's request to a node; `call` is filled in while Rig_Wait runs,
  * and must stay valid. `deadline_ms` is sent as X-Deadline-Ms. */
