Incomplete lists of terminated runs conclude nothing

A worker lists at most 500 terminated runs in a response, and the next ones once these are acknowledged, which the leader does only when their results are written. The engine took each run in neither list of a response for lost, also those whose ends were still to come.

Class of fault: absence from a partial list taken for the end.

Fix: the adapter, which knows the limit, says in the response that terminated runs may be missing. The engine then concludes nothing from absence: not that a started, inherited or stopped run is over, not that an unknown run is, nor that a run stalls because its progress is not listed any more. Results that are listed are written and acknowledged as before, so the next ones follow. While they wait to be written, a worker with such a list gets no quick polls, which would return the same, but only those that renew its lease.

--- a/src/commands.h
+++ b/src/commands.h
@@ -148,6 +148,10 @@
     size_t running_count;
     struct SrTerminatedReport *terminated;
     size_t terminated_count;
+    /* `terminated` may be incomplete: the worker lists further terminated runs
+     * once these are acknowledged, so a run in neither list may be one of
+     * them. `running` is always complete. */
+    bool has_more_terminated;
     struct SrAdvisedWorker *advised;
     size_t advised_count;
     /* Time for which the advice is valid, ms. */
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -101,6 +101,11 @@
     if (!worker->has_unconfirmed_runs) {
         return false;
     }
+    if (worker->has_more_results &&
+        worker->results_written < worker->results_seen) {
+        /* The worker would return the same results. */
+        return false;
+    }
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -221,7 +221,8 @@
 }
 
 /* Handles the list of running runs in the response to a poll sent at
- * `sent_ms`. */
+ * `sent_ms`. An unknown run that is not listed is over only if its end would
+ * have been listed. */
 static void
 update_all_running(struct SrEngine *engine, struct SrWorker *worker,
                    const struct SrCommandResponse *response, int64_t sent_ms,
@@ -231,7 +232,8 @@
     /* The response to a poll sent before the latest list that contained an
      * unknown run may be older than that list. */
     bool is_latest = sent_ms >= worker->unknown_runs_ms;
-    if (is_latest) {
+    bool clears = is_latest && !response->has_more_terminated;
+    if (clears) {
         SrEngine_ClearUnknownRuns(engine, worker);
     }
     for (size_t i = 0; i < response->running_count; i++) {
@@ -241,7 +243,7 @@
     if (!all_known) {
         worker->unknown_runs_ms = now_ms;
     }
-    else if (is_latest) {
+    else if (clears) {
         worker->unknown_runs_ms = 0;
     }
 }
@@ -282,7 +284,7 @@
 }
 
 /* Returns true if the run is known to be over because a poll sent at `sent_ms`
- * does not list it. */
+ * lists it neither as running nor, in a complete list, as terminated. */
 static bool
 is_over_unlisted(const struct SrRun *run, int64_t sent_ms)
 {
@@ -302,9 +304,12 @@
     return false;
 }
 
+/* Handles the runs that the response to a poll sent at `sent_ms` does not
+ * list. */
 static void
-end_unlisted(struct SrEngine *engine, struct SrWorker *worker, int64_t sent_ms,
-             int64_t now_ms)
+update_unlisted(struct SrEngine *engine, struct SrWorker *worker,
+                const struct SrCommandResponse *response, int64_t sent_ms,
+                int64_t now_ms)
 {
     SR_LIST_EACH_SAFE(link, &worker->runs)
     {
@@ -313,6 +318,12 @@
             !is_over_unlisted(run, sent_ms)) {
             continue;
         }
+        if (response->has_more_terminated) {
+            /* The run's result may be among those still to be listed. It must
+             * not count as stalled meanwhile. */
+            run->percent_ms = now_ms;
+            continue;
+        }
         SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
         /* SrEngine_EndRun may have released other members of the gang, so the
          * iteration restarts. */
@@ -330,6 +341,21 @@
     }
 }
 
+static void
+update_has_more_results(struct SrWorker *worker,
+                        const struct SrCommandResponse *response)
+{
+    if (worker->has_more_results != response->has_more_terminated) {
+        SR_INFO("engine", "results-listed",
+                "worker=%s all=%d count=%lu seen=%lu written=%lu",
+                worker->info.id, !response->has_more_terminated,
+                (unsigned long)response->terminated_count,
+                (unsigned long)worker->results_seen,
+                (unsigned long)worker->results_written);
+    }
+    worker->has_more_results = response->has_more_terminated;
+}
+
 static void
 on_poll_response(struct SrEngine *engine, struct SrWorker *worker,
                  const struct SrCommand *command,
@@ -391,11 +417,12 @@
         worker->granted_ms = now_ms;
     }
     update_clock(worker, response, now_ms);
+    update_has_more_results(worker, response);
     engine->poll_number++;
     update_terminated(engine, worker, response, now_ms);
     update_all_running(engine, worker, response, sent_ms, now_ms);
     SrEngine_ClearOutlivedCrashes(engine, worker, sent_ms);
-    end_unlisted(engine, worker, sent_ms, now_ms);
+    update_unlisted(engine, worker, response, sent_ms, now_ms);
 }
 
 /* Handles a start that the worker is known not to have executed. */
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -210,6 +210,9 @@
     /* Number of the change that must be written before `results_written` is
      * set to `results_seen`. */
     uint64_t results_change;
+    /* The latest response may lack terminated runs, which the worker lists
+     * once the listed ones are acknowledged. */
+    bool has_more_results;
     /* The worker responds to a poll when a run terminates or the poll's
      * waiting time is over, and to a quick poll at once. */
     bool poll_in_flight;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -29,6 +29,9 @@
 #define STEP_MS 5
 #define RUNNING_MAX 64
 #define TERMINATED_MAX 512
+/* Number of terminated runs that a worker lists in a response, unless the
+ * options limit it further. */
+#define LISTED_MAX 500
 #define RECLAIM_MS 2900
 /* Time from a domain cut until another leader takes over: the leader's timeout
  * and a claim. */
@@ -626,15 +629,22 @@
     return percent < 100 ? (int)percent : 100;
 }
 
-/* Fills in the lists of running and terminated runs of a poll's response. */
+/* Fills in the lists of running and terminated runs of a poll's response. The
+ * worker lists the oldest terminated runs that are not acknowledged. */
 static void
 fill_run_lists(struct Sim *sim, const struct Worker *worker,
                struct SrCommandResponse *response)
 {
+    unsigned listed_max = sim->options->faults.listed_max > 0
+                              ? sim->options->faults.listed_max
+                              : LISTED_MAX;
+    unsigned listed = worker->terminated_count < listed_max
+                          ? worker->terminated_count
+                          : listed_max;
     response->running =
         SrUtil_Calloc(worker->running_count, sizeof(*response->running));
     response->terminated =
-        SrUtil_Calloc(worker->terminated_count, sizeof(*response->terminated));
+        SrUtil_Calloc(listed, sizeof(*response->terminated));
     for (unsigned i = 0; i < worker->running_count; i++) {
         struct SrRunningReport *to = &response->running[i];
         const struct Execution *from = &worker->running[i];
@@ -642,7 +652,7 @@
         to->run = from->run;
         to->percent = progress_percent(sim, from);
     }
-    for (unsigned i = 0; i < worker->terminated_count; i++) {
+    for (unsigned i = 0; i < listed; i++) {
         struct SrTerminatedReport *to = &response->terminated[i];
         const struct TerminatedRun *from = &worker->terminated[i];
         SrUtil_Copy(to->task, sizeof(to->task), from->task);
@@ -651,7 +661,8 @@
         to->outcome = from->outcome;
     }
     response->running_count = worker->running_count;
-    response->terminated_count = worker->terminated_count;
+    response->terminated_count = listed;
+    response->has_more_terminated = listed == listed_max;
 }
 
 /* Schedules an event that holds a reference to the exchange. */
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -45,6 +45,10 @@
      * 10 s later. */
     unsigned shrinks;
 
+    /* Maximum number of terminated runs that a worker lists in a response; 0
+     * for LISTED_MAX. */
+    unsigned listed_max;
+
     /* Number of jobs with a task that crashes each worker that starts it, 0.1
      * to 1 s later. The worker is back after 1 to 5 s. */
     unsigned crashing_jobs;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -2,6 +2,7 @@
  * malformed. */
 #include "test_support.h"
 
+#include <jansson.h>
 #include <stdlib.h>
 
 #include "catalog.h"
@@ -238,6 +239,50 @@
     }
 }
 
+struct ListCase {
+    /* Number of terminated runs that the response lists. */
+    unsigned terminated;
+    bool has_more;
+};
+
+static const struct ListCase list_cases[] = {
+    {0, false}, {1, false}, {499, false}, {500, true}};
+
+/* A worker returns 500 terminated runs at most. Guards against runs that a
+ * full list lacks and that were taken for lost. */
+static void
+full_lists_may_lack_terminated_runs(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(list_cases); i++) {
+        const struct ListCase *c = &list_cases[i];
+        json_t *ended = json_array();
+        for (unsigned n = 1; n <= c->terminated; n++) {
+            json_array_append_new(ended,
+                                  json_pack("[i,s,i,s,s]", (int)n, "a.0.0.1",
+                                            (int)n, "done", ""));
+        }
+        json_t *root = json_pack("{s:i,s:[],s:o}", "clock_ms", 5, "running",
+                                 "ended", ended);
+        SR_CLEANUP(SrUtil_FreePointer)
+        char *text = json_dumps(root, JSON_COMPACT);
+        json_decref(root);
+        struct SrCommandResponse response;
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = 200,
+                .body = (const uint8_t *)text,
+                .size = strlen(text),
+            },
+            &response);
+        assert_int_equal(response.result, SR_COMMAND_DONE);
+        assert_int_equal(response.terminated_count, c->terminated);
+        assert_int_equal(response.has_more_terminated, c->has_more);
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 struct BadCatalog {
     const char *body;
     enum SrDecodeError error;
@@ -401,6 +446,7 @@
         cmocka_unit_test(malformed_jobs_are_refused),
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
+        cmocka_unit_test(full_lists_may_lack_terminated_runs),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -68,6 +68,22 @@
      * were allocated. */
     {"workers shrink",
      .faults = {.lost_commands = 30, .store_outages = 6, .shrinks = 60}},
+    /* Guards against runs taken for lost because their ends were more than a
+     * response lists. */
+    {"short lists, store outages",
+     .faults = {.listed_max = 1, .store_outages = 6}},
+    {"short lists, all at once", .faults =
+                                     {
+                                         .listed_max = 1,
+                                         .lost_commands = 10,
+                                         .lost_responses = 20,
+                                         .failed_runs = 30,
+                                         .crashes = 4,
+                                         .partitions = 3,
+                                         .takeovers = 3,
+                                         .store_outages = 4,
+                                         .cancels = 4,
+                                     }},
 };
 
 /* Mixes in which a leader is cut off together with workers. */
