Long lists of runs are read

Callers would see the tasks of a worker with very many runs stopped and started elsewhere, again and again: the adapter rejected its responses of over 256 KB as too large, so each poll failed, and the worker's lease expired with all runs in order. Not seen in a deployment; found by looking for conclusions from lists that are not read whole.

Cause: the limit was taken from several hundred running runs. An entry takes up to 73 bytes (83 for a terminated run), so 3,021 running runs beside 500 terminated ones exceeded the limit, that is, tasks of a 24th of a core on a worker of 128.

That a leader keeps up with so many runs is not shown.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -3,11 +3,14 @@
 #include "test_support.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "catalog.h"
 #include "codec.h"
 #include "flow.h"
+#include "http_client.h"
+#include "http_server.h"
 #include "platform_commands.h"
 #include "platform_decode.h"
 #include "platform_front.h"
@@ -283,6 +286,124 @@
     }
 }
 
+#define WORKER_ADDRESS "127.0.0.1:7962"
+/* Number of runs that the largest worker of the users has room for: tasks of a
+ * thousandth of a core on 128 cores. */
+#define RUNNING_MAX 128000
+#define TERMINATED_MAX 500
+/* Time limit of the exchange of this test only, for slow machines. */
+#define EXCHANGE_MS 60000
+
+/* Returns the response of a worker with as many runs as it can have, with the
+ * longest names and numbers. */
+static char *
+full_response(size_t *size)
+{
+    static const char running[] =
+        "[\"0123456789abcdef.999.63.999\",4294967295,"
+        "\"0123456789abcdef\",100,128000],";
+    static const char terminated[] =
+        "[4294967295,\"0123456789abcdef.999.63.999\",4294967295,"
+        "\"stopped\",\"0123456789abcdef\"],";
+    size_t max = RUNNING_MAX * sizeof(running) +
+                 TERMINATED_MAX * sizeof(terminated) + 100;
+    char *text = SrUtil_Calloc(1, max);
+    char *end = text + sprintf(text, "{\"clock_ms\":5,\"running\":[");
+    for (unsigned i = 0; i < RUNNING_MAX; i++) {
+        end = stpcpy(end, running);
+    }
+    end = stpcpy(end - 1, "],\"ended\":[");
+    for (unsigned i = 0; i < TERMINATED_MAX; i++) {
+        end = stpcpy(end, terminated);
+    }
+    end = stpcpy(end - 1, "]}");
+    *size = (size_t)(end - text);
+    return text;
+}
+
+static void
+respond_in_full(void *context, struct SrHttpRequest *request)
+{
+    (void)context;
+    struct SrHttpServerResponse response = {
+        .status = 200,
+        .type = "application/json",
+    };
+    response.body = (uint8_t *)full_response(&response.size);
+    SrHttpRequest_Respond(request, &response);
+}
+
+static struct SrHttpBody
+reject_request(void *context, enum SrHttpRejection reason)
+{
+    (void)context;
+    (void)reason;
+    return (struct SrHttpBody){.type = "text/plain"};
+}
+
+struct Exchange {
+    struct ev_loop *loop;
+    enum SrCommandResult result;
+    size_t running_count;
+    bool has_more_terminated;
+};
+
+static void
+end_exchange(void *context, const struct SrCommand *command,
+             const struct SrCommandResponse *response)
+{
+    (void)command;
+    struct Exchange *exchange = context;
+    exchange->result = response->result;
+    exchange->running_count = response->running_count;
+    exchange->has_more_terminated = response->has_more_terminated;
+    ev_break(exchange->loop, EVBREAK_ALL);
+}
+
+/* Guards against a worker with so many runs that its responses were rejected
+ * as too large: all its polls failed, and its lease expired. */
+static void
+longest_run_lists_are_read(void **state)
+{
+    (void)state;
+    struct Exchange exchange = {.loop = ev_loop_new(EVFLAG_AUTO)};
+    struct SrHttpServer *server = NULL;
+    assert_int_equal(SrHttpServer_Create(exchange.loop,
+                                         &(struct SrHttpServerOptions){
+                                             .address = WORKER_ADDRESS,
+                                             .body_max = 1000,
+                                             .connections_max = 10,
+                                             .read_timeout_ms = 5000,
+                                             .handle = respond_in_full,
+                                             .reject = reject_request,
+                                         },
+                                         &server),
+                     SR_HTTP_SERVER_OK);
+    struct SrHttpClient *http =
+        SrHttpClient_Create(&(struct SrHttpClientOptions){
+            .loop = exchange.loop,
+            .connections_kept = 1,
+            .shards = 1,
+        });
+    struct SrPlatformCommands *commands = SrPlatformCommands_Create(
+        http, WORKER_ADDRESS, end_exchange, &exchange);
+    struct SrCommand poll = {
+        .kind = SR_COMMAND_POLL,
+        .worker = "w",
+        .address = WORKER_ADDRESS,
+        .timeout_ms = EXCHANGE_MS,
+    };
+    SrPlatformCommands_Send(commands, &poll);
+    ev_run(exchange.loop, 0);
+    assert_int_equal(exchange.result, SR_COMMAND_DONE);
+    assert_int_equal(exchange.running_count, RUNNING_MAX);
+    assert_true(exchange.has_more_terminated);
+    SrPlatformCommands_Destroy(commands);
+    SrHttpClient_Destroy(http);
+    SrHttpServer_Destroy(server);
+    ev_loop_destroy(exchange.loop);
+}
+
 struct BadCatalog {
     const char *body;
     enum SrDecodeError error;
@@ -447,6 +568,7 @@
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
         cmocka_unit_test(full_lists_may_lack_terminated_runs),
+        cmocka_unit_test(longest_run_lists_are_read),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
