Keep a task waiting while an unknown run has a lease of its own

A worker came back from a cut and listed a run that the leader did not know, of a start that was executed late. The leader forgot the unknown run at its next check, because the lease that it had granted itself had expired, and started the task elsewhere. The late start has begun a lease of its own, which is counted from the list now.

unknown_runs_outlive_the_lease_that_was_granted failed before: a start on the other worker within 0.5 s.

--- a/src/engine.c
+++ b/src/engine.c
@@ -629,7 +629,9 @@
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
         bool expired = SrFleet_IsLeaseExpired(&engine->fleet, worker, now_ms);
-        if (expired) {
+        /* An unknown run has begun a lease of its own. */
+        if (expired && now_ms - worker->unknown_runs_ms >
+                           SrFleet_LeaseExpiryMs(engine->fleet.lease_ms)) {
             SrEngine_ClearUnknownRuns(engine, worker);
         }
         if (SrList_IsEmpty(&worker->runs)) {
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -273,6 +273,37 @@
     resign(&leader);
 }
 
+/* Guards against the same where the worker's lease has expired as far as the
+ * leader granted it: the late start has begun another one. */
+static void
+unknown_runs_outlive_the_lease_that_was_granted(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    struct SrWorkerEntry other = leader.entry;
+    SrUtil_Copy(other.id, sizeof(other.id), "other");
+    list_runs(&leader, NULL);
+    for (unsigned polls = 0; polls < 8; polls++) {
+        struct SrCommand poll = take_poll_of(&leader, "w");
+        SrEngine_OnResponse(
+            leader.engine, &poll,
+            &(struct SrCommandResponse){.result = SR_COMMAND_NO_RESPONSE,
+                                        .clock_ms = -1},
+            leader.now_ms);
+        pass_time(&leader, 1000, true);
+    }
+    submit(&leader, 1, 1, 1);
+    struct SrCommand poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, "0000000000000001.0.0.0");
+    SrEngine_SetWorker(leader.engine, "other", &other, leader.now_ms);
+    poll = take_poll_of(&leader, "other");
+    respond_to(&leader, &poll, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 0);
+    resign(&leader);
+}
+
 /* Guards against start commands of runs that were allocated before the worker
  * listed an unknown run. */
 static void
@@ -740,6 +771,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(unknown_runs_keep_new_work_away),
         cmocka_unit_test(unknown_runs_keep_their_task_from_starting),
+        cmocka_unit_test(unknown_runs_outlive_the_lease_that_was_granted),
         cmocka_unit_test(unknown_runs_hold_up_allocated_starts),
         cmocka_unit_test(unknown_runs_hold_up_repeated_starts),
         cmocka_unit_test(earlier_polls_do_not_clear_unknown_runs),
