HTTP client: the response to a second copy of a POST counts as none

What callers may see: two runs of one task, or a job that runs although its submission was refused.

Cause: if a reused connection is closed without a response, libcurl sends the request again by itself, on a new connection. The caller gets the response to the second copy only. A worker may have executed the first copy, or may do so up to 12 s later, while it refuses the second one with 503 or for lack of capacity: the leader took the run for not started, and started its task elsewhere. A start whose second copy was acknowledged was not remembered as one that a later incarnation may execute. In the same way the store may apply the first copy of a write and refuse the second one, upon which the node refuses the job with "not stored".

Change: the client learns from libcurl before each sending of a request whether it has been sent already, drops the response to a second copy of a POST, with a log line (response-to-copy-dropped), and reports the call as sent and without a response. The engine then sends the start again and remembers the first copy; the intake and the ledger repeat their writes. A GET may still be sent again. A request that finds its connection closed before any byte was sent is no second copy, as before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -59,6 +59,9 @@
     size_t response_max;
     /* The response exceeds `response_max`. */
     bool too_large;
+    bool is_get;
+    /* libcurl has sent the request again; see `before_request`. */
+    bool resent;
     /* Value of the header Not-Started, or empty. */
     char not_started[16];
     void (*done)(void *context, const struct SrHttpResponse *response);
@@ -87,7 +90,7 @@
 }
 
 static enum SrHttpClientError
-error_of(const struct SrHttpCall *call, CURLcode code)
+error_of(const struct SrHttpCall *call, CURLcode code, bool sent)
 {
     if (call->too_large) {
         return SR_HTTP_CLIENT_TOO_LARGE;
@@ -97,7 +100,7 @@
         return SR_HTTP_CLIENT_OK;
     case CURLE_COULDNT_CONNECT:
     case CURLE_COULDNT_RESOLVE_HOST:
-        return SR_HTTP_CLIENT_NO_CONNECTION;
+        return sent ? SR_HTTP_CLIENT_TRUNCATED : SR_HTTP_CLIENT_NO_CONNECTION;
     case CURLE_OPERATION_TIMEDOUT:
         return SR_HTTP_CLIENT_TIMEOUT;
     case CURLE_PARTIAL_FILE:
@@ -141,6 +144,26 @@
         (uint64_t)(uploaded + downloaded + header_size + request_size);
 }
 
+/* Drops what was received if it is the response to a second copy of a POST. It
+ * says nothing about the first copy, which the server may have executed or may
+ * yet execute. */
+static void
+drop_response_to_copy(struct SrHttpCall *call, CURLcode *code, long *status)
+{
+    if (!call->resent || call->is_get) {
+        return;
+    }
+    const char *url = "";
+    curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+    SR_INFO("http", "response-to-copy-dropped", "url=%s status=%ld", url,
+            *status);
+    *code = CURLE_GOT_NOTHING;
+    *status = 0;
+    call->size = 0;
+    call->too_large = false;
+    call->not_started[0] = '\0';
+}
+
 /* Frees the call and then calls `done`, which may start further calls. */
 static void
 finish_call(struct SrHttpCall *call, CURLcode code)
@@ -150,8 +173,9 @@
     curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
     count_bytes(call, request_size);
+    drop_response_to_copy(call, &code, &status);
     struct SrHttpResponse response = {
-        .error = error_of(call, code),
+        .error = error_of(call, code, request_size > 0),
         .sent = request_size > 0,
         .status = (unsigned)status,
         .body = call->body,
@@ -378,6 +402,23 @@
     return size;
 }
 
+/* Called by libcurl before it sends a request. libcurl sends a request again
+ * if a reused connection is closed without a response. */
+static int
+before_request(void *context, char *address, char *local_address, int port,
+               int local_port)
+{
+    (void)address;
+    (void)local_address;
+    (void)port;
+    (void)local_port;
+    struct SrHttpCall *call = context;
+    long request_size = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+    call->resent = request_size > 0;
+    return CURL_PREREQFUNC_OK;
+}
+
 /* Makes the operating system close the connection if the peer stops
  * acknowledging data, since a peer behind a network partition cannot reset
  * the connection. */
@@ -407,6 +448,7 @@
                      (long)CONNECT_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, before_request);
 }
 
 /* Returns an idle easy handle, or a new one. */
@@ -426,6 +468,7 @@
 {
     CURL *easy = call->easy;
     if (options->method != NULL && strcmp(options->method, "GET") == 0) {
+        call->is_get = true;
         curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
         return;
     }
@@ -461,6 +504,7 @@
                      options->at_most_once ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -18,7 +18,10 @@
     SR_HTTP_CLIENT_NO_CONNECTION,
     /* The connection setup or the whole call exceeded its time limit. */
     SR_HTTP_CLIENT_TIMEOUT,
-    /* The connection was closed before the whole response had arrived. */
+    /* The connection was closed before the whole response had arrived. If
+     * `sent` is true, the server may have executed the request, or may yet
+     * execute it. Also if libcurl then sent a POST again and got a response:
+     * that says nothing about the first copy. */
     SR_HTTP_CLIENT_TRUNCATED,
     /* The response is larger than `response_max`. */
     SR_HTTP_CLIENT_TOO_LARGE,
