Engine: an entry of an earlier incarnation ends no run while the next responds

What callers may see: two runs of one task.

Cause: an entry with an earlier incarnation was ignored for 6 s after the leader had learned of the later one, then taken for a restart. A worker that restarted out of the store's reach cannot update its entry; if the entry is read again, as after a loss of the store's history, the leader ended the runs that the worker was executing and listed in each response, and started their tasks elsewhere. This takes a restart under the same id.

Evidence: test_succession entry_of_former_incarnation_ends_no_run failed before (0 runs instead of 1).

Change: such an entry is also ignored for 6 s after the worker's latest response, since an incarnation that responds is not over. A worker whose clock was set back before its restart is recognised by its own responses, or by its entry once the former incarnation has not responded for 6 s.

--- a/src/engine.c
+++ b/src/engine.c
@@ -12,8 +12,8 @@
  * time of two exchanges with workers in another region. */
 #define FIRST_PASS_DELAY_MS 250
 /* Time within which a restarted worker updates its entry in the store: several
- * heartbeat intervals. Until then, an entry of an earlier incarnation is
- * ignored. */
+ * heartbeat intervals. Until then, and for as long after the latest response,
+ * an entry of an earlier incarnation is ignored. */
 #define STALE_ENTRY_MS 6000
 /* Minimum interval of placement passes. With many events a pass then handles
  * several at once. */
@@ -436,9 +436,11 @@
     }
     bool stale = is_other_incarnation(worker, entry->incarnation) &&
                  entry->incarnation < worker->info.incarnation &&
-                 now_ms - worker->incarnation_seen_ms < STALE_ENTRY_MS;
+                 (now_ms - worker->incarnation_seen_ms < STALE_ENTRY_MS ||
+                  now_ms - worker->response_ms < STALE_ENTRY_MS);
     if (stale) {
-        /* A newer incarnation of the worker has responded already. */
+        /* A newer incarnation of the worker has responded already, or still
+         * responds. */
         return;
     }
     if (is_other_incarnation(worker, entry->incarnation)) {
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -237,6 +237,37 @@
     answer(world, &world->last_start, SR_COMMAND_NO_RESPONSE, 0);
 }
 
+/* Guards against an entry that was read late ending the runs of the
+ * incarnation that responds: a worker cannot update its entry while the store
+ * is out of its reach, and the entry is read again after the store dropped its
+ * history. */
+static void
+entry_of_former_incarnation_ends_no_run(void **state)
+{
+    (void)state;
+    struct World world;
+    create_world(&world, 1);
+    tick_for(&world, 100);
+    world.incarnations[0] = 2;
+    set_worker(&world, 0);
+    tick_for(&world, 7000);
+    add_job(&world, 1, false, NULL);
+    while (world.starts == 0) {
+        tick(&world);
+    }
+    answer(&world, &world.last_start, SR_COMMAND_DONE, 2);
+    world.lists[0] = 0;
+    tick_for(&world, 200);
+    world.incarnations[0] = 1;
+    set_worker(&world, 0);
+    world.incarnations[0] = 2;
+    tick_for(&world, 1000);
+    assert_int_equal(running(&world), 1);
+    assert_int_equal(world.starts, 1);
+    assert_int_equal(world.stops, 0);
+    destroy_world(&world);
+}
+
 enum LateResponse { LATE_STOP, LATE_START };
 
 /* Guards against a run that counts as over while the worker's next incarnation
@@ -444,6 +475,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(entry_of_former_incarnation_ends_no_run),
         cmocka_unit_test(late_stop_response_of_former_incarnation_ends_no_run),
         cmocka_unit_test(
             late_start_response_of_former_incarnation_ends_no_run),
