Leader: a job whose progress cannot be read is not run again

What callers see: two runs of a task, and starts of tasks that are done.

Cause: a progress row that could not be decoded was logged and left out, and one with another number of tasks than its job was logged and ignored. The job then counted as new, and all of its tasks were started beside the runs in progress. An empty value, which a malformed base64 text of the store's response is decoded to, is a valid message of a job that has not begun.

Evidence: test_leader job_with_unreadable_progress_is_not_run_again failed before ("no message: 2 jobs may run instead of 1").

Change: the leader remembers such a row, logs job-withheld and does not add the job, also when the job's row is read again. The row is kept. SrEngine_AddFlow tells whether the progress matches the job.

What remains: such a job stays as it is until a leader can read the row. A row that the store's response leaves out, or that lacks its key, cannot be told from none.

Result: the test passes for rows without a message, empty ones and ones of another job; test_leader 6 of 6.

--- a/src/engine.c
+++ b/src/engine.c
@@ -341,8 +341,9 @@
 
 /* Applies the stored progress of the flow. If the job has ended, its
  * outstanding runs are stopped, as the previous leader may have ended before
- * its stop commands took effect. */
-static void
+ * its stop commands took effect. Returns false if the progress is not that of
+ * the job. */
+static bool
 load_progress(struct SrEngine *engine, struct SrFlow *flow,
               const Sr__FlowProgress *progress, int64_t now_ms)
 {
@@ -350,19 +351,20 @@
     if (error != SR_FLOW_OK) {
         SR_ERROR("engine", "bad-progress", "id=%s error=%s", flow->id,
                  SrFlow_ErrorText(error));
-        return;
+        return false;
     }
     inherit_runs(engine, flow, progress, now_ms);
     flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
     if (SrFlow_HasEnded(flow)) {
         flow->ended_ms = now_ms;
         stop_runs(engine, flow, stop_reason_of(flow->status), now_ms);
-        return;
+        return true;
     }
     stop_partial_gangs(engine, flow, now_ms);
+    return true;
 }
 
-void
+bool
 SrEngine_AddFlow(struct SrEngine *engine, const char *id,
                  Sr__FlowRecord *record, const Sr__FlowProgress *progress,
                  int64_t now_ms)
@@ -375,17 +377,19 @@
                      SrFlow_ErrorText(error));
         }
         SrCodec_Free(record);
-        return;
+        return true;
     }
     struct SrFlow *flow = SrFlow_Create(id, record);
     flow->arrived_ms = now_ms;
     engine->replan = true;
     SrList_Append(&engine->flows, &flow->link);
     SrMap_Add(&engine->flows_by_id, &flow->entry, flow->id);
-    if (progress != NULL) {
-        load_progress(engine, flow, progress, now_ms);
+    if (progress != NULL && !load_progress(engine, flow, progress, now_ms)) {
+        SrEngine_RemoveFlow(engine, flow);
+        return false;
     }
     apply_early_cancellation(engine, flow, now_ms);
+    return true;
 }
 
 void
--- a/src/engine.h
+++ b/src/engine.h
@@ -114,10 +114,11 @@
                            bool out);
 
 /* Adds a stored job; takes ownership of the record. `progress` is NULL if none
- * is stored; progress that does not match the record is logged and ignored. A
- * job that is known already is left unchanged, and one with an invalid record
- * is rejected; the record is freed in both cases. */
-void SrEngine_AddFlow(struct SrEngine *engine, const char *id,
+ * is stored. A job that is known already is left unchanged, and one with an
+ * invalid record is rejected; the record is freed in both cases. Returns false
+ * if the progress does not match the record: the job is then not added, since
+ * it is unknown which of its tasks run or are done. */
+bool SrEngine_AddFlow(struct SrEngine *engine, const char *id,
                       Sr__FlowRecord *record, const Sr__FlowProgress *progress,
                       int64_t now_ms);
 
--- a/src/leader.c
+++ b/src/leader.c
@@ -44,6 +44,7 @@
 struct UnmatchedProgress {
     struct SrMapEntry entry;
     char id[SR_ROWS_KEY_SIZE];
+    /* NULL if the row cannot be decoded or is not of the job. */
     Sr__FlowProgress *progress;
     /* The batch in flight deletes the row. */
     bool delete_in_flight;
@@ -165,29 +166,25 @@
     SrLeader_Wake(leader);
 }
 
+/* `unmatched` may be NULL. */
 static void
 free_unmatched(struct SrLeader *leader, struct UnmatchedProgress *unmatched)
 {
+    if (unmatched == NULL) {
+        return;
+    }
     SrMap_Remove(&leader->unmatched, &unmatched->entry);
     SrCodec_Free(unmatched->progress);
     free(unmatched);
 }
 
-/* Removes the unmatched progress row of the job and returns its progress, or
- * NULL if there is none. */
-static Sr__FlowProgress *
-take_unmatched(struct SrLeader *leader, const char *id)
+/* Returns the unmatched progress row of the job, or NULL if there is none. */
+static struct UnmatchedProgress *
+find_unmatched(const struct SrLeader *leader, const char *id)
 {
     struct SrMapEntry *entry = SrMap_Find(&leader->unmatched, id);
-    if (entry == NULL) {
-        return NULL;
-    }
-    struct UnmatchedProgress *unmatched =
-        SR_CONTAINER(entry, struct UnmatchedProgress, entry);
-    Sr__FlowProgress *progress = unmatched->progress;
-    unmatched->progress = NULL;
-    free_unmatched(leader, unmatched);
-    return progress;
+    return entry != NULL ? SR_CONTAINER(entry, struct UnmatchedProgress, entry)
+                         : NULL;
 }
 
 static void
@@ -204,10 +201,22 @@
                  row->key, (unsigned long)row->size);
         return;
     }
-    Sr__FlowProgress *progress = take_unmatched(leader, row->key);
-    SrEngine_AddFlow(leader->engine, row->key, record, progress,
-                     SrOs_MonotonicMs());
-    SrCodec_Free(progress);
+    struct UnmatchedProgress *unmatched = find_unmatched(leader, row->key);
+    if (unmatched != NULL && unmatched->progress == NULL) {
+        /* It is unknown which tasks of the job run or are done. */
+        SR_ERROR("leader", "job-withheld", "id=%s", row->key);
+        SrCodec_Free(record);
+        return;
+    }
+    if (SrEngine_AddFlow(leader->engine, row->key, record,
+                         unmatched != NULL ? unmatched->progress : NULL,
+                         SrOs_MonotonicMs())) {
+        free_unmatched(leader, unmatched);
+    }
+    else {
+        SrCodec_Free(unmatched->progress);
+        unmatched->progress = NULL;
+    }
     SrLeader_Wake(leader);
 }
 
@@ -325,16 +334,18 @@
 static void
 add_unmatched(struct SrLeader *leader, const struct SrRow *row)
 {
+    if (find_unmatched(leader, row->key) != NULL) {
+        return;
+    }
+    /* The row is written once the job has begun or ended, so it is not empty.
+     */
     Sr__FlowProgress *progress =
-        SrCodec_Unpack(&sr__flow_progress__descriptor, row->value, row->size);
+        row->size > 0 ? SrCodec_Unpack(&sr__flow_progress__descriptor,
+                                       row->value, row->size)
+                      : NULL;
     if (progress == NULL) {
         SR_ERROR("leader", "bad-row", "table=%s key=%s bytes=%lu", row->table,
                  row->key, (unsigned long)row->size);
-        return;
-    }
-    if (SrMap_Find(&leader->unmatched, row->key) != NULL) {
-        SrCodec_Free(progress);
-        return;
     }
     struct UnmatchedProgress *unmatched = SrUtil_Calloc(1, sizeof(*unmatched));
     SrUtil_Copy(unmatched->id, sizeof(unmatched->id), row->key);
@@ -561,7 +572,8 @@
     {
         struct UnmatchedProgress *unmatched =
             SR_CONTAINER(entry, struct UnmatchedProgress, entry);
-        if (count < ORPHANS_MAX && has_ended(unmatched->progress)) {
+        if (count < ORPHANS_MAX && unmatched->progress != NULL &&
+            has_ended(unmatched->progress)) {
             add_write(batch, SR_TABLE_PROGRESS, unmatched->id, NULL, 0);
             unmatched->delete_in_flight = true;
             count++;
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -93,11 +93,9 @@
 }
 
 static void
-store(struct World *world, const char *partition, const char *table,
-      const char *key, const void *message)
+store_value(struct World *world, const char *partition, const char *table,
+            const char *key, const uint8_t *value, size_t size)
 {
-    size_t size;
-    uint8_t *value = SrCodec_Pack(message, &size);
     struct SrRowsWrite write = {table, key, value, size, false};
     SrMemoryRows_Commit(world->memory,
                         &(struct SrRowsTransaction){
@@ -107,7 +105,16 @@
                         },
                         expect_success, NULL);
     SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
-    free(value);
+}
+
+static void
+store(struct World *world, const char *partition, const char *table,
+      const char *key, const void *message)
+{
+    size_t size;
+    SR_CLEANUP(SrUtil_FreePointer)
+    uint8_t *value = SrCodec_Pack(message, &size);
+    store_value(world, partition, table, key, value, size);
 }
 
 static void
@@ -336,6 +343,52 @@
     end(&world);
 }
 
+struct UnreadableCase {
+    const char *name;
+    const char *value;
+    size_t size;
+};
+
+/* The last one is the progress of a job with two tasks. */
+static const struct UnreadableCase unreadable_cases[] = {
+    {"no message", "\xff\xff\xff", 3},
+    {"empty", "", 0},
+    {"other number of tasks", "\x08\x01\x12\x00\x12\x00\x18\x01", 8},
+};
+
+/* Guards against running a job again beside its runs because a new leader
+ * cannot read which of its tasks run or are done. */
+static void
+job_with_unreadable_progress_is_not_run_again(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(unreadable_cases); i++) {
+        const struct UnreadableCase *c = &unreadable_cases[i];
+        struct World world;
+        size_t size;
+        begin(&world, LIMIT_MS);
+        store_job(&world, JOB);
+        store_job(&world, OTHER);
+        store_value(&world, SR_LEADER_PARTITION, SR_TABLE_PROGRESS, JOB,
+                    (const uint8_t *)c->value, c->size);
+        start_ledger(&world);
+        run_for(&world, SOON_MS);
+        /* The row is read once more. */
+        store_job(&world, JOB);
+        run_for(&world, SOON_MS);
+        assert_non_null(world.leader);
+        struct SrEngineStats stats =
+            SrEngine_Stats(SrLeader_Engine(world.leader), SrOs_MonotonicMs());
+        if (stats.flows != 1) {
+            fail_msg("%s: %u jobs may run instead of 1", c->name, stats.flows);
+        }
+        assert_non_null(
+            SrMemoryRows_Value(world.memory, SR_TABLE_PROGRESS, JOB, &size));
+        assert_int_equal(size, c->size);
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -345,6 +398,7 @@
         cmocka_unit_test(many_expired_jobs_are_deleted_one_by_one),
         cmocka_unit_test(orphaned_progress_is_deleted),
         cmocka_unit_test(cancellation_read_before_its_job_holds),
+        cmocka_unit_test(job_with_unreadable_progress_is_not_run_again),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
