Engine: an entry without an incarnation forgets no known one

Callers could see a task run again that was done. A worker's entry may come from another writer, without the start of the worker's incarnation. The engine took it over as incarnation 0, which equals any other: if the worker restarted then, the restart went unnoticed, the numbers of the ends went on counting from the former incarnation, and the first ends of the next one were dropped as already seen. Their tasks were no longer listed as running, so they were taken for lost and started again.

The known incarnation now stays until an entry or a response names another one.

Test entry_without_incarnation_does_not_hide_a_restart: 3 starts instead of 2 before, 2 after. runs_outlast_an_odd_entry_of_their_worker passed before: an entry that cannot be decoded leaves the runs of a known worker allocated and its lease extended, and the worker is used again with its own entry.

--- a/src/engine.c
+++ b/src/engine.c
@@ -460,7 +460,12 @@
         SR_INFO("engine", "worker-seen", "worker=%s domain=%s rack=%s", id,
                 entry->domain, entry->rack);
     }
+    int64_t incarnation = worker->info.incarnation;
     SrFleet_SetInfo(&engine->fleet, worker, entry);
+    if (entry->incarnation == 0) {
+        /* An entry that names no incarnation says nothing about a restart. */
+        worker->info.incarnation = incarnation;
+    }
     worker->present = true;
 }
 
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -765,6 +765,104 @@
     resign(&leader);
 }
 
+#define FIRST_TASK "0000000000000001.0.0.0"
+
+/* Responds to the next poll with the progress of run 1 of the first task. */
+static void
+report_progress(struct DrivenLeader *leader, int percent)
+{
+    struct SrRunningReport running = {.run = 1, .percent = percent};
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    SrUtil_Copy(running.task, sizeof(running.task), FIRST_TASK);
+    SrEngine_OnResponse(leader->engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader->now_ms,
+                            .incarnation = leader->entry.incarnation,
+                            .running = &running,
+                            .running_count = 1,
+                        },
+                        leader->now_ms);
+}
+
+/* Another writer replaces the entry of a worker by one that cannot be decoded.
+ * The worker's runs are not over, and it is used again with its own entry. */
+static void
+runs_outlast_an_odd_entry_of_their_worker(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    SrEngine_SetWorker(leader.engine, "w", NULL, leader.now_ms);
+    submit(&leader, 2, 1, 1);
+    for (int percent = 0; percent < 20; percent++) {
+        report_progress(&leader, percent);
+        pass_time(&leader, 500, true);
+    }
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    assert_int_equal(leader.sent[SR_COMMAND_STOP], 0);
+    SrEngine_SetWorker(leader.engine, "w", &leader.entry, leader.now_ms);
+    report_progress(&leader, 20);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
+/* Responds to the next poll with the end, as done, of run 1 of the task, which
+ * is the worker's first end. */
+static void
+report_first_end(struct DrivenLeader *leader, const char *task)
+{
+    struct SrTerminatedReport end = {
+        .number = 1,
+        .run = 1,
+        .outcome = SR_RUN_DONE,
+    };
+    struct SrCommand poll = take_command(leader, SR_COMMAND_POLL);
+    SrUtil_Copy(end.task, sizeof(end.task), task);
+    SrEngine_OnResponse(leader->engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader->now_ms,
+                            .incarnation = leader->entry.incarnation,
+                            .terminated = &end,
+                            .terminated_count = 1,
+                        },
+                        leader->now_ms);
+}
+
+/* Guards against a task that runs again although it was done: an entry without
+ * the start of the incarnation made the leader forget which one it knew, so
+ * that it took the first end of the next one for an earlier end. */
+static void
+entry_without_incarnation_does_not_hide_a_restart(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    report_first_end(&leader, FIRST_TASK);
+    struct SrWorkerEntry odd = leader.entry;
+    odd.incarnation = 0;
+    SrEngine_SetWorker(leader.engine, "w", &odd, leader.now_ms);
+    leader.entry.incarnation = 2;
+    list_runs(&leader, NULL);
+    submit(&leader, 2, 1, 1);
+    list_runs(&leader, NULL);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    report_first_end(&leader, "0000000000000002.0.0.0");
+    list_runs(&leader, NULL);
+    pass_time(&leader, 500, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 2);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -785,6 +883,8 @@
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
+        cmocka_unit_test(runs_outlast_an_odd_entry_of_their_worker),
+        cmocka_unit_test(entry_without_incarnation_does_not_hide_a_restart),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
