Worker entries: an id that is cut or cannot be sent names no worker

Keys of the store have up to 200 bytes, ids in the engine 64. An entry with a longer key was stored under its first 64 characters and was not found under its key again: each change of the entry added one more worker, which was polled, and none was removed when the entry was deleted. Two keys with the same beginning became one id. A key with a line break added lines to the header that names a command's worker.

An id now has 1 to 64 printable ASCII characters without spaces.

--- a/tests/test_worker_entries.c
+++ b/tests/test_worker_entries.c
@@ -232,12 +232,58 @@
     }
 }
 
+struct IdCase {
+    const char *id;
+    enum SrDecodeError error;
+};
+
+static const struct IdCase id_cases[] = {
+    {"i-7f3a91c2", SR_DECODE_OK},
+    {"a/b:c@d~e+f", SR_DECODE_OK},
+    {CHARACTERS_64, SR_DECODE_OK},
+    /* Two ids of this length had the same first 64 characters. */
+    {CHARACTERS_64 "1", SR_DECODE_BAD_VALUE},
+    {CHARACTERS_64 "2", SR_DECODE_BAD_VALUE},
+    {"", SR_DECODE_BAD_VALUE},
+    {"a b", SR_DECODE_BAD_VALUE},
+    {"a\tb", SR_DECODE_BAD_VALUE},
+    {"a\r\nX-Lease-Holder: b", SR_DECODE_BAD_VALUE},
+    {"a\x7f", SR_DECODE_BAD_VALUE},
+    {"\xc3\xa9", SR_DECODE_BAD_VALUE},
+};
+
+/* Guards against ids that are cut to the same first characters, and against
+ * ids that add lines to the header in which a command names its worker. */
+static void
+odd_ids_name_no_worker(void **state)
+{
+    (void)state;
+    char *text = make_entry("", NULL);
+    unsigned wrong = 0;
+    for (size_t i = 0; i < SR_LENGTH(id_cases); i++) {
+        const struct IdCase *c = &id_cases[i];
+        struct SrWorkerEntry entry;
+        const char *field = "";
+        enum SrDecodeError error =
+            SrPlatform_DecodeWorker(c->id, text, strlen(text), &entry, &field);
+        if (error != c->error ||
+            (error != SR_DECODE_OK && strcmp(field, "id") != 0)) {
+            print_message("id %s: %s, field %s\n", c->id,
+                          SrDecode_ErrorText(error), field);
+            wrong++;
+        }
+    }
+    free(text);
+    assert_int_equal(wrong, 0);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(odd_entries_name_no_worker),
         cmocka_unit_test(nested_entries_are_read_or_refused),
+        cmocka_unit_test(odd_ids_name_no_worker),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
