--- a/src/http_client.c
+++ b/src/http_client.c
@@ -24,6 +24,9 @@
  * closed. It is below 3 s, the shortest time limit of any exchange. */
 #define UNACKED_TIMEOUT_MS 2000U
 #define NOT_STARTED_HEADER "Not-Started:"
+/* Size of the buffer for a URL: a path may name a table, a partition and a key
+ * of the store, of up to 600 characters each. */
+#define URL_SIZE 2304
 
 /* Multi handle for a share of the addresses. libcurl walks all connections of
  * a multi handle when a call ends, and polls the unused ones each second. */
@@ -486,7 +489,7 @@
 set_call_options(struct SrHttpCall *call,
                  const struct SrHttpCallOptions *options)
 {
-    char url[1024];
+    char url[URL_SIZE];
     CURL *easy = call->easy;
     snprintf(url, sizeof(url), "http://%s%s", options->address, options->path);
     call->headers = curl_slist_append(call->headers, "Expect:");
