--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -252,11 +252,20 @@
     check_load(ZERO_KEYS);
 }
 
+/* A zero character in one key made its whole page unreadable. */
+static void
+zero_character_hides_no_other_row(void **state)
+{
+    (void)state;
+    check_load(0);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(pages_that_end_with_odd_keys_are_followed),
+        cmocka_unit_test(zero_character_hides_no_other_row),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
