Store: changes that are too large for one response are read in pages

The protocol bounds a page of rows by 1 MB, but not a list of changes. When another writer had left more than 2 MB since the version of a follower, the response exceeded the limit of the adapter, and the same watch was repeated for good: the node stopped following the table.

Such a watch now counts as one whose history is gone: the table is loaded again in pages and followed from there.

--- a/src/rows.h
+++ b/src/rows.h
@@ -29,7 +29,8 @@
     SR_ROWS_REFUSED,
     /* No response: the call may have been applied, or may be applied later. */
     SR_ROWS_UNKNOWN,
-    /* The store no longer keeps the changes since the requested version. */
+    /* The store no longer keeps the changes since the requested version, or
+     * they are too many for one response. */
     SR_ROWS_HISTORY_TRUNCATED,
     /* The store rejected the call as malformed or not permitted. */
     SR_ROWS_INVALID,
--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -1,5 +1,5 @@
 /* The adapter to the platform's store, against a server whose rows another
- * writer has given odd keys. Guards against a follower that
+ * writer has given odd keys or large values. Guards against a follower that
  * reads the same page again and again, or never reads the rest of the table.
  */
 #include "test_support.h"
@@ -20,6 +20,9 @@
 #define WAIT_MS 100
 /* Number of rows in a page, so that most keys begin a page. */
 #define PAGE_ROWS 2
+/* More than the largest response that the adapter accepts, bytes. */
+#define LARGE_BYTES (3 * 1024 * 1024)
+
 struct Key {
     /* As the store sends it. */
     const char *text;
@@ -72,8 +75,11 @@
     struct SrFollower *follower;
     /* First of the keys that the store has. */
     size_t first_key;
-    /* Number of requests for pages. */
+    /* Number of requests for pages, and of watches. */
     unsigned reads;
+    unsigned watches;
+    /* Number of watches that get more than the adapter accepts. */
+    unsigned large_watches;
     unsigned loads;
     /* Rows that the follower has reported. */
     unsigned reported;
@@ -133,6 +139,18 @@
                       "now_ms", 1, "has_more", i < SR_LENGTH(keys)));
 }
 
+static void
+respond_with_large_change(struct SrHttpRequest *request)
+{
+    char *value = SrUtil_Calloc(1, LARGE_BYTES + 1);
+    memset(value, 'A', LARGE_BYTES);
+    json_t *row = make_row(&keys[ZERO_KEYS]);
+    json_object_set_new(row, "value", json_string(value));
+    free(value);
+    respond(request, json_pack("{s:[o],s:i,s:i}", "rows", row, "row_version",
+                               6, "now_ms", 1));
+}
+
 static void
 handle(void *context, struct SrHttpRequest *request)
 {
@@ -143,7 +161,10 @@
         store->reads++;
         respond_with_page(store, request);
     }
-    /* Watches get no response. */
+    else if (store->watches++ < store->large_watches) {
+        respond_with_large_change(request);
+    }
+    /* Other watches get no response. */
 }
 
 static struct SrHttpBody
@@ -167,7 +188,9 @@
 {
     struct Store *store = context;
     store->loads++;
-    ev_break(store->kernel->loop, EVBREAK_ALL);
+    if (store->loads > store->large_watches) {
+        ev_break(store->kernel->loop, EVBREAK_ALL);
+    }
 }
 
 static void
@@ -177,13 +200,17 @@
     ev_break(store->kernel->loop, EVBREAK_ALL);
 }
 
-/* Follows the table until it has been loaded. */
+/* Follows the table until it has been loaded once, and once more for each
+ * response to a watch that is too large. */
 static void
-follow(struct Store *store, size_t first_key)
+follow(struct Store *store, size_t first_key, unsigned large_watches)
 {
     static const char *const partition = "";
     struct SrTimer limit = {.kernel = NULL};
-    *store = (struct Store){.first_key = first_key};
+    *store = (struct Store){
+        .first_key = first_key,
+        .large_watches = large_watches,
+    };
     store->kernel = SrKernel_Create(NULL);
     assert_int_equal(SrHttpServer_Create(store->kernel->loop,
                                          &(struct SrHttpServerOptions){
@@ -232,7 +259,7 @@
 check_load(size_t first_key)
 {
     struct Store store;
-    follow(&store, first_key);
+    follow(&store, first_key, 0);
     print_message("%u reads, %u rows, %u loads\n", store.reads, store.reported,
                   store.loads);
     assert_int_equal(store.loads, 1);
@@ -260,12 +287,25 @@
     check_load(0);
 }
 
+/* The changes since the version of the follower are too many for one response:
+ * the same watch would fail for good. */
+static void
+changes_that_are_too_large_are_read_in_pages(void **state)
+{
+    (void)state;
+    struct Store store;
+    follow(&store, ZERO_KEYS, 2);
+    print_message("%u watches, %u loads\n", store.watches, store.loads);
+    assert_int_equal(store.loads, 3);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(pages_that_end_with_odd_keys_are_followed),
         cmocka_unit_test(zero_character_hides_no_other_row),
+        cmocka_unit_test(changes_that_are_too_large_are_read_in_pages),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
