--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -201,6 +201,8 @@
     {"empty", "", SR_COMMAND_NO_RESPONSE},
     {"running is no list", "{\"clock_ms\":5,\"running\":7}",
      SR_COMMAND_NO_RESPONSE},
+    {"the clock is out of range", "{\"clock_ms\":9223372036854775807}",
+     SR_COMMAND_NO_RESPONSE},
     {"a running run is no list",
      "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",41],3]}",
      SR_COMMAND_NO_RESPONSE},
@@ -242,6 +244,44 @@
     }
 }
 
+struct PercentCase {
+    const char *percent;
+    int expected;
+};
+
+static const struct PercentCase percent_cases[] = {
+    {"41", 41},     {"41.9", 41},  {"100", 100}, {"101", 100},
+    {"1e300", 100}, {"-1e300", 0}, {"-1", 0},    {"9223372036854775807", 100},
+    {"\"41\"", 0},  {"null", 0},
+};
+
+/* The conversion of a progress out of range is undefined, and the difference
+ * of two such values overflows. */
+static void
+progress_is_within_its_range(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(percent_cases); i++) {
+        struct SrCommandResponse response;
+        char text[128];
+        snprintf(text, sizeof(text),
+                 "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",%s]]}",
+                 percent_cases[i].percent);
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = 200,
+                .body = (const uint8_t *)text,
+                .size = strlen(text),
+            },
+            &response);
+        assert_int_equal(response.result, SR_COMMAND_DONE);
+        assert_int_equal(response.running[0].percent,
+                         percent_cases[i].expected);
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 struct ListCase {
     /* Number of terminated runs that the response lists. */
     unsigned terminated;
@@ -567,6 +607,7 @@
         cmocka_unit_test(malformed_jobs_are_refused),
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
+        cmocka_unit_test(progress_is_within_its_range),
         cmocka_unit_test(full_lists_may_lack_terminated_runs),
         cmocka_unit_test(longest_run_lists_are_read),
     };
