Engine: polls of unresponsive workers are limited in rate

With 5,000 entries of workers that do not exist no job completed any more. A new leader polled all of them in one call, and each failed poll was repeated after 60 ms times the number of failures. The event loop fell behind by over 100 ms, the leader could not confirm its leadership in time, and the next leader began with the same burst.

At most 200 workers without runs are now polled for the first time in one call. The delay before a failed poll of a worker without runs is repeated grows with the number of unresponsive workers, so that at most 500 a second are sent to them. With up to 30 of them nothing changes. Workers with runs are polled as before.

--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -17,6 +17,9 @@
 /* Interval of the quick polls that only renew the lease of a worker whose
  * results are not written yet. */
 #define RENEW_INTERVAL_MS 500
+/* Maximum number of workers without runs that are polled for the first time in
+ * one call, so that a list of thousands does not hold up the event loop. */
+#define FIRST_POLLS_MAX 200
 
 /* Sets the command's term and time, and the worker to which the command is
  * sent. */
@@ -134,6 +137,16 @@
     return false;
 }
 
+/* Returns true if no poll of the worker has been sent or has failed since its
+ * latest response, and it has no runs. */
+static bool
+is_first_poll(const struct SrWorker *worker)
+{
+    return !worker->fenced && worker->response_ms == 0 &&
+           worker->failed_polls == 0 && !worker->quick_poll_in_flight &&
+           SrList_IsEmpty(&worker->runs);
+}
+
 static void
 send_polls(struct SrEngine *engine, struct SrWorker *worker, int64_t now_ms)
 {
@@ -307,11 +320,17 @@
             run_link_next = engine->fleet.unsettled_runs.next;
         }
     }
+    unsigned first_polls = 0;
+    engine->unresponsive_workers = 0;
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
         SrEngine_ExpireUnackedStarts(engine, worker, now_ms);
         block_unacked_starts(engine, worker, now_ms);
+        engine->unresponsive_workers += worker->failed_polls > 0 ? 1 : 0;
+        if (is_first_poll(worker) && first_polls++ >= FIRST_POLLS_MAX) {
+            continue;
+        }
         send_polls(engine, worker, now_ms);
     }
 }
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -8,6 +8,9 @@
  * the run is stopped. */
 #define START_SENDS_MAX 4
 #define RETRY_DELAY_MS 60
+/* Each unresponsive worker adds this to the delay of the next poll of one that
+ * has no runs, so that at most 500 a second are sent to such workers. */
+#define UNRESPONSIVE_DELAY_MS 2
 /* Timeout of the stop command for an unknown run. It must cover an exchange
  * with a worker in another region: the round trip takes 60 ms, in the worst
  * case 500 ms. */
@@ -346,6 +349,17 @@
     }
 }
 
+/* Returns the time from a failed poll to the next one. */
+static int64_t
+retry_delay_ms(const struct SrEngine *engine, const struct SrWorker *worker)
+{
+    int64_t delay_ms = (int64_t)RETRY_DELAY_MS * worker->failed_polls;
+    int64_t shared_ms =
+        (int64_t)UNRESPONSIVE_DELAY_MS * engine->unresponsive_workers;
+    return SrList_IsEmpty(&worker->runs) && shared_ms > delay_ms ? shared_ms
+                                                                 : delay_ms;
+}
+
 static void
 update_has_more_results(struct SrWorker *worker,
                         const struct SrCommandResponse *response)
@@ -388,9 +402,8 @@
         if (worker->failed_polls >= STORE_GRANT_POLLS) {
             SrEngine_StoreLeaseGrant(engine, worker);
         }
-        worker->next_poll_ms = now_ms + RETRY_DELAY_MS * worker->failed_polls;
-        worker->next_quick_poll_ms =
-            now_ms + RETRY_DELAY_MS * worker->failed_polls;
+        worker->next_poll_ms = now_ms + retry_delay_ms(engine, worker);
+        worker->next_quick_poll_ms = worker->next_poll_ms;
         if (worker->failed_polls == 1) {
             SR_INFO("engine", "look-unanswered", "worker=%s result=%s",
                     worker->info.id, SrCommand_ResultText(response->result));
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -22,6 +22,9 @@
     bool grants_paused;
     const struct SrCatalog *catalog;
     struct SrFleet fleet;
+    /* Number of workers whose latest poll failed, as of the latest call of
+     * SrEngine_SendCommands. */
+    unsigned unresponsive_workers;
     struct SrMap flows_by_id;
     /* Cancellations of jobs that are not known yet, by job id. */
     struct SrMap early_cancellations;
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -221,6 +221,22 @@
     }
 }
 
+/* Writes entries without a fault of workers that do not exist. */
+static void
+write_unresponsive(struct Test *test)
+{
+    char key[64];
+    for (unsigned i = 0; i < MANY_ENTRIES; i += BATCH_ROWS) {
+        json_t *writes = json_array();
+        for (unsigned k = i; k < i + BATCH_ROWS; k++) {
+            snprintf(key, sizeof(key), "absent-%05u", k);
+            json_array_append_new(
+                writes, make_write(key, ENTRY("127.0.0.1:1", "")));
+        }
+        send_rows(test, writes);
+    }
+}
+
 static void
 send_to_node(struct Test *test, const char *method, struct Job *job,
              const char *body,
@@ -417,6 +433,13 @@
     serve_beside(2, write_many);
 }
 
+static void
+nodes_serve_beside_thousands_of_absent_workers(void **state)
+{
+    (void)state;
+    serve_beside(3, write_unresponsive);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -424,6 +447,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(nodes_serve_beside_odd_entries),
         cmocka_unit_test(nodes_serve_beside_thousands_of_odd_entries),
+        cmocka_unit_test(nodes_serve_beside_thousands_of_absent_workers),
     };
     Harness_SetUp(argv[0]);
     SrLog_Start(SR_LOG_ERROR, "test");
