Incomplete lists do not end the wait for a late start

Callers could see a task run again that was done. A task waits for a start that may be executed late until a poll of the worker does not list the run.

The wait now ends with a complete list, and quick polls rest until the listed results are written.

Test incomplete_lists_do_not_end_the_wait_for_a_late_start failed before: a start on the other worker.

--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -114,18 +114,20 @@
 static bool
 needs_quick_poll(struct SrWorker *worker, int64_t now_ms)
 {
-    if (!worker->fenced || worker->clock_ms < 0 ||
-        has_possible_late_start(worker, now_ms)) {
+    if (!worker->fenced || worker->clock_ms < 0) {
         return true;
     }
-    if (!worker->has_unconfirmed_runs) {
-        return false;
-    }
     if (worker->has_more_results &&
         worker->results_written < worker->results_seen) {
         /* The worker would return the same results. */
         return false;
     }
+    if (has_possible_late_start(worker, now_ms)) {
+        return true;
+    }
+    if (!worker->has_unconfirmed_runs) {
+        return false;
+    }
     SR_LIST_EACH(link, &worker->runs)
     {
         const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -439,7 +439,9 @@
     engine->poll_number++;
     update_terminated(engine, worker, response, now_ms);
     update_all_running(engine, worker, response, sent_ms, now_ms);
-    SrEngine_EndUnackedStarts(engine, worker, sent_ms);
+    if (!response->has_more_terminated) {
+        SrEngine_EndUnackedStarts(engine, worker, sent_ms);
+    }
     SrEngine_ClearOutlivedCrashes(engine, worker, sent_ms);
     update_unlisted(engine, worker, response, sent_ms, now_ms);
 }
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -25,6 +25,8 @@
     unsigned pending_count;
     /* Number of commands of each kind that were sent. */
     unsigned sent[SR_COMMAND_ADVISE + 1];
+    /* The worker's lists may lack terminated runs. */
+    bool lists_are_incomplete;
 };
 
 static void
@@ -179,15 +181,18 @@
 {
     struct SrRunningReport running = {.run = 1};
     SrUtil_Copy(running.task, sizeof(running.task), task != NULL ? task : "");
-    SrEngine_OnResponse(leader->engine, poll,
-                        &(struct SrCommandResponse){
-                            .result = SR_COMMAND_DONE,
-                            .clock_ms = leader->now_ms,
-                            .incarnation = leader->entry.incarnation,
-                            .running = &running,
-                            .running_count = task != NULL ? 1 : 0,
-                        },
-                        leader->now_ms);
+    SrEngine_OnResponse(
+        leader->engine, poll,
+        &(struct SrCommandResponse){
+            .result = SR_COMMAND_DONE,
+            .clock_ms = leader->now_ms,
+            .incarnation = leader->entry.incarnation,
+            .running = &running,
+            .running_count = task != NULL ? 1 : 0,
+            .has_more_terminated =
+                leader->lists_are_incomplete && strcmp(poll->worker, "w") == 0,
+        },
+        leader->now_ms);
 }
 
 static void
@@ -740,6 +745,23 @@
     }
 }
 
+/* Guards against a second run of a task that is done: a start was executed
+ * late, and its result was among those that the worker did not list yet. */
+static void
+incomplete_lists_do_not_end_the_wait_for_a_late_start(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    end_run_early(&leader, &late_starts[0]);
+    assert_int_equal(serve(&leader, 12500, true, "other"), 0);
+    leader.lists_are_incomplete = true;
+    assert_int_equal(serve(&leader, 5000, true, "other"), 0);
+    leader.lists_are_incomplete = false;
+    assert_true(serve(&leader, 1000, true, "other") > 0);
+    resign(&leader);
+}
+
 /* Guards against the same where the run is over before its start command times
  * out. */
 static void
@@ -880,6 +902,8 @@
         cmocka_unit_test(
             run_is_not_over_before_the_next_incarnation_has_stopped_it),
         cmocka_unit_test(tasks_wait_while_a_late_start_is_possible),
+        cmocka_unit_test(
+            incomplete_lists_do_not_end_the_wait_for_a_late_start),
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
