A poll after a failed one acknowledges no results

Callers could see a task run again that was done. A worker restarted behind a cut and executed a late start; the first poll that reached it acknowledged results of its former incarnation, because polls without a response are followed by others with the same acknowledgement. Each incarnation numbers its results from 1, so the worker deleted the result of the late start, which no leader had read, and the task was started again.

A poll acknowledges results only if the one before it got a response: the response shows the incarnation. results_are_not_acknowledged_by_the_poll_after_a_failed_one failed before (acknowledged 1, not 0).

What remains is a poll in flight at the restart, or executed late by the next incarnation.

--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -124,7 +124,6 @@
      * on another worker, and the former one restarted again and executed an
      * unacknowledged start of that run. */
     {"late commands and crashes", 349},
-    {"late commands and crashes", 481},
 };
 
 /* Guards against a task that takes down worker after worker: its run counted
@@ -232,6 +231,27 @@
      .faults = {.late_commands = 100, .crashes = 40}},
 };
 
+static void
+check_once_at_a_time(const struct FaultMix *mix, uint64_t seed)
+{
+    struct SimResult result;
+    Sim_Run(
+        &(struct SimOptions){
+            .seed = seed,
+            .workers = 16,
+            .jobs = 40,
+            .duration_ms = 120000,
+            .faults = mix->faults,
+        },
+        &result);
+    if (result.twice > 0) {
+        print_message("%s: %s\n", mix->name, result.violation);
+    }
+    assert_int_equal(result.twice, 0);
+    assert_int_equal(result.unfinished, 0);
+    assert_true(result.completed > 0);
+}
+
 /* Guards against a task that is started on another worker while a worker that
  * restarts, which the leader learns late, may still execute an earlier start.
  * With these faults the same start may also be executed after its run has
@@ -243,25 +263,13 @@
     (void)state;
     for (size_t i = 0; i < SR_LENGTH(restart_mixes); i++) {
         for (uint64_t seed = 1; seed <= seed_count(); seed++) {
-            struct SimResult result;
-            Sim_Run(
-                &(struct SimOptions){
-                    .seed = seed,
-                    .workers = 16,
-                    .jobs = 40,
-                    .duration_ms = 120000,
-                    .faults = restart_mixes[i].faults,
-                },
-                &result);
-            if (result.twice > 0) {
-                print_message("%s: %s\n", restart_mixes[i].name,
-                              result.violation);
-            }
-            assert_int_equal(result.twice, 0);
-            assert_int_equal(result.unfinished, 0);
-            assert_true(result.completed > 0);
+            check_once_at_a_time(&restart_mixes[i], seed);
         }
     }
+    check_once_at_a_time(
+        &(struct FaultMix){.name = "late commands and crashes, seed 481",
+                           .faults = {.late_commands = 50, .crashes = 12}},
+        481);
 }
 
 /* A leader, and the workers that execute its runs, are cut off. */
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -885,6 +885,45 @@
     resign(&leader);
 }
 
+/* Guards against a task that is started again after it is done: a worker
+ * restarted behind a cut, and the first poll that reached it acknowledged
+ * results of its former incarnation. It deleted the result of a late start,
+ * whose run the leader then took for lost. */
+static void
+results_are_not_acknowledged_by_the_poll_after_a_failed_one(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+    struct SrTerminatedReport done = {
+        .number = 1, .task = "0000000000000001.0.0.0", .run = 1};
+    SrEngine_OnResponse(leader.engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader.now_ms,
+                            .incarnation = 1,
+                            .terminated = &done,
+                            .terminated_count = 1,
+                        },
+                        leader.now_ms);
+    poll = take_command(&leader, SR_COMMAND_POLL);
+    assert_int_equal(poll.u.poll.acked_through, 1);
+    SrEngine_OnResponse(leader.engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_NO_RESPONSE, .clock_ms = -1},
+                        leader.now_ms);
+    poll = take_command(&leader, SR_COMMAND_POLL);
+    assert_int_equal(poll.u.poll.acked_through, 0);
+    respond_to(&leader, &poll, NULL);
+    poll = take_command(&leader, SR_COMMAND_POLL);
+    assert_int_equal(poll.u.poll.acked_through, 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -905,6 +944,8 @@
         cmocka_unit_test(
             incomplete_lists_do_not_end_the_wait_for_a_late_start),
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
+        cmocka_unit_test(
+            results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
         cmocka_unit_test(runs_outlast_an_odd_entry_of_their_worker),
