The result of a run that was taken for lost counts

Callers could see a task run again that was done. A run ended by itself after the leader had taken it for lost: its start was executed late behind a cut, or its worker was out of reach for longer than its lease. The worker listed the result when it was back; the leader logged end-of-unknown-run, acknowledged the result and started the task again.

The task is marked as done, and a later run of it is stopped. Results other than done are still only logged.

results_of_lost_runs_count failed before (a second start).

--- a/src/engine.c
+++ b/src/engine.c
@@ -593,6 +593,26 @@
     complete_if_done(engine, task->flow, now_ms);
 }
 
+void
+SrEngine_OnLateResult(struct SrEngine *engine, struct SrFlowTask *task,
+                      int64_t now_ms)
+{
+    uint32_t count;
+    const struct SrFlowTask *first = SrFlow_UnitOf(task, &count);
+    if (task->done || SrFlow_HasEnded(task->flow) ||
+        SrFlow_StepOf(task)->continuous) {
+        return;
+    }
+    SrFlow_MarkDone(task);
+    for (uint32_t i = 0; i < count; i++) {
+        if (first[i].active_run != NULL) {
+            SrEngine_StopRun(engine, first[i].active_run, "done", now_ms);
+        }
+    }
+    SrEngine_MarkDirty(engine, task->flow);
+    complete_if_done(engine, task->flow, now_ms);
+}
+
 void
 SrEngine_StopRun(struct SrEngine *engine, struct SrRun *run,
                  const char *reason, int64_t now_ms)
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -265,6 +265,10 @@
         SR_INFO("engine", "end-of-unknown-run",
                 "worker=%s task=%s run=%u how=%s", worker->info.id,
                 report->task, report->run, SrRun_OutcomeText(report->outcome));
+        struct SrFlowTask *task = SrEngine_FindTask(engine, report->task);
+        if (task != NULL && report->outcome == SR_RUN_DONE) {
+            SrEngine_OnLateResult(engine, task, now_ms);
+        }
         return;
     }
     SrEngine_EndRun(engine, run, report->outcome, report->checkpoint, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -99,6 +99,12 @@
                      enum SrRunOutcome outcome, const char *checkpoint,
                      int64_t now_ms);
 
+/* Marks the task as done after a worker has reported the result "done" of a
+ * run that the leader took for over: one whose start was executed late, or
+ * whose worker was out of reach. Stops the task's later run. */
+void SrEngine_OnLateResult(struct SrEngine *engine, struct SrFlowTask *task,
+                           int64_t now_ms);
+
 /* Handles a restart of the worker: ends the runs of its earlier incarnations,
  * except those that the new incarnation may execute. */
 void SrEngine_OnNewIncarnation(struct SrEngine *engine,
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -924,6 +924,35 @@
     resign(&leader);
 }
 
+/* Guards against a task that is started again after it is done: the leader
+ * ignored the result of a run that it had taken for lost. */
+static void
+results_of_lost_runs_count(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    assert_int_equal(serve(&leader, 9000, false, "w"), 0);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    struct SrTerminatedReport done = {
+        .number = 1, .task = "0000000000000001.0.0.0", .run = 1};
+    struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+    SrEngine_OnResponse(leader.engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader.now_ms,
+                            .incarnation = 1,
+                            .terminated = &done,
+                            .terminated_count = 1,
+                        },
+                        leader.now_ms);
+    assert_int_equal(serve(&leader, 1000, true, "w"), 0);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -946,6 +975,7 @@
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
+        cmocka_unit_test(results_of_lost_runs_count),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
         cmocka_unit_test(runs_outlast_an_odd_entry_of_their_worker),
