Tests: odd entries after a loss of the store's history, no leak at the end

The process tests of odd entries let the store drop its history, so that the leader reads the whole table again. The follower's test waits for the call in flight, which otherwise leaves its context to the leak check. clang-format.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -230,8 +230,8 @@
         json_t *writes = json_array();
         for (unsigned k = i; k < i + BATCH_ROWS; k++) {
             snprintf(key, sizeof(key), "absent-%05u", k);
-            json_array_append_new(
-                writes, make_write(key, ENTRY("127.0.0.1:1", "")));
+            json_array_append_new(writes,
+                                  make_write(key, ENTRY("127.0.0.1:1", "")));
         }
         send_rows(test, writes);
     }
@@ -386,8 +386,11 @@
     SrTimer_Start(&test->tick, kernel, TICK_MS, TICK_MS, on_tick, test);
     run_for(test, START_MS);
     write_entries(test);
-    run_for(test, ENTRIES_MS);
+    run_for(test, ENTRIES_MS / 2);
     assert_int_equal(test->writing, 0);
+    /* The leader reads the whole table again, in pages. */
+    SoakSite_InjectFault(&test->site, SOAK_STORE_DROPS_HISTORY);
+    run_for(test, ENTRIES_MS / 2);
     SrTimer_Start(&test->submit, kernel, SUBMIT_INTERVAL_MS,
                   SUBMIT_INTERVAL_MS, on_submit, test);
     SrTimer_Start(&test->query, kernel, QUERY_INTERVAL_MS, QUERY_INTERVAL_MS,
--- a/tests/test_platform_rows.c
+++ b/tests/test_platform_rows.c
@@ -18,6 +18,9 @@
 #define TABLE "servers"
 #define LIMIT_MS 8000
 #define WAIT_MS 100
+/* Time after which no call of the follower is in flight any more: the longest
+ * timeout is that of a page, 1.2 s. */
+#define CALL_LIMIT_MS 1500
 /* Number of rows in a page, so that most keys begin a page. */
 #define PAGE_ROWS 2
 /* More than the largest response that the adapter accepts, bytes. */
@@ -247,8 +250,10 @@
     });
     SrTimer_Start(&limit, store->kernel, LIMIT_MS, 0, on_limit, store);
     ev_run(store->kernel->loop, 0);
-    SrTimer_Stop(&limit);
     SrFollower_Destroy(store->follower);
+    /* The call in flight frees its context when it times out. */
+    SrTimer_Start(&limit, store->kernel, CALL_LIMIT_MS, 0, on_limit, store);
+    ev_run(store->kernel->loop, 0);
     SrHttpClient_Destroy(store->http);
     SrPlatformRows_Destroy(store->adapter);
     SrHttpServer_Destroy(store->server);
