Engine: an entry alone ends no runs of a worker that responds

Callers could see a task run twice at the same time. An entry that names another start of a worker was believed as a restart at once: the runs were ended and their tasks started elsewhere. Another writer may have changed the entry of a worker that goes on executing them.

While a worker with runs responds to its polls, such an entry now only leads to a poll at once, and the worker gets no new work until the response. The response names the incarnation, and ends the runs if the worker has restarted. If the latest poll has failed, the entry is believed as before: a worker that crashed does not respond.

--- a/src/engine.c
+++ b/src/engine.c
@@ -421,6 +421,28 @@
            worker->info.incarnation != incarnation;
 }
 
+/* Handles an entry that names another incarnation of the worker than the known
+ * one. While a worker with runs responds, its own responses decide: the entry
+ * may come from another writer, and runs that went on would be started again
+ * elsewhere. */
+static void
+on_other_incarnation(struct SrEngine *engine, struct SrWorker *worker,
+                     int64_t incarnation, int64_t now_ms)
+{
+    if (SrList_IsEmpty(&worker->runs) || !worker->fenced ||
+        worker->failed_polls > 0) {
+        SrEngine_OnNewIncarnation(engine, worker, incarnation, now_ms);
+        return;
+    }
+    if (worker->restart_reported_ms == 0) {
+        SR_INFO("engine", "restart-reported", "worker=%s born=%ld known=%ld",
+                worker->info.id, (long)incarnation,
+                (long)worker->info.incarnation);
+        worker->restart_reported_ms = now_ms;
+        worker->next_quick_poll_ms = now_ms;
+    }
+}
+
 void
 SrEngine_SetWorker(struct SrEngine *engine, const char *id,
                    const struct SrWorkerEntry *entry, int64_t now_ms)
@@ -448,7 +470,7 @@
         return;
     }
     if (is_other_incarnation(worker, entry->incarnation)) {
-        SrEngine_OnNewIncarnation(engine, worker, entry->incarnation, now_ms);
+        on_other_incarnation(engine, worker, entry->incarnation, now_ms);
     }
     if (entry->draining && !worker->info.draining) {
         worker->leaves_ms = now_ms + entry->remaining_ms;
@@ -462,8 +484,8 @@
     }
     int64_t incarnation = worker->info.incarnation;
     SrFleet_SetInfo(&engine->fleet, worker, entry);
-    if (entry->incarnation == 0) {
-        /* An entry that names no incarnation says nothing about a restart. */
+    if (entry->incarnation == 0 || worker->restart_reported_ms != 0) {
+        /* The entry names no incarnation, or one that is not confirmed. */
         worker->info.incarnation = incarnation;
     }
     worker->present = true;
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -111,11 +111,13 @@
 
 /* Returns true if the worker must be polled without delay: no poll has
  * succeeded since the leader learned of the worker, of its restart or of the
- * expiry of its lease, or one of its runs may be over. */
+ * expiry of its lease, its entry reports a restart, or one of its runs may be
+ * over. */
 static bool
 needs_quick_poll(struct SrWorker *worker, int64_t now_ms)
 {
-    if (!worker->fenced || worker->clock_ms < 0) {
+    if (!worker->fenced || worker->clock_ms < 0 ||
+        worker->restart_reported_ms != 0) {
         return true;
     }
     if (worker->has_more_results &&
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -67,6 +67,7 @@
     SrEngine_CountCrash(engine, worker, incarnation, now_ms);
     worker->info.incarnation = incarnation;
     worker->incarnation_seen_ms = now_ms;
+    worker->restart_reported_ms = 0;
     worker->results_seen = 0;
     worker->results_written = 0;
     worker->results_acked = 0;
@@ -423,6 +424,9 @@
         SrEngine_OnNewIncarnation(engine, worker, response->incarnation,
                                   now_ms);
     }
+    if (sent_ms >= worker->restart_reported_ms) {
+        worker->restart_reported_ms = 0;
+    }
     /* A worker whose lease has expired may only have been out of reach. */
     SrFleet_ClearSuspectsOf(worker, response->incarnation);
     /* Inherited runs may belong to an earlier incarnation. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -355,6 +355,7 @@
     return worker->present && !worker->info.draining && worker->fenced &&
            worker->clock_ms >= 0 && !worker->grant_stored &&
            worker->grant_clear_change == 0 &&
+           worker->restart_reported_ms == 0 &&
            now_ms - worker->response_ms < RESPONSE_FRESH_MS &&
            now_ms >= worker->avoid_until_ms &&
            !SrFleet_MayExecuteUnknownRuns(worker);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -180,6 +180,9 @@
     /* When the leader learned that the worker had restarted; 0 if only one
      * incarnation is known. */
     int64_t incarnation_seen_ms;
+    /* When the worker's entry first named another incarnation than its
+     * responses; 0 if a later response has shown which one executes. */
+    int64_t restart_reported_ms;
     /* The worker's clock in its latest response; -1 if unknown. */
     int64_t clock_ms;
     /* When that response arrived; 0 if there was none. */
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -953,6 +953,38 @@
     resign(&leader);
 }
 
+/* Guards against a task that runs twice: an entry that names a restart which
+ * has not happened ended the worker's runs, and their tasks were started again
+ * on other workers. The worker's own responses show that they go on. */
+static void
+entry_ends_no_runs_of_a_responsive_worker(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    struct SrWorkerEntry other = leader.entry;
+    SrUtil_Copy(other.id, sizeof(other.id), "other");
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    report_progress(&leader, 1);
+    SrEngine_SetWorker(leader.engine, "other", &other, leader.now_ms);
+    struct SrCommand poll = take_poll_of(&leader, "other");
+    respond_to(&leader, &poll, NULL);
+    struct SrWorkerEntry odd = leader.entry;
+    odd.incarnation = 5;
+    SrEngine_SetWorker(leader.engine, "w", &odd, leader.now_ms);
+    pass_time(&leader, 200, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    poll = take_poll_of(&leader, "w");
+    respond_to(&leader, &poll, FIRST_TASK);
+    pass_time(&leader, 200, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    assert_int_equal(leader.sent[SR_COMMAND_STOP], 0);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -980,6 +1012,7 @@
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
         cmocka_unit_test(runs_outlast_an_odd_entry_of_their_worker),
         cmocka_unit_test(entry_without_incarnation_does_not_hide_a_restart),
+        cmocka_unit_test(entry_ends_no_runs_of_a_responsive_worker),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
