Simulation: slow responses, refusals, former leaders, old and lost entries

The simulation had no responses that overtake each other by more than 30 ms, no refused commands, no former leader that still reaches all workers, and no entry that is read late or lost while its worker goes on.

Change: five faults in three new mixes.

--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -37,6 +37,12 @@
  * and a claim. */
 #define CUT_TAKEOVER_MIN_MS 1000
 #define CUT_TAKEOVER_RANGE_MS 1000
+/* Length of a cut between the leader and the store. */
+#define STORE_CUT_MIN_MS 1500
+#define STORE_CUT_RANGE_MS 8500
+#define SLOW_RESPONSE_MS 600
+/* Maximum time until an entry that was lost is back. */
+#define ENTRY_LOSS_MS 10000
 /* Maximum time from the end of a domain cut until the former leader learns
  * that it has lost leadership. */
 #define LOSS_LEARNED_MS 400
@@ -81,6 +87,8 @@
 
 struct Worker {
     struct SrWorkerEntry entry;
+    /* Incarnation before the current one; 0 if there was none. */
+    int64_t former_incarnation;
     bool alive;
     int64_t partition_until_ms;
     /* End of the domain cut that cuts the worker off. */
@@ -236,6 +244,14 @@
     return (unsigned)gsl_rng_uniform_int(sim->random, limit > 0 ? limit : 1);
 }
 
+/* Returns true for `share` of 1000 calls. Draws no number if `share` is 0, so
+ * that the seeds of the mixes without the fault keep their meaning. */
+static bool
+occurs(struct Sim *sim, unsigned share)
+{
+    return share > 0 && random_below(sim, 1000) < share;
+}
+
 /* Counts a violation, and describes it in the result if it is the first. */
 static void
 record_violation(struct Sim *sim, unsigned *count, const char *what,
@@ -729,7 +745,11 @@
         fill_run_lists(sim, worker, to);
     }
     if (random_below(sim, 1000) >= sim->options->faults.lost_responses) {
-        schedule(sim, EVENT_RESPONSE, 1 + random_below(sim, 30), exchange);
+        int64_t delay_ms = 1 + random_below(sim, 30);
+        if (occurs(sim, sim->options->faults.slow_responses)) {
+            delay_ms += random_below(sim, SLOW_RESPONSE_MS);
+        }
+        schedule(sim, EVENT_RESPONSE, delay_ms, exchange);
     }
 }
 
@@ -750,6 +770,10 @@
         respond(sim, worker, exchange, SR_COMMAND_FENCED);
         return;
     }
+    if (!late && occurs(sim, sim->options->faults.refusals)) {
+        respond(sim, worker, exchange, SR_COMMAND_NOT_EXECUTED);
+        return;
+    }
     worker->fencing_token = command->term;
     switch (command->kind) {
     case SR_COMMAND_POLL:
@@ -994,6 +1018,7 @@
     worker->alive = restarts;
     if (restarts) {
         worker->incarnation_start_ms = sim->now_ms;
+        worker->former_incarnation = worker->entry.incarnation;
         worker->entry.incarnation = 1000000 + sim->now_ms;
     }
     /* The store has the new entry after a heartbeat of the restarted worker,
@@ -1237,6 +1262,44 @@
                    cut->at_ms + CUT_TAKEOVER_MIN_MS);
 }
 
+/* Cuts the leader off from the store, but from no worker. */
+static void
+cut_store_off(struct Sim *sim)
+{
+    int64_t length_ms =
+        STORE_CUT_MIN_MS + random_below(sim, STORE_CUT_RANGE_MS);
+    int64_t takeover_ms = sim->now_ms + CUT_TAKEOVER_MIN_MS +
+                          random_below(sim, CUT_TAKEOVER_RANGE_MS);
+    cut_leader_off(sim, sim->now_ms + length_ms, takeover_ms);
+    sim->former_leader.cut_until_ms = 0;
+}
+
+/* Lets the leader read the entry of the worker's former incarnation. The
+ * current entry follows. */
+static void
+repeat_old_entry(struct Sim *sim, struct Worker *worker)
+{
+    if (!worker->alive || worker->former_incarnation == 0 ||
+        sim->leader.engine == NULL) {
+        return;
+    }
+    struct SrWorkerEntry entry = worker->entry;
+    entry.incarnation = worker->former_incarnation;
+    SrEngine_SetWorker(sim->leader.engine, entry.id, &entry, sim->now_ms);
+    worker->entry_due_ms = sim->now_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
+}
+
+static void
+lose_entry(struct Sim *sim, struct Worker *worker)
+{
+    if (!worker->alive || sim->leader.engine == NULL) {
+        return;
+    }
+    SrEngine_SetWorker(sim->leader.engine, worker->entry.id, NULL,
+                       sim->now_ms);
+    worker->entry_due_ms = sim->now_ms + 1 + random_below(sim, ENTRY_LOSS_MS);
+}
+
 static void
 cut_off_and_restart(struct Sim *sim, struct Worker *worker)
 {
@@ -1247,6 +1310,32 @@
         sim->now_ms + 1 + random_below(sim, (unsigned)length_ms);
 }
 
+/* Injects the faults for which no number is drawn if their mix does not have
+ * them, so that the seeds of the other mixes keep their meaning. */
+static void
+inject_further_faults(struct Sim *sim, struct Worker *worker)
+{
+    const struct SimFaults *faults = &sim->options->faults;
+    if (faults->domain_cuts > 0 && is_drawn(sim, faults->domain_cuts) &&
+        can_cut(sim)) {
+        cut_random_domain(sim);
+    }
+    if (faults->store_cuts > 0 && is_drawn(sim, faults->store_cuts) &&
+        can_cut(sim)) {
+        cut_store_off(sim);
+    }
+    if (faults->old_entries > 0 && is_drawn(sim, faults->old_entries)) {
+        repeat_old_entry(sim, worker);
+    }
+    if (faults->entry_losses > 0 && is_drawn(sim, faults->entry_losses)) {
+        lose_entry(sim, worker);
+    }
+    if (faults->cut_restarts > 0 && is_drawn(sim, faults->cut_restarts) &&
+        worker->alive) {
+        cut_off_and_restart(sim, worker);
+    }
+}
+
 static void
 inject_faults(struct Sim *sim)
 {
@@ -1280,16 +1369,7 @@
             SrEngine_CancelFlow(sim->leader.engine, job->id, sim->now_ms);
         }
     }
-    /* Without this fault no number is drawn, so that the seeds of the other
-     * mixes keep their meaning. */
-    if (faults->domain_cuts > 0 && is_drawn(sim, faults->domain_cuts) &&
-        can_cut(sim)) {
-        cut_random_domain(sim);
-    }
-    if (faults->cut_restarts > 0 && is_drawn(sim, faults->cut_restarts) &&
-        worker->alive) {
-        cut_off_and_restart(sim, worker);
-    }
+    inject_further_faults(sim, worker);
 }
 
 /* Makes a worker drain, and leave, at the times of the options. */
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -18,6 +18,12 @@
     /* Commands, out of 1000, that are executed 2 to 12 s after they were sent
      * and get no response. */
     unsigned late_commands;
+    /* Responses, out of 1000, that take up to 600 ms longer, so that others
+     * overtake them. */
+    unsigned slow_responses;
+    /* Commands, out of 1000, that the worker refuses without executing them.
+     */
+    unsigned refusals;
     /* Runs that fail, out of 1000. */
     unsigned failed_runs;
 
@@ -41,6 +47,14 @@
      * takes over meanwhile, which cannot reach the group, and the former one
      * lives on until shortly after the cut. */
     unsigned domain_cuts;
+    /* The leader alone is cut off from the store for 1.5 to 10 s. Another
+     * leader takes over meanwhile, and both reach all workers. */
+    unsigned store_cuts;
+    /* The entry of a worker's former incarnation is read again. */
+    unsigned old_entries;
+    /* The entry of a worker that goes on is deleted, and is back within 10 s.
+     */
+    unsigned entry_losses;
     /* A worker's capacity shrinks, to nothing at times, and grows again 3 to
      * 10 s later. */
     unsigned shrinks;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -64,6 +64,31 @@
      * sent to its former incarnation. */
     {"late commands and crashes",
      .faults = {.late_commands = 50, .crashes = 12}},
+    {"slow responses and refusals", .faults =
+                                        {
+                                            .lost_responses = 20,
+                                            .slow_responses = 200,
+                                            .refusals = 60,
+                                            .failed_runs = 30,
+                                            .partitions = 8,
+                                        }},
+    {"former leaders reach all workers", .faults =
+                                             {
+                                                 .lost_responses = 20,
+                                                 .slow_responses = 100,
+                                                 .partitions = 6,
+                                                 .store_cuts = 8,
+                                             }},
+    /* Guards against runs that an old entry ends while their worker executes
+     * them. */
+    {"old and lost entries", .faults =
+                                 {
+                                     .failed_runs = 30,
+                                     .crashes = 10,
+                                     .partitions = 2,
+                                     .old_entries = 60,
+                                     .entry_losses = 10,
+                                 }},
     /* Guards against starts on a worker whose capacity has shrunk since they
      * were allocated. */
     {"workers shrink",
