Soak: commands executed late, workers that restart under their ids

The soak had no commands that are executed seconds later by a worker's next incarnation, which is what the report of two runs of one task is about.

Each second a worker restarts at once, after 1 to 5 s or behind a cut of 4 to 12 s, with or without a link to the store.

--- a/standin/main.c
+++ b/standin/main.c
@@ -244,6 +244,24 @@
     else if (strcmp(name, "cut_workers") == 0) {
         SrUtil_Copy(faults->cut_workers, sizeof(faults->cut_workers), value);
     }
+    else if (strcmp(name, "late_percent") == 0) {
+        faults->late_percent = (unsigned)strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "lost_percent") == 0) {
+        faults->lost_percent = (unsigned)strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "late_seed") == 0) {
+        faults->late_seed = (unsigned)strtoul(value, NULL, 10);
+    }
+    else if (strcmp(name, "down_ms") == 0) {
+        faults->down_ms = strtoll(value, NULL, 10);
+    }
+    else if (strcmp(name, "isolated") == 0) {
+        SrUtil_Copy(faults->isolated, sizeof(faults->isolated), value);
+    }
+    else if (strcmp(name, "isolated_from_store") == 0) {
+        faults->isolated_from_store = strcmp(value, "0") != 0;
+    }
     else if (strcmp(name, "cut") == 0) {
         SrUtil_Copy(faults->cut, sizeof(faults->cut), value);
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -56,6 +56,21 @@
     /* Role site: workers that are cut off together with the leader, as in
      * ",w0,w3,"; empty for none. */
     char cut_workers[4 * SR_ID_SIZE];
+    /* Role site: share of the commands that get no response and are executed
+     * later, and of those that are executed at once but get no response, in
+     * percent. */
+    unsigned late_percent;
+    unsigned lost_percent;
+    /* Role site: seed of the choice of these commands; 0 leaves it as it is.
+     */
+    unsigned late_seed;
+    /* Role site: time for which the worker that restarts is down, ms. */
+    int64_t down_ms;
+    /* Role site: workers that commands do not reach, as in ",w0,w3,"; empty
+     * for none. */
+    char isolated[4 * SR_ID_SIZE];
+    /* Role site: the isolated workers do not reach the store either. */
+    bool isolated_from_store;
     /* Role forward: numbers of the links that carry no data, as in ",3,5,".
      */
     char cut[4 * SR_ID_SIZE];
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -33,6 +33,11 @@
 #define METRICS_PORT 7000
 #define METRICS_MAX (1024 * 1024)
 #define METRICS_TIMEOUT_MS 500
+/* Usual share of the commands to workers that are executed late, the larger
+ * share for a short time, and that of lost responses. */
+#define LATE_PERCENT 5
+#define MANY_LATE_PERCENT 50
+#define LOST_PERCENT 2
 
 void
 SoakSite_Fail(struct SoakSite *site, const char *what, const char *id)
@@ -316,6 +321,106 @@
     set_faults(site, SOAK_STORE, "cut_workers=");
 }
 
+static void
+set_late_percent(struct SoakSite *site, unsigned percent)
+{
+    char faults[32];
+    snprintf(faults, sizeof(faults), "late_percent=%u", percent);
+    set_faults(site, SOAK_STORE, faults);
+}
+
+void
+SoakSite_EndLateCommands(struct SoakSite *site)
+{
+    site->many_late_end_ms = 0;
+    site->isolation_end_ms = 0;
+    site->isolated_restart_ms = 0;
+    set_faults(site, SOAK_STORE, "late_percent=0 lost_percent=0 isolated=");
+}
+
+/* Returns a random number of ms from `from_ms` to `to_ms` - 1. */
+static int64_t
+late_random_ms(struct SoakSite *site, int64_t from_ms, int64_t to_ms)
+{
+    return from_ms + (int64_t)gsl_rng_uniform_int(
+                         site->late_random, (unsigned long)(to_ms - from_ms));
+}
+
+/* Isolates the worker, from the store too or not, and lets it restart
+ * meanwhile. */
+static void
+isolate_worker(struct SoakSite *site, unsigned worker)
+{
+    char faults[64];
+    int64_t now_ms = SrOs_MonotonicMs();
+    int64_t length_ms = late_random_ms(site, 4000, 12000);
+    if (site->isolation_end_ms != 0) {
+        return;
+    }
+    site->isolated_worker = worker;
+    site->isolation_end_ms = now_ms + length_ms;
+    site->isolated_restart_ms = now_ms + late_random_ms(site, 0, length_ms);
+    snprintf(faults, sizeof(faults), "isolated=,w%u, isolated_from_store=%d",
+             worker, (int)late_random_ms(site, 0, 2));
+    set_faults(site, SOAK_STORE, faults);
+}
+
+void
+SoakSite_DisturbWorkers(struct SoakSite *site)
+{
+    char faults[64];
+    unsigned worker =
+        (unsigned)gsl_rng_uniform_int(site->late_random, WORKER_COUNT);
+    if (!site->late_commands) {
+        site->late_commands = true;
+        snprintf(faults, sizeof(faults),
+                 "late_seed=%u late_percent=%d lost_percent=%d", site->seed,
+                 LATE_PERCENT, LOST_PERCENT);
+        set_faults(site, SOAK_STORE, faults);
+    }
+    switch (gsl_rng_uniform_int(site->late_random, 4)) {
+    case 0:
+        snprintf(faults, sizeof(faults), "crash=w%u", worker);
+        set_faults(site, SOAK_STORE, faults);
+        break;
+    case 1:
+        snprintf(faults, sizeof(faults), "crash=w%u down_ms=%d", worker,
+                 (int)late_random_ms(site, 1000, 5000));
+        set_faults(site, SOAK_STORE, faults);
+        break;
+    case 2:
+        isolate_worker(site, worker);
+        break;
+    default:
+        site->many_late_end_ms =
+            SrOs_MonotonicMs() + late_random_ms(site, 1000, 4000);
+        set_late_percent(site, MANY_LATE_PERCENT);
+        break;
+    }
+}
+
+/* Ends the faults of SoakSite_DisturbWorkers whose time is over, and restarts
+ * an isolated worker that is due. */
+static void
+end_worker_faults(struct SoakSite *site, int64_t now_ms)
+{
+    if (site->many_late_end_ms != 0 && now_ms >= site->many_late_end_ms) {
+        site->many_late_end_ms = 0;
+        set_late_percent(site, LATE_PERCENT);
+    }
+    if (site->isolated_restart_ms != 0 &&
+        now_ms >= site->isolated_restart_ms) {
+        char faults[32];
+        site->isolated_restart_ms = 0;
+        snprintf(faults, sizeof(faults), "crash=w%u", site->isolated_worker);
+        set_faults(site, SOAK_STORE, faults);
+    }
+    if (site->isolation_end_ms != 0 && now_ms >= site->isolation_end_ms) {
+        site->isolation_end_ms = 0;
+        set_faults(site, SOAK_STORE, "isolated=");
+    }
+}
+
 /* Ends the faults whose time is over and restarts the nodes that are due. */
 static void
 end_faults(struct SoakSite *site, int64_t now_ms)
@@ -401,6 +506,7 @@
     check_ended_nodes(site);
     end_faults(site, now_ms);
     end_domain_cut(site, now_ms);
+    end_worker_faults(site, now_ms);
 }
 
 void
@@ -413,6 +519,8 @@
     gsl_rng_set(site->random, seed);
     site->cut_random = gsl_rng_alloc(gsl_rng_mt19937);
     gsl_rng_set(site->cut_random, seed);
+    site->late_random = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(site->late_random, seed);
     site->kernel = SrKernel_Create(NULL);
     site->http = SrHttpClient_Create(&(struct SrHttpClientOptions){
         .loop = site->kernel->loop,
@@ -494,4 +602,5 @@
     SrKernel_Destroy(site->kernel);
     gsl_rng_free(site->random);
     gsl_rng_free(site->cut_random);
+    gsl_rng_free(site->late_random);
 }
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -75,6 +75,8 @@
     /* For domain cuts, so that they do not change the other faults of the
      * seed. */
     gsl_rng *cut_random;
+    /* The same for late commands and the restarts of workers beside them. */
+    gsl_rng *late_random;
     struct SrKernel *kernel;
     struct SrHttpClient *http;
     /* Directory of the settings files and logs. */
@@ -96,6 +98,14 @@
     int64_t worker_fault_end_ms;
     /* The same for a domain cut. */
     int64_t domain_cut_end_ms;
+    /* Some commands are executed late. End of the time in which many commands
+     * are executed late, and of the isolation of a worker; when the worker
+     * restarts in it. 0 if there is none. */
+    bool late_commands;
+    int64_t many_late_end_ms;
+    int64_t isolation_end_ms;
+    int64_t isolated_restart_ms;
+    unsigned isolated_worker;
     /* Description of the first failure; empty if there is none. */
     char failure[256];
 };
@@ -117,6 +127,15 @@
  * node reports that it leads. */
 void SoakSite_CutDomain(struct SoakSite *site);
 
+/* Restarts a worker at once, after 1 to 5 s or while commands do not reach it
+ * (for 4 to 12 s), or lets half of the commands be executed late for some
+ * time. From the first call on, a share of the commands to the workers is
+ * executed late, and the responses to others are lost. */
+void SoakSite_DisturbWorkers(struct SoakSite *site);
+
+/* Ends the late commands, the lost responses and the isolation of a worker. */
+void SoakSite_EndLateCommands(struct SoakSite *site);
+
 /* Ends faults that have lasted long enough, starts nodes that are down and
  * checks the exit status of nodes that ended. */
 void SoakSite_Tick(struct SoakSite *site, int64_t now_ms);
