A restart that a start or a stop shows is noticed at once

Callers could see a task run again that was done. A worker restarted under its id and executed the second copy of a start; its response named the new incarnation, but only the responses to polls were looked at for that. The next poll acknowledged results of the former incarnation. Each incarnation numbers its results from 1, so the worker deleted the result of that start, which no leader had read; the run was taken for lost and started again.

With acks sent once only, as before, the poll in question is the first one that carries them.

The responses to starts and stops are now handled like those to polls: a new incarnation in them is a restart. A start that it acknowledged counts as executed by it. A response that names the current incarnation is about that one, whenever its command was sent.

Test results_are_not_acknowledged_to_an_incarnation_that_did_not_list_them failed before: 1 acknowledged, not 0.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -516,16 +516,45 @@
     }
 }
 
-/* Returns true if the command was sent before the leader learned of the
- * worker's current incarnation. Its response then says nothing about that one,
- * which may execute other copies of a start. */
+/* Returns true if the response says nothing about the worker's current
+ * incarnation, which may execute other copies of a start: it names another
+ * one or, without a name, its command was sent before the leader learned of
+ * the current one. */
 static bool
-is_to_former_incarnation(const struct SrWorker *worker,
-                         const struct SrCommand *command)
+is_of_former_incarnation(const struct SrWorker *worker,
+                         const struct SrCommand *command,
+                         const struct SrCommandResponse *response)
 {
+    if (response->incarnation != 0 && worker->info.incarnation != 0) {
+        return response->incarnation != worker->info.incarnation;
+    }
     return command->sent_ms <= worker->incarnation_seen_ms;
 }
 
+/* Handles a restart of the worker that the response to a start or stop command
+ * shows before any poll does. A start that the new incarnation acknowledged
+ * has been executed there. */
+static void
+notice_restart(struct SrEngine *engine, struct SrWorker *worker,
+               const struct SrCommand *command,
+               const struct SrCommandResponse *response, int64_t now_ms)
+{
+    if (response->incarnation == 0 || worker->info.incarnation == 0 ||
+        response->incarnation == worker->info.incarnation ||
+        command->sent_ms < worker->incarnation_seen_ms) {
+        return;
+    }
+    if (command->kind == SR_COMMAND_START &&
+        response->result == SR_COMMAND_DONE) {
+        struct SrRun *run = find_run(engine, worker, command->u.start.task,
+                                     command->u.start.run);
+        if (run != NULL && run->state == SR_RUNSTATE_STARTING) {
+            run->incarnation = response->incarnation;
+        }
+    }
+    SrEngine_OnNewIncarnation(engine, worker, response->incarnation, now_ms);
+}
+
 static void
 on_start_response(struct SrEngine *engine, struct SrWorker *worker,
                   const struct SrCommand *command,
@@ -542,7 +571,7 @@
     }
     run->start_in_flight = false;
     if (run->state != SR_RUNSTATE_STARTING ||
-        is_to_former_incarnation(worker, command)) {
+        is_of_former_incarnation(worker, command, response)) {
         return;
     }
     switch (response->result) {
@@ -612,9 +641,10 @@
 {
     struct SrRun *run =
         find_run(engine, worker, command->u.stop.task, command->u.stop.run);
-    enum SrCommandResult result = is_to_former_incarnation(worker, command)
-                                      ? SR_COMMAND_NO_RESPONSE
-                                      : response->result;
+    enum SrCommandResult result =
+        is_of_former_incarnation(worker, command, response)
+            ? SR_COMMAND_NO_RESPONSE
+            : response->result;
     if (result == SR_COMMAND_DONE) {
         struct SrUnackedStart *start = SrFleet_FindUnackedStart(
             worker, command->u.stop.task, command->u.stop.run);
@@ -660,9 +690,11 @@
         on_poll_response(engine, worker, command, response, now_ms);
         break;
     case SR_COMMAND_START:
+        notice_restart(engine, worker, command, response, now_ms);
         on_start_response(engine, worker, command, response, now_ms);
         break;
     case SR_COMMAND_STOP:
+        notice_restart(engine, worker, command, response, now_ms);
         on_stop_response(engine, worker, command, response, now_ms);
         break;
     case SR_COMMAND_ADVISE:
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -924,6 +924,68 @@
     resign(&leader);
 }
 
+/* How the leader may learn of the worker's restart before any poll shows it.
+ */
+enum RestartSign {
+    SIGN_START_RESPONSE,
+    SIGN_STOP_RESPONSE,
+};
+
+static const enum RestartSign restart_signs[] = {SIGN_START_RESPONSE,
+                                                 SIGN_STOP_RESPONSE};
+
+/* Responds to the command as the worker's next incarnation. */
+static void
+respond_restarted(struct DrivenLeader *leader, enum SrCommandKind kind)
+{
+    struct SrCommand command = take_command(leader, kind);
+    leader->entry.incarnation = 2;
+    SrEngine_OnResponse(leader->engine, &command,
+                        &(struct SrCommandResponse){.result = SR_COMMAND_DONE,
+                                                    .incarnation = 2,
+                                                    .clock_ms = 1},
+                        leader->now_ms);
+}
+
+/* Guards against a task that is started again after it is done: the response
+ * to a start came from the worker's next incarnation, but the next poll
+ * acknowledged results of the former one, and so deleted the result of that
+ * start unread. */
+static void
+results_are_not_acknowledged_to_an_incarnation_that_did_not_list_them(
+    void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(restart_signs); i++) {
+        struct DrivenLeader leader;
+        lead(&leader);
+        list_runs(&leader, NULL);
+        submit(&leader, 1, 1, 1);
+        respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+        submit(&leader, 2, 1, 1);
+        struct SrCommand start = take_command(&leader, SR_COMMAND_START);
+        leader.pending[leader.pending_count++] = start;
+        report_first_end(&leader, FIRST_TASK);
+        leader.now_ms += DRIVEN_STEP_MS;
+        switch (restart_signs[i]) {
+        case SIGN_START_RESPONSE:
+            respond_restarted(&leader, SR_COMMAND_START);
+            break;
+        case SIGN_STOP_RESPONSE:
+            SrEngine_CancelFlow(leader.engine, "0000000000000002",
+                                leader.now_ms);
+            respond_restarted(&leader, SR_COMMAND_STOP);
+            break;
+        }
+        for (unsigned polls = 0; polls < 3; polls++) {
+            struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+            assert_int_equal(poll.u.poll.acked_through, 0);
+            respond_to(&leader, &poll, "0000000000000002.0.0.0");
+        }
+        resign(&leader);
+    }
+}
+
 /* Guards against a task that is started again after it is done: the leader
  * ignored the result of a run that it had taken for lost. */
 static void
@@ -1007,6 +1069,8 @@
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
+        cmocka_unit_test(
+            results_are_not_acknowledged_to_an_incarnation_that_did_not_list_them),
         cmocka_unit_test(results_of_lost_runs_count),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
