The poll that is to confirm a restart acknowledges no results

An entry that names another incarnation of a worker that responds leads to a poll at once. That poll could acknowledge results of the former incarnation, and so delete results that the new one had not listed yet: their tasks would run again although they were done.

Test results_are_not_acknowledged_while_a_restart_is_reported failed before: 1 acknowledged, not 0.

--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -61,12 +61,13 @@
  * if there is nothing new to acknowledge. Each incarnation of the worker
  * numbers its terminated runs from 1, and a poll may reach a new incarnation
  * that the leader does not know of. Each number is therefore acknowledged only
- * once, and not by a poll that follows one without a response, so that the new
- * incarnation does not delete results that no leader has read. */
+ * once, and neither by a poll that follows one without a response nor by one
+ * that is to confirm a restart, so that the new incarnation does not delete
+ * results that no leader has read. */
 static uint64_t
 results_to_ack(const struct SrWorker *worker)
 {
-    return worker->failed_polls == 0 &&
+    return worker->failed_polls == 0 && worker->restart_reported_ms == 0 &&
                    worker->results_written > worker->results_acked
                ? worker->results_written
                : 0;
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -986,6 +986,33 @@
     }
 }
 
+/* Guards against the same where the worker's entry shows the restart, and the
+ * poll that is to confirm it acknowledged results. */
+static void
+results_are_not_acknowledged_while_a_restart_is_reported(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    submit(&leader, 2, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    submit(&leader, 3, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    struct SrCommand long_poll = take_command(&leader, SR_COMMAND_POLL);
+    assert_true(long_poll.u.poll.wait_ms > 0);
+    SrEngine_CancelFlow(leader.engine, "0000000000000002", leader.now_ms);
+    respond(&leader, SR_COMMAND_STOP, SR_COMMAND_DONE);
+    report_first_end(&leader, FIRST_TASK);
+    pass_time(&leader, 100, true);
+    restart_worker(&leader);
+    struct SrCommand poll = take_command(&leader, SR_COMMAND_POLL);
+    assert_int_equal(poll.u.poll.acked_through, 0);
+    resign(&leader);
+}
+
 /* Guards against a task that is started again after it is done: the leader
  * ignored the result of a run that it had taken for lost. */
 static void
@@ -1071,6 +1098,8 @@
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(
             results_are_not_acknowledged_to_an_incarnation_that_did_not_list_them),
+        cmocka_unit_test(
+            results_are_not_acknowledged_while_a_restart_is_reported),
         cmocka_unit_test(results_of_lost_runs_count),
         cmocka_unit_test(shrunk_workers_get_only_what_fits),
         cmocka_unit_test(runs_beyond_the_capacity_leave_no_room),
