A start that is acknowledged after its run keeps its task until a list

Callers could see a task run twice at the same time. A run was over on one incarnation of its worker, by an acknowledged stop, while a start of it was in flight. The next incarnation executed that start and acknowledged it. The response was taken to mean that the start could do no more, and the task was started on another worker before the first list of the new incarnation.

Only a refusal means that. After an acknowledged start the task now waits for the next complete list, which shows whether the run is at work; it is asked for at once.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -490,16 +490,27 @@
     }
 }
 
-/* The command has been executed, or refused, and so can't be executed late. */
+/* Handles the response to a start that was in flight when its run was over:
+ * the command can't be executed late. If it was executed, maybe by an
+ * incarnation that the leader does not know, the next list shows whether the
+ * run is at work. */
 static void
 forget_start_in_flight(struct SrEngine *engine, const struct SrWorker *worker,
-                       const struct SrCommand *command)
+                       const struct SrCommand *command,
+                       const struct SrCommandResponse *response,
+                       int64_t now_ms)
 {
     struct SrUnackedStart *start = SrFleet_FindUnackedStart(
         worker, command->u.start.task, command->u.start.run);
-    if (start != NULL && start->in_flight) {
-        SrEngine_RemoveUnackedStart(engine, start);
+    if (start == NULL || !start->in_flight) {
+        return;
+    }
+    if (response->result == SR_COMMAND_DONE) {
+        start->in_flight = false;
+        start->until_ms = now_ms;
+        return;
     }
+    SrEngine_RemoveUnackedStart(engine, start);
 }
 
 static void
@@ -566,7 +577,7 @@
         remember_unacked_start(engine, worker, run, command, now_ms);
     }
     if (run == NULL) {
-        forget_start_in_flight(engine, worker, command);
+        forget_start_in_flight(engine, worker, command, response, now_ms);
         return;
     }
     run->start_in_flight = false;
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -1074,6 +1074,36 @@
     resign(&leader);
 }
 
+/* Guards against a task that runs twice: its run was over on the former
+ * incarnation of its worker while a start of it was in flight, which the next
+ * incarnation then executed and acknowledged. The task was started on another
+ * worker at once. */
+static void
+start_in_flight_that_is_executed_after_its_run_keeps_its_task(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    struct SrCommand start = take_command(&leader, SR_COMMAND_START);
+    add_worker(&leader, "other", DRIVEN_ACCELERATORS);
+    leader.entry.accelerators = 0;
+    restart_worker(&leader);
+    assert_int_equal(serve(&leader, 600, true, "other"), 0);
+    assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running, 0);
+    leader.entry.incarnation++;
+    SrEngine_OnResponse(
+        leader.engine, &start,
+        &(struct SrCommandResponse){.result = SR_COMMAND_DONE,
+                                    .incarnation = leader.entry.incarnation,
+                                    .clock_ms = 1},
+        leader.now_ms);
+    pass_time(&leader, 300, true);
+    assert_int_equal(leader.sent[SR_COMMAND_START], 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -1094,6 +1124,8 @@
         cmocka_unit_test(
             incomplete_lists_do_not_end_the_wait_for_a_late_start),
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
+        cmocka_unit_test(
+            start_in_flight_that_is_executed_after_its_run_keeps_its_task),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(
