Malformed responses and those of other workers show no restart

Callers could see a task run twice. Responses to starts and stops that name another incarnation count as a restart, which ends the worker's runs. That held for malformed ones too, which otherwise count as none, and for refusals by another worker at the same address, which may name its own incarnation.

The incarnation in these is now ignored.

Test responses_of_others_show_no_restart failed before: 1 run left, not 2.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -527,6 +527,18 @@
     }
 }
 
+/* Returns the incarnation of the worker that responded; 0 if it is unknown. A
+ * malformed response counts as none, and the server that refuses a command for
+ * another incarnation may be another worker at the same address. */
+static int64_t
+incarnation_of(const struct SrCommandResponse *response)
+{
+    return response->result == SR_COMMAND_NO_RESPONSE ||
+                   response->result == SR_COMMAND_OTHER_INCARNATION
+               ? 0
+               : response->incarnation;
+}
+
 /* Returns true if the response says nothing about the worker's current
  * incarnation, which may execute other copies of a start: it names another
  * one or, without a name, its command was sent before the leader learned of
@@ -536,8 +548,9 @@
                          const struct SrCommand *command,
                          const struct SrCommandResponse *response)
 {
-    if (response->incarnation != 0 && worker->info.incarnation != 0) {
-        return response->incarnation != worker->info.incarnation;
+    int64_t incarnation = incarnation_of(response);
+    if (incarnation != 0 && worker->info.incarnation != 0) {
+        return incarnation != worker->info.incarnation;
     }
     return command->sent_ms <= worker->incarnation_seen_ms;
 }
@@ -550,8 +563,9 @@
                const struct SrCommand *command,
                const struct SrCommandResponse *response, int64_t now_ms)
 {
-    if (response->incarnation == 0 || worker->info.incarnation == 0 ||
-        response->incarnation == worker->info.incarnation ||
+    int64_t incarnation = incarnation_of(response);
+    if (incarnation == 0 || worker->info.incarnation == 0 ||
+        incarnation == worker->info.incarnation ||
         command->sent_ms < worker->incarnation_seen_ms) {
         return;
     }
@@ -560,10 +574,10 @@
         struct SrRun *run = find_run(engine, worker, command->u.start.task,
                                      command->u.start.run);
         if (run != NULL && run->state == SR_RUNSTATE_STARTING) {
-            run->incarnation = response->incarnation;
+            run->incarnation = incarnation;
         }
     }
-    SrEngine_OnNewIncarnation(engine, worker, response->incarnation, now_ms);
+    SrEngine_OnNewIncarnation(engine, worker, incarnation, now_ms);
 }
 
 static void
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -1104,6 +1104,42 @@
     resign(&leader);
 }
 
+/* Responses to a stop that name an incarnation and show no restart. */
+static const enum SrCommandResult results_without_restart[] = {
+    SR_COMMAND_NO_RESPONSE,
+    SR_COMMAND_OTHER_INCARNATION,
+};
+
+/* Guards against runs that are ended while their worker executes them: the
+ * incarnation in a response that is malformed, or is that of another worker at
+ * the address, was taken for the worker's next one. */
+static void
+responses_of_others_show_no_restart(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(results_without_restart); i++) {
+        struct DrivenLeader leader;
+        lead(&leader);
+        list_runs(&leader, NULL);
+        submit(&leader, 1, 1, 1);
+        respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+        report_progress(&leader, 1);
+        submit(&leader, 2, 1, 1);
+        respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+        SrEngine_CancelFlow(leader.engine, "0000000000000002", leader.now_ms);
+        struct SrCommand stop = take_command(&leader, SR_COMMAND_STOP);
+        SrEngine_OnResponse(
+            leader.engine, &stop,
+            &(struct SrCommandResponse){.result = results_without_restart[i],
+                                        .incarnation = 7,
+                                        .clock_ms = -1},
+            leader.now_ms);
+        assert_int_equal(SrEngine_Stats(leader.engine, leader.now_ms).running,
+                         2);
+        resign(&leader);
+    }
+}
+
 int
 main(void)
 {
@@ -1126,6 +1162,7 @@
         cmocka_unit_test(tasks_wait_while_a_start_is_in_flight),
         cmocka_unit_test(
             start_in_flight_that_is_executed_after_its_run_keeps_its_task),
+        cmocka_unit_test(responses_of_others_show_no_restart),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(
