The failure of a run whose start was executed late counts

Callers could see a task started more often than its job allows. A start was executed late by the next incarnation of its worker, and the run failed before it was stopped. The leader acknowledged that result and only logged it, so the task got one more attempt.

The failure of a run with an unacknowledged start is now counted, once. The results of other unknown runs are not: a leader that lists them again could count them twice.

Test failures_of_late_starts_count failed before: 0 failures, not 1.

--- a/src/engine.c
+++ b/src/engine.c
@@ -635,6 +635,17 @@
     complete_if_done(engine, task->flow, now_ms);
 }
 
+void
+SrEngine_OnLateFailure(struct SrEngine *engine, struct SrFlowTask *task,
+                       struct SrWorker *worker, uint32_t run, int64_t now_ms)
+{
+    if (task->done || SrFlow_HasEnded(task->flow) || task->failed_run == run) {
+        return;
+    }
+    record_failure(engine, task, worker, run, now_ms);
+    SrEngine_MarkDirty(engine, task->flow);
+}
+
 void
 SrEngine_StopRun(struct SrEngine *engine, struct SrRun *run,
                  const char *reason, int64_t now_ms)
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -270,6 +270,11 @@
         if (task != NULL && report->outcome == SR_RUN_DONE) {
             SrEngine_OnLateResult(engine, task, now_ms);
         }
+        else if (task != NULL && report->outcome == SR_RUN_FAILED &&
+                 SrFleet_FindUnackedStart(worker, report->task, report->run) !=
+                     NULL) {
+            SrEngine_OnLateFailure(engine, task, worker, report->run, now_ms);
+        }
         return;
     }
     SrEngine_EndRun(engine, run, report->outcome, report->checkpoint, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -105,6 +105,12 @@
 void SrEngine_OnLateResult(struct SrEngine *engine, struct SrFlowTask *task,
                            int64_t now_ms);
 
+/* Counts the failure of a run that the leader took for over and whose start
+ * was executed late, unless it is counted already. */
+void SrEngine_OnLateFailure(struct SrEngine *engine, struct SrFlowTask *task,
+                            struct SrWorker *worker, uint32_t run,
+                            int64_t now_ms);
+
 /* Handles a restart of the worker: ends the runs of its earlier incarnations,
  * except those that the new incarnation may execute. */
 void SrEngine_OnNewIncarnation(struct SrEngine *engine,
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 
 #include "codec.h"
-#include "engine.h"
+#include "engine_state.h"
 #include "log.h"
 
 /* Accelerators of the worker of struct DrivenLeader. */
@@ -1140,6 +1140,35 @@
     }
 }
 
+/* Guards against a start beyond the job's attempts: a start was executed late,
+ * and the leader ignored that its run failed. */
+static void
+failures_of_late_starts_count(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    end_run_early(&leader, &late_starts[0]);
+    assert_int_equal(serve(&leader, 5000, true, "other"), 0);
+    struct SrTerminatedReport failed = {
+        .number = 1, .task = FIRST_TASK, .run = 1, .outcome = SR_RUN_FAILED};
+    struct SrCommand poll = take_poll_of(&leader, "w");
+    for (unsigned lists = 0; lists < 2; lists++) {
+        SrEngine_OnResponse(leader.engine, &poll,
+                            &(struct SrCommandResponse){
+                                .result = SR_COMMAND_DONE,
+                                .clock_ms = leader.now_ms,
+                                .incarnation = leader.entry.incarnation,
+                                .terminated = &failed,
+                                .terminated_count = 1},
+                            leader.now_ms);
+    }
+    const struct SrFlow *flow =
+        SrEngine_FindFlow(leader.engine, "0000000000000001");
+    assert_int_equal(flow->tasks[0].failures, 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -1163,6 +1192,7 @@
         cmocka_unit_test(
             start_in_flight_that_is_executed_after_its_run_keeps_its_task),
         cmocka_unit_test(responses_of_others_show_no_restart),
+        cmocka_unit_test(failures_of_late_starts_count),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(
