A lasting task is started again beside its late start where it failed

Callers could see a task that lasts with nothing running for up to 12 s on idle workers. One of its starts got no response and was sent again, so the task may be started only on the same worker for 13 s. Its run failed, and a task isn't started there after a failure, to save its attempts. Tasks that last have no limit of attempts, but must be restarted within seconds.

They are now started on that worker even so. Other single tasks and gangs wait as before.

Test lasting_task_is_started_again_where_it_failed failed before: no start within 2 s.

--- a/src/plan.c
+++ b/src/plan.c
@@ -312,9 +312,11 @@
                         struct SrFlowTask *task)
 {
     struct SrWorker *worker = task->late_start_worker;
-    if (worker == NULL ||
-        (task->failures > 0 &&
-         strcmp(task->failed_on, worker->info.id) == 0) ||
+    /* A task that lasts has no limit of failures, but must not stay away. */
+    bool failed_there = worker != NULL && !unit->step->continuous &&
+                        task->failures > 0 &&
+                        strcmp(task->failed_on, worker->info.id) == 0;
+    if (worker == NULL || failed_there ||
         SrPlan_TasksThatFitOn(worker, unit, SR_AVAILABLE_NOW) == 0) {
         log_wait(pass, unit, "late-start");
         return;
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -27,6 +27,8 @@
     unsigned sent[SR_COMMAND_ADVISE + 1];
     /* The worker's lists may lack terminated runs. */
     bool lists_are_incomplete;
+    /* The tasks of submitted jobs last until they are cancelled. */
+    bool tasks_last;
 };
 
 static void
@@ -119,6 +121,7 @@
     step.count = count;
     step.accelerators = accelerators;
     step.gang = count > 1;
+    step.continuous = leader->tasks_last;
     step.cpu_millis = 1000;
     step.memory_mb = 1000;
     step.estimated_ms = 1000;
@@ -1169,6 +1172,38 @@
     resign(&leader);
 }
 
+/* Guards against a task that lasts and has nothing running for 12 s: one of
+ * its starts got no response and was sent again, its run failed, and the task
+ * was kept from the worker where it failed as well as from all others. */
+static void
+lasting_task_is_started_again_where_it_failed(void **state)
+{
+    (void)state;
+    struct DrivenLeader leader;
+    lead(&leader);
+    leader.tasks_last = true;
+    list_runs(&leader, NULL);
+    submit(&leader, 1, 1, 1);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+    respond(&leader, SR_COMMAND_START, SR_COMMAND_DONE);
+    list_runs(&leader, FIRST_TASK);
+    add_worker(&leader, "other", DRIVEN_ACCELERATORS);
+    struct SrTerminatedReport failed = {
+        .number = 1, .task = FIRST_TASK, .run = 1, .outcome = SR_RUN_FAILED};
+    struct SrCommand poll = take_poll_of(&leader, "w");
+    SrEngine_OnResponse(leader.engine, &poll,
+                        &(struct SrCommandResponse){
+                            .result = SR_COMMAND_DONE,
+                            .clock_ms = leader.now_ms,
+                            .incarnation = leader.entry.incarnation,
+                            .terminated = &failed,
+                            .terminated_count = 1,
+                        },
+                        leader.now_ms);
+    assert_int_equal(serve(&leader, 2000, true, "w"), 1);
+    resign(&leader);
+}
+
 int
 main(void)
 {
@@ -1193,6 +1228,7 @@
             start_in_flight_that_is_executed_after_its_run_keeps_its_task),
         cmocka_unit_test(responses_of_others_show_no_restart),
         cmocka_unit_test(failures_of_late_starts_count),
+        cmocka_unit_test(lasting_task_is_started_again_where_it_failed),
         cmocka_unit_test(
             results_are_not_acknowledged_by_the_poll_after_a_failed_one),
         cmocka_unit_test(
