A new leader awaits late starts on workers that it has not reached

Callers could see a task run twice at the same time. A start of the former leader got no response. Its worker was out of the new leader's reach and restarted, and executed the start late, with a lease of its own on its new clock. The new leader does not know of that start; it counted the run as over 12.5 s after its election and started the task elsewhere.

A run of a former leader on a worker that has not responded to the new one now counts as having a start without a response when it is given up: one that may be executed until 19 s after the election (6 s of grants without the store, 13 s of delay), and then has a lease. If the worker's entry is gone it is not waited for, as before. Workers that are reached refuse the former leader's starts, so nothing changes for them.

The price: a task, or gang, of a worker that has an entry but can't be reached is started elsewhere after 25 s instead of 12.5 s.

Test late_start_of_former_leader_is_awaited failed before: 1 start within 24.5 s.

--- a/src/engine.c
+++ b/src/engine.c
@@ -242,6 +242,7 @@
         struct SrRun *run = SrFleet_Allocate(
             &engine->fleet, worker, &flow->tasks[i], stored->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
+        run->inherited = true;
         worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
         inherit_lease_grant(engine, worker, stored);
@@ -567,6 +568,26 @@
     }
 }
 
+/* Records a start of the run as unacknowledged if a former leader may have
+ * sent one and the worker has not responded to this leader: the worker may
+ * restart and execute it, since it does not know this leader's fencing token.
+ */
+static void
+remember_inherited_start(struct SrEngine *engine, const struct SrRun *run,
+                         enum SrRunOutcome outcome, int64_t now_ms)
+{
+    int64_t until_ms = engine->created_ms + SR_ENGINE_UNCONFIRMED_GRANT_MS +
+                       SR_UNACKED_START_MS;
+    char task[SR_TASK_NAME_SIZE];
+    if (!run->inherited || run->worker->response_ms != 0 ||
+        outcome != SR_RUN_LAPSED || now_ms > until_ms) {
+        return;
+    }
+    SrFlow_TaskName(run->task, task);
+    SrEngine_AddUnackedStart(engine, run->worker, task, run->number, now_ms,
+                             until_ms);
+}
+
 void
 SrEngine_EndRun(struct SrEngine *engine, struct SrRun *run,
                 enum SrRunOutcome outcome, const char *checkpoint,
@@ -591,6 +612,7 @@
                      now_ms - run->allocated_ms);
     SrFleet_UpdateSpeed(&engine->fleet, run);
     remember_start_in_flight(engine, run, now_ms);
+    remember_inherited_start(engine, run, outcome, now_ms);
     SrFleet_Release(run);
     SrFlow_SetCheckpoint(task, checkpoint);
     if (outcome == SR_RUN_DONE && !step->continuous) {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -57,6 +57,8 @@
      * poll lists the run although the stop must have taken effect. */
     bool stop_acked;
     bool start_in_flight;
+    /* A former leader allocated the run. */
+    bool inherited;
     /* When the latest start command was sent. */
     int64_t start_sent_ms;
     bool stop_in_flight;
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -295,6 +295,17 @@
         &(struct FaultMix){.name = "late commands and crashes, seed 481",
                            .faults = {.late_commands = 50, .crashes = 12}},
         481);
+    /* Starts of a former leader that a worker executes which the new leader
+     * has not reached. */
+    static const uint64_t takeover_seeds[] = {5, 12, 44, 49};
+    for (size_t i = 0; i < SR_LENGTH(takeover_seeds); i++) {
+        check_once_at_a_time(
+            &(struct FaultMix){.name = "restarts behind a cut, takeovers",
+                               .faults = {.late_commands = 50,
+                                          .cut_restarts = 24,
+                                          .takeovers = 6}},
+            takeover_seeds[i]);
+    }
 }
 
 /* A leader, and the workers that execute its runs, are cut off. */
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -471,11 +471,65 @@
     destroy_world(&world);
 }
 
+/* A run that a former leader left on a worker that is out of reach. */
+struct InheritedCase {
+    const char *name;
+    bool gang;
+    /* The worker's entry is gone as well. */
+    bool gone;
+    /* Time within which nothing must be started elsewhere, and within which
+     * the task must be. */
+    int64_t held_ms;
+    int64_t started_ms;
+};
+
+static const struct InheritedCase inherited_cases[] = {
+    {"a task", false, false, 24500, 26500},
+    {"a gang", true, false, 24500, 26500},
+    {"the worker is gone", false, true, 11500, 14000},
+};
+
+/* Guards against a task that runs twice: a start of a former leader got no
+ * response, its worker was out of the new leader's reach and restarted, and
+ * executed the start after the new leader had started the task elsewhere. */
+static void
+late_start_of_former_leader_is_awaited(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(inherited_cases); i++) {
+        const struct InheritedCase *c = &inherited_cases[i];
+        struct World world;
+        print_message("%s\n", c->name);
+        create_world(&world, 2);
+        Sr__FlowTask task = SR__FLOW_TASK__INIT;
+        Sr__FlowTask *tasks[] = {&task};
+        Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+        task.run = 1;
+        task.worker = (char *)"w0";
+        task.born = 1;
+        progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
+        progress.begun = true;
+        progress.tasks = tasks;
+        progress.n_tasks = 1;
+        add_job(&world, 1, c->gang, &progress);
+        world.silent[0] = true;
+        if (c->gone) {
+            SrEngine_SetWorker(world.engine, "w0", NULL, world.now_ms);
+        }
+        tick_for(&world, c->held_ms);
+        assert_int_equal(world.starts, 0);
+        tick_for(&world, c->started_ms - c->held_ms);
+        assert_true(world.starts > 0);
+        destroy_world(&world);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(entry_of_former_incarnation_ends_no_run),
+        cmocka_unit_test(late_start_of_former_leader_is_awaited),
         cmocka_unit_test(late_stop_response_of_former_incarnation_ends_no_run),
         cmocka_unit_test(
             late_start_response_of_former_incarnation_ends_no_run),
