The wait for a late start outlasts its leader

Callers could see a task run twice at the same time. The run of a task ended while a start of it could still be executed late, so the task waited. Then another node took over. The progress row had no word of the wait, so the new leader started the task on another worker at once, and the former one restarted and executed the old start before the new leader's first poll.

The row now names the worker. A new leader waits as the former one did, until 19 s after its election (6 s of grants without the store, 13 s of delay). If a task waits for several workers, none is stored.

Tests wait_for_a_late_start_outlasts_its_leader (1 start, not 0) and wait_for_a_late_start_is_stored ("" instead of "w0") failed before.

--- a/src/engine.c
+++ b/src/engine.c
@@ -227,6 +227,36 @@
     }
 }
 
+/* Returns until when a start that a former leader sent may be executed: it may
+ * send some for as long as it grants leases. */
+static int64_t
+former_starts_until_ms(const struct SrEngine *engine)
+{
+    return engine->created_ms + SR_ENGINE_UNCONFIRMED_GRANT_MS +
+           SR_UNACKED_START_MS;
+}
+
+/* Records the start that a former leader sent without a response. */
+static void
+inherit_late_start(struct SrEngine *engine, const struct SrFlowTask *task,
+                   const Sr__FlowTask *stored, int64_t now_ms)
+{
+    char name[SR_TASK_NAME_SIZE];
+    if (stored->done || stored->late_start_worker[0] == '\0') {
+        return;
+    }
+    struct SrWorker *worker =
+        SrFleet_FindOrAdd(&engine->fleet, stored->late_start_worker);
+    int64_t granted_ms = engine->created_ms + SR_ENGINE_UNCONFIRMED_GRANT_MS;
+    if (granted_ms > worker->granted_ms) {
+        worker->granted_ms = granted_ms;
+        worker->grant_inherited = true;
+    }
+    SrFlow_TaskName(task, name);
+    SrEngine_AddUnackedStart(engine, worker, name, stored->run, now_ms,
+                             former_starts_until_ms(engine));
+}
+
 /* Allocates the runs that a previous leader left outstanding. */
 static void
 inherit_runs(struct SrEngine *engine, struct SrFlow *flow,
@@ -234,6 +264,7 @@
 {
     for (size_t i = 0; i < progress->n_tasks; i++) {
         const Sr__FlowTask *stored = progress->tasks[i];
+        inherit_late_start(engine, &flow->tasks[i], stored, now_ms);
         if (stored->worker[0] == '\0') {
             continue;
         }
@@ -576,8 +607,7 @@
 remember_inherited_start(struct SrEngine *engine, const struct SrRun *run,
                          enum SrRunOutcome outcome, int64_t now_ms)
 {
-    int64_t until_ms = engine->created_ms + SR_ENGINE_UNCONFIRMED_GRANT_MS +
-                       SR_UNACKED_START_MS;
+    int64_t until_ms = former_starts_until_ms(engine);
     char task[SR_TASK_NAME_SIZE];
     if (!run->inherited || run->worker->response_ms != 0 ||
         outcome != SR_RUN_LAPSED || now_ms > until_ms) {
--- a/src/engine_store.c
+++ b/src/engine_store.c
@@ -17,6 +17,10 @@
     if (!task->done) {
         packed->checkpoint = (char *)task->checkpoint;
     }
+    if (!task->done && task->late_starts > 0 &&
+        task->late_start_worker != NULL) {
+        packed->late_start_worker = (char *)task->late_start_worker->info.id;
+    }
     if (task->active_run != NULL) {
         const struct SrWorker *worker = task->active_run->worker;
         packed->worker = (char *)worker->info.id;
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -230,10 +230,15 @@
    * Number of the last failed run; a gang's run counts as one failure.
    */
   uint32_t failed_run;
+  /*
+   * Id of the worker that may still execute a start of an earlier run, or of
+   * the outstanding one, which got no response; empty if there is none.
+   */
+  char *late_start_worker;
 };
 #define SR__FLOW_TASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_task__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Sr__FlowProgress
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -296,8 +296,8 @@
                            .faults = {.late_commands = 50, .crashes = 12}},
         481);
     /* Starts of a former leader that a worker executes which the new leader
-     * has not reached. */
-    static const uint64_t takeover_seeds[] = {5, 12, 44, 49};
+     * has not reached, or, in 34 and 75, for which the task was waiting. */
+    static const uint64_t takeover_seeds[] = {5, 12, 34, 44, 49, 75};
     for (size_t i = 0; i < SR_LENGTH(takeover_seeds); i++) {
         check_once_at_a_time(
             &(struct FaultMix){.name = "restarts behind a cut, takeovers",
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -471,6 +471,61 @@
     destroy_world(&world);
 }
 
+/* Guards against a task that runs twice: it waited for a late start on worker
+ * 0, and a new leader, which did not know that, started it on another. */
+static void
+wait_for_a_late_start_outlasts_its_leader(void **state)
+{
+    (void)state;
+    struct World world;
+    create_world(&world, 2);
+    Sr__FlowTask task = SR__FLOW_TASK__INIT;
+    Sr__FlowTask *tasks[] = {&task};
+    Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
+    task.run = 1;
+    task.late_start_worker = (char *)"w0";
+    progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
+    progress.begun = true;
+    progress.tasks = tasks;
+    progress.n_tasks = 1;
+    add_job(&world, 1, true, &progress);
+    tick_for(&world, 18500);
+    assert_int_equal(world.starts, 0);
+    tick_for(&world, 1500);
+    assert_true(world.starts > 0);
+    destroy_world(&world);
+}
+
+/* Guards against the same where the former leader does not store for which
+ * worker the task waits. */
+static void
+wait_for_a_late_start_is_stored(void **state)
+{
+    (void)state;
+    struct World world;
+    struct SrEngineChange change;
+    start_unacked(&world);
+    world.incarnations[0] = 2;
+    set_worker(&world, 0);
+    while (world.stops == 0) {
+        tick(&world);
+    }
+    answer(&world, &world.last_stop, SR_COMMAND_DONE, 2);
+    while (running(&world) > 0) {
+        world.now_ms += STEP_MS;
+        SrEngine_SetConfirmed(world.engine, world.now_ms);
+        SrEngine_Tick(world.engine, true, world.now_ms, world.now_ms);
+        respond(&world);
+    }
+    assert_int_equal(SrEngine_TakeChanges(world.engine, &change, 1), 1);
+    Sr__FlowProgress *progress = SrCodec_Unpack(&sr__flow_progress__descriptor,
+                                                change.progress, change.size);
+    assert_string_equal(progress->tasks[0]->late_start_worker, "w0");
+    SrCodec_Free(progress);
+    free(change.progress);
+    destroy_world(&world);
+}
+
 /* A run that a former leader left on a worker that is out of reach. */
 struct InheritedCase {
     const char *name;
@@ -530,6 +585,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(entry_of_former_incarnation_ends_no_run),
         cmocka_unit_test(late_start_of_former_leader_is_awaited),
+        cmocka_unit_test(wait_for_a_late_start_outlasts_its_leader),
+        cmocka_unit_test(wait_for_a_late_start_is_stored),
         cmocka_unit_test(late_stop_response_of_former_incarnation_ends_no_run),
         cmocka_unit_test(
             late_start_response_of_former_incarnation_ends_no_run),
