--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -11,10 +11,8 @@
 : "${FLEETBENCH:?the program of the bench}" "${SITES:?the folder of the site files}"
 why=${1:?why the deployments are played}
 shift
-sites="large/jandi-relay-large further/bluemahoe-relay
-    further-grown/bluemahoe-relay-grown shifted/jandi-relay-now-grown"
-[ "${ALL:-0}" = 1 ] && sites="$sites grown/jandi-relay-grown grown/rak-ipoh-grown
-    sites/jandi-relay sites/rak-ipoh"
+sites="large/jandi-relay-large grown/jandi-relay-grown grown/rak-ipoh-grown"
+[ "${ALL:-0}" = 1 ] && sites="$sites sites/jandi-relay sites/rak-ipoh"
 out=$(mktemp)
 failed=0
 for site in $sites; do
