A job's number of tasks cannot overflow

Callers saw: one job with 8 steps of 2^31 tasks, repeated 2^30 times, was accepted with 200, and the leader ended by SIGSEGV; so did each node that led next. With all three nodes gone no request was served any more.

Cause: the product of counts and occurrences wrapped around to 0 in 64 bits and passed the limit of 1,000 tasks. The leader allocated memory for no task and initialised 2^64.

Change: the number saturates.

Evidence: records_are_checked (test_flow) has a case with 2^64 tasks; without the change it failed with 0 != 3 (no error instead of too many tasks), and passes now.

--- a/src/flow.c
+++ b/src/flow.c
@@ -61,7 +61,9 @@
     for (size_t i = 0; i < record->n_steps; i++) {
         tasks += record->steps[i]->count;
     }
-    return tasks * occurrences_of(record);
+    return __builtin_mul_overflow(tasks, occurrences_of(record), &tasks)
+               ? UINT64_MAX
+               : tasks;
 }
 
 enum SrFlowError
--- a/src/flow.h
+++ b/src/flow.h
@@ -163,7 +163,8 @@
 enum SrFlowError SrFlow_Check(const Sr__FlowRecord *record,
                               const char **field);
 
-/* Returns the number of tasks of a record over all its occurrences. */
+/* Returns the number of tasks of a record over all its occurrences, or
+ * UINT64_MAX if it is larger. */
 uint64_t SrFlow_CountTasks(const Sr__FlowRecord *record);
 
 /* Creates a flow from a record that SrFlow_Check has accepted; takes ownership
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -120,6 +120,9 @@
     {1, SR_FLOW_TASKS_MAX, 0, 0, SR_FLOW_OK},
     {1, SR_FLOW_TASKS_MAX, 0, 2, SR_FLOW_TOO_MANY_TASKS},
     {1, UINT32_MAX, 0, UINT32_MAX, SR_FLOW_TOO_MANY_TASKS},
+    /* 2^64 tasks: guards against a number that overflows, whose job was
+     * accepted and ended each process that read it. */
+    {20, 3616814565, 0, UINT32_C(1) << 28, SR_FLOW_TOO_MANY_TASKS},
     {SR_FLOW_STEPS_MAX + 1, 1, 0, 0, SR_FLOW_TOO_MANY_STEPS},
 };
 
