The client library sends no second copy of a request

Callers saw: a submission failed with "not run" although the job was run, if a gate closed the connection without a response and the next one refused.

Cause: libcurl sends a request again by itself if a reused connection is closed before a response. The library took the refusal of that second copy for the outcome of the call. A call that may not be repeated was sent twice as well.

Change: the second copy is aborted before it is sent, so the outcome of the attempt is unknown. A submission is then repeated by the library, which remembers that an earlier attempt may have been run; other calls are not repeated.

Evidence: test_client, a gate that closes connections and a table of what it does next. Without the change it failed at the second of its four cases ("closed, then refused": not run); now all four pass.

--- a/src/client.c
+++ b/src/client.c
@@ -145,6 +145,23 @@
     client->failure = failure;
 }
 
+/* Called by libcurl before it sends a request. libcurl sends a request again
+ * if a reused connection is closed without a response: the call would be run
+ * twice, or the response would not be that to the first copy. */
+static int
+prevent_second_copy(void *context, char *address, char *local_address,
+                    int port, int local_port)
+{
+    (void)address;
+    (void)local_address;
+    (void)port;
+    (void)local_port;
+    const struct SrClient *client = context;
+    long sent_bytes = 0;
+    curl_easy_getinfo(client->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    return sent_bytes > 0 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 /* Sends the request to the gate with index `next_gate` and waits for the
  * response. */
 static enum AttemptResult
@@ -177,6 +194,8 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)remaining_ms);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, prevent_second_copy);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, client);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_data);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, response);
     CURLcode code = curl_easy_perform(easy);
