Tests: what callers are told while a node stops and the store is impaired

Callers saw nothing new: this searches the class of faults of the refused jobs that ran, of which the tests covered one combination of a slow store and a signal.

Change: test_refusals combines ten impairments of the store (slow by 30 ms to silent, transactions applied later, lost responses, refusals) with seven timings of SIGTERM and SIGKILL, on the leading node or another one. Callers use connections that are open already, submit jobs with and without a schedule, repeat failed submissions at another node, and cancel jobs during and after their submission. It checks that no refused job runs, each accepted one does, an acknowledged cancellation takes effect, and a stopping node leaves no request without a response. The store's stand-in can apply transactions later (commit_ms), and the HTTP client sends DELETE.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -53,7 +53,9 @@
 for test in build-asan/test_*; do
     case $test in
     *.dir | */test_faults | */test_gate | */test_jobs | */test_nodes | \
-        */test_odd_entries | */test_relay | */test_soak) continue ;;
+        */test_odd_entries | */test_refusals | */test_relay | */test_soak)
+        continue
+        ;;
     esac
     run "$test"
 done
@@ -61,6 +63,7 @@
 run "$BUILD/test_jobs"
 run "$BUILD/test_nodes"
 run "$BUILD/test_odd_entries"
+run "$BUILD/test_refusals"
 run "$BUILD/test_relay"
 run "$BUILD/test_faults"
 run "$BUILD/test_soak"
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -470,8 +470,12 @@
 set_body(struct SrHttpCall *call, const struct SrHttpCallOptions *options)
 {
     CURL *easy = call->easy;
-    if (options->method != NULL && strcmp(options->method, "GET") == 0) {
-        call->is_get = true;
+    bool is_delete =
+        options->method != NULL && strcmp(options->method, "DELETE") == 0;
+    call->is_get =
+        options->method != NULL && strcmp(options->method, "GET") == 0;
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, is_delete ? "DELETE" : NULL);
+    if (call->is_get || is_delete) {
         curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
         return;
     }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -42,7 +42,7 @@
 };
 
 struct SrHttpCallOptions {
-    /* "GET" for a request without a body; NULL for POST. */
+    /* "GET" or "DELETE" for a request without a body; NULL for POST. */
     const char *method;
     /* Media type of the body; NULL for application/x-protobuf. */
     const char *type;
--- a/standin/main.c
+++ b/standin/main.c
@@ -232,6 +232,9 @@
     else if (strcmp(name, "refuse") == 0) {
         faults->refuse = strcmp(value, "0") != 0;
     }
+    else if (strcmp(name, "commit_ms") == 0) {
+        faults->commit_ms = strtoll(value, NULL, 10);
+    }
     else if (strcmp(name, "forget") == 0) {
         faults->forget = true;
     }
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -46,6 +46,9 @@
     unsigned pause_skip;
     /* Role site: the store rejects all calls. */
     bool refuse;
+    /* Role site: time until the store applies a transaction and responds to
+     * it, ms. */
+    int64_t commit_ms;
     /* Role site: the store drops the history of its changes. */
     bool forget;
     /* Role site: version of the configuration that the operator writes, if it
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -193,6 +193,12 @@
     stop_node(&site->nodes[number]);
 }
 
+void
+SoakSite_KillNode(struct SoakSite *site, unsigned number)
+{
+    kill_node(site, &site->nodes[number]);
+}
+
 void
 SoakSite_SetStoreFaults(struct SoakSite *site, const char *faults)
 {
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -126,6 +126,9 @@
  * started again later. */
 void SoakSite_StopNode(struct SoakSite *site, unsigned number);
 
+/* Sends SIGKILL to a node unless it is down. It is started again later. */
+void SoakSite_KillNode(struct SoakSite *site, unsigned number);
+
 /* Sets faults of the stand-in of the store and the workers, as "name=value"
  * separated by spaces. */
 void SoakSite_SetStoreFaults(struct SoakSite *site, const char *faults);
