The time at which an occurrence is due cannot overflow

Callers saw (by reading, not on a deployment): an occurrence that is due after the end of time, with an interval of 2^63 - 1 ms for instance, would start at once.

Cause: the interval times the number of the occurrence, plus the time of the first one, wrapped around to a time in the past.

Change: the time saturates.

Evidence: occurrences_are_not_due_early (test_flow), a table of times; without the change it failed with -2^63 + 999 instead of 2^63 - 1, and passes now.

--- a/src/flow.c
+++ b/src/flow.c
@@ -308,8 +308,15 @@
     if (flow->record->occurrences == 0) {
         return 0;
     }
-    return flow->record->first_run_ms +
-           (int64_t)occurrence * flow->record->interval_ms;
+    int64_t due_ms;
+    bool overflows =
+        __builtin_mul_overflow(flow->record->interval_ms, (int64_t)occurrence,
+                               &due_ms) ||
+        __builtin_add_overflow(flow->record->first_run_ms, due_ms, &due_ms);
+    if (!overflows) {
+        return due_ms;
+    }
+    return flow->record->interval_ms > 0 ? INT64_MAX : INT64_MIN;
 }
 
 bool
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -153,6 +153,38 @@
     }
 }
 
+struct DueCase {
+    int64_t first_run_ms;
+    int64_t interval_ms;
+    uint32_t occurrence;
+    int64_t due_ms;
+};
+
+static const struct DueCase due_cases[] = {
+    {1000, 300, 1, 1300},
+    {1000, 0, 999, 1000},
+    {1000, INT64_MAX, 0, 1000},
+    {1000, INT64_MAX, 1, INT64_MAX},
+    {1000, INT64_MAX, 2, INT64_MAX},
+    {INT64_MAX, 1, 1, INT64_MAX},
+    {-1000, INT64_MIN, 1, INT64_MIN},
+};
+
+/* Guards against a time that overflows: the occurrence was started at once. */
+static void
+occurrences_are_not_due_early(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(due_cases); i++) {
+        const struct DueCase *c = &due_cases[i];
+        struct SrFlow *flow = make_flow(false);
+        flow->record->first_run_ms = c->first_run_ms;
+        flow->record->interval_ms = c->interval_ms;
+        assert_int_equal(SrFlow_DueMs(flow, c->occurrence), c->due_ms);
+        SrFlow_Destroy(flow);
+    }
+}
+
 /* Crashes under a task, one for each of its runs, and what a run without a
  * crash adds. */
 struct CrashCase {
@@ -250,6 +282,7 @@
         cmocka_unit_test(steps_wait_for_earlier_ones),
         cmocka_unit_test(gang_fails_and_ends_as_one),
         cmocka_unit_test(records_are_checked),
+        cmocka_unit_test(occurrences_are_not_due_early),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
