A guarantee is reclaimed from tasks that last

Cause: the plan never counted a run of a task that lasts as one that may be preempted, and nothing else ends such a run.

Change: work within a guarantee, and no other, preempts them, never so many that more tasks of a step are away than it allows (max_unavailable); a task is away unless a poll has listed it with 100 percent. Before a gang preempts, the stops are checked on all workers together, since each worker by itself may have enough.

Evidence: test_lasting, nine cases of bounds, jobs and gangs.

--- a/src/flow.h
+++ b/src/flow.h
@@ -81,6 +81,9 @@
     /* When the leader first found the step ready to run, ms of the monotonic
      * clock; 0 before. Set for the first task of a step only. */
     int64_t ready_ms;
+    /* Number of the step's tasks that are at work; valid within one placement
+     * pass only, for the first task of a step that lasts. */
+    uint32_t at_work;
 };
 
 enum SrFlowError {
--- a/src/plan.c
+++ b/src/plan.c
@@ -105,6 +105,7 @@
         struct SrRun *member = first[i].active_run;
         if (member != NULL && !member->stopping) {
             SrResources_Add(&member->worker->free_after_stops, &demand, 1);
+            SrPlan_CountAtWork(member, false);
             SrEngine_StopRun(pass->engine, member, "yields", pass->now_ms);
         }
     }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -6,6 +6,8 @@
 /* A gang or task waits for its preferred rack for at most this share of the
  * time that it would lose by running more slowly in another one. */
 #define RACK_WAIT_SHARE 0.75
+/* A task that lasts is at work from this progress on. */
+#define AT_WORK_PERCENT 100
 /* Penalty for each core-second of work lost by preemption on the worker. */
 #define STOP_COST_PENALTY 100
 /* Workers below this speed are avoided. The speeds of healthy workers differ
@@ -54,12 +56,93 @@
     return count;
 }
 
+/* Returns true if the run's task, which lasts, is at work. */
+static bool
+is_at_work(const struct SrRun *run)
+{
+    return run->state == SR_RUNSTATE_STARTED && !run->stopping &&
+           !run->is_victim && run->percent >= AT_WORK_PERCENT;
+}
+
+/* Returns the first task of the step that the run executes. */
+static struct SrFlowTask *
+first_of_step(const struct SrRun *run)
+{
+    return SrFlow_StepTasks(run->task->flow, run->task->occurrence,
+                            run->task->step);
+}
+
+void
+SrPlan_ResetAtWork(const struct SrWorker *worker)
+{
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->step->continuous) {
+            first_of_step(run)->at_work = 0;
+        }
+    }
+}
+
+void
+SrPlan_CountAtWork(const struct SrRun *run, bool at_work)
+{
+    if (!run->step->continuous || !is_at_work(run)) {
+        return;
+    }
+    if (at_work) {
+        first_of_step(run)->at_work++;
+    }
+    else {
+        first_of_step(run)->at_work--;
+    }
+}
+
+/* Returns true if the step of the run, whose task lasts, allows the run to be
+ * stopped, and the rest of its gang with it. */
+static bool
+may_be_unavailable(const struct SrRun *run)
+{
+    const Sr__FlowStep *step = run->step;
+    if (step->max_unavailable == 0) {
+        return true;
+    }
+    if (step->gang) {
+        return step->count <= step->max_unavailable;
+    }
+    uint32_t others = first_of_step(run)->at_work - (is_at_work(run) ? 1 : 0);
+    return step->count - others <= step->max_unavailable;
+}
+
 bool
 SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run)
 {
     const struct SrFlow *flow = run->task->flow;
-    return !run->stopping && flow->rank > unit->flow->rank &&
-           !run->step->continuous;
+    if (run->stopping || flow->rank <= unit->flow->rank) {
+        return false;
+    }
+    return !run->step->continuous ||
+           (unit->flow->rank == SR_RANK_GUARANTEED && may_be_unavailable(run));
+}
+
+static void
+mark_victim(struct SrRun *run)
+{
+    SrPlan_CountAtWork(run, false);
+    run->is_victim = true;
+}
+
+static void
+clear_victims(const struct SrWorker *worker)
+{
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->is_victim) {
+            run->is_victim = false;
+            SrPlan_CountAtWork(run, true);
+        }
+    }
 }
 
 static bool
@@ -95,12 +178,17 @@
     }
     SR_LIST_EACH(link, &worker->runs)
     {
-        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (kind == SR_AVAILABLE_IN_TIME ? ends_in_time(run, unit)
-                                         : SrPlan_MayPreempt(unit, run)) {
-            SrResources_Add(&available, &run->demand, 1);
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (kind == SR_AVAILABLE_IN_TIME ? !ends_in_time(run, unit)
+                                         : !SrPlan_MayPreempt(unit, run)) {
+            continue;
+        }
+        SrResources_Add(&available, &run->demand, 1);
+        if (run->step->continuous) {
+            mark_victim(run);
         }
     }
+    clear_victims(worker);
     return available;
 }
 
@@ -210,15 +298,6 @@
     return best;
 }
 
-static void
-clear_victims(const struct SrWorker *worker)
-{
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        SR_CONTAINER(link, struct SrRun, link)->is_victim = false;
-    }
-}
-
 /* Returns the cost of stopping the runs that must be preempted for the given
  * number of the unit's tasks to fit on the worker. */
 static int64_t
@@ -232,7 +311,7 @@
         if (run == NULL) {
             break;
         }
-        run->is_victim = true;
+        mark_victim(run);
         SrResources_Add(&available, &run->demand, 1);
         cost += SrPlan_StopCost(pass, run);
     }
@@ -494,13 +573,40 @@
     return cost;
 }
 
+/* Returns true if enough runs may be preempted for the latest assignment on
+ * all workers together: each worker by itself may have enough, and the steps
+ * of lasting tasks allow fewer. */
+static bool
+is_preemption_possible(const struct SrPlanPass *pass,
+                       const struct SrPlanUnit *unit)
+{
+    bool possible = true;
+    for (unsigned i = 0; i < pass->worker_count && possible; i++) {
+        const struct SrWorker *worker = pass->workers[i];
+        struct SrResources available = worker->free_after_stops;
+        while (possible && SrPlan_TasksThatFit(&available, &unit->demand) <
+                               worker->assigned) {
+            struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
+            possible = run != NULL;
+            if (run != NULL) {
+                mark_victim(run);
+                SrResources_Add(&available, &run->demand, 1);
+            }
+        }
+    }
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        clear_victims(pass->workers[i]);
+    }
+    return possible;
+}
+
 bool
 SrPlan_IsPreemptionWorthwhile(const struct SrPlanPass *pass,
                               const struct SrPlanUnit *unit)
 {
     const Sr__FlowStep *step = unit->step;
     if (unit->flow->rank == SR_RANK_GUARANTEED) {
-        return true;
+        return is_preemption_possible(pass, unit);
     }
     int64_t cores = SR_CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
                     step->cpu_millis / 1000;
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -203,9 +203,19 @@
 void SrPlan_WaitForLimit(struct SrPlanPass *pass,
                          const struct SrPlanUnit *unit, unsigned tasks);
 
-/* Returns true if the unit may preempt the run. */
+/* Returns true if the unit may preempt the run. Tasks that last are preempted
+ * for guaranteed work only, and only as many at a time as their step allows to
+ * be unavailable. */
 bool SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run);
 
+/* Sets the number of tasks at work to 0 for the steps of the lasting runs on
+ * the worker. */
+void SrPlan_ResetAtWork(const struct SrWorker *worker);
+
+/* Counts the run among the tasks of its step that are at work, if it is, or no
+ * longer counts it. Used for steps that last. */
+void SrPlan_CountAtWork(const struct SrRun *run, bool at_work);
+
 /* Preempts the run for the unit, and with it the rest of the run's gang. */
 void SrPlan_Preempt(struct SrPlanPass *pass, struct SrRun *run,
                     const struct SrPlanUnit *unit);
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -40,15 +40,16 @@
             continue;
         }
         run->expected_end_ms = SrFleet_ExpectedEndMs(run, pass->now_ms);
+        if (run->task->flow->rank > worker->highest_rank) {
+            worker->highest_rank = run->task->flow->rank;
+        }
         if (run->step->continuous) {
+            SrPlan_CountAtWork(run, true);
             continue;
         }
         if (run->expected_end_ms < worker->earliest_end_ms) {
             worker->earliest_end_ms = run->expected_end_ms;
         }
-        if (run->task->flow->rank > worker->highest_rank) {
-            worker->highest_rank = run->task->flow->rank;
-        }
     }
 }
 
@@ -288,6 +289,10 @@
     for (unsigned i = 0; i < racks->count; i++) {
         pass->racks[i].name = racks->names[i];
     }
+    SR_LIST_EACH(reset_link, &pass->engine->fleet.workers)
+    {
+        SrPlan_ResetAtWork(SrFleet_WorkerAt(reset_link));
+    }
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
--- /dev/null
+++ b/tests/test_lasting.c
@@ -0,0 +1,397 @@
+/* Tasks that last, on workers that they fill, beside urgent jobs. Guards
+ * against a guarantee that is not reclaimed from such tasks, and against
+ * stopping more of them at a time than their step allows. */
+#include "test_support.h"
+
+#include <stdlib.h>
+
+#include "codec.h"
+#include "engine.h"
+#include "log.h"
+
+#define WORKERS 4
+#define ACCELERATORS 8
+#define LASTING_TASKS (WORKERS * ACCELERATORS)
+#define GUARANTEE 16
+#define RUNS_MAX 64
+#define LASTING_JOB "0000000000000001"
+#define URGENT_JOB "0000000000000002"
+#define STEP_MS 10
+/* Time until all lasting tasks are at work, and that of a run of the urgent
+ * job, ms. */
+#define FILL_MS 4000
+#define URGENT_RUN_MS 3000
+/* Time within which a job within its account's guarantee must have begun, and
+ * the time that is watched afterwards, ms. */
+#define RECLAIM_MS 2900
+#define WATCHED_MS 8000
+/* Time that a worker takes to stop a run, and until a lasting task is at work,
+ * ms. */
+#define STOP_MS 150
+#define WARM_UP_MS 500
+
+struct Run {
+    char task[SR_TASK_NAME_SIZE];
+    uint32_t number;
+    int64_t started_ms;
+    /* When the run stops or ends; INT64_MAX if it lasts. */
+    int64_t end_ms;
+    enum SrRunOutcome outcome;
+};
+
+struct Worker {
+    struct Run runs[RUNS_MAX];
+    size_t run_count;
+    struct SrTerminatedReport terminated[RUNS_MAX];
+    size_t terminated_count;
+    uint64_t terminated_total;
+};
+
+struct World {
+    struct SrEngine *engine;
+    struct SrCatalog *catalog;
+    int64_t now_ms;
+    struct Worker workers[WORKERS];
+    struct SrCommand commands[4096];
+    size_t command_count;
+    unsigned urgent_starts;
+    unsigned lasting_stops;
+    /* Smallest number of lasting tasks at work since they all were. */
+    unsigned fewest_at_work;
+};
+
+static void
+send_command(void *context, const struct SrCommand *command)
+{
+    struct World *world = context;
+    assert_true(world->command_count < SR_LENGTH(world->commands));
+    world->commands[world->command_count++] = *command;
+}
+
+static bool
+is_lasting(const char *task)
+{
+    return strncmp(task, LASTING_JOB, strlen(LASTING_JOB)) == 0;
+}
+
+static bool
+is_at_work(const struct World *world, const struct Run *run)
+{
+    return is_lasting(run->task) &&
+           world->now_ms >= run->started_ms + WARM_UP_MS &&
+           run->end_ms == INT64_MAX;
+}
+
+static void
+begin(struct World *world)
+{
+    memset(world, 0, sizeof(*world));
+    world->now_ms = 100000;
+    world->fewest_at_work = LASTING_TASKS;
+    world->catalog = SrCatalog_Create(3, 1, 0);
+    for (unsigned i = 0; i < 3; i++) {
+        static const char *const names[] = {"urgent", "normal", "bulk"};
+        struct SrCatalogQueue *queue = &world->catalog->queues[i];
+        queue->name = SrUtil_Strdup(names[i]);
+        queue->host = SrUtil_Strdup("h");
+        queue->prefix = SrUtil_Strdup("/");
+        queue->service = SrUtil_Strdup("s");
+        queue->priority = i;
+        queue->max_attempts = 3;
+        queue->stretch = 3;
+    }
+    world->catalog->accounts[0].name = SrUtil_Strdup("t");
+    world->catalog->accounts[0].guaranteed_accelerators = GUARANTEE;
+    world->engine = SrEngine_Create(
+        &(struct SrEngineOptions){
+            .lease_ms = 6000,
+            .stop_ms = 400,
+            .reclaim_ms = RECLAIM_MS,
+            .checkpoint_ms = 500,
+            .retention_ms = 60000,
+            .remote_factor = 3,
+            .send = send_command,
+            .context = world,
+        },
+        1, world->now_ms);
+    SrEngine_SetCatalog(world->engine, world->catalog);
+    for (unsigned i = 0; i < WORKERS; i++) {
+        struct SrWorkerEntry entry = {
+            .address = "a",
+            .service = "s",
+            .cpu_millis = 64000,
+            .memory_mb = 64000,
+            .accelerators = ACCELERATORS,
+            .incarnation = 1,
+        };
+        snprintf(entry.id, sizeof(entry.id), "w%u", i);
+        SrEngine_SetWorker(world->engine, entry.id, &entry, world->now_ms);
+    }
+}
+
+static void
+end(struct World *world)
+{
+    SrEngine_Destroy(world->engine);
+    SrCatalog_Destroy(world->catalog);
+}
+
+static void
+add_job(struct World *world, const char *id, const char *queue,
+        Sr__FlowStep *step)
+{
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    record.queue = (char *)queue;
+    record.service = (char *)"s";
+    record.account = (char *)"t";
+    record.max_attempts = 3;
+    record.stretch = 3;
+    record.target_ms = 1500;
+    record.steps = &step;
+    record.n_steps = 1;
+    SrEngine_AddFlow(world->engine, id, SrCodec_Clone(&record.base), NULL,
+                     world->now_ms);
+}
+
+static struct Run *
+find_run(struct Worker *worker, const char *task)
+{
+    for (size_t i = 0; i < worker->run_count; i++) {
+        if (strcmp(worker->runs[i].task, task) == 0) {
+            return &worker->runs[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+start(struct World *world, struct Worker *worker,
+      const struct SrCommand *command)
+{
+    bool lasting = is_lasting(command->u.start.task);
+    assert_true(worker->run_count < RUNS_MAX);
+    struct Run *run = &worker->runs[worker->run_count++];
+    *run = (struct Run){
+        .number = command->u.start.run,
+        .started_ms = world->now_ms,
+        .end_ms = lasting ? INT64_MAX : world->now_ms + URGENT_RUN_MS,
+        .outcome = SR_RUN_DONE,
+    };
+    SrUtil_Copy(run->task, sizeof(run->task), command->u.start.task);
+    world->urgent_starts += lasting ? 0 : 1;
+}
+
+static void
+stop(struct World *world, struct Worker *worker,
+     const struct SrCommand *command)
+{
+    struct Run *run = find_run(worker, command->u.stop.task);
+    if (run != NULL && run->outcome != SR_RUN_STOPPED) {
+        run->outcome = SR_RUN_STOPPED;
+        run->end_ms = world->now_ms + STOP_MS;
+        world->lasting_stops += is_lasting(run->task) ? 1 : 0;
+    }
+}
+
+/* Moves the runs that have ended to the list of the terminated ones. */
+static void
+end_runs(struct World *world, struct Worker *worker)
+{
+    for (size_t i = 0; i < worker->run_count;) {
+        struct Run *run = &worker->runs[i];
+        if (run->end_ms > world->now_ms) {
+            i++;
+            continue;
+        }
+        struct SrTerminatedReport *report =
+            &worker->terminated[worker->terminated_count++];
+        *report = (struct SrTerminatedReport){
+            .number = ++worker->terminated_total,
+            .run = run->number,
+            .outcome = run->outcome,
+        };
+        SrUtil_Copy(report->task, sizeof(report->task), run->task);
+        *run = worker->runs[--worker->run_count];
+    }
+}
+
+static void
+poll(struct World *world, struct Worker *worker,
+     const struct SrCommand *command, struct SrCommandResponse *response,
+     struct SrRunningReport *running)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < worker->terminated_count; i++) {
+        if (worker->terminated[i].number > command->u.poll.acked_through) {
+            worker->terminated[kept++] = worker->terminated[i];
+        }
+    }
+    worker->terminated_count = kept;
+    end_runs(world, worker);
+    for (size_t i = 0; i < worker->run_count; i++) {
+        const struct Run *run = &worker->runs[i];
+        bool working = !is_lasting(run->task) || is_at_work(world, run);
+        running[i] = (struct SrRunningReport){
+            .run = run->number,
+            .percent = is_lasting(run->task) ? (working ? 100 : 10)
+                                             : (int)(world->now_ms / 100 % 90),
+        };
+        SrUtil_Copy(running[i].task, sizeof(running[i].task), run->task);
+    }
+    response->running = running;
+    response->running_count = worker->run_count;
+    response->terminated = worker->terminated;
+    response->terminated_count = worker->terminated_count;
+}
+
+static void
+execute(struct World *world, const struct SrCommand *command)
+{
+    struct SrRunningReport running[RUNS_MAX];
+    struct Worker *worker =
+        &world->workers[strtoul(command->worker + 1, NULL, 10)];
+    struct SrCommandResponse response = {
+        .result = SR_COMMAND_DONE,
+        .clock_ms = world->now_ms,
+        .incarnation = 1,
+    };
+    switch (command->kind) {
+    case SR_COMMAND_START:
+        start(world, worker, command);
+        break;
+    case SR_COMMAND_STOP:
+        stop(world, worker, command);
+        break;
+    case SR_COMMAND_POLL:
+        poll(world, worker, command, &response, running);
+        break;
+    case SR_COMMAND_ADVISE:
+        break;
+    }
+    SrEngine_OnResponse(world->engine, command, &response, world->now_ms);
+}
+
+static void
+write_changes(struct World *world)
+{
+    struct SrEngineChange changes[16];
+    size_t count =
+        SrEngine_TakeChanges(world->engine, changes, SR_LENGTH(changes));
+    for (size_t i = 0; i < count; i++) {
+        SrProgressRows_Clear(&changes[i].rows);
+        SrEngine_OnWritten(world->engine, changes[i].id, changes[i].change);
+    }
+}
+
+static unsigned
+count_at_work(const struct World *world)
+{
+    unsigned count = 0;
+    for (unsigned w = 0; w < WORKERS; w++) {
+        for (size_t i = 0; i < world->workers[w].run_count; i++) {
+            count += is_at_work(world, &world->workers[w].runs[i]) ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+static void
+run_for(struct World *world, int64_t ms)
+{
+    static struct SrCommand commands[SR_LENGTH(world->commands)];
+    int64_t end_ms = world->now_ms + ms;
+    while (world->now_ms < end_ms) {
+        world->now_ms += STEP_MS;
+        SrEngine_SetConfirmed(world->engine, world->now_ms);
+        SrEngine_Tick(world->engine, true, world->now_ms, world->now_ms);
+        write_changes(world);
+        size_t count = world->command_count;
+        memcpy(commands, world->commands, count * sizeof(commands[0]));
+        world->command_count = 0;
+        for (size_t i = 0; i < count; i++) {
+            execute(world, &commands[i]);
+        }
+        unsigned at_work = count_at_work(world);
+        if (at_work < world->fewest_at_work) {
+            world->fewest_at_work = at_work;
+        }
+    }
+}
+
+struct Case {
+    const char *name;
+    /* Number of lasting tasks that may be away at a time; 0 for any. */
+    uint32_t max_unavailable;
+    /* Queue, size and accelerators of a task of the job that comes later. */
+    const char *queue;
+    uint32_t tasks;
+    uint32_t accelerators;
+    bool gang;
+    /* Number of its tasks that begin within RECLAIM_MS. */
+    unsigned begun;
+    /* Largest number of lasting tasks that are stopped, and that are away at a
+     * time. */
+    unsigned stopped_max;
+    unsigned away_max;
+};
+
+static const struct Case cases[] = {
+    {"within the guarantee", 32, "urgent", 8, 1, false, 8, 8, 8},
+    {"without a limit of the step", 0, "urgent", 8, 1, false, 8, 8, 8},
+    {"at the limit of the step", 8, "urgent", 8, 1, false, 8, 8, 8},
+    {"beyond the limit of the step", 3, "urgent", 8, 1, false, 3, 3, 3},
+    {"a gang", 16, "urgent", 2, 8, true, 2, 16, 16},
+    {"a gang beyond the limit of the step", 15, "urgent", 2, 8, true, 0, 0, 0},
+    {"a gang within one worker's limit", 12, "urgent", 2, 6, true, 2, 12, 12},
+    {"beyond the guarantee", 32, "urgent", 17, 1, false, 0, 0, 0},
+    {"a lower priority", 32, "normal", 8, 1, false, 0, 0, 0},
+};
+
+static void
+a_guarantee_is_reclaimed_from_lasting_tasks(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        const struct Case *c = &cases[i];
+        struct World *world = SrUtil_Calloc(1, sizeof(*world));
+        Sr__FlowStep lasting = SR__FLOW_STEP__INIT;
+        Sr__FlowStep step = SR__FLOW_STEP__INIT;
+        lasting.count = LASTING_TASKS;
+        lasting.cpu_millis = 1000;
+        lasting.accelerators = 1;
+        lasting.continuous = true;
+        lasting.max_unavailable = c->max_unavailable;
+        step.count = c->tasks;
+        step.cpu_millis = 1000;
+        step.accelerators = c->accelerators;
+        step.gang = c->gang;
+        step.estimated_ms = URGENT_RUN_MS;
+        begin(world);
+        add_job(world, LASTING_JOB, "bulk", &lasting);
+        run_for(world, FILL_MS);
+        assert_int_equal(count_at_work(world), LASTING_TASKS);
+        world->fewest_at_work = LASTING_TASKS;
+        add_job(world, URGENT_JOB, c->queue, &step);
+        run_for(world, RECLAIM_MS);
+        unsigned begun = world->urgent_starts;
+        run_for(world, WATCHED_MS);
+        unsigned away = LASTING_TASKS - world->fewest_at_work;
+        if (begun != c->begun || away > c->away_max ||
+            (c->gang && world->lasting_stops > c->stopped_max)) {
+            fail_msg("%s: %u begun, %u stopped, %u away", c->name, begun,
+                     world->lasting_stops, away);
+        }
+        end(world);
+        free(world);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_guarantee_is_reclaimed_from_lasting_tasks),
+    };
+    SrLog_Start(SR_LOG_ERROR, "test");
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
