A task that takes long is not taken for stalled

Cause: a run was stalled if its percentage, a whole number, had not changed for 2.3 s. Each stop counted as a failure of the worker, which then got no work for 4 s.

Change: the time without progress is that of four percents by the estimate, at least 2.3 s. New checkpoints are progress. For estimates that are too low, the time doubles from the second stalled run of a task on, and only the first one counts against the worker.

Evidence: two patterns of test_plan. For tasks of up to 57 s the time is as before.

--- a/src/engine.c
+++ b/src/engine.c
@@ -24,10 +24,17 @@
 #define REPLAN_INTERVAL_MS 40
 /* Interval of the checks of all runs for expired leases and stalls. */
 #define CHECK_INTERVAL_MS 20
-/* A run without progress for this long is stalled. The time must exceed the
+/* A run without progress for this long, and for STALL_PERCENTS times the time
+ * that a percent takes by the estimate, is stalled. The time must exceed the
  * interval between two reports of progress: on a slow worker a run may take a
  * second to progress by a percent, and a worker is polled once a second. */
 #define STALL_TIMEOUT_MS 2300
+#define STALL_PERCENTS 4
+/* The estimate may be far too low, or absent. From the STALLS_BEFORE_DOUBLING
+ * + 1st stalled run of a task on, the time doubles with each, at most
+ * STALL_DOUBLINGS_MAX times. */
+#define STALLS_BEFORE_DOUBLING 1
+#define STALL_DOUBLINGS_MAX 12
 /* A gang member that reports at least this progress is not considered stalled:
  * it may have done its work and be waiting for the other members. Workers
  * round percentages up. */
@@ -813,6 +820,22 @@
     worker->grant_clear_change = engine->latest_change;
 }
 
+static int64_t
+stall_timeout_ms(const struct SrRun *run)
+{
+    int64_t timeout_ms =
+        STALL_PERCENTS * (int64_t)run->step->estimated_ms / 100;
+    uint32_t doublings = run->task->stalls > STALLS_BEFORE_DOUBLING
+                             ? run->task->stalls - STALLS_BEFORE_DOUBLING
+                             : 0;
+    if (timeout_ms < STALL_TIMEOUT_MS) {
+        timeout_ms = STALL_TIMEOUT_MS;
+    }
+    return timeout_ms << (doublings < STALL_DOUBLINGS_MAX
+                              ? doublings
+                              : STALL_DOUBLINGS_MAX);
+}
+
 /* Returns true if the run makes no progress although nothing keeps it waiting.
  * A member of a gang is not stalled while it waits for other members to start,
  * or once it has done its work. */
@@ -822,7 +845,7 @@
     const Sr__FlowStep *step = SrFlow_StepOf(run->task);
     if (run->state != SR_RUNSTATE_STARTED || run->stopping ||
         step->continuous ||
-        run->worker->response_ms - run->percent_ms < STALL_TIMEOUT_MS) {
+        run->worker->response_ms - run->progress_ms < stall_timeout_ms(run)) {
         return false;
     }
     if (!step->gang) {
@@ -850,7 +873,10 @@
         {
             struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
             if (is_stalled(run)) {
-                SrFleet_RecordFailure(worker, now_ms);
+                /* Further stalls are rather due to the estimate. */
+                if (run->task->stalls++ == 0) {
+                    SrFleet_RecordFailure(worker, now_ms);
+                }
                 SrEngine_StopRun(engine, run, "stands-still", now_ms);
             }
         }
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -197,6 +197,17 @@
     SrFleet_MarkUnsettled(&engine->fleet, run);
 }
 
+/* Returns true if the checkpoint shows progress of the run. The members of a
+ * gang share the latest checkpoint of any of them. */
+static bool
+has_new_checkpoint(const struct SrRun *run,
+                   const struct SrRunningReport *report)
+{
+    const char *known = run->task->checkpoint;
+    return !run->step->gang && report->checkpoint[0] != '\0' &&
+           (known == NULL || strcmp(known, report->checkpoint) != 0);
+}
+
 /* Returns false if the leader does not know the run, which is then stopped. */
 static bool
 update_running(struct SrEngine *engine, struct SrWorker *worker,
@@ -215,6 +226,7 @@
         run->response_ms = now_ms;
         run->started_ms = now_ms;
         run->percent_ms = now_ms;
+        run->progress_ms = now_ms;
     }
     repeat_stop_without_effect(engine, run, sent_ms, now_ms);
     if (report->percent > 0 && run->first_percent_ms == 0) {
@@ -224,6 +236,10 @@
     if (report->percent != run->percent) {
         run->percent = report->percent;
         run->percent_ms = now_ms;
+        run->progress_ms = now_ms;
+    }
+    if (has_new_checkpoint(run, report)) {
+        run->progress_ms = now_ms;
     }
     SrFlow_SetCheckpoint(run->task, report->checkpoint);
     return true;
@@ -339,7 +355,7 @@
         if (response->has_more_terminated) {
             /* The run's result may be among those still to be listed. It must
              * not count as stalled meanwhile. */
-            run->percent_ms = now_ms;
+            run->progress_ms = now_ms;
             continue;
         }
         SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
@@ -610,6 +626,7 @@
         run->response_ms = now_ms;
         run->started_ms = now_ms;
         run->percent_ms = now_ms;
+        run->progress_ms = now_ms;
         SR_INFO("engine", "run-started",
                 "id=%s step=%u index=%u run=%u worker=%s term=%lu sends=%u "
                 "after-ms=%ld",
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -196,6 +196,7 @@
     run->allocated_ms = now_ms;
     run->percent = -1;
     run->percent_ms = now_ms;
+    run->progress_ms = now_ms;
     SrResources_Add(&worker->allocated, &run->demand, 1);
     SrList_Append(&worker->runs, &run->link);
     SrList_Append(&fleet->unsettled_runs, &run->unsettled);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -82,6 +82,8 @@
     int percent;
     /* When `percent` last changed, or the run started. */
     int64_t percent_ms;
+    /* When `percent` or the checkpoint last changed, or the run started. */
+    int64_t progress_ms;
     /* First reported progress above 0, and when it was reported; 0 before. The
      * rate of progress is computed from this point on. */
     int first_percent;
--- a/src/flow.h
+++ b/src/flow.h
@@ -53,6 +53,9 @@
     struct SrRun *active_run;
     /* Latest checkpoint; NULL if none. */
     char *checkpoint;
+    /* Number of runs that were stopped because they stalled, as far as this
+     * leader knows. */
+    uint32_t stalls;
     /* Id of the worker on which the task last failed; empty if none. */
     char failed_on[SR_ID_SIZE];
     /* Number of workers that execute a run of the task which the leader does
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1478,7 +1478,8 @@
     step.accelerators = spec.accelerators;
     step.cpu_millis = 1000;
     step.memory_mb = 1000;
-    step.estimated_ms = (uint32_t)spec.work_ms;
+    step.estimated_ms =
+        (uint32_t)(spec.estimated_ms > 0 ? spec.estimated_ms : spec.work_ms);
     step.gang = spec.gang;
     step.same_rack = spec.same_rack;
     record.steps = steps;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -82,6 +82,8 @@
     int64_t work_ms;
     bool gang;
     bool same_rack;
+    /* Estimate of the work; 0 if it is exact. */
+    int64_t estimated_ms;
 };
 
 /* The first worker that has runs at `at_ms` starts to drain, and leaves
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -6,6 +6,7 @@
 /* Maximum time from the submission of a guaranteed job to the start of all of
  * its tasks. */
 #define RECLAIM_MS 2900
+#define DURATION_MS 60000
 
 /* A load pattern, and the bounds that its first and its last job must meet. */
 struct Pattern {
@@ -23,6 +24,8 @@
     int64_t begun_within_ms;
     /* Maximum number of runs of the first job that may be stopped. */
     unsigned stopped_max;
+    /* Length of the simulation; 0 for DURATION_MS. */
+    int64_t duration_ms;
 };
 
 static const struct Pattern patterns[] = {
@@ -152,6 +155,29 @@
         .count = 2,
         .begun_within_ms = 12000,
     },
+    {
+        /* Guards against taking runs whose percentage rarely changes for
+         * stalled ones, which were stopped again and again. */
+        .name = "tasks of an hour",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 8, 4, 3600000, false, false}},
+        .count = 1,
+        .begun_within_ms = 300,
+        .stopped_max = 0,
+        .duration_ms = 4000000,
+    },
+    {
+        .name = "tasks of ten minutes with an estimate of one second",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 4, 8, 600000, false, false, 1000}},
+        .count = 1,
+        .stopped_max = 12,
+        .duration_ms = 1500000,
+    },
     {
         .name = "unguaranteed work does not preempt more than its own size",
         .workers = 2,
@@ -178,7 +204,8 @@
             .guarantee = pattern->guarantee,
             .cap = pattern->cap,
             .drain = pattern->drain,
-            .duration_ms = 60000,
+            .duration_ms =
+                pattern->duration_ms > 0 ? pattern->duration_ms : DURATION_MS,
         },
         &result);
     int64_t begun_ms = result.begun_ms[pattern->count - 1];
