Tests: large jobs whose tasks end one after another

Cause: all tasks of the test's jobs ended at the same time. The progress was too large only until then; the next leader found all tasks done and wrote a small row.

The workers' stand-in takes spread_us for this.

--- a/tests/test_nodes.c
+++ b/tests/test_nodes.c
@@ -131,9 +131,10 @@
     "{\"spec\":\"ms=100;gang=0;gpu=1\",\"steps\":[{\"count\":1,"
     "\"cpu\":1000,\"mem_mb\":100,\"gpu\":1,\"estimated_ms\":100}]}";
 
-/* Each task has the longest checkpoint that is kept. */
+/* Each task has the longest checkpoint that is kept. The tasks differ in
+ * length by up to 5 s, so that many have a checkpoint while others end. */
 static const char large_job[] =
-    "{\"spec\":\"ms=3000;gang=0;gpu=0;saved=256\",\"steps\":["
+    "{\"spec\":\"ms=3000;spread_us=5000;gang=0;gpu=0;saved=256\",\"steps\":["
     "{\"count\":1000,\"cpu\":1,\"mem_mb\":1,\"estimated_ms\":3000,"
     "\"enable_checkpoints\":true}]}";
 
