Tests: jobs that change all the time take turns

Callers saw nothing: the order in which changed jobs are written keeps one that changes during each write from being written alone, and no test failed without it.

Change: a test of that order.

--- a/tests/test_large_jobs.c
+++ b/tests/test_large_jobs.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "codec.h"
+#include "engine_state.h"
 #include "job_rows.h"
 #include "leader.h"
 #include "log.h"
@@ -531,11 +532,64 @@
     end(&world);
 }
 
+static void
+ignore_command(void *context, const struct SrCommand *command)
+{
+    (void)context;
+    (void)command;
+}
+
+static struct SrFlow *
+add_small_flow(struct SrEngine *engine, const char *id)
+{
+    Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
+    Sr__FlowStep step = SR__FLOW_STEP__INIT;
+    Sr__FlowStep *steps[] = {&step};
+    step.count = 1;
+    record.steps = steps;
+    record.n_steps = 1;
+    SrEngine_AddFlow(engine, id, SrCodec_Clone(&record.base), NULL, 0);
+    return SrEngine_FindFlow(engine, id);
+}
+
+/* Guards against a job that changes during each write and is written again
+ * before all others, which then are never written. */
+static void
+jobs_that_change_all_the_time_take_turns(void **state)
+{
+    (void)state;
+    static const char *const ids[] = {"a", "b", "c"};
+    struct SrFlow *flows[SR_LENGTH(ids)];
+    unsigned written[SR_LENGTH(ids)] = {0};
+    struct SrEngine *engine = SrEngine_Create(
+        &(struct SrEngineOptions){.send = ignore_command}, 1, 0);
+    for (size_t i = 0; i < SR_LENGTH(ids); i++) {
+        flows[i] = add_small_flow(engine, ids[i]);
+        SrEngine_MarkDirty(engine, flows[i]);
+    }
+    for (unsigned round = 0; round < 4 * SR_LENGTH(ids); round++) {
+        struct SrEngineChange change;
+        assert_int_equal(SrEngine_TakeChanges(engine, &change, 1), 1);
+        SrProgressRows_Clear(&change.rows);
+        /* While the write is under way. */
+        for (size_t i = 0; i < SR_LENGTH(ids); i++) {
+            SrEngine_MarkDirty(engine, flows[i]);
+            written[i] += strcmp(change.id, ids[i]) == 0 ? 1 : 0;
+        }
+        SrEngine_OnWritten(engine, change.id, change.change);
+    }
+    for (size_t i = 0; i < SR_LENGTH(ids); i++) {
+        assert_int_equal(written[i], 4);
+    }
+    SrEngine_Destroy(engine);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(largest_jobs_at_once_complete),
+        cmocka_unit_test(jobs_that_change_all_the_time_take_turns),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
