The failures of one job do not take all workers out

Cause: each failed run counted against its worker. Three failures on each worker, which one job brings about at once, and none gets new work for 4 s.

Change: until a task of the job is done, its failures count against two workers at most, once each; from then on each counts, as before. The same for stalled runs.

Evidence: failures_of_one_job_do_not_hold_up_others (test_contention, which was test_lasting), four kinds of failing jobs and 41 times of submission each.

--- a/src/engine.c
+++ b/src/engine.c
@@ -560,12 +560,20 @@
     stop_runs(engine, flow, "job-failed", now_ms);
 }
 
+static void
+blame_worker(struct SrFlow *flow, struct SrWorker *worker, int64_t now_ms)
+{
+    if (SrFlow_BlameWorker(flow, worker->info.id)) {
+        SrFleet_RecordFailure(worker, now_ms);
+    }
+}
+
 static void
 record_failure(struct SrEngine *engine, struct SrFlowTask *task,
                struct SrWorker *worker, uint32_t number, int64_t now_ms)
 {
     SrUtil_Copy(task->failed_on, sizeof(task->failed_on), worker->info.id);
-    SrFleet_RecordFailure(worker, now_ms);
+    blame_worker(task->flow, worker, now_ms);
     if (SrFlow_RecordFailure(task, number)) {
         SrEngine_FailFlow(engine, task->flow, task, now_ms);
     }
@@ -875,7 +883,7 @@
             if (is_stalled(run)) {
                 /* Further stalls are rather due to the estimate. */
                 if (run->task->stalls++ == 0) {
-                    SrFleet_RecordFailure(worker, now_ms);
+                    blame_worker(run->task->flow, worker, now_ms);
                 }
                 SrEngine_StopRun(engine, run, "stands-still", now_ms);
             }
--- a/src/flow.c
+++ b/src/flow.c
@@ -14,6 +14,9 @@
  * cause of SOLE_CRASHES of them. */
 #define CRASHES_MAX 4
 #define SOLE_CRASHES 2
+/* Number of workers that the failures of a job without done tasks are held
+ * against. */
+#define BLAMED_WORKERS_MAX 2
 
 static const char *const error_texts[] = {
     [SR_FLOW_OK] = "no error",
@@ -189,6 +192,7 @@
         to->crash_age_ms = from->crash_age_ms;
         to->last_run = from->last_run;
         flow->waiting -= from->done && !to->done ? 1 : 0;
+        flow->has_done_tasks |= from->done;
         to->done = from->done;
         set_checkpoint(to, from->checkpoint);
         set_checkpoint(to, from->long_checkpoint);
@@ -390,6 +394,22 @@
         }
         first[i].done = true;
     }
+    task->flow->has_done_tasks = true;
+}
+
+bool
+SrFlow_BlameWorker(struct SrFlow *flow, const char *worker)
+{
+    if (flow->has_done_tasks) {
+        return true;
+    }
+    if (flow->blamed_workers == BLAMED_WORKERS_MAX ||
+        strcmp(flow->blamed_worker, worker) == 0) {
+        return false;
+    }
+    flow->blamed_workers++;
+    SrUtil_Copy(flow->blamed_worker, sizeof(flow->blamed_worker), worker);
+    return true;
 }
 
 void
--- a/src/flow.h
+++ b/src/flow.h
@@ -140,6 +140,12 @@
     /* The store has rejected the progress of the job, which is written without
      * the tasks since. */
     bool unstorable;
+    /* A task of the job is done, so that its tasks can succeed. */
+    bool has_done_tasks;
+    /* Number of workers that the job's failures have been held against while
+     * none of its tasks was done, and the id of the latest of them. */
+    unsigned blamed_workers;
+    char blamed_worker[SR_ID_SIZE];
     /* Number of outstanding runs of all tasks. */
     uint32_t outstanding;
     /* Number of tasks that are neither done nor have an outstanding run. */
@@ -251,6 +257,12 @@
 /* Forgets the crashes under the task. */
 void SrFlow_ClearCrashes(struct SrFlowTask *task);
 
+/* Returns true if a failure of one of the job's runs on the worker is to be
+ * held against the worker, and counts it. Until a task of the job is done, the
+ * cause is likelier the job: only its first failures on a few workers count.
+ */
+bool SrFlow_BlameWorker(struct SrFlow *flow, const char *worker);
+
 /* Marks the task as done; if it belongs to a gang, all members. */
 void SrFlow_MarkDone(struct SrFlowTask *task);
 
--- a/tests/test_lasting.c
+++ b/tests/test_contention.c
@@ -1,6 +1,5 @@
-/* Tasks that last, on workers that they fill, beside urgent jobs. Guards
- * against a guarantee that is not reclaimed from such tasks, and against
- * stopping more of them at a time than their step allows. */
+/* A job that holds all workers or fails on them, beside urgent jobs of the
+ * same account. */
 #include "test_support.h"
 
 #include <stdlib.h>
@@ -13,7 +12,7 @@
 #define ACCELERATORS 8
 #define LASTING_TASKS (WORKERS * ACCELERATORS)
 #define GUARANTEE 16
-#define RUNS_MAX 64
+#define RUNS_MAX 128
 #define LASTING_JOB "0000000000000001"
 #define URGENT_JOB "0000000000000002"
 #define STEP_MS 10
@@ -25,6 +24,10 @@
  * the time that is watched afterwards, ms. */
 #define RECLAIM_MS 2900
 #define WATCHED_MS 8000
+/* The urgent job is submitted up to OFFSET_MAX_MS after the one that fails. */
+#define OFFSET_MAX_MS 10000
+#define OFFSET_STEP_MS 250
+#define LIMIT_MS 20000
 /* Time that a worker takes to stop a run, and until a lasting task is at work,
  * ms. */
 #define STOP_MS 150
@@ -54,6 +57,8 @@
     struct Worker workers[WORKERS];
     struct SrCommand commands[4096];
     size_t command_count;
+    /* Time after which the runs of the first job fail; 0 if they don't. */
+    int64_t fail_after_ms;
     unsigned urgent_starts;
     unsigned lasting_stops;
     /* Smallest number of lasting tasks at work since they all were. */
@@ -177,6 +182,10 @@
         .end_ms = lasting ? INT64_MAX : world->now_ms + URGENT_RUN_MS,
         .outcome = SR_RUN_DONE,
     };
+    if (lasting && world->fail_after_ms > 0) {
+        run->end_ms = world->now_ms + world->fail_after_ms;
+        run->outcome = SR_RUN_FAILED;
+    }
     SrUtil_Copy(run->task, sizeof(run->task), command->u.start.task);
     world->urgent_starts += lasting ? 0 : 1;
 }
@@ -347,6 +356,8 @@
     {"a lower priority", 32, "normal", 8, 1, false, 0, 0, 0},
 };
 
+/* Guards against a guarantee that is not reclaimed from tasks that last, and
+ * against stopping more of them at a time than their step allows. */
 static void
 a_guarantee_is_reclaimed_from_lasting_tasks(void **state)
 {
@@ -386,11 +397,80 @@
     }
 }
 
+static const struct {
+    const char *name;
+    bool continuous;
+    int64_t fail_after_ms;
+} failing_cases[] = {
+    {"lasting tasks that fail soon", true, 500},
+    {"lasting tasks that fail at once", true, 50},
+    {"tasks that fail soon", false, 500},
+    {"tasks that fail at once", false, 50},
+};
+
+/* Returns the time from the submission of a job within the guarantee until all
+ * of its tasks have begun, ms, if it is submitted `offset_ms` after the job
+ * whose tasks fail; LIMIT_MS if they have not begun by then. */
+static int64_t
+begin_beside_failures(bool continuous, int64_t fail_after_ms,
+                      int64_t offset_ms)
+{
+    struct World *world = SrUtil_Calloc(1, sizeof(*world));
+    Sr__FlowStep failing = SR__FLOW_STEP__INIT;
+    Sr__FlowStep urgent = SR__FLOW_STEP__INIT;
+    failing.count = LASTING_TASKS;
+    failing.cpu_millis = 1000;
+    failing.accelerators = 1;
+    failing.continuous = continuous;
+    failing.estimated_ms = 5000;
+    urgent.count = 8;
+    urgent.cpu_millis = 1000;
+    urgent.accelerators = 1;
+    urgent.estimated_ms = URGENT_RUN_MS;
+    begin(world);
+    world->fail_after_ms = fail_after_ms;
+    run_for(world, 1000);
+    add_job(world, LASTING_JOB, "bulk", &failing);
+    run_for(world, offset_ms);
+    add_job(world, URGENT_JOB, "urgent", &urgent);
+    int64_t added_ms = world->now_ms;
+    while (world->urgent_starts < urgent.count &&
+           world->now_ms - added_ms < LIMIT_MS) {
+        run_for(world, STEP_MS);
+    }
+    int64_t took_ms = world->now_ms - added_ms;
+    end(world);
+    free(world);
+    return took_ms;
+}
+
+/* Guards against a job whose tasks fail and whose failures are held against
+ * all workers, which then get no work of other jobs. */
+static void
+failures_of_one_job_do_not_hold_up_others(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(failing_cases); i++) {
+        int64_t longest_ms = 0;
+        for (int64_t offset_ms = 0; offset_ms <= OFFSET_MAX_MS;
+             offset_ms += OFFSET_STEP_MS) {
+            int64_t took_ms = begin_beside_failures(
+                failing_cases[i].continuous, failing_cases[i].fail_after_ms,
+                offset_ms);
+            longest_ms = took_ms > longest_ms ? took_ms : longest_ms;
+        }
+        print_message("%s: begun within %lld ms\n", failing_cases[i].name,
+                      (long long)longest_ms);
+        assert_true(longest_ms <= RECLAIM_MS);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_guarantee_is_reclaimed_from_lasting_tasks),
+        cmocka_unit_test(failures_of_one_job_do_not_hold_up_others),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
