Plan: victims are cleared only where some are marked

Callers saw nothing. Reading the change as a whole: each look at what preemption would free walked the runs of the worker a second time, also without tasks that last. Comments on the time until a run is stalled say what they mean.

test_contention, test_plan, test_engine and test_flow pass as before.

--- a/src/engine.c
+++ b/src/engine.c
@@ -30,8 +30,8 @@
  * second to progress by a percent, and a worker is polled once a second. */
 #define STALL_TIMEOUT_MS 2300
 #define STALL_PERCENTS 4
-/* The estimate may be far too low, or absent. From the STALLS_BEFORE_DOUBLING
- * + 1st stalled run of a task on, the time doubles with each, at most
+/* The estimate may be far too low, or absent. Each stalled run of a task
+ * beyond the first STALLS_BEFORE_DOUBLING doubles the time, at most
  * STALL_DOUBLINGS_MAX times. */
 #define STALLS_BEFORE_DOUBLING 1
 #define STALL_DOUBLINGS_MAX 12
@@ -560,6 +560,8 @@
     stop_runs(engine, flow, "job-failed", now_ms);
 }
 
+/* Counts the failure or stall of a run of the job against the worker, unless
+ * the job is the likelier cause. */
 static void
 blame_worker(struct SrFlow *flow, struct SrWorker *worker, int64_t now_ms)
 {
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -158,6 +158,7 @@
              enum SrAvailability kind)
 {
     struct SrResources available = worker->free_after_stops;
+    bool has_victims = false;
     switch (kind) {
     case SR_AVAILABLE_NOW:
         return worker->free;
@@ -185,10 +186,14 @@
         }
         SrResources_Add(&available, &run->demand, 1);
         if (run->step->continuous) {
+            /* Counts against what its step allows to be unavailable. */
             mark_victim(run);
+            has_victims = true;
         }
     }
-    clear_victims(worker);
+    if (has_victims) {
+        clear_victims(worker);
+    }
     return available;
 }
 
