--- a/standin/main.c
+++ b/standin/main.c
@@ -413,6 +413,10 @@
      .key = 't',
      .arg = "MS",
      .doc = "service time of a request"},
+    {.name = "accounts",
+     .key = 'n',
+     .arg = "N",
+     .doc = "client accounts of a large configuration"},
     {0},
 };
 
@@ -466,6 +470,9 @@
     case 't':
         standin->service_ms = (unsigned)strtoul(text, NULL, 10);
         return 0;
+    case 'n':
+        standin->accounts = (unsigned)strtoul(text, NULL, 10);
+        return 0;
     case ARGP_KEY_ARG:
         arguments->role = text;
         return 0;
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -121,6 +121,9 @@
     unsigned memory_mb;
     /* Workers in each rack. */
     unsigned rack_size;
+    /* Role site: number of client accounts of a configuration with three
+     * queues; 0 for the small configuration. */
+    unsigned accounts;
     /* Concurrent requests of each backend server. */
     unsigned slots;
     /* Time that a backend server takes for a request, ms. */
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -8,16 +8,21 @@
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "harness.h"
 #include "os.h"
 #include "util.h"
 
+/* Workers of the soak. */
 #define WORKER_COUNT 6
 /* Time in which a node must end after SIGTERM (bounds.grace_s). */
 #define GRACE_S 4
+/* Period of the processor quota. */
+#define QUOTA_PERIOD_MS 100
 #define CONNECTIONS_KEPT 256
+#define RECORD_MAX (128 * 1024 * 1024)
 /* Time from the start of a node until it must handle SIGTERM; the platform's
  * target for the start is 0.5 s. */
 #define NODE_START_MS 500
@@ -59,9 +64,54 @@
     return from_ms + SoakSite_Random(site, to_ms - from_ms);
 }
 
+/* Nodes of the deployment: the first ones have more resources. */
+static const struct SoakNodeClass node_classes[] = {
+    {.cpu_share = 0.5, .memory_kb = 512 * 1024, .descriptors = 8192},
+    {.cpu_share = 0.12, .memory_kb = 160 * 1024, .descriptors = 4100},
+};
+
+/* Of 31 nodes, so many have more resources. */
+#define LARGE_NODES 12
+#define LARGE_NODES_OF 31
+
+static const struct SoakNodeClass *
+node_class(const struct SoakSite *site, unsigned number)
+{
+    return number * LARGE_NODES_OF < site->node_count * LARGE_NODES
+               ? &node_classes[0]
+               : &node_classes[1];
+}
+
+/* Writes the settings of a node of a deployment, which reaches the store
+ * without the forwarder. */
+static void
+write_deployment_settings(const struct SoakSite *site, unsigned number,
+                          const char *path)
+{
+    const struct SoakNodeClass *class = node_class(site, number);
+    FILE *file = fopen(path, "w");
+    fprintf(file,
+            "node_name=n%u\nzone=d%u\nregion=r\n"
+            "listen_addresses.front=%s.%u:8521\n"
+            "listen_addresses.ready_address=%s.%u:8523\n"
+            "internal_port_range=7000,7015\nplatform.address=%s.%s\n"
+            "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=900\n"
+            "bounds.grace_s=%d\nbounds.status_s=120\n"
+            "bounds.remote_factor=3\nbounds.reclaim_ms=3400\n"
+            "limits.cpu_share=%.2f\nlimits.max_fds=%u\n",
+            number, number % SOAK_DOMAINS, site->host, 20 + number, site->host,
+            20 + number, site->host, SOAK_STORE, SOAK_GRACE_S,
+            class->cpu_share, class->descriptors);
+    fclose(file);
+}
+
 static void
 write_settings(const struct SoakSite *site, unsigned number, const char *path)
 {
+    if (site->is_deployment) {
+        write_deployment_settings(site, number, path);
+        return;
+    }
     FILE *file = fopen(path, "w");
     fprintf(file,
             "node_name=n%u\nzone=d%u\nregion=r\n"
@@ -83,7 +133,9 @@
     struct SoakNode *node = &site->nodes[number];
     char settings[128];
     char log[128];
-    char *arguments[] = {(char *)Harness_Binary(), (char *)"node", NULL};
+    const char *binary =
+        site->binary != NULL ? site->binary : Harness_Binary();
+    char *arguments[] = {(char *)binary, (char *)"node", NULL};
     snprintf(settings, sizeof(settings), "%s/n%u.conf", site->folder, number);
     snprintf(log, sizeof(log), "%s/n%u.log", site->folder, number);
     snprintf(node->address, sizeof(node->address), "%s.%u:8521", site->host,
@@ -93,6 +145,8 @@
     node->pid = Harness_Spawn(log, arguments);
     node->state = NODE_UP;
     node->started_ms = SrOs_MonotonicMs();
+    node->throttled = false;
+    node->period_start_us = 0;
 }
 
 /* Starts a stand-in that listens on the address that ends in `address_end` and
@@ -108,6 +162,10 @@
         (char *)role,
         listen_option,
         (char *)option,
+        site->is_deployment ? (char *)"--accounts=10" : NULL,
+        (char *)"--cores=128",
+        (char *)"--memory-mb=262144",
+        (char *)"--rack-size=20",
         NULL,
     };
     snprintf(listen_option, sizeof(listen_option), "--listen=%s.%s",
@@ -147,7 +205,7 @@
 send_cuts(struct SoakSite *site)
 {
     char faults[64] = "cut=,";
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    for (unsigned i = 0; i < site->node_count; i++) {
         if (site->nodes[i].cut || site->nodes[i].domain_cut) {
             size_t length = strlen(faults);
             snprintf(faults + length, sizeof(faults) - length, "%u,", i);
@@ -199,6 +257,123 @@
     kill_node(site, &site->nodes[number]);
 }
 
+void
+SoakSite_PauseNode(struct SoakSite *site, unsigned number, int64_t length_ms)
+{
+    struct SoakNode *node = &site->nodes[number];
+    if (node->state == NODE_UP) {
+        kill(node->pid, SIGSTOP);
+        node->state = NODE_PAUSED;
+        node->until_ms = SrOs_MonotonicMs() + length_ms;
+    }
+}
+
+void
+SoakSite_ReloadNode(struct SoakSite *site, unsigned number)
+{
+    if (site->nodes[number].state == NODE_UP) {
+        kill(site->nodes[number].pid, SIGHUP);
+    }
+}
+
+/* Sends a signal to the nodes that run and to the stand-in. */
+static void
+signal_machine(struct SoakSite *site, int signal_number)
+{
+    for (unsigned i = 0; i < site->node_count; i++) {
+        const struct SoakNode *node = &site->nodes[i];
+        if (node->state == NODE_UP || node->state == NODE_STOPPING) {
+            kill(node->pid, signal_number);
+        }
+    }
+    kill(site->standin_pid, signal_number);
+}
+
+void
+SoakSite_Stall(struct SoakSite *site, int64_t length_ms)
+{
+    if (site->stall_end_ms == 0) {
+        site->stall_end_ms = SrOs_MonotonicMs() + length_ms;
+        signal_machine(site, SIGSTOP);
+    }
+}
+
+/* Returns the processor time that the process has used, or -1. */
+static int64_t
+processor_us(pid_t pid)
+{
+    clockid_t clock;
+    struct timespec used;
+    if (clock_getcpuclockid(pid, &clock) != 0 ||
+        clock_gettime(clock, &used) != 0) {
+        return -1;
+    }
+    return used.tv_sec * 1000000LL + used.tv_nsec / 1000;
+}
+
+void
+SoakSite_EnforceQuotas(struct SoakSite *site, int64_t now_ms)
+{
+    bool starts = now_ms - site->quota_period_ms >= QUOTA_PERIOD_MS;
+    if (site->stall_end_ms != 0) {
+        return;
+    }
+    if (starts) {
+        site->quota_period_ms = now_ms;
+    }
+    for (unsigned i = 0; i < site->node_count; i++) {
+        struct SoakNode *node = &site->nodes[i];
+        if (node->state != NODE_UP && node->state != NODE_STOPPING) {
+            continue;
+        }
+        int64_t used_us = processor_us(node->pid);
+        if (starts) {
+            node->period_start_us = used_us;
+        }
+        if (starts && node->throttled) {
+            node->throttled = false;
+            kill(node->pid, SIGCONT);
+        }
+        if (!node->throttled &&
+            (double)(used_us - node->period_start_us) >
+                node_class(site, i)->cpu_share * QUOTA_PERIOD_MS * 1000) {
+            node->throttled = true;
+            kill(node->pid, SIGSTOP);
+        }
+    }
+}
+
+void
+SoakSite_CheckMemory(struct SoakSite *site)
+{
+    for (unsigned i = 0; i < site->node_count; i++) {
+        const struct SoakNode *node = &site->nodes[i];
+        char text[64];
+        char line[128];
+        long peak_kb = 0;
+        snprintf(text, sizeof(text), "/proc/%d/status", (int)node->pid);
+        FILE *file =
+            node->state != NODE_DOWN &&
+                    SrOs_MonotonicMs() - node->started_ms > NODE_START_MS
+                ? fopen(text, "r")
+                : NULL;
+        while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+            if (strncmp(line, "VmHWM:", 6) == 0) {
+                peak_kb = strtol(line + 6, NULL, 10);
+            }
+        }
+        if (file != NULL) {
+            fclose(file);
+        }
+        site->peak_kb[i] =
+            peak_kb > site->peak_kb[i] ? peak_kb : site->peak_kb[i];
+        if (peak_kb > node_class(site, i)->memory_kb) {
+            snprintf(text, sizeof(text), "n%u %ld KiB", i, peak_kb);
+            SoakSite_Fail(site, "node exceeds its memory limit:", text);
+        }
+    }
+}
+
 void
 SoakSite_SetStoreFaults(struct SoakSite *site, const char *faults)
 {
@@ -209,7 +384,8 @@
 SoakSite_InjectFault(struct SoakSite *site, enum SoakFault kind)
 {
     char faults[64];
-    struct SoakNode *node = &site->nodes[SoakSite_Random(site, SOAK_NODES)];
+    struct SoakNode *node =
+        &site->nodes[SoakSite_Random(site, site->node_count)];
     int64_t now_ms = SrOs_MonotonicMs();
     switch (kind) {
     case SOAK_NODE_KILLED:
@@ -229,7 +405,7 @@
         }
         break;
     case SOAK_ALL_NODES_KILLED:
-        for (unsigned i = 0; i < SOAK_NODES; i++) {
+        for (unsigned i = 0; i < site->node_count; i++) {
             kill_node(site, &site->nodes[i]);
         }
         break;
@@ -261,13 +437,13 @@
         break;
     case SOAK_WORKER_CRASHES:
         snprintf(faults, sizeof(faults), "crash=w%u",
-                 SoakSite_Random(site, WORKER_COUNT));
+                 SoakSite_Random(site, site->worker_count));
         set_faults(site, SOAK_STORE, faults);
         break;
     case SOAK_WORKER_UNRESPONSIVE:
         if (site->store_fault_end_ms == 0 && site->worker_fault_end_ms == 0) {
             snprintf(faults, sizeof(faults), "dead=w%u",
-                     SoakSite_Random(site, WORKER_COUNT));
+                     SoakSite_Random(site, site->worker_count));
             set_faults(site, SOAK_STORE, faults);
             site->worker_fault_end_ms =
                 now_ms + SoakSite_RandomMs(site, 500, 9000);
@@ -284,53 +460,88 @@
 {
     char faults[64] = "cut_workers=,";
     unsigned first =
-        (unsigned)gsl_rng_uniform_int(site->cut_random, WORKER_COUNT);
+        (unsigned)gsl_rng_uniform_int(site->cut_random, site->worker_count);
     site->domain_cut_end_ms =
         SrOs_MonotonicMs() + 4000 +
         (int64_t)gsl_rng_uniform_int(site->cut_random, 5000);
-    for (unsigned i = 0; i < WORKER_COUNT / 2; i++) {
+    for (unsigned i = 0; i < site->worker_count / 2; i++) {
         size_t length = strlen(faults);
         snprintf(faults + length, sizeof(faults) - length, "w%u,",
-                 (first + i) % WORKER_COUNT);
+                 (first + i) % site->worker_count);
     }
     node->domain_cut = true;
     send_cuts(site);
     set_faults(site, SOAK_STORE, faults);
 }
 
+static bool
+is_leading(const struct SrHttpResponse *response)
+{
+    static const char leading[] = "\nsr_leading 1\n";
+    return response->error == SR_HTTP_CLIENT_OK && response->status == 200 &&
+           memmem(response->body, response->size, leading, strlen(leading)) !=
+               NULL;
+}
+
 static void
 on_metrics(void *context, const struct SrHttpResponse *response)
 {
-    static const char leading[] = "\nsr_leading 1\n";
     struct SoakNode *node = context;
-    if (response->error == SR_HTTP_CLIENT_OK && response->status == 200 &&
-        node->site->domain_cut_end_ms == 0 &&
-        memmem(response->body, response->size, leading, strlen(leading)) !=
-            NULL) {
+    if (node->site->domain_cut_end_ms == 0 && is_leading(response)) {
         cut_domain(node->site, node);
     }
 }
 
-void
-SoakSite_CutDomain(struct SoakSite *site)
+static void
+on_leader_metrics(void *context, const struct SrHttpResponse *response)
 {
-    for (unsigned i = 0; i < SOAK_NODES && site->domain_cut_end_ms == 0; i++) {
+    struct SoakNode *node = context;
+    struct SoakSite *site = node->site;
+    if (site->on_leader != NULL && is_leading(response)) {
+        void (*found)(void *, unsigned) = site->on_leader;
+        site->on_leader = NULL;
+        found(site->leader_context, (unsigned)(node - site->nodes));
+    }
+}
+
+/* Reads the metrics of all nodes. */
+static void
+read_metrics(struct SoakSite *site,
+             void (*done)(void *, const struct SrHttpResponse *))
+{
+    for (unsigned i = 0; i < site->node_count; i++) {
         char address[64];
         snprintf(address, sizeof(address), "%s.%u:%d", site->host, 20 + i,
                  METRICS_PORT);
-        site->nodes[i].site = site;
         SrHttpClient_Send(site->http, &(struct SrHttpCallOptions){
                                           .method = "GET",
                                           .address = address,
                                           .path = "/metrics",
                                           .timeout_ms = METRICS_TIMEOUT_MS,
                                           .response_max = METRICS_MAX,
-                                          .done = on_metrics,
+                                          .done = done,
                                           .context = &site->nodes[i],
                                       });
     }
 }
 
+void
+SoakSite_CutDomain(struct SoakSite *site)
+{
+    if (site->domain_cut_end_ms == 0) {
+        read_metrics(site, on_metrics);
+    }
+}
+
+void
+SoakSite_FindLeader(struct SoakSite *site, void (*found)(void *, unsigned),
+                    void *context)
+{
+    site->on_leader = found;
+    site->leader_context = context;
+    read_metrics(site, on_leader_metrics);
+}
+
 /* Ends the domain cut if its time is over. */
 static void
 end_domain_cut(struct SoakSite *site, int64_t now_ms)
@@ -339,7 +550,7 @@
         return;
     }
     site->domain_cut_end_ms = 0;
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    for (unsigned i = 0; i < site->node_count; i++) {
         site->nodes[i].domain_cut = false;
     }
     send_cuts(site);
@@ -395,7 +606,7 @@
 {
     char faults[64];
     unsigned worker =
-        (unsigned)gsl_rng_uniform_int(site->late_random, WORKER_COUNT);
+        (unsigned)gsl_rng_uniform_int(site->late_random, site->worker_count);
     if (!site->late_commands) {
         site->late_commands = true;
         snprintf(faults, sizeof(faults),
@@ -451,7 +662,7 @@
 end_faults(struct SoakSite *site, int64_t now_ms)
 {
     bool link_restored = false;
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    for (unsigned i = 0; i < site->node_count; i++) {
         struct SoakNode *node = &site->nodes[i];
         if (node->state == NODE_DOWN && now_ms >= node->until_ms) {
             start_node(site, i);
@@ -484,7 +695,7 @@
 static void
 check_ended_nodes(struct SoakSite *site)
 {
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    for (unsigned i = 0; i < site->node_count; i++) {
         struct SoakNode *node = &site->nodes[i];
         int status = 0;
         if (node->state == NODE_DOWN ||
@@ -528,16 +739,38 @@
 void
 SoakSite_Tick(struct SoakSite *site, int64_t now_ms)
 {
+    if (site->stall_end_ms != 0) {
+        if (now_ms < site->stall_end_ms) {
+            return;
+        }
+        site->stall_end_ms = 0;
+        signal_machine(site, SIGCONT);
+    }
     check_ended_nodes(site);
     end_faults(site, now_ms);
     end_domain_cut(site, now_ms);
     end_worker_faults(site, now_ms);
 }
 
-void
-SoakSite_Start(struct SoakSite *site, unsigned seed)
+/* Starts the forwarder and lets it forward one port for each node. */
+static void
+start_forwarder(struct SoakSite *site)
 {
     char pairs[512] = "--pairs=";
+    for (unsigned i = 0; i < site->node_count; i++) {
+        size_t length = strlen(pairs);
+        snprintf(pairs + length, sizeof(pairs) - length,
+                 "%s%s.11:%u=%s.10:7000", i > 0 ? "," : "", site->host,
+                 7300 + i, site->host);
+    }
+    site->forwarder_pid =
+        start_standin(site, "forward", FORWARDER, pairs, "forward");
+}
+
+/* Starts all processes; the sizes in `site` are set. */
+static void
+start_processes(struct SoakSite *site, unsigned seed)
+{
     char count[32];
     site->seed = seed;
     site->random = gsl_rng_alloc(gsl_rng_mt19937);
@@ -557,33 +790,51 @@
              (int)getpid(), seed);
     claim_host(site);
     mkdir(site->folder, 0755);
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
-        size_t length = strlen(pairs);
-        snprintf(pairs + length, sizeof(pairs) - length,
-                 "%s%s.11:%u=%s.10:7000", i > 0 ? "," : "", site->host,
-                 7300 + i, site->host);
-    }
-    snprintf(count, sizeof(count), "--count=%u", WORKER_COUNT);
+    snprintf(count, sizeof(count), "--count=%u", site->worker_count);
     site->standin_pid = start_standin(site, "site", SOAK_STORE, count, "site");
-    site->forwarder_pid =
-        start_standin(site, "forward", FORWARDER, pairs, "forward");
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    if (!site->is_deployment) {
+        start_forwarder(site);
+    }
+    for (unsigned i = 0; i < site->node_count; i++) {
+        site->nodes[i].site = site;
         start_node(site, i);
     }
 }
 
+void
+SoakSite_Start(struct SoakSite *site, unsigned seed)
+{
+    site->node_count = SOAK_NODES;
+    site->worker_count = WORKER_COUNT;
+    start_processes(site, seed);
+}
+
+void
+SoakSite_StartDeployment(struct SoakSite *site, unsigned seed,
+                         const struct SoakSize *size)
+{
+    site->node_count = size->nodes;
+    site->worker_count = size->workers;
+    site->binary = size->binary;
+    site->is_deployment = true;
+    start_processes(site, seed);
+}
+
 static void
 remove_folder(const struct SoakSite *site)
 {
-    char path[128];
-    static const char *const names[] = {
-        "n0.log",  "n1.log",  "n2.log",  "n3.log",   "n0.conf",
-        "n1.conf", "n2.conf", "n3.conf", "site.log", "forward.log",
-    };
+    char path[160];
+    static const char *const names[] = {"site.log", "forward.log", "events"};
     for (size_t i = 0; i < SR_LENGTH(names); i++) {
         snprintf(path, sizeof(path), "%s/%s", site->folder, names[i]);
         unlink(path);
     }
+    for (unsigned i = 0; i < site->node_count; i++) {
+        snprintf(path, sizeof(path), "%s/n%u.log", site->folder, i);
+        unlink(path);
+        snprintf(path, sizeof(path), "%s/n%u.conf", site->folder, i);
+        unlink(path);
+    }
     rmdir(site->folder);
 }
 
@@ -604,8 +855,8 @@
 void
 SoakSite_Stop(struct SoakSite *site, const char *record)
 {
-    pid_t pids[SOAK_NODES + 2] = {site->standin_pid, site->forwarder_pid};
-    for (unsigned i = 0; i < SOAK_NODES; i++) {
+    pid_t pids[SOAK_NODES_MAX + 2] = {site->standin_pid, site->forwarder_pid};
+    for (unsigned i = 0; i < site->node_count; i++) {
         pids[i + 2] =
             site->nodes[i].state != NODE_DOWN ? site->nodes[i].pid : 0;
     }
@@ -629,3 +880,63 @@
     gsl_rng_free(site->cut_random);
     gsl_rng_free(site->late_random);
 }
+
+/* Reading of the record. */
+struct RecordCall {
+    struct SoakSite *site;
+    char *record;
+};
+
+static void
+on_record(void *context, const struct SrHttpResponse *response)
+{
+    struct RecordCall *call = context;
+    if (response->error == SR_HTTP_CLIENT_OK && response->status == 200) {
+        call->record = SrUtil_Calloc(1, response->size + 1);
+        memcpy(call->record, response->body, response->size);
+    }
+    ev_break(call->site->kernel->loop, EVBREAK_ALL);
+}
+
+char *
+SoakSite_ReadRecord(struct SoakSite *site)
+{
+    char address[64];
+    struct RecordCall call = {.site = site};
+    snprintf(address, sizeof(address), "%s.%s", site->host, SOAK_STORE);
+    SrHttpClient_Send(site->http, &(struct SrHttpCallOptions){
+                                      .method = "GET",
+                                      .address = address,
+                                      .path = "/record",
+                                      .timeout_ms = SOAK_START_LIMIT_MS,
+                                      .response_max = RECORD_MAX,
+                                      .done = on_record,
+                                      .context = &call,
+                                  });
+    ev_run(site->kernel->loop, 0);
+    if (call.record == NULL) {
+        SoakSite_Fail(site, "the stand-in sent no record", "");
+    }
+    return call.record;
+}
+
+unsigned
+SoakSite_CheckViolations(struct SoakSite *site, const char *record)
+{
+    static const char former[] = " by=former ";
+    static const char twice[] = "violation task-twice ";
+    unsigned former_violations = 0;
+    for (const char *at = record != NULL ? strstr(record, "violation ") : NULL;
+         at != NULL; at = strstr(at + 1, "violation ")) {
+        char line[128];
+        SrUtil_Copy(line, sizeof(line), at);
+        line[strcspn(line, "\n")] = '\0';
+        if (strstr(line, former) != NULL &&
+            strncmp(line, twice, strlen(twice)) != 0) {
+            former_violations++;
+            continue;
+        }
+        SoakSite_Fail(site, "the workers recorded a", line);
+    }
+    return former_violations;
+}
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -12,7 +12,13 @@
 #include "http_client.h"
 #include "kernel.h"
 
+/* Nodes of the soak, and the largest number of nodes of a deployment. */
 #define SOAK_NODES 4
+#define SOAK_NODES_MAX 40
+/* Failure domains of a deployment, and time in which one of its nodes must end
+ * after SIGTERM. */
+#define SOAK_DOMAINS 6
+#define SOAK_GRACE_S 6
 /* Address of the store's stand-in: last byte of the host, and port. */
 #define SOAK_STORE "10:7000"
 #define SOAK_START_LIMIT_MS 10000
@@ -66,6 +72,27 @@
     int64_t cut_until_ms;
     /* True while the node's failure domain is cut off from the store. */
     bool domain_cut;
+    /* The node is suspended until the next period of its processor quota;
+     * processor time that it had used when the period began. */
+    bool throttled;
+    int64_t period_start_us;
+};
+
+/* Limits of a node of a deployment. */
+struct SoakNodeClass {
+    /* Cores. */
+    double cpu_share;
+    /* Peak resident memory. */
+    long memory_kb;
+    unsigned descriptors;
+};
+
+/* Size of a deployment. */
+struct SoakSize {
+    unsigned nodes;
+    unsigned workers;
+    /* Path of the nodes' binary; NULL for that of the build. */
+    const char *binary;
 };
 
 struct SoakSite {
@@ -89,7 +116,22 @@
      * forwarder. */
     pid_t standin_pid;
     pid_t forwarder_pid;
-    struct SoakNode nodes[SOAK_NODES];
+    struct SoakNode nodes[SOAK_NODES_MAX];
+    unsigned node_count;
+    unsigned worker_count;
+    /* Path of the nodes' binary; NULL for that of the build. */
+    const char *binary;
+    /* The nodes have the limits and bounds of a deployment. */
+    bool is_deployment;
+    /* Start of the period of the processor quotas, and end of a stall of all
+     * processes (0 if there is none), in ms of the monotonic clock. */
+    int64_t quota_period_ms;
+    int64_t stall_end_ms;
+    /* Peak resident memory of each node number. */
+    long peak_kb[SOAK_NODES_MAX];
+    /* Called with the number of the node that leads; NULL when it has been. */
+    void (*on_leader)(void *context, unsigned number);
+    void *leader_context;
     /* Version of the operator's configuration. */
     unsigned long config_version;
     /* End of the store's current fault, and of a worker's, in ms of the
@@ -113,6 +155,12 @@
 /* Starts all processes. If that fails, sets `site->failure`. */
 void SoakSite_Start(struct SoakSite *site, unsigned seed);
 
+/* Starts the processes of a deployment of that size: its nodes have limits on
+ * processor time and memory, and its configuration has three queues and ten
+ * client accounts. */
+void SoakSite_StartDeployment(struct SoakSite *site, unsigned seed,
+                              const struct SoakSize *size);
+
 /* Kills all processes and frees `*site`'s resources. After a failure keeps the
  * logs and writes `record`, which may be NULL, beside them; otherwise removes
  * the directory. */
@@ -129,6 +177,30 @@
 /* Sends SIGKILL to a node unless it is down. It is started again later. */
 void SoakSite_KillNode(struct SoakSite *site, unsigned number);
 
+/* Suspends a node that is up for that time. */
+void SoakSite_PauseNode(struct SoakSite *site, unsigned number,
+                        int64_t length_ms);
+
+/* Sends SIGHUP to a node that is up. */
+void SoakSite_ReloadNode(struct SoakSite *site, unsigned number);
+
+/* Suspends all nodes and the stand-in for that time. */
+void SoakSite_Stall(struct SoakSite *site, int64_t length_ms);
+
+/* Suspends the nodes that have used their processor time of the present
+ * period, and resumes them at the start of the next one; call it each few
+ * ms. */
+void SoakSite_EnforceQuotas(struct SoakSite *site, int64_t now_ms);
+
+/* Records a failure if a node has exceeded its memory limit. */
+void SoakSite_CheckMemory(struct SoakSite *site);
+
+/* Asks all nodes whether they lead, and calls `found` with the number of the
+ * first one that does; does not call it if none does. */
+void SoakSite_FindLeader(struct SoakSite *site,
+                         void (*found)(void *context, unsigned number),
+                         void *context);
+
 /* Sets faults of the stand-in of the store and the workers, as "name=value"
  * separated by spaces. */
 void SoakSite_SetStoreFaults(struct SoakSite *site, const char *faults);
@@ -154,6 +226,16 @@
 /* Records a failure; only the first one is kept. */
 void SoakSite_Fail(struct SoakSite *site, const char *what, const char *id);
 
+/* Returns the record of the stand-in, which the caller frees. If it cannot be
+ * read, records a failure and returns NULL. */
+char *SoakSite_ReadRecord(struct SoakSite *site);
+
+/* Records a failure for the first violation in the record, which may be NULL.
+ * Starts by commands that a former incarnation of the worker received are only
+ * failures if the task runs already, since no command of the scheduler can
+ * prevent them; returns the number of the others. */
+unsigned SoakSite_CheckViolations(struct SoakSite *site, const char *record);
+
 /* Returns a random number from 0 to `below` - 1. */
 unsigned SoakSite_Random(struct SoakSite *site, unsigned below);
 
--- a/tests/test_soak.c
+++ b/tests/test_soak.c
@@ -33,7 +33,6 @@
  * it covers leases of 6 s, four restarts of the longest job, and the wait for
  * free accelerators. */
 #define SETTLE_LIMIT_MS 60000
-#define RECORD_MAX (16 * 1024 * 1024)
 #define TICK_MS 20
 /* Time from the start of a task that crashes workers to the crash. */
 #define CRASH_MS 300
@@ -318,67 +317,13 @@
     }
 }
 
-static void
-on_record(void *context, const struct SrHttpResponse *response)
-{
-    struct Soak *soak = context;
-    if (response->error == SR_HTTP_CLIENT_OK && response->status == 200) {
-        soak->record = SrUtil_Calloc(1, response->size + 1);
-        memcpy(soak->record, response->body, response->size);
-    }
-    ev_break(soak->site.kernel->loop, EVBREAK_ALL);
-}
-
-static void
-read_record(struct Soak *soak)
-{
-    char address[64];
-    snprintf(address, sizeof(address), "%s.%s", soak->site.host, SOAK_STORE);
-    SrHttpClient_Send(soak->site.http, &(struct SrHttpCallOptions){
-                                           .method = "GET",
-                                           .address = address,
-                                           .path = "/record",
-                                           .timeout_ms = SOAK_START_LIMIT_MS,
-                                           .response_max = RECORD_MAX,
-                                           .done = on_record,
-                                           .context = soak,
-                                       });
-    ev_run(soak->site.kernel->loop, 0);
-    if (soak->record == NULL) {
-        SoakSite_Fail(&soak->site, "the stand-in sent no record", "");
-    }
-}
-
-/* Fails for the first violation of the record. Starts by commands that a
- * former incarnation of the worker received are only counted if they come
- * after the result "done" or exceed the worker's accelerators, since no
- * command of the scheduler can prevent them. */
-static void
-check_violations(struct Soak *soak, const char *record)
-{
-    static const char former[] = " by=former ";
-    static const char twice[] = "violation task-twice ";
-    for (const char *at = strstr(record, "violation "); at != NULL;
-         at = strstr(at + 1, "violation ")) {
-        char line[128];
-        SrUtil_Copy(line, sizeof(line), at);
-        line[strcspn(line, "\n")] = '\0';
-        if (strstr(line, former) != NULL &&
-            strncmp(line, twice, strlen(twice)) != 0) {
-            soak->former_violations++;
-            continue;
-        }
-        SoakSite_Fail(&soak->site, "the workers recorded a", line);
-    }
-}
-
 /* Checks the record for violations and for runs of refused jobs, and that all
  * accepted jobs are completed. */
 static void
 check_results(struct Soak *soak)
 {
     const char *record = soak->record != NULL ? soak->record : "";
-    check_violations(soak, record);
+    soak->former_violations = SoakSite_CheckViolations(&soak->site, record);
     for (unsigned i = 0; i < soak->job_count; i++) {
         const struct Job *job = &soak->jobs[i];
         char start[64];
@@ -463,7 +408,7 @@
     ev_run(soak->site.kernel->loop, 0);
     SrTimer_Stop(&soak->tick);
     SrTimer_Stop(&soak->query);
-    read_record(soak);
+    soak->record = SoakSite_ReadRecord(&soak->site);
     check_results(soak);
     count_jobs(soak, counts);
     print_message("seed %u: %u accepted, %u refused, %u unknown: %s\n", seed,
