--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -290,7 +290,7 @@
     unsigned span_count;
     /* Requests that ended without an answer. */
     unsigned cut_counted;
-    unsigned cut_near_fault;
+    unsigned cut_other;
     unsigned cut_half_received;
     unsigned idle_counted;
     unsigned idle_near_fault;
@@ -524,8 +524,8 @@
             rig, "a request that was sent whole ended unanswered:", text);
     }
     else {
-        rig->cut_near_fault++;
-        write_event(rig, "cut near a fault: %s", text);
+        rig->cut_other++;
+        write_event(rig, "cut, not counted: %s", text);
     }
 }
 
@@ -1350,12 +1350,12 @@
     print_message(
         "seed %u: faults=%s interval=%u load=%u: %u accepted (%u completed), "
         "%u refused, %u unknown, %u starts, peak %ld KiB; idle %u (near "
-        "faults %u), cut %u (near faults %u, half received %u), former %u: "
+        "faults %u), cut %u (others %u, half received %u), former %u: "
         "%s\n",
         rig->site.seed, faults, rig->options.interval_ms, rig->options.load,
         counts[JOB_ACCEPTED], completed, counts[JOB_REFUSED],
         counts[JOB_UNKNOWN], starts, peak_kb, rig->idle_counted,
-        rig->idle_near_fault, rig->cut_counted, rig->cut_near_fault,
+        rig->idle_near_fault, rig->cut_counted, rig->cut_other,
         rig->cut_half_received, rig->former_violations,
         rig->site.failure[0] != '\0' ? rig->site.failure : "ok");
 }
