--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -62,8 +62,9 @@
 longest_pid=$!
 for test in build-asan/test_*; do
     case $test in
-    "$longest" | *.dir | */test_faults | */test_gate | */test_jobs | */test_nodes | \
-        */test_odd_entries | */test_refusals | */test_relay | */test_soak)
+    "$longest" | *.dir | */test_deployment | */test_faults | */test_gate | \
+        */test_jobs | */test_nodes | */test_odd_entries | */test_refusals | \
+        */test_relay | */test_soak)
         continue
         ;;
     esac
@@ -76,6 +77,7 @@
 run "$BUILD/test_refusals"
 run "$BUILD/test_relay"
 run "$BUILD/test_faults"
+run "$BUILD/test_deployment"
 run "$BUILD/test_soak"
 wait "$longest_pid"
 report "$longest" "$longest_log" "$?"
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -36,7 +36,6 @@
 #define FORWARDER "11:7100"
 /* Port of a node's metrics. */
 #define METRICS_PORT 7000
-#define METRICS_MAX (1024 * 1024)
 #define METRICS_TIMEOUT_MS 500
 /* Usual share of the commands to workers that are executed late, the larger
  * share for a short time, and that of lost responses. */
@@ -200,6 +199,24 @@
                                   });
 }
 
+/* Requests `path` from the address that ends in `address_end`. */
+static void
+send_get(struct SoakSite *site, const char *address_end, const char *path,
+         int64_t timeout_ms,
+         void (*done)(void *, const struct SrHttpResponse *), void *context)
+{
+    char address[64];
+    snprintf(address, sizeof(address), "%s.%s", site->host, address_end);
+    SrHttpClient_Send(site->http,
+                      &(struct SrHttpCallOptions){.method = "GET",
+                                                  .address = address,
+                                                  .path = path,
+                                                  .timeout_ms = timeout_ms,
+                                                  .response_max = RECORD_MAX,
+                                                  .done = done,
+                                                  .context = context});
+}
+
 /* Sends the list of cut links to the forwarder. */
 static void
 send_cuts(struct SoakSite *site)
@@ -454,10 +471,41 @@
     }
 }
 
+static void
+on_metrics(void *context, const struct SrHttpResponse *response)
+{
+    static const char leading[] = "\nsr_leading 1\n";
+    struct SoakNode *node = context;
+    struct SoakSite *site = node->site;
+    void (*found)(void *, unsigned) = site->on_leader;
+    if (found != NULL && response->error == SR_HTTP_CLIENT_OK &&
+        response->status == 200 &&
+        memmem(response->body, response->size, leading, strlen(leading)) !=
+            NULL) {
+        site->on_leader = NULL;
+        found(site->leader_context, (unsigned)(node - site->nodes));
+    }
+}
+
+void
+SoakSite_FindLeader(struct SoakSite *site, void (*found)(void *, unsigned),
+                    void *context)
+{
+    site->on_leader = found;
+    site->leader_context = context;
+    for (unsigned i = 0; i < site->node_count; i++) {
+        char end[32];
+        snprintf(end, sizeof(end), "%u:%d", 20 + i, METRICS_PORT);
+        send_get(site, end, "/metrics", METRICS_TIMEOUT_MS, on_metrics,
+                 &site->nodes[i]);
+    }
+}
+
 /* Cuts the node off from the store, and half of the workers with it. */
 static void
-cut_domain(struct SoakSite *site, struct SoakNode *node)
+cut_domain(void *context, unsigned number)
 {
+    struct SoakSite *site = context;
     char faults[64] = "cut_workers=,";
     unsigned first =
         (unsigned)gsl_rng_uniform_int(site->cut_random, site->worker_count);
@@ -469,79 +517,19 @@
         snprintf(faults + length, sizeof(faults) - length, "w%u,",
                  (first + i) % site->worker_count);
     }
-    node->domain_cut = true;
+    site->nodes[number].domain_cut = true;
     send_cuts(site);
     set_faults(site, SOAK_STORE, faults);
 }
 
-static bool
-is_leading(const struct SrHttpResponse *response)
-{
-    static const char leading[] = "\nsr_leading 1\n";
-    return response->error == SR_HTTP_CLIENT_OK && response->status == 200 &&
-           memmem(response->body, response->size, leading, strlen(leading)) !=
-               NULL;
-}
-
-static void
-on_metrics(void *context, const struct SrHttpResponse *response)
-{
-    struct SoakNode *node = context;
-    if (node->site->domain_cut_end_ms == 0 && is_leading(response)) {
-        cut_domain(node->site, node);
-    }
-}
-
-static void
-on_leader_metrics(void *context, const struct SrHttpResponse *response)
-{
-    struct SoakNode *node = context;
-    struct SoakSite *site = node->site;
-    if (site->on_leader != NULL && is_leading(response)) {
-        void (*found)(void *, unsigned) = site->on_leader;
-        site->on_leader = NULL;
-        found(site->leader_context, (unsigned)(node - site->nodes));
-    }
-}
-
-/* Reads the metrics of all nodes. */
-static void
-read_metrics(struct SoakSite *site,
-             void (*done)(void *, const struct SrHttpResponse *))
-{
-    for (unsigned i = 0; i < site->node_count; i++) {
-        char address[64];
-        snprintf(address, sizeof(address), "%s.%u:%d", site->host, 20 + i,
-                 METRICS_PORT);
-        SrHttpClient_Send(site->http, &(struct SrHttpCallOptions){
-                                          .method = "GET",
-                                          .address = address,
-                                          .path = "/metrics",
-                                          .timeout_ms = METRICS_TIMEOUT_MS,
-                                          .response_max = METRICS_MAX,
-                                          .done = done,
-                                          .context = &site->nodes[i],
-                                      });
-    }
-}
-
 void
 SoakSite_CutDomain(struct SoakSite *site)
 {
     if (site->domain_cut_end_ms == 0) {
-        read_metrics(site, on_metrics);
+        SoakSite_FindLeader(site, cut_domain, site);
     }
 }
 
-void
-SoakSite_FindLeader(struct SoakSite *site, void (*found)(void *, unsigned),
-                    void *context)
-{
-    site->on_leader = found;
-    site->leader_context = context;
-    read_metrics(site, on_leader_metrics);
-}
-
 /* Ends the domain cut if its time is over. */
 static void
 end_domain_cut(struct SoakSite *site, int64_t now_ms)
@@ -901,18 +889,9 @@
 char *
 SoakSite_ReadRecord(struct SoakSite *site)
 {
-    char address[64];
     struct RecordCall call = {.site = site};
-    snprintf(address, sizeof(address), "%s.%s", site->host, SOAK_STORE);
-    SrHttpClient_Send(site->http, &(struct SrHttpCallOptions){
-                                      .method = "GET",
-                                      .address = address,
-                                      .path = "/record",
-                                      .timeout_ms = SOAK_START_LIMIT_MS,
-                                      .response_max = RECORD_MAX,
-                                      .done = on_record,
-                                      .context = &call,
-                                  });
+    send_get(site, SOAK_STORE, "/record", SOAK_START_LIMIT_MS, on_record,
+             &call);
     ev_run(site->kernel->loop, 0);
     if (call.record == NULL) {
         SoakSite_Fail(site, "the stand-in sent no record", "");
--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -35,10 +35,6 @@
 #define NODES 31
 #define WORKERS 350
 #define ACCOUNTS 10
-/* Capacity of a worker. */
-#define WORKER_CPU 128000
-#define WORKER_MEMORY_MB 262144
-#define WORKER_ACCELERATORS 8
 /* Jobs submitted each 1000 s by the clients of 31 nodes. */
 #define JOBS_PER_1000_S 12620
 /* Start of the traffic, and of the faults after it. */
@@ -73,6 +69,11 @@
 #define SAMPLE_MS 100
 #define SPANS_MAX 1024
 #define LASTING_JOBS 6
+/* Size of the runs of CI. */
+#define CI_NODES 8
+#define CI_WORKERS 60
+#define CI_LENGTH_MS 20000
+#define CI_LOAD 45
 
 enum Fault {
     FAULT_KILLS,
@@ -84,7 +85,7 @@
     FAULT_CONFIG,
     FAULT_RELOADS,
     FAULT_CLOSING,
-    FAULT_KINDS,
+    FAULT_KINDS
 };
 
 static const char *const fault_names[] = {
@@ -92,8 +93,7 @@
     [FAULT_PAUSES] = "pauses",   [FAULT_STALLS] = "stalls",
     [FAULT_WORKERS] = "workers", [FAULT_STORE] = "store",
     [FAULT_CONFIG] = "config",   [FAULT_RELOADS] = "reloads",
-    [FAULT_CLOSING] = "closing",
-};
+    [FAULT_CLOSING] = "closing"};
 
 /* Kind of job: its queue and how its properties are distributed. */
 struct JobClass {
@@ -164,12 +164,7 @@
 #define SHARES 14.01
 #define WIDTH_SPREAD 0.8
 
-enum JobState {
-    JOB_SUBMITTING,
-    JOB_ACCEPTED,
-    JOB_REFUSED,
-    JOB_UNKNOWN,
-};
+enum JobState { JOB_SUBMITTING, JOB_ACCEPTED, JOB_REFUSED, JOB_UNKNOWN };
 
 /* Task as the record of the workers shows it. */
 struct Task {
@@ -213,11 +208,7 @@
     bool idle_near_fault;
 };
 
-enum Request {
-    REQUEST_SUBMIT,
-    REQUEST_QUERY,
-    REQUEST_CANCEL,
-};
+enum Request { REQUEST_SUBMIT, REQUEST_QUERY, REQUEST_CANCEL };
 
 /* Client with one connection, which carries one request at a time. */
 struct Client {
@@ -274,9 +265,7 @@
     int64_t traffic_end_ms;
     bool finishing;
     bool closing;
-    /* Time up to which some process had a fault, and up to which it was
-     * another than SIGTERM. */
-    int64_t last_fault_ms;
+    /* Time up to which some process had a fault other than SIGTERM. */
     int64_t last_unplanned_ms;
     bool killed[SOAK_NODES_MAX];
     /* Last SIGTERM and SIGHUP of each node, and last configuration. */
@@ -322,13 +311,11 @@
     SoakSite_Fail(&rig->site, what, id);
 }
 
-/* Adds the time to the times with a fault. */
 static void
 add_fault_time(struct Rig *rig, int64_t now_ms)
 {
     struct Span *last =
         rig->span_count > 0 ? &rig->spans[rig->span_count - 1] : NULL;
-    rig->last_fault_ms = now_ms;
     if (last != NULL && now_ms - last->to_ms <= CALM_BEFORE_MS) {
         last->to_ms = now_ms;
     }
@@ -634,10 +621,8 @@
         return true;
     }
     char host[64];
-    struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons(8521),
-    };
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(8521)};
     int on = 1;
     client->node = SoakSite_Random(&rig->site, rig->site.node_count);
     snprintf(host, sizeof(host), "%s.%u", rig->site.host, 20 + client->node);
@@ -664,11 +649,9 @@
 static bool
 send_request(struct Rig *rig, struct Job *job, enum Request request)
 {
-    static const char *const methods[] = {
-        [REQUEST_SUBMIT] = "POST",
-        [REQUEST_QUERY] = "GET",
-        [REQUEST_CANCEL] = "DELETE",
-    };
+    static const char *const methods[] = {[REQUEST_SUBMIT] = "POST",
+                                          [REQUEST_QUERY] = "GET",
+                                          [REQUEST_CANCEL] = "DELETE"};
     struct ev_loop *loop = rig->site.kernel->loop;
     unsigned first = SoakSite_Random(&rig->site, CLIENTS);
     struct Client *client = NULL;
@@ -910,13 +893,10 @@
 inject(struct Rig *rig, enum Fault fault)
 {
     static const enum SoakFault store_faults[] = {
-        SOAK_STORE_REFUSES,         SOAK_STORE_UNRESPONSIVE,  SOAK_STORE_SLOW,
-        SOAK_STORE_LOSES_RESPONSES, SOAK_STORE_DROPS_HISTORY,
-    };
-    static const enum SoakFault worker_faults[] = {
-        SOAK_WORKER_CRASHES,
-        SOAK_WORKER_UNRESPONSIVE,
-    };
+        SOAK_STORE_REFUSES, SOAK_STORE_UNRESPONSIVE, SOAK_STORE_SLOW,
+        SOAK_STORE_LOSES_RESPONSES, SOAK_STORE_DROPS_HISTORY};
+    static const enum SoakFault worker_faults[] = {SOAK_WORKER_CRASHES,
+                                                   SOAK_WORKER_UNRESPONSIVE};
     struct SoakSite *site = &rig->site;
     int64_t now_ms = SrOs_MonotonicMs();
     unsigned choice = 0;
@@ -1047,11 +1027,14 @@
     SoakSite_CheckMemory(&rig->site);
 }
 
+/* Accelerators, cores in thousandths and memory in MiB. */
+enum { RESOURCES = 3 };
+
+static const unsigned capacity[RESOURCES] = {8, 128000, 262144};
+
 /* Resources in use on a worker. */
 struct Use {
-    unsigned cpu;
-    unsigned memory_mb;
-    unsigned accelerators;
+    unsigned amounts[RESOURCES];
 };
 
 /* State of the check for idle jobs at a time of the record. */
@@ -1063,13 +1046,20 @@
     unsigned starts;
 };
 
+static struct Use
+job_use(const struct Job *job)
+{
+    return (struct Use){
+        {job->accelerators, job->class->cpu, job->class->memory_mb}};
+}
+
 static void
 change_use(struct Use *use, const struct Job *job, bool adds)
 {
-    unsigned sign = adds ? 1U : -1U;
-    use->cpu += sign * job->class->cpu;
-    use->memory_mb += sign * job->class->memory_mb;
-    use->accelerators += sign * job->accelerators;
+    struct Use change = job_use(job);
+    for (unsigned i = 0; i < RESOURCES; i++) {
+        use->amounts[i] += adds ? change.amounts[i] : -change.amounts[i];
+    }
 }
 
 /* Applies a line "TIME start task=ID.OCCURRENCE.STEP.INDEX ... worker=wN ..."
@@ -1118,20 +1108,22 @@
     unsigned count = replay->rig->site.worker_count;
     unsigned needed = 2 * (job->gang ? job->width : 1);
     unsigned places = 0;
-    if (2 * replay->total.accelerators >= count * WORKER_ACCELERATORS ||
-        2ULL * replay->total.cpu >= 1ULL * count * WORKER_CPU ||
-        2ULL * replay->total.memory_mb >= 1ULL * count * WORKER_MEMORY_MB) {
-        return false;
+    struct Use task = job_use(job);
+    for (unsigned r = 0; r < RESOURCES; r++) {
+        if (2.0 * replay->total.amounts[r] >= 1.0 * count * capacity[r]) {
+            return false;
+        }
     }
     for (unsigned i = 0; i < count && places < needed; i++) {
-        const struct Use *use = &replay->workers[i];
-        unsigned cpu = (WORKER_CPU - use->cpu) / job->class->cpu;
-        unsigned memory =
-            (WORKER_MEMORY_MB - use->memory_mb) / job->class->memory_mb;
-        unsigned accelerators =
-            (WORKER_ACCELERATORS - use->accelerators) / job->accelerators;
-        unsigned least = cpu < memory ? cpu : memory;
-        places += least < accelerators ? least : accelerators;
+        unsigned least = needed;
+        for (unsigned r = 0; r < RESOURCES; r++) {
+            unsigned used = replay->workers[i].amounts[r];
+            unsigned fits = used < capacity[r]
+                                ? (capacity[r] - used) / task.amounts[r]
+                                : 0;
+            least = fits < least ? fits : least;
+        }
+        places += least;
     }
     return places >= needed;
 }
@@ -1404,25 +1396,38 @@
     return passed;
 }
 
-/* Runs of CI. */
+/* Parses a list of names of faults, separated by commas. Returns false if
+ * there is no fault with such a name. */
+static bool
+parse_faults(const char *text, unsigned *faults)
+{
+    while (*text != '\0') {
+        size_t length = strcspn(text, ",");
+        unsigned kind = 0;
+        while (kind < FAULT_KINDS &&
+               (strlen(fault_names[kind]) != length ||
+                strncmp(text, fault_names[kind], length) != 0)) {
+            kind++;
+        }
+        if (kind == FAULT_KINDS) {
+            return false;
+        }
+        *faults |= 1U << kind;
+        text += text[length] == ',' ? length + 1 : length;
+    }
+    return true;
+}
+
+/* Runs of CI: kinds of faults and the mean time between them. */
 struct Case {
     unsigned seed;
-    struct Options options;
+    const char *faults;
+    unsigned interval_ms;
 };
 
 static const struct Case cases[] = {
-    {
-        .seed = 1,
-        .options =
-            {
-                .size = {.nodes = 8, .workers = 60},
-                .length_ms = 20000,
-                .quota = true,
-                .faults = 1U << FAULT_STOPS | 1U << FAULT_PAUSES,
-                .interval_ms = 3000,
-                .load = 45,
-            },
-    },
+    {1, "stops,pauses,reloads", 3000},
+    {2, "kills,stalls,store,closing", 5000},
 };
 
 static void
@@ -1430,7 +1435,15 @@
 {
     (void)state;
     for (size_t i = 0; i < SR_LENGTH(cases); i++) {
-        assert_true(run_seed(cases[i].seed, &cases[i].options));
+        struct Options run = {
+            .size = {.nodes = CI_NODES, .workers = CI_WORKERS},
+            .length_ms = CI_LENGTH_MS,
+            .quota = true,
+            .interval_ms = cases[i].interval_ms,
+            .load = CI_LOAD,
+        };
+        assert_true(parse_faults(cases[i].faults, &run.faults));
+        assert_true(run_seed(cases[i].seed, &run));
     }
 }
 
@@ -1447,7 +1460,6 @@
     {.name = "nodes", .key = 'n', .arg = "N", .doc = "number of nodes"},
     {.name = "workers", .key = 'w', .arg = "N", .doc = "number of workers"},
     {.name = "binary", .key = 'b', .arg = "PATH", .doc = "binary of nodes"},
-    {.name = "quota", .key = 'q', .doc = "limit processor time (default)"},
     {.name = "no-quota", .key = 'Q', .doc = "do not limit processor time"},
     {.name = "faults", .key = 'F', .arg = "LIST", .doc = "kinds of faults"},
     {.name = "interval-ms",
@@ -1455,28 +1467,7 @@
      .arg = "MS",
      .doc = "mean time between two faults"},
     {.name = "load", .key = 'L', .arg = "PERCENT", .doc = "share of the load"},
-    {0},
-};
-
-/* Parses a list of names of faults, separated by commas. Returns false if
- * there is no fault with such a name. */
-static bool
-parse_faults(char *text, unsigned *faults)
-{
-    char *save = NULL;
-    for (char *word = strtok_r(text, ",", &save); word != NULL;
-         word = strtok_r(NULL, ",", &save)) {
-        unsigned kind = 0;
-        while (kind < FAULT_KINDS && strcmp(word, fault_names[kind]) != 0) {
-            kind++;
-        }
-        if (kind == FAULT_KINDS) {
-            return false;
-        }
-        *faults |= 1U << kind;
-    }
-    return true;
-}
+    {0}};
 
 static error_t
 parse_option(int key, char *text, struct argp_state *state)
@@ -1503,14 +1494,11 @@
     case 'b':
         to->size.binary = text;
         return 0;
-    case 'q':
-        to->quota = true;
-        return 0;
     case 'Q':
         to->quota = false;
         return 0;
     case 'F':
-        return parse_faults(text, &to->faults) ? 0 : EINVAL;
+        return text != NULL && parse_faults(text, &to->faults) ? 0 : EINVAL;
     case 'i':
         to->interval_ms = number;
         return 0;
@@ -1527,18 +1515,12 @@
 {
     struct Arguments arguments = {
         .from = 1,
-        .options =
-            {
-                .size = {.nodes = NODES, .workers = WORKERS},
-                .length_ms = 60000,
-                .quota = true,
-            },
-    };
-    struct argp argp = {
-        .options = options,
-        .parser = parse_option,
-        .doc = "Randomized test at the size of a deployment.",
-    };
+        .options = {.size = {.nodes = NODES, .workers = WORKERS},
+                    .length_ms = 60000,
+                    .quota = true}};
+    struct argp argp = {.options = options,
+                        .parser = parse_option,
+                        .doc = "Randomized test at the size of a deployment."};
     argp_parse(&argp, argc, argv, 0, NULL, &arguments);
     Harness_SetUp(argv[0]);
     SrLog_Start(SR_LOG_ERROR, "deployment");
@@ -1551,7 +1533,6 @@
         return failed > 0 ? 1 : 0;
     }
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(accepted_work_survives_faults),
-    };
+        cmocka_unit_test(accepted_work_survives_faults)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
