A process that ends by a fatal signal logs where

Nodes, gates and schedulers now write one line for SIGSEGV, SIGBUS, SIGILL, SIGFPE and SIGABRT: the address that was accessed and the stack, relative to the binary so that addr2line names the functions.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -6,10 +6,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "bus.h"
 #include "call.h"
 #include "config.h"
+#include "fatal_signal.h"
 #include "http_client.h"
 #include "log.h"
 #include "os.h"
@@ -250,6 +252,7 @@
     int code = EXIT_CANNOT_START;
     SrLog_Start(level_of(options->settings->log_level),
                 options->settings->name);
+    SrFatalSignal_Start(STDERR_FILENO, options->settings->name);
     signal(SIGPIPE, SIG_IGN);
     if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
         SR_ERROR("daemon", "no-libraries", "error=initialisation");
--- a/src/node.c
+++ b/src/node.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "fatal_signal.h"
 #include "follower.h"
 #include "http_client.h"
 #include "http_server.h"
@@ -571,6 +572,7 @@
     }
     SrLog_UseOutput(STDOUT_FILENO);
     SrLog_Start(SR_LOG_INFO, node.settings.name);
+    SrFatalSignal_Start(STDOUT_FILENO, node.settings.name);
     signal(SIGPIPE, SIG_IGN);
     if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0) {
         SR_ERROR("node", "no-libraries", "error=initialisation");
