The stop of a process says what its connections were doing

Callers of a stopping process may see connections end without a response. The line event=stopped gave only the number of requests in progress: it could not tell a request that was half received from one that waited for its response, nor whether the process had stopped accepting connections.

It now also gives half-received, no-response (passed to the handler, which has not responded), connections, and listener-closed-after-ms (-1: still open).

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -474,6 +474,29 @@
     return server->in_progress;
 }
 
+static size_t
+length_of(const struct SrList *head)
+{
+    size_t length = 0;
+    SR_LIST_EACH(link, head)
+    {
+        length++;
+    }
+    return length;
+}
+
+struct SrHttpServerCounts
+SrHttpServer_Count(const struct SrHttpServer *server)
+{
+    const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+        server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return (struct SrHttpServerCounts){
+        .connections = info->num_connections,
+        .receiving = length_of(&server->receiving),
+        .handled = length_of(&server->handled),
+    };
+}
+
 const char *
 SrHttpRequest_Method(const struct SrHttpRequest *request)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -71,6 +71,18 @@
  * responses have not been sent completely. */
 size_t SrHttpServer_InProgress(const struct SrHttpServer *server);
 
+struct SrHttpServerCounts {
+    /* Open connections. */
+    size_t connections;
+    /* Requests whose headers have arrived and whose bodies have not. */
+    size_t receiving;
+    /* Requests that the handler was passed and has not responded to. */
+    size_t handled;
+};
+
+struct SrHttpServerCounts
+SrHttpServer_Count(const struct SrHttpServer *server);
+
 /* Parts of a request, valid until SrHttpRequest_Respond is called. A header
  * that is not present and an empty body are NULL. */
 const char *SrHttpRequest_Method(const struct SrHttpRequest *request);
--- a/src/shutdown.c
+++ b/src/shutdown.c
@@ -20,9 +20,17 @@
 static void
 end_loop(const struct SrShutdown *shutdown, bool idle, int64_t age_ms)
 {
-    SR_INFO("shutdown", "stopped", "idle=%d after-ms=%ld in-progress=%lu",
-            idle, (long)age_ms,
-            (unsigned long)SrHttpServer_InProgress(shutdown->options.server));
+    const struct SrHttpServer *server = shutdown->options.server;
+    struct SrHttpServerCounts counts = SrHttpServer_Count(server);
+    SR_INFO("shutdown", "stopped",
+            "idle=%d after-ms=%ld in-progress=%lu half-received=%lu "
+            "no-response=%lu connections=%lu listener-closed-after-ms=%ld",
+            idle, (long)age_ms, (unsigned long)SrHttpServer_InProgress(server),
+            (unsigned long)counts.receiving, (unsigned long)counts.handled,
+            (unsigned long)counts.connections,
+            shutdown->listener_closed_ms != 0
+                ? (long)(shutdown->listener_closed_ms - shutdown->begun_ms)
+                : -1L);
     ev_break(shutdown->options.kernel->loop, EVBREAK_ALL);
 }
 
