A server that ends responds to what it received in part

What callers saw: a node that reached its time limit after SIGTERM closed the connections of requests whose bodies had not arrived, and of those in the accept queue, without a byte of a response; callers cannot tell whether these ran.

Cause: SrHttpServer_Destroy responded only to requests that were received whole. libmicrohttpd takes no response while a body arrives, and its stop shuts sockets down in both directions: a sender that went on was reset and might have lost a response too. Class of fault: the end of a process is treated as the end of its peers.

Now the accept queue is taken in first, whole requests are read from the socket buffers, and what is still incomplete gets 503 with Retry-After, written to the socket directly. That is true: the handler never saw them. The sending side is then shut down and the rest is received for up to 200 ms, or until clients have closed. A request that the handler was passed still gets 504.

A connection that was used before and on which only part of the next request's headers has arrived is still closed without a response: libmicrohttpd does not report it.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -149,6 +149,13 @@
                 .text = "the request did not arrive in time",
                 .field = "body",
             },
+        [SR_HTTP_STOPPING] =
+            {
+                .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                .text = "the process is stopping",
+                .retry_after_ms = SR_MS_PER_SECOND,
+            },
     };
     struct SrHttpBody body = {.type = TYPE_PROTOBUF};
     body.data = SrCall_PackFailure(&failures[reason], &body.size);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include <unistd.h>
 
 #include "list.h"
+#include "log.h"
 #include "os.h"
 #include "util.h"
 
@@ -23,6 +25,14 @@
  * at least this time, so that a slow sender gets its response before the
  * connection is closed. */
 #define CLOSE_SECONDS 1
+/* Time for which SrHttpServer_Destroy goes on if it can send and receive
+ * without waiting, and time for which it then waits for clients that have not
+ * read their responses or go on sending. */
+#define FLUSH_LIMIT_MS 500
+#define LINGER_MS 200
+/* Time after which a request that was rejected by a stopping process is to be
+ * repeated, s. */
+#define STOPPING_RETRY_AFTER "1"
 /* Memory of libmicrohttpd per connection, for headers and buffers. */
 #define CONNECTION_BYTES (8 * 1024)
 
@@ -34,6 +44,10 @@
     ev_prepare prepare;
     ev_timer timeout;
     ev_timer sweep;
+    /* Connections without a request so far, and those whose last response was
+     * written to the socket directly: the client may still be sending. */
+    struct SrList fresh;
+    struct SrList finished;
     /* Requests that are being received, oldest first. */
     struct SrList receiving;
     /* Requests that were passed to the handler and have no response yet. */
@@ -48,6 +62,11 @@
     bool closing;
 };
 
+struct Connection {
+    struct SrList link;
+    struct MHD_Connection *mhd;
+};
+
 enum RequestState {
     /* Headers have arrived; the body is being received. */
     REQUEST_RECEIVING,
@@ -133,31 +152,55 @@
     }
 }
 
-/* Responds with status 408 to a request that has not arrived within the read
- * timeout. libmicrohttpd accepts no response while a body is being received,
- * so the response is written to the socket directly, before libmicrohttpd
- * closes the idle connection. */
+static struct Connection *
+connection_of(struct MHD_Connection *mhd)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info->socket_context;
+}
+
+static int
+socket_of(struct MHD_Connection *mhd)
+{
+    return MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
+/* Writes a response to the socket directly, because libmicrohttpd accepts none
+ * while a request is being received. `headers` is empty or ends in CRLF. */
 static void
-reject_slow_sender(struct SrHttpRequest *request)
+write_rejection(struct SrHttpServer *server, struct MHD_Connection *mhd,
+                enum SrHttpRejection reason, const char *status,
+                const char *headers)
 {
-    struct SrHttpServer *server = request->server;
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    struct SrHttpBody body = server->options.reject(server->options.context,
-                                                    SR_HTTP_SENDER_TOO_SLOW);
+    struct SrHttpBody body =
+        server->options.reject(server->options.context, reason);
     char head[256];
+    int fd = socket_of(mhd);
     int length = snprintf(head, sizeof(head),
-                          "HTTP/1.1 408 Request Timeout\r\nConnection: close"
-                          "\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
+                          "HTTP/1.1 %s\r\nConnection: close\r\n%s"
+                          "Content-Type: %s\r\nContent-Length: %zu\r\n"
                           "\r\n",
-                          body.type, body.size);
-    if (info != NULL) {
-        send(info->connect_fd, head, (size_t)length,
-             MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE);
-        send(info->connect_fd, body.data, body.size,
-             MSG_DONTWAIT | MSG_NOSIGNAL);
+                          status, headers, body.type, body.size);
+    ssize_t sent =
+        send(fd, head, (size_t)length, MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE);
+    sent += send(fd, body.data, body.size, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent != length + (ssize_t)body.size) {
+        /* The client has closed the connection, or reads no responses. */
+        SR_INFO("http", "rejection-not-sent", "status=%.3s sent=%ld", status,
+                (long)sent);
     }
     free(body.data);
+}
+
+/* Responds with status 408 to a request that has not arrived within the read
+ * timeout, before libmicrohttpd closes the idle connection. */
+static void
+reject_slow_sender(struct SrHttpRequest *request)
+{
+    write_rejection(request->server, request->connection,
+                    SR_HTTP_SENDER_TOO_SLOW, "408 Request Timeout", "");
     request->state = REQUEST_REJECTED;
     SrList_Remove(&request->link);
     MHD_set_connection_option(request->connection,
@@ -188,6 +231,7 @@
               const char *method, const char *path)
 {
     struct SrHttpRequest *request = SrUtil_Calloc(1, sizeof(*request));
+    SrList_Remove(&connection_of(connection)->link);
     request->server = server;
     request->connection = connection;
     request->method = SrUtil_Strdup(method);
@@ -253,12 +297,32 @@
     request->size += size;
 }
 
-/* Responds in place of the handler while the server is being destroyed. */
+/* Responds to a request that the handler was passed, while the server is being
+ * destroyed. The handler may have acted on it, so that the response must not
+ * say that it had no effect. */
+static void
+respond_unknown(struct SrHttpRequest *request)
+{
+    SrHttpRequest_Respond(request, &(struct SrHttpServerResponse){
+                                       .status = MHD_HTTP_GATEWAY_TIMEOUT,
+                                       .close = true,
+                                   });
+}
+
+/* Responds to a request that the handler is not passed any more. */
 static void
-respond_closing(struct SrHttpRequest *request, unsigned status)
+respond_stopping(struct SrHttpRequest *request)
 {
+    const struct SrHttpServerOptions *options = &request->server->options;
+    struct SrHttpBody body =
+        options->reject(options->context, SR_HTTP_STOPPING);
     SrHttpRequest_Respond(request, &(struct SrHttpServerResponse){
-                                       .status = status,
+                                       .status = MHD_HTTP_SERVICE_UNAVAILABLE,
+                                       .type = body.type,
+                                       .body = body.data,
+                                       .size = body.size,
+                                       .header = "Retry-After",
+                                       .header_value = STOPPING_RETRY_AFTER,
                                        .close = true,
                                    });
 }
@@ -275,7 +339,7 @@
     request->state = REQUEST_HANDLED;
     MHD_suspend_connection(request->connection);
     if (server->closing) {
-        respond_closing(request, MHD_HTTP_SERVICE_UNAVAILABLE);
+        respond_stopping(request);
     }
     else {
         server->options.handle(server->options.context, request);
@@ -311,9 +375,12 @@
     }
     case REQUEST_HANDLED:
         return MHD_YES;
-    case REQUEST_REJECTED:
+    case REQUEST_REJECTED: {
+        /* Once the rest has been received, the connection is closed. */
+        bool ended = *size == 0;
         *size = 0;
-        return MHD_YES;
+        return ended ? MHD_NO : MHD_YES;
+    }
     }
     if (*size == 0) {
         return finish_receiving(request);
@@ -348,6 +415,24 @@
     *request_slot = NULL;
 }
 
+static void
+on_connection(void *context, struct MHD_Connection *mhd, void **slot,
+              enum MHD_ConnectionNotificationCode code)
+{
+    struct SrHttpServer *server = context;
+    struct Connection *connection = *slot;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        connection = SrUtil_Calloc(1, sizeof(*connection));
+        connection->mhd = mhd;
+        SrList_Append(&server->fresh, &connection->link);
+        *slot = connection;
+        return;
+    }
+    SrList_Remove(&connection->link);
+    free(connection);
+    *slot = NULL;
+}
+
 static bool
 parse_address(const char *text, struct sockaddr_in *address)
 {
@@ -394,6 +479,8 @@
     struct SrHttpServer *server = SrUtil_Calloc(1, sizeof(*server));
     server->loop = loop;
     server->options = *options;
+    SrList_Init(&server->fresh);
+    SrList_Init(&server->finished);
     SrList_Init(&server->receiving);
     SrList_Init(&server->handled);
     unsigned idle_seconds =
@@ -403,8 +490,9 @@
     server->daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
         server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
-        on_completed, server, MHD_OPTION_CONNECTION_LIMIT,
-        options->connections_max, MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+        on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+        server, MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
+        MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (server->daemon == NULL) {
@@ -416,34 +504,6 @@
     return SR_HTTP_SERVER_OK;
 }
 
-void
-SrHttpServer_Destroy(struct SrHttpServer *server)
-{
-    if (server == NULL) {
-        return;
-    }
-    ev_io_stop(server->loop, &server->readable);
-    ev_prepare_stop(server->loop, &server->prepare);
-    ev_timer_stop(server->loop, &server->timeout);
-    ev_timer_stop(server->loop, &server->sweep);
-    server->closing = true;
-    /* The handler may have acted on the requests that it was passed, so these
-     * get status 504, which does not say that they had no effect. */
-    while (!SrList_IsEmpty(&server->handled)) {
-        respond_closing(
-            SR_CONTAINER(server->handled.next, struct SrHttpRequest, link),
-            MHD_HTTP_GATEWAY_TIMEOUT);
-    }
-    /* libmicrohttpd must not be stopped while connections are suspended, and
-     * the MHD_run that sends their responses may receive further requests. */
-    do {
-        server->run_needed = false;
-        MHD_run(server->daemon);
-    } while (server->run_needed);
-    MHD_stop_daemon(server->daemon);
-    free(server);
-}
-
 void
 SrHttpServer_StopListening(struct SrHttpServer *server)
 {
@@ -468,6 +528,103 @@
     server->run_needed = true;
 }
 
+/* Waits for events of the connections until `end_ms` of the monotonic clock.
+ * Returns true if there are any. */
+static bool
+wait_for_events(struct SrHttpServer *server, int64_t end_ms)
+{
+    struct pollfd events = {
+        .fd = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+                  ->listen_fd,
+        .events = POLLIN,
+    };
+    int64_t left_ms = end_ms - SrOs_MonotonicMs();
+    return poll(&events, 1, left_ms > 0 ? (int)left_ms : 0) > 0;
+}
+
+/* Runs libmicrohttpd until it can neither read nor write any more, or until
+ * `end_ms` of the monotonic clock. */
+static void
+run_until_blocked(struct SrHttpServer *server, int64_t end_ms)
+{
+    MHD_UNSIGNED_LONG_LONG timeout_ms;
+    bool blocked;
+    do {
+        run_daemon(server);
+        blocked = !server->run_needed &&
+                  (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_NO ||
+                   timeout_ms > 0) &&
+                  !wait_for_events(server, 0);
+    } while (!blocked && SrOs_MonotonicMs() < end_ms);
+}
+
+/* Responds to a request that was received in part, or may be under way on a
+ * connection without a request so far. The client gets the end of the
+ * connection too, but what it still sends is received: closing a socket with
+ * unread data would reset the connection, and the client might not read the
+ * response. */
+static void
+finish_connection(struct SrHttpServer *server, struct MHD_Connection *mhd)
+{
+    struct Connection *connection = connection_of(mhd);
+    write_rejection(server, mhd, SR_HTTP_STOPPING, "503 Service Unavailable",
+                    "Retry-After: " STOPPING_RETRY_AFTER "\r\n");
+    shutdown(socket_of(mhd), SHUT_WR);
+    SrList_Remove(&connection->link);
+    SrList_Append(&server->finished, &connection->link);
+}
+
+/* Sends a response to each request, see SrHttpServer_Destroy. */
+static void
+finish_requests(struct SrHttpServer *server)
+{
+    int64_t flush_end_ms = SrOs_MonotonicMs() + FLUSH_LIMIT_MS;
+    while (!SrList_IsEmpty(&server->handled)) {
+        respond_unknown(
+            SR_CONTAINER(server->handled.next, struct SrHttpRequest, link));
+    }
+    run_until_blocked(server, flush_end_ms);
+    while (!SrList_IsEmpty(&server->receiving)) {
+        struct SrHttpRequest *request =
+            SR_CONTAINER(server->receiving.next, struct SrHttpRequest, link);
+        finish_connection(server, request->connection);
+        request->state = REQUEST_REJECTED;
+        SrList_Remove(&request->link);
+    }
+    while (!SrList_IsEmpty(&server->fresh)) {
+        finish_connection(
+            server,
+            SR_CONTAINER(server->fresh.next, struct Connection, link)->mhd);
+    }
+    run_until_blocked(server, flush_end_ms);
+    int64_t end_ms = SrOs_MonotonicMs() + LINGER_MS;
+    while ((server->in_progress > 0 || !SrList_IsEmpty(&server->finished)) &&
+           SrOs_MonotonicMs() < end_ms && wait_for_events(server, end_ms)) {
+        run_until_blocked(server, end_ms);
+    }
+    /* libmicrohttpd must not be stopped while connections are suspended. */
+    while (server->run_needed) {
+        run_daemon(server);
+    }
+}
+
+void
+SrHttpServer_Destroy(struct SrHttpServer *server)
+{
+    if (server == NULL) {
+        return;
+    }
+    ev_io_stop(server->loop, &server->readable);
+    ev_prepare_stop(server->loop, &server->prepare);
+    ev_timer_stop(server->loop, &server->timeout);
+    ev_timer_stop(server->loop, &server->sweep);
+    server->closing = true;
+    SrHttpServer_StopListening(server);
+    finish_requests(server);
+    MHD_stop_daemon(server->daemon);
+    free(server);
+}
+
 size_t
 SrHttpServer_InProgress(const struct SrHttpServer *server)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -20,6 +20,9 @@
 enum SrHttpRejection {
     SR_HTTP_BODY_TOO_LARGE,
     SR_HTTP_SENDER_TOO_SLOW,
+    /* The server is being destroyed, and the handler was not passed the
+     * request. */
+    SR_HTTP_STOPPING,
 };
 
 /* Body and media type of the response to a rejected request. */
@@ -58,9 +61,12 @@
                     struct SrHttpServer **server);
 
 /* Responds with status 504 to the requests that the handler was passed and has
- * not responded to, and with status 503 to those that it was not passed.
- * Closes all connections and frees the server. SrHttpRequest_Respond must not
- * be called for these requests afterwards. `server` may be NULL. */
+ * not responded to, and with status 503 and Retry-After to those that it was
+ * not passed: received whole or in part, or sent on a connection that waits to
+ * be accepted. Then waits up to 200 ms for clients that have not read their
+ * responses or go on sending. Closes all connections and frees the server.
+ * SrHttpRequest_Respond must not be called for these requests afterwards.
+ * `server` may be NULL. */
 void SrHttpServer_Destroy(struct SrHttpServer *server);
 
 /* Closes the listening socket. Connections that the operating system has
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -1,10 +1,13 @@
 /* Requests that arrive while the HTTP server shuts down. Guards against losing
  * a connection that is still in the listen queue when the server stops
- * listening, and against calling the handler after its owner was freed. */
+ * listening, against closing connections without a response to what was
+ * received in part, and against calling the handler after its owner was
+ * freed. */
 #include "test_support.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "http_server.h"
@@ -12,6 +15,9 @@
 
 #define HOST "127.0.0.1"
 #define PORT 7961
+#define CONNECTIONS 300
+/* Interval at which a slow sender sends a byte. */
+#define CALLER_INTERVAL_MS 30
 
 struct Fixture {
     struct ev_loop *loop;
@@ -58,11 +64,9 @@
 }
 
 static void
-send_request(int fd)
+send_text(int fd, const char *text)
 {
-    static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-    assert_int_equal(send(fd, request, sizeof(request) - 1, 0),
-                     sizeof(request) - 1);
+    assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), strlen(text));
 }
 
 static void
@@ -74,8 +78,29 @@
     }
 }
 
+/* Reads until the server closes the connection. Returns false if it is reset
+ * before. */
+static bool
+receive_all(int fd, char *response, size_t size)
+{
+    size_t length = 0;
+    ssize_t got;
+    do {
+        got = recv(fd, response + length, size - 1 - length, 0);
+        length += got > 0 ? (size_t)got : 0;
+    } while (got > 0);
+    response[length] = '\0';
+    return got == 0;
+}
+
+#define WHOLE "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+#define HALF_HEADERS "GET / HTTP/1.1\r\nHos"
+#define HALF_BODY                                                             \
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabcde"
+
 struct Case {
     const char *name;
+    const char *request;
     /* The server accepts the connection before the request is sent. */
     bool accepted;
     /* The server stops listening after the request is sent. */
@@ -85,52 +110,140 @@
     bool runs_loop;
     /* The handler does not respond before the destruction. */
     bool silent;
-    /* Start of the expected response. */
+    /* Start of the expected response, and expected header. */
     const char *response;
+    const char *header;
     /* Expected number of calls of the handler. */
     unsigned handled;
 };
 
 static const struct Case cases[] = {
-    {"served", true, false, true, false, "HTTP/1.1 200", 1},
-    {"served after listening stopped", true, true, true, false, "HTTP/1.1 200",
-     1},
-    {"accepted from the listen queue", false, true, true, false,
-     "HTTP/1.1 200", 1},
+    {
+        .name = "served",
+        .request = WHOLE,
+        .accepted = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 200",
+        .handled = 1,
+    },
+    {
+        .name = "served after listening stopped",
+        .request = WHOLE,
+        .accepted = true,
+        .stops_listening = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 200",
+        .handled = 1,
+    },
+    {
+        .name = "accepted from the listen queue",
+        .request = WHOLE,
+        .stops_listening = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 200",
+        .handled = 1,
+    },
     /* Guards against calling the handler after its owner was freed. */
-    {"not handled any more", true, false, false, false, "HTTP/1.1 503", 0},
+    {
+        .name = "not handled any more",
+        .request = WHOLE,
+        .accepted = true,
+        .response = "HTTP/1.1 503",
+        .header = "Retry-After: 1\r\n",
+    },
     /* Guards against refusing what the handler may have passed on. */
-    {"handled without a response", true, false, true, true, "HTTP/1.1 504", 1},
+    {
+        .name = "handled without a response",
+        .request = WHOLE,
+        .accepted = true,
+        .runs_loop = true,
+        .silent = true,
+        .response = "HTTP/1.1 504",
+        .handled = 1,
+    },
+    {
+        .name = "in the listen queue at the end",
+        .request = WHOLE,
+        .response = "HTTP/1.1 503",
+        .header = "Retry-After: 1\r\n",
+    },
+    {
+        .name = "half of the body received",
+        .request = HALF_BODY,
+        .accepted = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 503",
+        .header = "Retry-After: 1\r\n",
+    },
+    {
+        .name = "half of the body in the socket buffer",
+        .request = HALF_BODY,
+        .accepted = true,
+        .response = "HTTP/1.1 503",
+        .header = "Retry-After: 1\r\n",
+    },
+    {
+        .name = "half of the headers received",
+        .request = HALF_HEADERS,
+        .accepted = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 503",
+        .header = "Retry-After: 1\r\n",
+    },
+    {
+        .name = "second request sent before the first response",
+        .request = WHOLE WHOLE,
+        .accepted = true,
+        .runs_loop = true,
+        .silent = true,
+        .response = "HTTP/1.1 504",
+        .handled = 1,
+    },
+    {
+        .name = "half of a second request on a connection",
+        .request = WHOLE HALF_BODY,
+        .accepted = true,
+        .runs_loop = true,
+        .response = "HTTP/1.1 200",
+        .header = "HTTP/1.1 503",
+        .handled = 1,
+    },
 };
 
+static void
+create_server(struct Fixture *fixture, unsigned connections_max)
+{
+    fixture->loop = ev_loop_new(EVFLAG_AUTO);
+    assert_int_equal(
+        SrHttpServer_Create(fixture->loop,
+                            &(struct SrHttpServerOptions){
+                                .address = HOST ":7961",
+                                .body_max = 1024,
+                                .connections_max = connections_max,
+                                .read_timeout_ms = 5000,
+                                .handle = handle,
+                                .reject = reject,
+                                .context = fixture,
+                            },
+                            &fixture->server),
+        SR_HTTP_SERVER_OK);
+}
+
 static void
 requests_during_shutdown(void **state)
 {
     (void)state;
+    unsigned failures = 0;
     for (size_t i = 0; i < SR_LENGTH(cases); i++) {
         const struct Case *c = &cases[i];
-        struct Fixture fixture = {
-            .loop = ev_loop_new(EVFLAG_AUTO),
-            .silent = c->silent,
-        };
-        char response[512] = "";
-        assert_int_equal(SrHttpServer_Create(fixture.loop,
-                                             &(struct SrHttpServerOptions){
-                                                 .address = HOST ":7961",
-                                                 .body_max = 1024,
-                                                 .connections_max = 8,
-                                                 .read_timeout_ms = 5000,
-                                                 .handle = handle,
-                                                 .reject = reject,
-                                                 .context = &fixture,
-                                             },
-                                             &fixture.server),
-                         SR_HTTP_SERVER_OK);
+        struct Fixture fixture = {.silent = c->silent};
+        char response[1024] = "";
+        create_server(&fixture, 8);
         int fd = connect_to_server();
         if (c->accepted) {
             run_loop(fixture.loop);
         }
-        send_request(fd);
+        send_text(fd, c->request);
         if (c->stops_listening) {
             SrHttpServer_StopListening(fixture.server);
         }
@@ -138,16 +251,86 @@
             run_loop(fixture.loop);
         }
         SrHttpServer_Destroy(fixture.server);
-        ssize_t got = recv(fd, response, sizeof(response) - 1, 0);
+        receive_all(fd, response, sizeof(response));
         close(fd);
-        if (got <= 0 ||
-            strncmp(response, c->response, strlen(c->response)) != 0 ||
+        if (strncmp(response, c->response, strlen(c->response)) != 0 ||
+            (c->header != NULL && strstr(response, c->header) == NULL) ||
             fixture.handled != c->handled) {
-            fail_msg("%s: handled %u, response %s", c->name, fixture.handled,
-                     response);
+            print_message("%s: handled %u, response %s\n", c->name,
+                          fixture.handled, response);
+            failures++;
         }
         ev_loop_destroy(fixture.loop);
     }
+    assert_int_equal(failures, 0);
+}
+
+/* More connections than libmicrohttpd handles in one step, whose requests are
+ * handled without a response, received in part, or in the listen queue. */
+static void
+all_connections_get_a_response(void **state)
+{
+    (void)state;
+    static const char *const requests[] = {WHOLE, HALF_BODY, WHOLE};
+    static const char *const expected[] = {"HTTP/1.1 504", "HTTP/1.1 503",
+                                           "HTTP/1.1 503"};
+    struct Fixture fixture = {.silent = true};
+    int fds[CONNECTIONS];
+    unsigned failures = 0;
+    create_server(&fixture, CONNECTIONS);
+    for (unsigned i = 0; i < CONNECTIONS; i++) {
+        if (i == CONNECTIONS / 3 * 2) {
+            run_loop(fixture.loop);
+        }
+        fds[i] = connect_to_server();
+        send_text(fds[i], requests[i / (CONNECTIONS / 3)]);
+    }
+    SrHttpServer_Destroy(fixture.server);
+    for (unsigned i = 0; i < CONNECTIONS; i++) {
+        char response[1024] = "";
+        bool closed = receive_all(fds[i], response, sizeof(response));
+        const char *start = expected[i / (CONNECTIONS / 3)];
+        failures +=
+            !closed || strncmp(response, start, strlen(start)) != 0 ? 1 : 0;
+        close(fds[i]);
+    }
+    ev_loop_destroy(fixture.loop);
+    assert_int_equal(failures, 0);
+}
+
+/* Caller that goes on sending its body after the server has ended, in a
+ * process of its own. Its exit status tells whether it was served. */
+static int
+send_body_slowly(void)
+{
+    char response[1024] = "";
+    int fd = connect_to_server();
+    send_text(fd, HALF_BODY);
+    for (unsigned i = 0; i < 4; i++) {
+        usleep(CALLER_INTERVAL_MS * 1000);
+        send(fd, "f", 1, MSG_NOSIGNAL);
+    }
+    bool closed = receive_all(fd, response, sizeof(response));
+    return closed && strncmp(response, "HTTP/1.1 503", 12) == 0 ? 0 : 1;
+}
+
+static void
+sender_that_goes_on_gets_the_response(void **state)
+{
+    (void)state;
+    struct Fixture fixture = {0};
+    int status = -1;
+    create_server(&fixture, 8);
+    pid_t caller = fork();
+    if (caller == 0) {
+        _exit(send_body_slowly());
+    }
+    usleep(CALLER_INTERVAL_MS * 500);
+    run_loop(fixture.loop);
+    SrHttpServer_Destroy(fixture.server);
+    ev_loop_destroy(fixture.loop);
+    waitpid(caller, &status, 0);
+    assert_int_equal(status, 0);
 }
 
 int
@@ -155,6 +338,8 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(requests_during_shutdown),
+        cmocka_unit_test(all_connections_get_a_response),
+        cmocka_unit_test(sender_that_goes_on_gets_the_response),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_node_shutdown.c
+++ b/tests/test_node_shutdown.c
@@ -25,8 +25,6 @@
 #define TRAFFIC_MS 1000
 /* Time from the signal until the node must have ended (bounds.grace_s). */
 #define GRACE_MS 4000
-/* Largest time between the two parts of a request's body. */
-#define PAUSE_MAX_MS 400
 
 enum CallerState {
     CALLER_CONNECTING,
@@ -37,6 +35,19 @@
     CALLER_REFUSED,
 };
 
+struct Case {
+    const char *name;
+    /* Largest time between the two parts of a request's body. */
+    unsigned pause_max_ms;
+    const char *store_faults;
+};
+
+static const struct Case cases[] = {
+    {"bodies in two parts", 400, "slow_ms=400"},
+    {"bodies that do not arrive before the node ends", 4000, "slow_ms=400"},
+    {"store that does not respond before the node ends", 400, "slow_ms=2500"},
+};
+
 struct Test;
 
 struct Caller {
@@ -57,6 +68,7 @@
 };
 
 struct Test {
+    const struct Case *options;
     struct SoakSite site;
     struct SrTimer tick;
     struct SrTimer end;
@@ -135,8 +147,9 @@
         test->site.seed, test->requests, sizeof(job) - 1, job);
     send_up_to(caller, caller->request_size - sizeof(job) / 2);
     caller->state = CALLER_PAUSED;
-    ev_timer_set(&caller->pause,
-                 SoakSite_Random(&test->site, PAUSE_MAX_MS) / 1000.0, 0);
+    ev_timer_set(
+        &caller->pause,
+        SoakSite_Random(&test->site, test->options->pause_max_ms) / 1000.0, 0);
     ev_timer_start(test->site.kernel->loop, &caller->pause);
     watch(caller, EV_READ);
 }
@@ -264,16 +277,17 @@
     }
 }
 
-static void
-stopping_node_answers_every_request(void **state)
+/* Returns true if the case passed. */
+static bool
+run_case(const struct Case *options)
 {
-    (void)state;
     struct Test *test = SrUtil_Calloc(1, sizeof(*test));
+    test->options = options;
     SoakSite_Start(&test->site, 3);
     SrTimer_Start(&test->tick, test->site.kernel, TICK_MS, TICK_MS, on_tick,
                   test);
     run_for(test, START_MS);
-    SoakSite_SetStoreFaults(&test->site, "slow_ms=400");
+    SoakSite_SetStoreFaults(&test->site, options->store_faults);
     for (unsigned i = 0; i < CALLERS; i++) {
         test->callers[i].test = test;
         test->callers[i].keeps_connection = i % 2 == 0;
@@ -290,10 +304,10 @@
     if (test->unanswered > 0) {
         SoakSite_Fail(&test->site, "requests without a response", "");
     }
-    print_message("%u requests, %u answered, of these %u by 503, %u ended "
+    print_message("%s: %u requests, %u answered, of these %u by 503, %u ended "
                   "without a response; the node ended after %ld ms\n",
-                  test->requests, test->answered, test->refused_by_node,
-                  test->unanswered, (long)took_ms);
+                  options->name, test->requests, test->answered,
+                  test->refused_by_node, test->unanswered, (long)took_ms);
     for (unsigned i = 0; i < CALLERS; i++) {
         if (test->callers[i].state != CALLER_REFUSED) {
             close_connection(&test->callers[i]);
@@ -305,7 +319,18 @@
     print_message("%s\n", passed ? "ok" : test->site.failure);
     SoakSite_Stop(&test->site, NULL);
     free(test);
-    assert_true(passed);
+    return passed;
+}
+
+static void
+stopping_node_answers_every_request(void **state)
+{
+    (void)state;
+    unsigned failures = 0;
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        failures += run_case(&cases[i]) ? 0 : 1;
+    }
+    assert_int_equal(failures, 0);
 }
 
 int
