--- a/tests/test_node_shutdown.c
+++ b/tests/test_node_shutdown.c
@@ -1,12 +1,14 @@
-/* A real node that receives SIGTERM while callers come again at once and its
- * store is slow. Guards against ending connections whose requests were
- * received in part, or that wait to be accepted, without a response. */
+/* A real node that receives SIGTERM, or SIGHUP and new configurations, while
+ * callers come again at once and its store is slow. Guards against ending
+ * connections whose requests were received in part, or that wait to be
+ * accepted, without a response. */
 #include "test_support.h"
 
 #include <arpa/inet.h>
 #include <ev.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -23,6 +25,10 @@
  * the signal. */
 #define START_MS 2500
 #define TRAFFIC_MS 1000
+/* Number of SIGHUPs, of these to one new configuration, and interval. */
+#define RELOADS 40
+#define RELOADS_PER_CONFIG 4
+#define RELOAD_INTERVAL_MS 100
 /* Time from the signal until the node must have ended (bounds.grace_s). */
 #define GRACE_MS 4000
 
@@ -42,7 +48,7 @@
     const char *store_faults;
 };
 
-static const struct Case cases[] = {
+static const struct Case stop_cases[] = {
     {"bodies in two parts", 400, "slow_ms=400"},
     {"bodies that do not arrive before the node ends", 4000, "slow_ms=400"},
     {"store that does not respond before the node ends", 400, "slow_ms=2500"},
@@ -67,6 +73,12 @@
     size_t response_size;
 };
 
+static const struct Case reload_case = {
+    "reloads and new configurations",
+    400,
+    "slow_ms=50",
+};
+
 struct Test {
     const struct Case *options;
     struct SoakSite site;
@@ -76,6 +88,8 @@
     unsigned requests;
     unsigned answered;
     unsigned refused_by_node;
+    /* Responses with a status other than 200 and 503. */
+    unsigned other_statuses;
     unsigned unanswered;
     int64_t signal_ms;
 };
@@ -187,6 +201,7 @@
         strcasestr(caller->response, "\r\nConnection: close") != NULL;
     test->answered++;
     test->refused_by_node += status == 503 ? 1 : 0;
+    test->other_statuses += status != 503 && status != 200 ? 1 : 0;
     if (status == 503 &&
         strcasestr(caller->response, "\r\nRetry-After:") == NULL) {
         SoakSite_Fail(&test->site, "a refusal has no Retry-After", "");
@@ -277,9 +292,9 @@
     }
 }
 
-/* Returns true if the case passed. */
-static bool
-run_case(const struct Case *options)
+/* Starts the processes and the callers, and runs them for some time. */
+static struct Test *
+start_case(const struct Case *options)
 {
     struct Test *test = SrUtil_Calloc(1, sizeof(*test));
     test->options = options;
@@ -294,20 +309,21 @@
         connect_caller(&test->callers[i]);
     }
     run_for(test, TRAFFIC_MS);
-    test->signal_ms = SrOs_MonotonicMs();
-    SoakSite_StopNode(&test->site, 0);
-    run_for(test, GRACE_MS);
-    int64_t took_ms = SrOs_MonotonicMs() - test->signal_ms;
-    if (test->site.nodes[0].state != NODE_DOWN) {
-        SoakSite_Fail(&test->site, "the node did not end in time", "");
-    }
+    return test;
+}
+
+/* Returns true if the case passed. */
+static bool
+end_case(struct Test *test)
+{
     if (test->unanswered > 0) {
         SoakSite_Fail(&test->site, "requests without a response", "");
     }
-    print_message("%s: %u requests, %u answered, of these %u by 503, %u ended "
-                  "without a response; the node ended after %ld ms\n",
-                  options->name, test->requests, test->answered,
-                  test->refused_by_node, test->unanswered, (long)took_ms);
+    print_message("%s: %u requests, %u answered, of these %u by 503 and %u by "
+                  "other errors, %u ended without a response\n",
+                  test->options->name, test->requests, test->answered,
+                  test->refused_by_node, test->other_statuses,
+                  test->unanswered);
     for (unsigned i = 0; i < CALLERS; i++) {
         if (test->callers[i].state != CALLER_REFUSED) {
             close_connection(&test->callers[i]);
@@ -322,23 +338,57 @@
     return passed;
 }
 
+static bool
+run_stop_case(const struct Case *options)
+{
+    struct Test *test = start_case(options);
+    test->signal_ms = SrOs_MonotonicMs();
+    SoakSite_StopNode(&test->site, 0);
+    run_for(test, GRACE_MS);
+    print_message("the node ended after %ld ms\n",
+                  (long)(SrOs_MonotonicMs() - test->signal_ms));
+    if (test->site.nodes[0].state != NODE_DOWN) {
+        SoakSite_Fail(&test->site, "the node did not end in time", "");
+    }
+    return end_case(test);
+}
+
 static void
 stopping_node_answers_every_request(void **state)
 {
     (void)state;
     unsigned failures = 0;
-    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
-        failures += run_case(&cases[i]) ? 0 : 1;
+    for (size_t i = 0; i < SR_LENGTH(stop_cases); i++) {
+        failures += run_stop_case(&stop_cases[i]) ? 0 : 1;
     }
     assert_int_equal(failures, 0);
 }
 
+static void
+reload_cuts_no_request(void **state)
+{
+    (void)state;
+    struct Test *test = start_case(&reload_case);
+    for (unsigned i = 0; i < RELOADS; i++) {
+        kill(test->site.nodes[0].pid, SIGHUP);
+        if (i % RELOADS_PER_CONFIG == 0) {
+            SoakSite_InjectFault(&test->site, SOAK_CONFIG_CHANGED);
+        }
+        run_for(test, RELOAD_INTERVAL_MS);
+    }
+    if (test->refused_by_node + test->other_statuses > 0) {
+        SoakSite_Fail(&test->site, "requests that were not served", "");
+    }
+    assert_true(end_case(test));
+}
+
 int
 main(int argc, char **argv)
 {
     (void)argc;
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(stopping_node_answers_every_request),
+        cmocka_unit_test(reload_cuts_no_request),
     };
     Harness_SetUp(argv[0]);
     SrLog_Start(SR_LOG_ERROR, "test");
