Crash counts say what showed the crash, ends of runs how often they were sent

Callers saw jobs without fault as failed. The log could not tell a worker that was back as a new incarnation from one whose entry was gone for a while, nor a run that was executed from one whose start was never sent.

crash-counted now has the sign of the crash, the incarnation, whether the start was acknowledged, whether the run was a likely cause and the limit on runs; run-ended and stop have the number of starts sent. No decision changes.

--- a/src/engine.c
+++ b/src/engine.c
@@ -487,7 +487,7 @@
             worker->present = false;
             SR_INFO("engine", "worker-gone", "worker=%s", id);
             /* Runs are suspected already if the lease has expired. */
-            SrEngine_OnCrash(engine, worker, now_ms);
+            SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
         }
         return;
     }
@@ -641,11 +641,13 @@
     const Sr__FlowStep *step = SrFlow_StepOf(task);
     SR_INFO("engine", "run-ended",
             "id=%s step=%u index=%u run=%u worker=%s how=%s stopped-for=%s "
-            "stops=%u percent=%d after-ms=%ld lost-core-s=%ld",
+            "sends=%u inherited=%d stops=%u percent=%d after-ms=%ld "
+            "lost-core-s=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_OutcomeText(outcome),
-            run->stop_reason != NULL ? run->stop_reason : "-", run->stops_sent,
-            run->percent, (long)(now_ms - run->allocated_ms),
+            run->stop_reason != NULL ? run->stop_reason : "-",
+            run->starts_sent, run->inherited, run->stops_sent, run->percent,
+            (long)(now_ms - run->allocated_ms),
             outcome == SR_RUN_DONE
                 ? 0L
                 : (long)SrFleet_LostWork(run, engine->options.checkpoint_ms,
@@ -719,10 +721,10 @@
     }
     SR_INFO("engine", "stop",
             "id=%s step=%u index=%u run=%u worker=%s present=%d "
-            "reason=%s percent=%d",
+            "reason=%s sends=%u percent=%d",
             run->task->flow->id, run->task->step, run->task->index,
             run->number, run->worker->info.id, run->worker->present, reason,
-            run->percent);
+            run->starts_sent, run->percent);
     if (run->state == SR_RUNSTATE_PLANNED ||
         (run->state == SR_RUNSTATE_STARTING && run->starts_sent == 0)) {
         SrEngine_MarkDirty(engine, run->task->flow);
@@ -793,7 +795,7 @@
                 SR_RUN_LAPSED, "", now_ms);
         }
         if (!worker->present) {
-            SrEngine_OnCrash(engine, worker, now_ms);
+            SrEngine_OnCrash(engine, worker, SR_CRASH_LEASE_EXPIRED, now_ms);
         }
     }
 }
--- a/src/engine_crashes.c
+++ b/src/engine_crashes.c
@@ -5,6 +5,12 @@
  * likely cause. */
 #define SETTLED_MS 3000
 
+static const char *const sign_texts[] = {
+    [SR_CRASH_NEW_INCARNATION] = "new-incarnation",
+    [SR_CRASH_ENTRY_GONE] = "entry-gone",
+    [SR_CRASH_LEASE_EXPIRED] = "lease-expired",
+};
+
 static struct SrSuspect *
 suspect_at(struct SrList *link)
 {
@@ -88,7 +94,8 @@
 
 static void
 count_crash(struct SrEngine *engine, const struct SrWorker *worker,
-            const struct SrSuspect *suspect, bool sole, int64_t now_ms)
+            const struct SrSuspect *suspect, enum SrCrashSign sign, bool sole,
+            int64_t now_ms)
 {
     struct SrFlowTask *task = SrEngine_FindTask(engine, suspect->task);
     if (task == NULL || task->done || SrFlow_HasEnded(task->flow)) {
@@ -101,12 +108,13 @@
     SrEngine_Observe(engine, SR_ENGINE_RUN_CRASHED, task->flow,
                      suspect->age_ms);
     SR_INFO("engine", "crash-counted",
-            "id=%s step=%u index=%u run=%u worker=%s ran-ms=%ld sole=%d "
-            "crashes=%u "
-            "sole-crashes=%u",
+            "id=%s step=%u index=%u run=%u worker=%s born=%ld sign=%s "
+            "started=%d ran-ms=%ld likely=%d sole=%d crashes=%u "
+            "sole-crashes=%u last-run=%u",
             task->flow->id, task->step, task->index, suspect->run,
-            worker->info.id, (long)suspect->age_ms, sole, task->crashes,
-            task->sole_crashes);
+            worker->info.id, (long)suspect->incarnation, sign_texts[sign],
+            suspect->started, (long)suspect->age_ms, suspect->likely, sole,
+            task->crashes, task->sole_crashes, task->last_run);
     if (hopeless) {
         SrEngine_GiveUp(engine, task, now_ms);
     }
@@ -128,7 +136,7 @@
 
 void
 SrEngine_OnCrash(struct SrEngine *engine, struct SrWorker *worker,
-                 int64_t now_ms)
+                 enum SrCrashSign sign, int64_t now_ms)
 {
     if (worker->info.draining) {
         /* The worker announced that it would leave. */
@@ -140,7 +148,7 @@
     SR_LIST_EACH(link, &worker->suspects)
     {
         const struct SrSuspect *suspect = suspect_at(link);
-        count_crash(engine, worker, suspect, one_job && suspect->likely,
+        count_crash(engine, worker, suspect, sign, one_job && suspect->likely,
                     now_ms);
     }
     SrFleet_ClearSuspects(worker);
@@ -158,7 +166,7 @@
             SrEngine_SuspectRun(run);
         }
     }
-    SrEngine_OnCrash(engine, worker, now_ms);
+    SrEngine_OnCrash(engine, worker, SR_CRASH_NEW_INCARNATION, now_ms);
 }
 
 void
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -137,11 +137,20 @@
  * the run's task. */
 void SrEngine_SuspectRun(struct SrRun *run);
 
+/* What shows that a worker has crashed. */
+enum SrCrashSign {
+    SR_CRASH_NEW_INCARNATION,
+    /* The lease had expired before the entry was deleted. */
+    SR_CRASH_ENTRY_GONE,
+    /* The entry had been deleted before the lease expired. */
+    SR_CRASH_LEASE_EXPIRED,
+};
+
 /* Counts a crash of the worker, if it has suspects, against their tasks, and
  * fails the jobs of those under which too many workers have crashed. The
  * departure of a draining worker is no crash. May free runs. */
 void SrEngine_OnCrash(struct SrEngine *engine, struct SrWorker *worker,
-                      int64_t now_ms);
+                      enum SrCrashSign sign, int64_t now_ms);
 
 /* Fails the task's job because of the crashes under the task. */
 void SrEngine_GiveUp(struct SrEngine *engine, const struct SrFlowTask *task,
