Starts that were not executed do not use up the starts of a task

Callers saw a job without fault as failed. After three crashes under a task it may have two runs more, however they end.

A run whose start was never sent, or each of whose starts the current incarnation refused, raises the limit by one; it is no suspect of a crash either. A start without a response counts as before, and so does a run of a former leader.

--- a/src/engine.c
+++ b/src/engine.c
@@ -638,16 +638,18 @@
     struct SrFlowTask *task = run->task;
     struct SrWorker *worker = run->worker;
     uint32_t number = run->number;
+    bool executed = outcome == SR_RUN_DONE || outcome == SR_RUN_FAILED ||
+                    SrEngine_MayHaveExecuted(run);
     const Sr__FlowStep *step = SrFlow_StepOf(task);
     SR_INFO("engine", "run-ended",
             "id=%s step=%u index=%u run=%u worker=%s how=%s stopped-for=%s "
-            "sends=%u inherited=%d stops=%u percent=%d after-ms=%ld "
-            "lost-core-s=%ld",
+            "sends=%u refused=%u inherited=%d stops=%u percent=%d "
+            "after-ms=%ld lost-core-s=%ld",
             task->flow->id, task->step, task->index, number, worker->info.id,
             SrRun_OutcomeText(outcome),
             run->stop_reason != NULL ? run->stop_reason : "-",
-            run->starts_sent, run->inherited, run->stops_sent, run->percent,
-            (long)(now_ms - run->allocated_ms),
+            run->starts_sent, run->starts_refused, run->inherited,
+            run->stops_sent, run->percent, (long)(now_ms - run->allocated_ms),
             outcome == SR_RUN_DONE
                 ? 0L
                 : (long)SrFleet_LostWork(run, engine->options.checkpoint_ms,
@@ -658,6 +660,9 @@
     remember_start_in_flight(engine, run, now_ms);
     remember_inherited_start(engine, run, outcome, now_ms);
     SrFleet_Release(run);
+    if (!executed) {
+        SrFlow_RecordUnexecuted(task);
+    }
     SrFlow_SetCheckpoint(task, checkpoint);
     if (outcome == SR_RUN_DONE && !step->continuous) {
         SrFleet_RecordSuccess(worker);
@@ -728,6 +733,7 @@
     if (run->state == SR_RUNSTATE_PLANNED ||
         (run->state == SR_RUNSTATE_STARTING && run->starts_sent == 0)) {
         SrEngine_MarkDirty(engine, run->task->flow);
+        SrFlow_RecordUnexecuted(run->task);
         SrFleet_Release(run);
         return;
     }
--- a/src/engine_crashes.c
+++ b/src/engine_crashes.c
@@ -17,18 +17,17 @@
     return SR_CONTAINER(link, struct SrSuspect, link);
 }
 
-/* Returns true if the worker may have executed the run. */
-static bool
-may_have_executed(const struct SrRun *run)
+bool
+SrEngine_MayHaveExecuted(const struct SrRun *run)
 {
-    return run->state == SR_RUNSTATE_STARTED ||
-           run->state == SR_RUNSTATE_INHERITED || run->starts_sent > 0;
+    return run->state == SR_RUNSTATE_STARTED || run->inherited ||
+           run->starts_sent > run->starts_refused;
 }
 
 void
 SrEngine_SuspectRun(struct SrRun *run)
 {
-    if (run->is_suspected || !may_have_executed(run)) {
+    if (run->is_suspected || !SrEngine_MayHaveExecuted(run)) {
         return;
     }
     struct SrSuspect suspect = {
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -649,6 +649,7 @@
         engine->fenced = true;
         break;
     case SR_COMMAND_LEASE_PASSED:
+        run->starts_refused++;
         run->next_send_ms = now_ms + RETRY_DELAY_MS;
         if (run->starts_sent >= START_SENDS_MAX) {
             on_not_started(engine, run, "late", now_ms);
@@ -659,6 +660,7 @@
     case SR_COMMAND_BAD_TICKET:
     case SR_COMMAND_OTHER_INCARNATION:
     case SR_COMMAND_INVALID:
+        run->starts_refused++;
         on_not_started(engine, run, SrCommand_ResultText(response->result),
                        now_ms);
         break;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -132,6 +132,10 @@
                                struct SrWorker *worker, int64_t incarnation,
                                int64_t now_ms);
 
+/* Returns true if the worker may have executed the run; false if no start
+ * command was sent or each was refused. */
+bool SrEngine_MayHaveExecuted(const struct SrRun *run);
+
 /* Adds the run to the suspects of its worker, unless it was certainly not
  * executed. If the worker turns out to have crashed, the crash counts against
  * the run's task. */
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -62,8 +62,10 @@
     /* When the latest start command was sent. */
     int64_t start_sent_ms;
     bool stop_in_flight;
-    /* Numbers of start and of stop commands sent. */
+    /* Numbers of start commands sent and refused, and of stop commands sent.
+     */
     unsigned starts_sent;
+    unsigned starts_refused;
     unsigned stops_sent;
     /* The first stop command without a response has been logged. */
     bool stop_unacked_logged;
--- a/src/flow.c
+++ b/src/flow.c
@@ -368,6 +368,14 @@
                                           task->sole_crashes >= SOLE_CRASHES);
 }
 
+void
+SrFlow_RecordUnexecuted(struct SrFlowTask *task)
+{
+    if (task->last_run != 0) {
+        task->last_run++;
+    }
+}
+
 bool
 SrFlow_IsOutOfStarts(const struct SrFlowTask *task)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -250,6 +250,10 @@
 bool SrFlow_RecordCrash(struct SrFlowTask *task, uint32_t run, int64_t age_ms,
                         bool sole);
 
+/* Records that the task's latest run is known not to have been executed: it
+ * does not count against the limit on further runs. */
+void SrFlow_RecordUnexecuted(struct SrFlowTask *task);
+
 /* Returns true if the task may have no further run because of the crashes
  * under it. */
 bool SrFlow_IsOutOfStarts(const struct SrFlowTask *task);
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -191,7 +191,7 @@
     const char *name;
     /* For each run from 1 on: 's' if its worker crashed and no other job was a
      * likely cause, 'c' if its worker crashed, '-' if it ended otherwise, 'o'
-     * if it outlived the earlier ones. */
+     * if it outlived the earlier ones, 'x' if it was not executed. */
     const char *runs;
     /* Run after which the task is given up; 0 if it is not. */
     uint32_t given_up_after;
@@ -204,6 +204,7 @@
     {"starts without a crash count from the third crash on", "cc-c--", 6},
     {"sole cause once", "cccs-", 5},
     {"two crashes", "ss------", 0},
+    {"runs that were not executed do not count", "cxccxx-x-", 9},
     {"outlived", "ccoccocc", 0},
     {"limit lifted when outlived", "ccc-o------", 0},
 };
@@ -227,6 +228,9 @@
             else if (end == 'o') {
                 SrFlow_ClearCrashes(task);
             }
+            else if (end == 'x') {
+                SrFlow_RecordUnexecuted(task);
+            }
             given_up |= SrFlow_IsOutOfStarts(task);
             if (given_up && given_up_after == 0) {
                 given_up_after = run;
