A crash is taken back when the same incarnation responds again

Callers saw jobs without fault as failed after machines had stalled. If a worker's entry is gone and its lease has expired, each of its tasks counts a crash, since a worker that crashed may never be back. A worker that was only stalled or cut off is back as the same incarnation, and the crash still counted: some stalls of many workers used up the crashes that a task may have.

The suspects of such a crash are now kept for a minute, also if the worker has no entry. A response of the same incarnation, to a poll sent after the crash was counted, proves that it did not crash: each task gets its crash, and the limit on its runs, back. A new incarnation confirms the crash. A task that really crashes its workers loses nothing of its counts, since the incarnation that it ended can't respond. The rows are unchanged; a leader that takes over knows the counts but not which of them may be taken back.

Two new cases of test_crashes crashes_are_told_from_other_losses fail before (vanished and back, 1 crash instead of 0) and pass now. The simulation of the engine has a new fault, stalls of half of the workers; with 30 seeds of each of the three new mixes one job without fault was given up with seed 25 of 'workers stall' and with seeds 17, 23 and 26 of 'workers stall and restart' before, none now. test_engine stalls_are_not_taken_for_crashes plays these seeds, too.

--- a/src/engine.c
+++ b/src/engine.c
@@ -770,11 +770,12 @@
                            SrFleet_LeaseExpiryMs(engine->fleet.lease_ms)) {
             SrEngine_ClearUnknownRuns(engine, worker);
         }
+        SrEngine_ExpireSuspects(worker, now_ms);
         if (SrList_IsEmpty(&worker->runs)) {
-            /* Unacknowledged starts are remembered, since the worker may
-             * return. */
-            if (!worker->present && !worker->poll_in_flight &&
-                !worker->quick_poll_in_flight &&
+            /* Unacknowledged starts and counted crashes are remembered, since
+             * the worker may return. */
+            if (!worker->present && SrList_IsEmpty(&worker->suspects) &&
+                !worker->poll_in_flight && !worker->quick_poll_in_flight &&
                 SrList_IsEmpty(&worker->unacked_starts) &&
                 SrList_IsEmpty(&worker->unknown_runs)) {
                 SrFleet_Remove(&engine->fleet, worker);
--- a/src/engine_crashes.c
+++ b/src/engine_crashes.c
@@ -4,6 +4,9 @@
 /* A run that has been executing for this long when its worker crashes is not a
  * likely cause. */
 #define SETTLED_MS 3000
+/* Time for which a crash that was counted because the worker's entry was gone
+ * may be taken back. */
+#define TAKE_BACK_MS 60000
 
 static const char *const sign_texts[] = {
     [SR_CRASH_NEW_INCARNATION] = "new-incarnation",
@@ -54,8 +57,8 @@
         struct SrSuspect *suspect = suspect_at(link);
         const struct SrFlowTask *task =
             SrEngine_FindTask(engine, suspect->task);
-        suspect->likely =
-            task != NULL && suspect->started && suspect->age_ms < SETTLED_MS;
+        suspect->likely = task != NULL && suspect->counted_ms == 0 &&
+                          suspect->started && suspect->age_ms < SETTLED_MS;
         if (suspect->likely && task->crashes > crashes) {
             crashes = task->crashes;
         }
@@ -93,13 +96,16 @@
 
 static void
 count_crash(struct SrEngine *engine, const struct SrWorker *worker,
-            const struct SrSuspect *suspect, enum SrCrashSign sign, bool sole,
+            struct SrSuspect *suspect, enum SrCrashSign sign, bool sole,
             int64_t now_ms)
 {
     struct SrFlowTask *task = SrEngine_FindTask(engine, suspect->task);
+    suspect->counted_ms = now_ms;
     if (task == NULL || task->done || SrFlow_HasEnded(task->flow)) {
         return;
     }
+    suspect->sole = sole;
+    suspect->crashes_cleared = task->crashes_cleared;
     bool hopeless =
         SrFlow_RecordCrash(task, suspect->run, suspect->age_ms, sole);
     SrUtil_Copy(task->failed_on, sizeof(task->failed_on), worker->info.id);
@@ -146,11 +152,71 @@
     bool one_job = are_of_one_job(engine, worker);
     SR_LIST_EACH(link, &worker->suspects)
     {
-        const struct SrSuspect *suspect = suspect_at(link);
+        struct SrSuspect *suspect = suspect_at(link);
+        if (suspect->counted_ms != 0) {
+            continue;
+        }
         count_crash(engine, worker, suspect, sign, one_job && suspect->likely,
                     now_ms);
     }
-    SrFleet_ClearSuspects(worker);
+    if (sign == SR_CRASH_NEW_INCARNATION) {
+        SrFleet_ClearSuspects(worker);
+    }
+}
+
+static void
+take_back(struct SrEngine *engine, const struct SrWorker *worker,
+          const struct SrSuspect *suspect)
+{
+    struct SrFlowTask *task = SrEngine_FindTask(engine, suspect->task);
+    if (task == NULL || task->done || SrFlow_HasEnded(task->flow) ||
+        task->crashes_cleared != suspect->crashes_cleared) {
+        return;
+    }
+    SrFlow_TakeBackCrash(task, suspect->sole);
+    SrEngine_MarkDirty(engine, task->flow);
+    SR_INFO("engine", "crash-taken-back",
+            "id=%s step=%u index=%u run=%u worker=%s born=%ld crashes=%u "
+            "sole-crashes=%u last-run=%u",
+            task->flow->id, task->step, task->index, suspect->run,
+            worker->info.id, (long)suspect->incarnation, task->crashes,
+            task->sole_crashes, task->last_run);
+}
+
+void
+SrEngine_ClearSuspectsOf(struct SrEngine *engine, struct SrWorker *worker,
+                         int64_t incarnation, int64_t sent_ms)
+{
+    SR_LIST_EACH_SAFE(link, &worker->suspects)
+    {
+        struct SrSuspect *suspect = suspect_at(link);
+        bool known = incarnation != 0 && suspect->incarnation != 0;
+        if (known ? suspect->incarnation != incarnation
+                  : suspect->counted_ms != 0) {
+            continue;
+        }
+        /* A poll sent earlier may have been answered before a crash. */
+        if (suspect->counted_ms != 0 && sent_ms <= suspect->counted_ms) {
+            continue;
+        }
+        if (suspect->counted_ms != 0) {
+            take_back(engine, worker, suspect);
+        }
+        SrFleet_RemoveSuspect(suspect);
+    }
+}
+
+void
+SrEngine_ExpireSuspects(struct SrWorker *worker, int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &worker->suspects)
+    {
+        struct SrSuspect *suspect = suspect_at(link);
+        if (suspect->counted_ms != 0 &&
+            now_ms - suspect->counted_ms > TAKE_BACK_MS) {
+            SrFleet_RemoveSuspect(suspect);
+        }
+    }
 }
 
 void
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -449,7 +449,7 @@
         worker->restart_reported_ms = 0;
     }
     /* A worker whose lease has expired may only have been out of reach. */
-    SrFleet_ClearSuspectsOf(worker, response->incarnation);
+    SrEngine_ClearSuspectsOf(engine, worker, response->incarnation, sent_ms);
     /* Inherited runs may belong to an earlier incarnation. */
     SrEngine_CountCrash(engine, worker, response->incarnation, now_ms);
     if (command->u.poll.acked_through > worker->results_acked &&
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -152,10 +152,21 @@
 
 /* Counts a crash of the worker, if it has suspects, against their tasks, and
  * fails the jobs of those under which too many workers have crashed. The
- * departure of a draining worker is no crash. May free runs. */
+ * departure of a draining worker is no crash. If only the entry is gone, the
+ * suspects are kept, since the same incarnation may be back. May free runs. */
 void SrEngine_OnCrash(struct SrEngine *engine, struct SrWorker *worker,
                       enum SrCrashSign sign, int64_t now_ms);
 
+/* Handles a response of the worker's incarnation to a poll sent at `sent_ms`:
+ * it has not crashed. Takes back the crashes counted because its entry was
+ * gone. */
+void SrEngine_ClearSuspectsOf(struct SrEngine *engine, struct SrWorker *worker,
+                              int64_t incarnation, int64_t sent_ms);
+
+/* Forgets the suspects whose counted crash was not taken back for long enough.
+ */
+void SrEngine_ExpireSuspects(struct SrWorker *worker, int64_t now_ms);
+
 /* Fails the task's job because of the crashes under the task. */
 void SrEngine_GiveUp(struct SrEngine *engine, const struct SrFlowTask *task,
                      int64_t now_ms);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -301,8 +301,8 @@
     SrList_Append(&worker->suspects, &copy->link);
 }
 
-static void
-remove_suspect(struct SrSuspect *suspect)
+void
+SrFleet_RemoveSuspect(struct SrSuspect *suspect)
 {
     SrList_Remove(&suspect->link);
     free(suspect);
@@ -313,20 +313,7 @@
 {
     SR_LIST_EACH_SAFE(link, &worker->suspects)
     {
-        remove_suspect(SR_CONTAINER(link, struct SrSuspect, link));
-    }
-}
-
-void
-SrFleet_ClearSuspectsOf(struct SrWorker *worker, int64_t incarnation)
-{
-    SR_LIST_EACH_SAFE(link, &worker->suspects)
-    {
-        struct SrSuspect *suspect = SR_CONTAINER(link, struct SrSuspect, link);
-        if (incarnation == 0 || suspect->incarnation == 0 ||
-            suspect->incarnation == incarnation) {
-            remove_suspect(suspect);
-        }
+        SrFleet_RemoveSuspect(SR_CONTAINER(link, struct SrSuspect, link));
     }
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -160,6 +160,14 @@
     bool likely;
     /* How long the run had been executing at the worker's latest response. */
     int64_t age_ms;
+    /* When a crash was counted against the task because the worker's entry was
+     * gone; 0 if none was. */
+    int64_t counted_ms;
+    /* The crash was counted as one of which no other job was a likely cause.
+     */
+    bool sole;
+    /* The task's `crashes_cleared` at the time. */
+    uint32_t crashes_cleared;
 };
 
 struct SrWorker {
@@ -181,7 +189,8 @@
      */
     struct SrList unknown_runs;
     /* List of struct SrSuspect: runs that ended with the worker's lease, until
-     * it is known whether the worker crashed. */
+     * it is known whether the worker crashed, or for a while after a
+     * crash was counted that may be taken back. */
     struct SrList suspects;
     /* When the leader learned that the worker had restarted; 0 if only one
      * incarnation is known. */
@@ -412,13 +421,11 @@
 void SrFleet_AddSuspect(struct SrWorker *worker,
                         const struct SrSuspect *suspect);
 
+void SrFleet_RemoveSuspect(struct SrSuspect *suspect);
+
 /* Removes all suspects. */
 void SrFleet_ClearSuspects(struct SrWorker *worker);
 
-/* Removes the suspects of an incarnation that turns out to be alive, and those
- * of an unknown one. */
-void SrFleet_ClearSuspectsOf(struct SrWorker *worker, int64_t incarnation);
-
 /* Returns the task's run if it has this number and is allocated on the worker,
  * otherwise NULL. */
 struct SrRun *SrFleet_FindRun(const struct SrWorker *worker,
--- a/src/flow.c
+++ b/src/flow.c
@@ -368,6 +368,19 @@
                                           task->sole_crashes >= SOLE_CRASHES);
 }
 
+void
+SrFlow_TakeBackCrash(struct SrFlowTask *task, bool sole)
+{
+    task->crashes--;
+    task->sole_crashes -= sole ? 1 : 0;
+    if (task->crashes < CRASHES_BEFORE_LIMIT) {
+        task->last_run = 0;
+    }
+    if (task->crashes == 0) {
+        task->crash_age_ms = 0;
+    }
+}
+
 void
 SrFlow_RecordUnexecuted(struct SrFlowTask *task)
 {
@@ -386,6 +399,7 @@
 SrFlow_ClearCrashes(struct SrFlowTask *task)
 {
     task->crashes = 0;
+    task->crashes_cleared++;
     task->sole_crashes = 0;
     task->crash_age_ms = 0;
     task->last_run = 0;
--- a/src/flow.h
+++ b/src/flow.h
@@ -72,6 +72,8 @@
      * and of those crashes of which no other job was a likely cause. */
     uint32_t crashes;
     uint32_t sole_crashes;
+    /* How often the crashes were forgotten, as far as this leader knows. */
+    uint32_t crashes_cleared;
     /* Longest time for which a run had been executing when its worker
      * crashed, ms. */
     uint32_t crash_age_ms;
@@ -250,6 +252,10 @@
 bool SrFlow_RecordCrash(struct SrFlowTask *task, uint32_t run, int64_t age_ms,
                         bool sole);
 
+/* Takes back the record of a crash, made with the same `sole`: the worker
+ * turns out not to have crashed. */
+void SrFlow_TakeBackCrash(struct SrFlowTask *task, bool sole);
+
 /* Records that the task's latest run is known not to have been executed: it
  * does not count against the limit on further runs. */
 void SrFlow_RecordUnexecuted(struct SrFlowTask *task);
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1310,6 +1310,24 @@
         sim->now_ms + 1 + random_below(sim, (unsigned)length_ms);
 }
 
+static void
+stall_workers(struct Sim *sim)
+{
+    int64_t until_ms = sim->now_ms + 7000 + random_below(sim, 5000);
+    for (unsigned w = 0; w < sim->options->workers; w++) {
+        struct Worker *worker = &sim->workers[w];
+        if (random_below(sim, 2) == 0 || !worker->alive ||
+            worker->entry_due_ms != 0 || sim->leader.engine == NULL) {
+            continue;
+        }
+        worker->partition_until_ms = until_ms;
+        SrEngine_SetWorker(sim->leader.engine, worker->entry.id, NULL,
+                           sim->now_ms);
+        worker->entry_due_ms =
+            until_ms + 1 + random_below(sim, ENTRY_DELAY_MS);
+    }
+}
+
 /* Injects the faults for which no number is drawn if their mix does not have
  * them, so that the seeds of the other mixes keep their meaning. */
 static void
@@ -1330,6 +1348,9 @@
     if (faults->entry_losses > 0 && is_drawn(sim, faults->entry_losses)) {
         lose_entry(sim, worker);
     }
+    if (faults->stalls > 0 && is_drawn(sim, faults->stalls)) {
+        stall_workers(sim);
+    }
     if (faults->cut_restarts > 0 && is_drawn(sim, faults->cut_restarts) &&
         worker->alive) {
         cut_off_and_restart(sim, worker);
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -62,6 +62,10 @@
      * Commands that are executed late reach it all the same. */
     unsigned cut_restarts;
 
+    /* Half of the workers stall together for 7 to 12 s: they do not respond,
+     * their leases expire and their entries are gone, but they go on. */
+    unsigned stalls;
+
     /* Maximum number of terminated runs that a worker lists in a response; 0
      * for LISTED_MAX. */
     unsigned listed_max;
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -155,6 +155,8 @@
     bool gone_last;
     /* The worker is back as a new incarnation. */
     bool restarted;
+    /* The worker's entry is back, too. */
+    bool returns;
     uint32_t crashes;
 };
 
@@ -169,6 +171,12 @@
      .crashes = 1},
     {"vanished after the lease has expired", .silent_ms = 9000,
      .gone_last = true, .crashes = 1},
+    {"vanished and back, the lease expired meanwhile", .silent_ms = 9000,
+     .gone_first = true, .returns = true, .crashes = 0},
+    {"vanished after the lease has expired, and back", .silent_ms = 9000,
+     .gone_last = true, .returns = true, .crashes = 0},
+    {"vanished and back as a new incarnation", .silent_ms = 9000,
+     .gone_first = true, .returns = true, .restarted = true, .crashes = 1},
     {"left after draining", .silent_ms = 9000, .draining = true,
      .gone_first = true, .crashes = 0},
 };
@@ -203,9 +211,13 @@
             SrEngine_SetWorker(run.engine, "w", NULL, run.now_ms);
         }
         run.running = run.running && c->silent_ms < 6000 && !c->restarted;
-        run.reachable = !c->gone_first && !c->gone_last;
+        run.reachable = c->returns || (!c->gone_first && !c->gone_last);
         run.entry.incarnation += c->restarted ? 5000 : 0;
         pass_time(&run, 300);
+        if (c->returns) {
+            SrEngine_SetWorker(run.engine, "w", &run.entry, run.now_ms);
+            pass_time(&run, 2000);
+        }
         if (run.crashes != c->crashes) {
             print_message("%s: %u\n", c->name, run.crashes);
         }
--- a/tests/test_engine.c
+++ b/tests/test_engine.c
@@ -111,6 +111,15 @@
                                      }},
 };
 
+/* Guards against losses that are taken for crashes: workers stall together,
+ * and are back as the same incarnations. */
+static const struct FaultMix stall_mixes[] = {
+    {"workers stall", .faults = {.stalls = 16}},
+    {"workers stall and restart", .faults = {.stalls = 16, .crashes = 6}},
+    {"workers stall, tasks crash workers",
+     .faults = {.stalls = 12, .crashing_jobs = 2}},
+};
+
 /* Mixes in which a leader is cut off together with workers. */
 static const struct FaultMix cut_mixes[] = {
     {"domain cut off with its leader", .faults = {.domain_cuts = 4}},
@@ -247,6 +256,29 @@
     }
 }
 
+struct StallSeed {
+    size_t mix;
+    uint64_t seed;
+};
+
+/* Seeds with which a job without fault was given up. */
+static const struct StallSeed stall_seeds[] = {
+    {0, 25}, {1, 17}, {1, 23}, {1, 26}};
+
+static void
+stalls_are_not_taken_for_crashes(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(stall_mixes); i++) {
+        for (uint64_t seed = 1; seed <= seed_count(); seed++) {
+            simulate(&stall_mixes[i], seed);
+        }
+    }
+    for (size_t i = 0; i < SR_LENGTH(stall_seeds); i++) {
+        simulate(&stall_mixes[stall_seeds[i].mix], stall_seeds[i].seed);
+    }
+}
+
 static const struct FaultMix restart_mixes[] = {
     {"workers restart behind a cut, late commands",
      .faults = {.late_commands = 50, .cut_restarts = 24}},
@@ -549,6 +581,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(keeps_promises_under_faults),
         cmocka_unit_test(keeps_promises_under_domain_cuts),
+        cmocka_unit_test(stalls_are_not_taken_for_crashes),
         cmocka_unit_test(tasks_run_once_at_a_time_when_workers_restart),
         cmocka_unit_test(unanswered_starts_are_known_to_the_next_leader),
         cmocka_unit_test(leases_end_with_leadership),
