A job is given up after four crashes only if three point at it alone

Callers saw jobs without fault as failed when workers restarted by chance. After four crashes under a task its job failed if no other job was a likely cause of two of them. Each young run alone on a worker that restarts by chance looks like that, so two of four are weak evidence; the limit of two further starts after the third crash holds anyway.

The fourth crash now decides only if three of them had no other likely cause. A task that crashes each worker soon after its start, alone there, is given up after four crashes as before, any other one after its fifth start at the latest. Rows are unchanged.

The new case 'sole cause twice' of test_flow tasks_are_given_up_after_crashes fails before (given up after the fourth run).

--- a/src/flow.c
+++ b/src/flow.c
@@ -13,7 +13,7 @@
 /* Crashes under a task after which its job fails if no other job was a likely
  * cause of SOLE_CRASHES of them. */
 #define CRASHES_MAX 4
-#define SOLE_CRASHES 2
+#define SOLE_CRASHES 3
 /* Number of workers that the failures of a job without done tasks are held
  * against. */
 #define BLAMED_WORKERS_MAX 2
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -203,6 +203,7 @@
     {"one of several suspects, five starts", "ccccc", 5},
     {"starts without a crash count from the third crash on", "cc-c--", 6},
     {"sole cause once", "cccs-", 5},
+    {"sole cause twice", "ccss-", 5},
     {"two crashes", "ss------", 0},
     {"runs that were not executed do not count", "cxccxx-x-", 9},
     {"outlived", "ccoccocc", 0},
