Responses that arrive while a process is paused are read

Callers saw: after a node was paused for longer than a call's timeout, its calls to the store and to workers counted as unanswered although the responses lay in its sockets. A start without a response keeps its task from other workers for 13 s, so a job may have nothing running although there is room.

Cause: libcurl's timeout. When the loop continues, a transfer whose time is over is ended before its socket is read, whether its timer or its socket comes first. Class of fault: time in which the process did not run is charged to its peer.

The new test fails without the change: "a call: 0 responses, 1 timeouts after 400 ms".

Change: the client has a timer of its own for each call. A timer that fires late shows that the process was paused or behind; the call then gets as much more time, once, and no more than its timeout. Meanwhile the loop reads what has arrived, and a server that was paused too can respond. A call that is over in time on a loop that is on time ends when it did before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -63,6 +63,12 @@
     /* The response exceeds `response_max`. */
     bool too_large;
     bool is_get;
+    /* Fires at `due_ms` of the monotonic clock. */
+    ev_timer timer;
+    int64_t due_ms;
+    int64_t timeout_ms;
+    /* `due_ms` includes time for which the process was late. */
+    bool extended;
     /* libcurl has sent the request again; see `before_request`. */
     bool resent;
     /* Value of the header Not-Started, or empty. */
@@ -120,6 +126,7 @@
 {
     struct SrHttpClient *client = call->shard->client;
     SrList_Remove(&call->link);
+    ev_timer_stop(client->loop, &call->timer);
     curl_multi_remove_handle(call->shard->multi, call->easy);
     if (client->idle_count < IDLE_HANDLES_MAX) {
         /* Frees the copy of the request's body. */
@@ -236,6 +243,43 @@
     collect_finished(shard);
 }
 
+static void on_timeout(struct ev_loop *loop, ev_timer *watcher, int events);
+
+static void
+start_timeout(struct SrHttpCall *call, int64_t delay_ms)
+{
+    ev_timer_init(&call->timer, on_timeout,
+                  (double)delay_ms / SR_MS_PER_SECOND, 0);
+    call->timer.data = call;
+    ev_timer_start(call->shard->client->loop, &call->timer);
+}
+
+/* Ends the call. If the process was paused or behind, that time does not
+ * count, up to the whole timeout: the response may have arrived meanwhile and
+ * wait to be read, or the server may have been paused too. */
+static void
+on_timeout(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct SrHttpCall *call = watcher->data;
+    int64_t late_ms = SrOs_MonotonicMs() - call->due_ms;
+    if (late_ms < 0) {
+        /* The timer counts from the time of the loop's iteration. */
+        start_timeout(call, -late_ms);
+        return;
+    }
+    if (late_ms > 0 && !call->extended) {
+        int64_t more_ms =
+            late_ms < call->timeout_ms ? late_ms : call->timeout_ms;
+        call->extended = true;
+        call->due_ms += late_ms + more_ms;
+        start_timeout(call, more_ms);
+        return;
+    }
+    finish_call(call, CURLE_OPERATION_TIMEDOUT);
+}
+
 /* Called by libcurl to start its timer, or to stop it if `wait_ms` is
  * negative. */
 static int
@@ -506,7 +550,6 @@
     curl_easy_setopt(easy, CURLOPT_URL, url);
     set_body(call, options);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      options->at_most_once ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
@@ -527,6 +570,11 @@
     call->context = options->context;
     SrList_Append(&client->calls, &call->link);
     set_call_options(call, options);
+    call->timeout_ms = options->timeout_ms;
+    if (call->timeout_ms > 0) {
+        call->due_ms = SrOs_MonotonicMs() + call->timeout_ms;
+        start_timeout(call, call->timeout_ms);
+    }
     curl_multi_add_handle(call->shard->multi, call->easy);
     return call;
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -57,7 +57,9 @@
      * NULL. */
     const char *headers[3];
     /* Time limit of the whole call, including the connection setup, which is
-     * itself limited to 1 s. 0 stands for no limit of the whole call. */
+     * itself limited to 1 s. Time for which the process is late to end the
+     * call, because it was paused or is behind, does not count, up to the same
+     * time again. 0 stands for no limit of the whole call. */
     int64_t timeout_ms;
     /* True for a request that must not be sent twice. The request is sent on a
      * new connection, since libcurl resends a request if a reused connection
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,7 +1,11 @@
 /* Requests on a reused connection that is closed without a response, which
  * libcurl sends again. Guards against taking the response to the second copy
  * for that to the first: a worker refused the second copy of a start and
- * executed the first one later, beside a run of the task elsewhere. */
+ * executed the first one later, beside a run of the task elsewhere.
+ *
+ * Calls of a process that is paused beyond their timeout. Guards against
+ * giving up a call whose response has arrived: starts then counted as
+ * unanswered, and their tasks were held for 13 s. */
 #include "test_support.h"
 
 #include <arpa/inet.h>
@@ -11,9 +15,14 @@
 
 #include "http_client.h"
 #include "log.h"
+#include "os.h"
 #include "platform_commands.h"
 
 #define TIMEOUT_MS 2000
+#define PAUSED_TIMEOUT_MS 300
+#define PAUSE_MS 400
+/* More than one poll of the loop returns. */
+#define CALLS_MAX 200
 
 /* What the server does with the second request on a connection. */
 enum SecondRequest {
@@ -23,6 +32,8 @@
     SECOND_DROPPED_FOR_GOOD,
     /* Never gets it: it closes the connection after the first response. */
     SECOND_NOT_RECEIVED,
+    /* There is none: the first request is kept in `held`. */
+    FIRST_HELD,
 };
 
 struct Fixture {
@@ -32,6 +43,9 @@
     enum SecondRequest second;
     /* Requests that the server has read. */
     unsigned requests;
+    /* Sockets of the requests without a response. */
+    int held[CALLS_MAX];
+    unsigned held_count;
     struct SrHttpClient *client;
     /* Outcome of the latest call. */
     bool done;
@@ -39,6 +53,9 @@
     unsigned status;
     enum SrHttpClientError error;
     enum SrCommandResult result;
+    /* Calls that ended with status 200 and by their timeout. */
+    unsigned responses;
+    unsigned timeouts;
 };
 
 struct Connection {
@@ -76,6 +93,10 @@
         return;
     }
     fixture->requests++;
+    if (fixture->second == FIRST_HELD) {
+        fixture->held[fixture->held_count++] = watcher->fd;
+        return;
+    }
     if (++connection->requests == 2) {
         if (fixture->second == SECOND_DROPPED_FOR_GOOD) {
             ev_io_stop(loop, &fixture->listener);
@@ -116,7 +137,7 @@
     socklen_t size = sizeof(address);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-    assert_int_equal(listen(fd, 8), 0);
+    assert_int_equal(listen(fd, CALLS_MAX), 0);
     getsockname(fd, (struct sockaddr *)&address, &size);
     *fixture = (struct Fixture){
         .loop = ev_loop_new(EVFLAG_AUTO),
@@ -255,12 +276,91 @@
     stop_server(&fixture);
 }
 
+static void
+on_paused_call_done(void *context, const struct SrHttpResponse *response)
+{
+    struct Fixture *fixture = context;
+    if (response->error == SR_HTTP_CLIENT_OK && response->status == 200) {
+        fixture->responses++;
+    }
+    else if (response->error == SR_HTTP_CLIENT_TIMEOUT && response->sent) {
+        fixture->timeouts++;
+    }
+    else {
+        fail_msg("%s", SrHttpClient_ErrorText(response->error));
+    }
+}
+
+struct PauseCase {
+    const char *name;
+    unsigned calls;
+    /* Calls that get a response: while the client is paused, or after that. */
+    unsigned during;
+    unsigned after;
+};
+
+static const struct PauseCase pause_cases[] = {
+    {"a call", 1, 1, 0},
+    {"many calls", CALLS_MAX, CALLS_MAX, 0},
+    {"a server that was paused too", 1, 0, 1},
+    {"no response", 1, 0, 0},
+    {"no response to some", CALLS_MAX, CALLS_MAX / 2, CALLS_MAX / 4},
+};
+
+static void
+responses_that_arrive_during_a_pause_are_read(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(pause_cases); i++) {
+        const struct PauseCase *c = &pause_cases[i];
+        struct Fixture fixture;
+        start_server(&fixture, FIRST_HELD);
+        for (unsigned n = 0; n < c->calls; n++) {
+            SrHttpClient_Send(fixture.client,
+                              &(struct SrHttpCallOptions){
+                                  .address = fixture.address,
+                                  .path = "/",
+                                  .body = "{}",
+                                  .size = 2,
+                                  .timeout_ms = PAUSED_TIMEOUT_MS,
+                                  .response_max = 1024,
+                                  .done = on_paused_call_done,
+                                  .context = &fixture,
+                              });
+        }
+        while (fixture.held_count < c->calls) {
+            ev_run(fixture.loop, EVRUN_ONCE);
+        }
+        int64_t paused_ms = SrOs_MonotonicMs();
+        const char *ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        for (unsigned n = 0; n < c->during; n++) {
+            respond(fixture.held[n], ok);
+        }
+        usleep(PAUSE_MS * 1000);
+        ev_run(fixture.loop, EVRUN_NOWAIT);
+        for (unsigned n = 0; n < c->after; n++) {
+            respond(fixture.held[c->during + n], ok);
+        }
+        while (fixture.responses + fixture.timeouts < c->calls) {
+            ev_run(fixture.loop, EVRUN_ONCE);
+        }
+        int64_t ended_ms = SrOs_MonotonicMs() - paused_ms;
+        if (fixture.responses != c->during + c->after ||
+            ended_ms > PAUSE_MS + 2 * PAUSED_TIMEOUT_MS) {
+            fail_msg("%s: %u responses, %u timeouts after %ld ms", c->name,
+                     fixture.responses, fixture.timeouts, (long)ended_ms);
+        }
+        stop_server(&fixture);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(response_to_a_resent_post_is_none),
         cmocka_unit_test(start_that_was_dropped_may_be_executed),
+        cmocka_unit_test(responses_that_arrive_during_a_pause_are_read),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
