A new leader reads jobs and progress at the same time

Callers saw: after a leader's end nothing starts for longer than the store's latency explains.

Cause: jobs were read only once all progress rows had been read, so that each job finds its progress. Class of fault: independent calls made in sequence while everybody waits.

The order does not matter for safety: only leaders write progress, and after the claim a former one can write none. Jobs that are read first are held until the progress is complete, and the engine works only once both are. A job that a caller hands in meanwhile has no progress, as before.

Evidence: jobs_and_progress_are_read_at_once fails on the former code; no_job_is_loaded_without_its_progress lets the store refuse each of a new leader's calls in turn, and passes before and after.

The line `leader loaded` says how long the load took.

--- a/src/leader.c
+++ b/src/leader.c
@@ -6,6 +6,7 @@
 #include "codec.h"
 #include "follower.h"
 #include "job_rows.h"
+#include "list.h"
 #include "log.h"
 #include "map.h"
 #include "os.h"
@@ -63,9 +64,18 @@
     bool delete_in_flight;
 };
 
+/* A job that was read before all progress rows. */
+struct HeldJob {
+    /* Link in the leader's `held_jobs`. */
+    struct SrList link;
+    char id[SR_ROWS_KEY_SIZE];
+    Sr__FlowRecord *record;
+};
+
 struct SrLeader {
     struct SrLeaderOptions options;
     struct SrEngine *engine;
+    int64_t created_ms;
     struct SrFollower *jobs;
     struct SrFollower *cancellations;
     struct SrFollower *workers;
@@ -77,8 +87,12 @@
     /* Retries a failed read of progress rows. */
     struct SrTimer retry_timer;
     struct SrTimer expiry_timer;
-    /* All progress rows and jobs have been read. */
+    /* All progress rows, all jobs, and both have been read. */
+    bool progress_loaded;
+    bool jobs_loaded;
     bool loaded;
+    /* List of struct HeldJob, in the order of reading. */
+    struct SrList held_jobs;
     /* Progress rows by job id, without those whose jobs have been read. Once
      * all jobs are loaded, the rest are orphans: a previous leader ended after
      * it deleted the rows of an expired job and before it deleted the job's
@@ -208,6 +222,58 @@
                          : NULL;
 }
 
+/* Takes ownership of the record. */
+static void
+add_job(struct SrLeader *leader, const char *id, Sr__FlowRecord *record)
+{
+    struct UnmatchedProgress *unmatched = find_unmatched(leader, id);
+    if (unmatched != NULL && unmatched->progress == NULL) {
+        /* It is unknown which tasks of the job run or are done. */
+        SR_ERROR("leader", "job-withheld", "id=%s", id);
+        SrCodec_Free(record);
+        return;
+    }
+    if (SrEngine_AddFlow(leader->engine, id, record,
+                         unmatched != NULL ? unmatched->progress : NULL,
+                         SrOs_MonotonicMs())) {
+        free_unmatched(leader, unmatched);
+    }
+    else {
+        SrCodec_Free(unmatched->progress);
+        unmatched->progress = NULL;
+    }
+    SrLeader_Wake(leader);
+}
+
+static void
+hold_job(struct SrLeader *leader, const char *id, Sr__FlowRecord *record)
+{
+    struct HeldJob *job = SrUtil_Calloc(1, sizeof(*job));
+    SrUtil_Copy(job->id, sizeof(job->id), id);
+    job->record = record;
+    SrList_Append(&leader->held_jobs, &job->link);
+}
+
+static void
+free_held_job(struct HeldJob *job)
+{
+    SrList_Remove(&job->link);
+    SrCodec_Free(job->record);
+    free(job);
+}
+
+static void
+add_held_jobs(struct SrLeader *leader)
+{
+    SR_LIST_EACH_SAFE(link, &leader->held_jobs)
+    {
+        struct HeldJob *job = SR_CONTAINER(link, struct HeldJob, link);
+        add_job(leader, job->id, job->record);
+        job->record = NULL;
+        free_held_job(job);
+    }
+}
+
 static void
 on_job(void *context, const struct SrRow *row)
 {
@@ -222,23 +288,12 @@
                  row->key, (unsigned long)row->size);
         return;
     }
-    struct UnmatchedProgress *unmatched = find_unmatched(leader, row->key);
-    if (unmatched != NULL && unmatched->progress == NULL) {
-        /* It is unknown which tasks of the job run or are done. */
-        SR_ERROR("leader", "job-withheld", "id=%s", row->key);
-        SrCodec_Free(record);
-        return;
-    }
-    if (SrEngine_AddFlow(leader->engine, row->key, record,
-                         unmatched != NULL ? unmatched->progress : NULL,
-                         SrOs_MonotonicMs())) {
-        free_unmatched(leader, unmatched);
+    if (leader->progress_loaded) {
+        add_job(leader, row->key, record);
     }
     else {
-        SrCodec_Free(unmatched->progress);
-        unmatched->progress = NULL;
+        hold_job(leader, row->key, record);
     }
-    SrLeader_Wake(leader);
 }
 
 /* Follows a table that is written for callers: jobs or cancellations. */
@@ -330,19 +385,20 @@
                   CALL_TIMEOUT_MS, on_caller_rows_deleted, deletion);
 }
 
-/* Called when all jobs are loaded. Cancellations are followed only from now
- * on, so that the engine remembers few of jobs that it does not know. */
+/* Lets the engine work once progress and jobs are loaded. Cancellations are
+ * followed only from then on, so that the engine remembers few of jobs that it
+ * does not know. */
 static void
-on_jobs_loaded(void *context)
+finish_load(struct SrLeader *leader)
 {
-    struct SrLeader *leader = context;
-    if (leader->loaded) {
+    if (leader->loaded || !leader->progress_loaded || !leader->jobs_loaded) {
         return;
     }
     leader->loaded = true;
-    SR_INFO("leader", "loaded", "term=%lu flows=%u",
+    SR_INFO("leader", "loaded", "term=%lu flows=%u after-ms=%ld",
             (unsigned long)leader->options.term,
-            SrEngine_Stats(leader->engine, SrOs_MonotonicMs()).flows);
+            SrEngine_Stats(leader->engine, SrOs_MonotonicMs()).flows,
+            (long)(SrOs_MonotonicMs() - leader->created_ms));
     leader->cancellations =
         follow_caller_table(leader, SR_TABLE_CANCEL, on_cancel, NULL);
     SrTimer_Start(&leader->engine_timer, leader->options.kernel,
@@ -352,6 +408,14 @@
                   leader);
 }
 
+static void
+on_jobs_loaded(void *context)
+{
+    struct SrLeader *leader = context;
+    leader->jobs_loaded = true;
+    finish_load(leader);
+}
+
 static void
 add_unmatched(struct SrLeader *leader, const struct SrRow *row)
 {
@@ -477,8 +541,9 @@
         return;
     }
     join_parts(leader);
-    leader->jobs =
-        follow_caller_table(leader, SR_TABLE_JOBS, on_job, on_jobs_loaded);
+    leader->progress_loaded = true;
+    add_held_jobs(leader);
+    finish_load(leader);
 }
 
 static void
@@ -513,7 +578,9 @@
     struct SrLeader *leader = SrUtil_Calloc(1, sizeof(*leader));
     leader->options = *options;
     leader->changes_max = CHANGES_MAX;
+    leader->created_ms = SrOs_MonotonicMs();
     SrMap_Init(&leader->unmatched);
+    SrList_Init(&leader->held_jobs);
     leader->engine = SrEngine_Create(
         &(struct SrEngineOptions){
             .lease_ms = options->settings->lease_max_ms,
@@ -532,7 +599,12 @@
         options->term, SrOs_MonotonicMs());
     set_store_clock(leader);
     leader->workers = follow_workers(leader);
+    /* Progress is written by leaders only, and a former one can write none any
+     * more, so it does not matter whether a job or its progress is read first.
+     */
     read_progress(leader);
+    leader->jobs =
+        follow_caller_table(leader, SR_TABLE_JOBS, on_job, on_jobs_loaded);
     return leader;
 }
 
@@ -571,6 +643,10 @@
         free_unmatched(leader, unmatched);
     }
     SrMap_Clear(&leader->unmatched);
+    SR_LIST_EACH_SAFE(link, &leader->held_jobs)
+    {
+        free_held_job(SR_CONTAINER(link, struct HeldJob, link));
+    }
     free_changes(leader);
     free(leader->summary);
     free(leader->summary_in_flight);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -551,6 +551,78 @@
     }
 }
 
+/* Completes the calls that are pending now, which takes one round trip; the
+ * store refuses that number `refused`, counted from 1. */
+static void
+round_trip(struct World *world, size_t refused)
+{
+    for (size_t i = 1, count = SrMemoryRows_Pending(world->memory); i <= count;
+         i++) {
+        SrMemoryRows_Step(world->memory,
+                          i == refused ? SR_MEMORY_REFUSE : SR_MEMORY_SERVE);
+    }
+}
+
+static struct SrEngineStats
+stats_of(const struct World *world)
+{
+    return SrEngine_Stats(SrLeader_Engine(world->leader), SrOs_MonotonicMs());
+}
+
+static void
+run_until_elected(struct World *world)
+{
+    int64_t end_ms = SrOs_MonotonicMs() + LIMIT_MS;
+    while (world->leader == NULL && SrOs_MonotonicMs() < end_ms) {
+        run_once(world);
+    }
+    assert_non_null(world->leader);
+}
+
+/* Guards against a takeover that takes longer than the store's latency
+ * explains: a new leader read the jobs only once it had read all progress, and
+ * nothing starts meanwhile. */
+static void
+jobs_and_progress_are_read_at_once(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world, LIMIT_MS);
+    store_job(&world, JOB);
+    store_job(&world, OTHER);
+    store_progress(&world, JOB, SR__FLOW_STATUS__FLOW_COMPLETED);
+    start_ledger(&world);
+    run_until_elected(&world);
+    round_trip(&world, 0);
+    assert_int_equal(stats_of(&world).flows, 2);
+    assert_int_equal(stats_of(&world).waiting, 1);
+    end(&world);
+}
+
+/* Guards against running a job again whose row is read before its progress:
+ * the store refuses each of the calls of a new leader in turn. */
+static void
+no_job_is_loaded_without_its_progress(void **state)
+{
+    (void)state;
+    bool all_refused = false;
+    for (size_t refused = 1; !all_refused; refused++) {
+        struct World world;
+        begin(&world, LIMIT_MS);
+        store_job(&world, JOB);
+        store_progress(&world, JOB, SR__FLOW_STATUS__FLOW_COMPLETED);
+        start_ledger(&world);
+        run_until_elected(&world);
+        all_refused = refused > SrMemoryRows_Pending(world.memory);
+        round_trip(&world, refused);
+        assert_int_equal(stats_of(&world).waiting, 0);
+        run_for(&world, SOON_MS);
+        assert_int_equal(stats_of(&world).waiting, 0);
+        assert_int_equal(stats_of(&world).flows, 1);
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -564,6 +636,8 @@
         cmocka_unit_test(a_rejected_row_does_not_hold_up_the_others),
         cmocka_unit_test(parts_are_deleted_only_if_they_belong_to_no_progress),
         cmocka_unit_test(job_with_unreadable_progress_is_not_run_again),
+        cmocka_unit_test(jobs_and_progress_are_read_at_once),
+        cmocka_unit_test(no_job_is_loaded_without_its_progress),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
