A task that may run on one worker only is not kept off it for its failures

Callers saw: after a worker left some starts without a response, jobs had nothing running for seconds although the worker responded again and others were free.

Cause: two rules that were made apart. A start without a response may be executed late by a worker that restarts, so its task may be started on that worker only, for 13 s. Three runs that are given up without a response make a worker be avoided for 4 s. Together they leave the task nowhere to run. Class of fault: a preference that is applied like a prohibition where there is no alternative.

Evidence: the new test fails on the former code: "avoided because of its failures: started after 4040 ms" from the moment at which the worker responds; with one failure it is started within 500 ms.

Change: a refused start and repeated failures are kept apart. A worker that refused a start gets none for 1.5 s, as before. One that failed is avoided, but not by a task that may run nowhere else, unless the task itself failed there. No task may be started on any other worker sooner than before; the wait for late starts and its tests are unchanged.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -480,7 +480,7 @@
 on_not_started(struct SrEngine *engine, struct SrRun *run, const char *reason,
                int64_t now_ms)
 {
-    run->worker->avoid_until_ms = now_ms + REFUSAL_AVOID_MS;
+    run->worker->refused_until_ms = now_ms + REFUSAL_AVOID_MS;
     SR_INFO("engine", "start-turned-away",
             "id=%s step=%u index=%u run=%u worker=%s reason=%s",
             run->task->flow->id, run->task->step, run->task->index,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -339,13 +339,20 @@
 
 bool
 SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms)
+{
+    return SrFleet_IsUsableAtNeed(worker, now_ms) &&
+           now_ms >= worker->avoid_until_ms;
+}
+
+bool
+SrFleet_IsUsableAtNeed(const struct SrWorker *worker, int64_t now_ms)
 {
     return worker->present && !worker->info.draining && worker->fenced &&
            worker->clock_ms >= 0 && !worker->grant_stored &&
            worker->grant_clear_change == 0 &&
            worker->restart_reported_ms == 0 &&
            now_ms - worker->response_ms < RESPONSE_FRESH_MS &&
-           now_ms >= worker->avoid_until_ms &&
+           now_ms >= worker->refused_until_ms &&
            !SrFleet_MayExecuteUnknownRuns(worker);
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -254,7 +254,10 @@
     /* Grows with each failure (see SrFleet_RecordFailure) and shrinks with
      * each successful run. */
     unsigned failure_score;
-    /* The worker gets no new work before this time. */
+    /* The worker has refused a start, and gets none before this time. */
+    int64_t refused_until_ms;
+    /* The worker has failed, and gets work before this time only if it can't
+     * be done elsewhere. */
     int64_t avoid_until_ms;
     /* Rate of progress of the worker's runs relative to their estimates;
      * initially 1. */
@@ -278,8 +281,9 @@
      * and the highest rank. */
     int64_t earliest_end_ms;
     uint32_t highest_rank;
-    /* The worker may get new work. */
+    /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
+    bool usable_at_need;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
@@ -440,6 +444,10 @@
  * excluded failure domains. */
 bool SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms);
 
+/* Returns true if the worker is usable, or would be if it were not avoided
+ * because of its failures. */
+bool SrFleet_IsUsableAtNeed(const struct SrWorker *worker, int64_t now_ms);
+
 /* Returns the lease deadline for a command sent now, in ms on the worker's
  * clock; 0 if that clock is not known. */
 int64_t SrFleet_LeaseDeadlineMs(const struct SrFleet *fleet,
--- a/src/plan.c
+++ b/src/plan.c
@@ -313,12 +313,15 @@
                         struct SrFlowTask *task)
 {
     struct SrWorker *worker = task->late_start_worker;
+    bool failed_there =
+        worker != NULL && strcmp(task->failed_on, worker->info.id) == 0;
     /* A task that lasts has no limit of failures, but must not stay away. */
-    bool failed_there = worker != NULL && !unit->step->continuous &&
-                        task->failures > 0 &&
-                        strcmp(task->failed_on, worker->info.id) == 0;
-    if (worker == NULL || failed_there ||
-        SrPlan_TasksThatFitOn(worker, unit, SR_AVAILABLE_NOW) == 0) {
+    bool excluded =
+        failed_there && !unit->step->continuous && task->failures > 0;
+    if (worker == NULL || excluded ||
+        SrPlan_TasksThatFitOn(worker, unit,
+                              failed_there ? SR_AVAILABLE_NOW
+                                           : SR_AVAILABLE_AT_NEED) == 0) {
         log_wait(pass, unit, "late-start");
         return;
     }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -34,9 +34,12 @@
 }
 
 static bool
-is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit)
+is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+            enum SrAvailability kind)
 {
-    return worker->usable && worker->service == unit->service &&
+    bool usable =
+        kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
+    return usable && worker->service == unit->service &&
            (unit->step->label[0] == '\0' ||
             has_label(worker, unit->step->label));
 }
@@ -161,6 +164,7 @@
     bool has_victims = false;
     switch (kind) {
     case SR_AVAILABLE_NOW:
+    case SR_AVAILABLE_AT_NEED:
         return worker->free;
     case SR_AVAILABLE_AFTER_STOPS:
         return available;
@@ -234,7 +238,7 @@
 SrPlan_TasksThatFitOn(const struct SrWorker *worker,
                       const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
-    if (!is_eligible(worker, unit) || is_kept_apart(worker, unit)) {
+    if (!is_eligible(worker, unit, kind) || is_kept_apart(worker, unit)) {
         return 0;
     }
     struct SrResources available = available_on(worker, unit, kind);
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -66,6 +66,8 @@
 enum SrAvailability {
     /* Free now. */
     SR_AVAILABLE_NOW,
+    /* The same, also on a worker that is avoided because of its failures. */
+    SR_AVAILABLE_AT_NEED,
     /* Free once the runs being stopped have stopped. */
     SR_AVAILABLE_AFTER_STOPS,
     /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that are expected to end
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -21,8 +21,11 @@
 static void
 init_worker_for_pass(struct SrPlanPass *pass, struct SrWorker *worker)
 {
-    worker->usable = SrFleet_IsUsable(worker, pass->now_ms) &&
-                     !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
+    worker->usable_at_need =
+        SrFleet_IsUsableAtNeed(worker, pass->now_ms) &&
+        !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
+    worker->usable =
+        worker->usable_at_need && SrFleet_IsUsable(worker, pass->now_ms);
     worker->free = SrFleet_Capacity(worker);
     SrResources_Add(&worker->free, &worker->allocated, -1);
     worker->free_after_stops = worker->free;
--- a/tests/test_starts.c
+++ b/tests/test_starts.c
@@ -29,6 +29,7 @@
     bool lists_are_incomplete;
     /* The tasks of submitted jobs last until they are cancelled. */
     bool tasks_last;
+    struct SrCommand latest_start;
 };
 
 static void
@@ -636,6 +637,7 @@
             const struct SrCommand *command = &commands[i];
             bool silent = !responds && strcmp(command->worker, "w") == 0;
             if (command->kind == SR_COMMAND_START) {
+                leader->latest_start = *command;
                 starts += strcmp(command->worker, counted) == 0 ? 1 : 0;
             }
             else if (command->kind == SR_COMMAND_POLL && !silent) {
@@ -790,6 +792,65 @@
     resign(&leader);
 }
 
+/* How many starts a worker left without a response, and whether it then
+ * refuses one. */
+struct ReturnCase {
+    const char *name;
+    unsigned jobs;
+    bool refuses;
+    /* Time from the first list of the worker to the next start on it, ms. */
+    int64_t at_least_ms;
+    int64_t at_most_ms;
+};
+
+static const struct ReturnCase return_cases[] = {
+    {"few failures", 1, false, 0, 500},
+    {"avoided because of its failures", 4, false, 0, 500},
+    {"refuses a start", 4, true, 1000, 2500},
+};
+
+/* Guards against a job without runs beside free workers: its task may be
+ * started on one worker only, since an earlier start there got no response,
+ * and that worker was avoided for 4 s because of the same starts. */
+static void
+task_is_started_on_its_only_worker_once_that_returns(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(return_cases); i++) {
+        const struct ReturnCase *c = &return_cases[i];
+        struct DrivenLeader leader;
+        lead(&leader);
+        list_runs(&leader, NULL);
+        for (unsigned job = 1; job <= c->jobs; job++) {
+            submit(&leader, job, 1, 1);
+        }
+        for (unsigned n = 0; n < 4 * c->jobs; n++) {
+            respond(&leader, SR_COMMAND_START, SR_COMMAND_NO_RESPONSE);
+        }
+        add_worker(&leader, "other", DRIVEN_ACCELERATORS);
+        int64_t waited_ms = 0;
+        if (c->refuses) {
+            while (serve(&leader, DRIVEN_STEP_MS, true, "w") == 0) {
+                assert_true((waited_ms += DRIVEN_STEP_MS) < 500);
+            }
+            SrEngine_OnResponse(
+                leader.engine, &leader.latest_start,
+                &(struct SrCommandResponse){.result = SR_COMMAND_NO_CAPACITY,
+                                            .clock_ms = -1},
+                leader.now_ms);
+            waited_ms = 0;
+        }
+        while (serve(&leader, DRIVEN_STEP_MS, true, "w") == 0 &&
+               waited_ms < 15000) {
+            waited_ms += DRIVEN_STEP_MS;
+        }
+        if (waited_ms < c->at_least_ms || waited_ms > c->at_most_ms) {
+            fail_msg("%s: started after %ld ms", c->name, (long)waited_ms);
+        }
+        resign(&leader);
+    }
+}
+
 #define FIRST_TASK "0000000000000001.0.0.0"
 
 /* Responds to the next poll with the progress of run 1 of the first task. */
@@ -1227,6 +1288,7 @@
         cmocka_unit_test(
             start_in_flight_that_is_executed_after_its_run_keeps_its_task),
         cmocka_unit_test(responses_of_others_show_no_restart),
+        cmocka_unit_test(task_is_started_on_its_only_worker_once_that_returns),
         cmocka_unit_test(failures_of_late_starts_count),
         cmocka_unit_test(lasting_task_is_started_again_where_it_failed),
         cmocka_unit_test(
