Logs: what a new leader waits for, and why a ready task is held

Between `leader loaded` and the first `run-started` of a term nothing was logged, so a slow takeover could not be told from slow workers or a slow store. `engine first-start` has the times of load, first response, placement and sending, and how many workers have been reached: one line a term.

A task that may not be started because a worker lists a run of it that the leader does not know, or because a member of its gang may still be started late, was skipped without a line: `plan held`, once for each wait of a step. The other reasons are in `plan waits`.

--- a/src/engine.c
+++ b/src/engine.c
@@ -953,6 +953,9 @@
         return;
     }
     engine->unix_ms = unix_ms;
+    if (engine->first_tick_ms == 0) {
+        engine->first_tick_ms = now_ms;
+    }
     log_grants(engine, now_ms);
     if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
         engine->last_check_ms = now_ms;
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -456,6 +456,9 @@
         command->u.poll.acked_through <= worker->results_written) {
         worker->results_acked = command->u.poll.acked_through;
     }
+    if (engine->first_response_ms == 0) {
+        engine->first_response_ms = now_ms;
+    }
     SrEngine_ClearLeaseGrant(engine, worker);
     worker->failed_polls = 0;
     worker->fenced = true;
@@ -601,6 +604,34 @@
     SrEngine_OnNewIncarnation(engine, worker, incarnation, now_ms);
 }
 
+/* Logs what a new leader did until its first start, each time in ms since it
+ * was elected: the load took until `loaded-ms`, and between `placed-ms` and
+ * `sent-ms` the allocation was written to the store. */
+static void
+log_first_start(struct SrEngine *engine, const struct SrRun *run,
+                int64_t now_ms)
+{
+    unsigned reached = 0;
+    unsigned workers = 0;
+    if (engine->has_started) {
+        return;
+    }
+    engine->has_started = true;
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        workers++;
+        reached += SrFleet_WorkerAt(link)->response_ms != 0 ? 1 : 0;
+    }
+    SR_INFO("engine", "first-start",
+            "term=%lu after-ms=%ld loaded-ms=%ld response-ms=%ld "
+            "placed-ms=%ld sent-ms=%ld workers=%u reached=%u",
+            (unsigned long)engine->term, (long)(now_ms - engine->created_ms),
+            (long)(engine->first_tick_ms - engine->created_ms),
+            (long)(engine->first_response_ms - engine->created_ms),
+            (long)(run->allocated_ms - engine->created_ms),
+            (long)(run->start_sent_ms - engine->created_ms), workers, reached);
+}
+
 static void
 on_start_response(struct SrEngine *engine, struct SrWorker *worker,
                   const struct SrCommand *command,
@@ -633,6 +664,7 @@
                 run->task->flow->id, run->task->step, run->task->index,
                 run->number, worker->info.id, (unsigned long)engine->term,
                 run->starts_sent, (long)(now_ms - run->allocated_ms));
+        log_first_start(engine, run, now_ms);
         break;
     case SR_COMMAND_NO_RESPONSE:
         on_start_unacked(engine, run, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -15,6 +15,12 @@
     struct SrEngineOptions options;
     uint64_t term;
     int64_t created_ms;
+    /* When the engine was first called after the load, and when the first
+     * worker responded to a poll; 0 if not yet. */
+    int64_t first_tick_ms;
+    int64_t first_response_ms;
+    /* A worker has acknowledged a start. */
+    bool has_started;
     /* See SrEngine_SetConfirmed. */
     int64_t confirmed_ms;
     /* Leadership has been unconfirmed for too long to grant leases; as last
--- a/src/flow.h
+++ b/src/flow.h
@@ -83,6 +83,8 @@
     /* The reason why the task waits has been logged. Set for the first task of
      * a step only. */
     bool wait_logged;
+    /* The same for tasks of the step that may not be started. */
+    bool hold_logged;
     /* When the leader first found the step ready to run, ms of the monotonic
      * clock; 0 before. Set for the first task of a step only. */
     int64_t ready_ms;
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
+
 /* Resources are reserved for non-urgent gangs if they are expected to become
  * free within this time. */
 #define RESERVE_AHEAD_MS 3000
@@ -157,15 +159,49 @@
     pass->units[pass->unit_count++] = *unit;
 }
 
-/* Counts the tasks of the step that may be started. */
-static uint32_t
-count_waiting(const struct SrFlowTask *first, uint32_t count)
+/* Counts the tasks of the step that may be started, and those that have no run
+ * and may not: an earlier run may be executed. Returns the first of these. */
+static const struct SrFlowTask *
+count_waiting(const struct SrFlowTask *first, uint32_t count,
+              uint32_t *waiting, uint32_t *held)
 {
-    uint32_t waiting = 0;
+    const struct SrFlowTask *first_held = NULL;
+    *waiting = 0;
+    *held = 0;
     for (uint32_t i = 0; i < count; i++) {
-        waiting += SrFlow_MayStart(&first[i]) ? 1 : 0;
+        if (SrFlow_MayStart(&first[i])) {
+            ++*waiting;
+        }
+        else if (!first[i].done && first[i].active_run == NULL) {
+            first_held = first_held != NULL ? first_held : &first[i];
+            ++*held;
+        }
+    }
+    return first_held;
+}
+
+/* Logs, once for each wait of the step, that `held` of its tasks may not be
+ * started, and why the first of them may not. */
+static void
+log_held(struct SrFlowTask *first, const struct SrFlowTask *task,
+         uint32_t held)
+{
+    if (held == 0) {
+        first->hold_logged = false;
+        return;
+    }
+    if (first->hold_logged) {
+        return;
     }
-    return waiting;
+    first->hold_logged = true;
+    SR_INFO("plan", "held",
+            "id=%s step=%u tasks=%u index=%u run=%u unknown-runs=%u "
+            "late-starts=%u late-start-worker=%s",
+            task->flow->id, task->step, held, task->index, task->run,
+            task->unknown_runs, task->late_starts,
+            task->late_starts > 0 && task->late_start_worker != NULL
+                ? task->late_start_worker->info.id
+                : "-");
 }
 
 /* Returns the highest number of crashes under a task that is not done. */
@@ -198,7 +234,11 @@
 {
     const Sr__FlowStep *step = flow->record->steps[index];
     struct SrFlowTask *first = SrFlow_StepTasks(flow, occurrence, index);
-    uint32_t waiting = count_waiting(first, step->count);
+    uint32_t waiting;
+    uint32_t held;
+    const struct SrFlowTask *first_held =
+        count_waiting(first, step->count, &waiting, &held);
+    log_held(first, first_held, held);
     if (waiting == 0 || (step->gang && waiting < step->count) ||
         !SrFlow_IsStepReady(flow, occurrence, index)) {
         return;
