A candidate does not count its own pause as the leader's silence

Callers saw: a change of leaders although the leader lived, and nothing started until the new one had loaded.

Cause: a candidate claims once it has seen the leader row unchanged for the leader's timeout. When a machine stops for longer than that and goes on, a candidate that reads the row before the leader has renewed it finds it unchanged for the whole pause.

Evidence: the new test fails on the former code, at the assertion that the candidate does not lead 200 ms after a pause of 1.5 s.

Change: the time by which a poll of the row is sent late is left out. A candidate that is on time claims when it did before; one that was paused claims later by as much, never sooner.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -46,6 +46,8 @@
     struct SrLedgerOptions options;
     enum LedgerState state;
     struct SrTimer timer;
+    /* Local time at which `timer` is due, ms. */
+    int64_t due_ms;
     struct SrTimer batch_timer;
     /* Version of the leader row as last read or written; 0 if it is absent. */
     uint64_t version;
@@ -63,7 +65,8 @@
      * then ignored, because during an outage of the store the row of a live
      * leader gets old as well. */
     bool poll_failed;
-    /* Local time since which the row is unchanged, ms. */
+    /* Local time since which the row is unchanged, ms, plus the time for which
+     * this process was late to read it. */
     int64_t unchanged_since_ms;
     /* `call` is in flight. */
     bool in_flight;
@@ -142,6 +145,7 @@
 static void
 run_after(struct SrLedger *ledger, int64_t delay_ms, void (*fire)(void *))
 {
+    ledger->due_ms = SrOs_MonotonicMs() + delay_ms;
     SrTimer_Start(&ledger->timer, ledger->options.kernel, delay_ms, 0, fire,
                   ledger);
 }
@@ -390,6 +394,11 @@
 poll_row(void *context)
 {
     struct SrLedger *ledger = context;
+    int64_t late_ms = SrOs_MonotonicMs() - ledger->due_ms;
+    if (late_ms > 0) {
+        /* What paused this process may have paused the leader too. */
+        ledger->unchanged_since_ms += late_ms;
+    }
     SrRows_Read(ledger->options.rows,
                 &(struct SrRowsRange){
                     .table = SR_TABLE_LEADER,
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -245,6 +245,44 @@
     end(&world);
 }
 
+/* Runs the loop and completes the store's calls. */
+static void
+run_for(struct World *world, int64_t ms)
+{
+    int64_t end_ms = SrOs_MonotonicMs() + ms;
+    while (SrOs_MonotonicMs() < end_ms ||
+           SrMemoryRows_Pending(world->memory) > 0) {
+        ev_run(world->kernel->loop, EVRUN_NOWAIT);
+        SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
+    }
+}
+
+/* Guards against a change of leaders after a pause of all processes: the
+ * candidate that went on first counted the pause as the leader's silence. */
+static void
+candidate_does_not_count_its_own_pause(void **state)
+{
+    (void)state;
+    struct timespec pause = {.tv_sec = 1, .tv_nsec = 500000000};
+    struct World world;
+    begin(&world);
+    add_candidate(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    add_candidate(&world, 1, "b");
+    run_for(&world, 700);
+    SrLedger_Destroy(world.candidates[0].ledger);
+    world.candidates[0].ledger = NULL;
+    run_for(&world, 0);
+    nanosleep(&pause, NULL);
+    run_for(&world, 200);
+    assert_false(world.candidates[1].leading);
+    int64_t resumed_ms = SrOs_MonotonicMs();
+    run_until(&world, &world.candidates[1].leading, true);
+    /* The leader's timeout, and the time until the next poll. */
+    assert_in_range(SrOs_MonotonicMs() - resumed_ms, 0, 1500);
+    end(&world);
+}
+
 /* Runs the loop and completes the store's calls, the first with the given
  * outcome, until the candidate leads. Returns the number of calls. */
 static unsigned
@@ -412,6 +450,7 @@
         cmocka_unit_test(transactions_follow_each_other_under_faults),
         cmocka_unit_test(dead_leader_is_replaced_and_writes_no_more),
         cmocka_unit_test(row_that_is_old_at_first_sight_is_claimed_at_once),
+        cmocka_unit_test(candidate_does_not_count_its_own_pause),
         cmocka_unit_test(released_leadership_is_taken),
         cmocka_unit_test(release_follows_the_transaction_in_flight),
         cmocka_unit_test(leadership_is_confirmed_from_the_sending_of_a_call),
