--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -284,6 +284,8 @@
     unsigned idle_counted;
     unsigned idle_near_fault;
     unsigned former_violations;
+    /* Longest time between two starts during the traffic. */
+    int64_t longest_gap_ms;
     char *record;
 };
 
@@ -1044,6 +1046,7 @@
     struct Use total;
     int64_t now_ms;
     unsigned starts;
+    int64_t last_start_ms;
 };
 
 static struct Use
@@ -1093,8 +1096,15 @@
     change_use(&replay->total, job, starts);
     job->running += starts ? 1 : -1U;
     entry->running += starts ? 1 : -1U;
-    replay->starts += starts ? 1 : 0;
-    if (!starts) {
+    if (starts) {
+        int64_t gap_ms = replay->now_ms - replay->last_start_ms;
+        if (replay->starts++ > 0 && gap_ms > rig->longest_gap_ms &&
+            replay->now_ms < rig->traffic_end_ms) {
+            rig->longest_gap_ms = gap_ms;
+        }
+        replay->last_start_ms = replay->now_ms;
+    }
+    else {
         entry->ended_ms = replay->now_ms;
         entry->done |= strstr(line, " how=done") != NULL;
     }
@@ -1341,14 +1351,15 @@
     }
     print_message(
         "seed %u: faults=%s interval=%u load=%u: %u accepted (%u completed), "
-        "%u refused, %u unknown, %u starts, peak %ld KiB; idle %u (near "
+        "%u refused, %u unknown, %u starts, longest gap %lld ms, peak %ld "
+        "KiB; idle %u (near "
         "faults %u), cut %u (others %u, half received %u), former %u: "
         "%s\n",
         rig->site.seed, faults, rig->options.interval_ms, rig->options.load,
         counts[JOB_ACCEPTED], completed, counts[JOB_REFUSED],
-        counts[JOB_UNKNOWN], starts, peak_kb, rig->idle_counted,
-        rig->idle_near_fault, rig->cut_counted, rig->cut_other,
-        rig->cut_half_received, rig->former_violations,
+        counts[JOB_UNKNOWN], starts, (long long)rig->longest_gap_ms, peak_kb,
+        rig->idle_counted, rig->idle_near_fault, rig->cut_counted,
+        rig->cut_other, rig->cut_half_received, rig->former_violations,
         rig->site.failure[0] != '\0' ? rig->site.failure : "ok");
 }
 
