A leader goes on deciding after a stall

Callers saw: nothing of their jobs ran for up to 10 s although workers were free, with no fault that operators knew of; leases expired and tasks were lost with them.

Cause: after each decision a leader pauses for twice the time that the decision took from its start to its end. A leader whose machine stalls while it decides counts the stall: after a stall of 2.8 s it polls no worker, grants no lease and starts nothing for 5.7 s more. Class of fault: time in which the process did not run is taken for time that something took.

The new test stops the process in a decision and fails without the change: "no command for 2001 ms after a stall of 1000 ms".

Change: the pause is 0.25 s at most. Decisions of a node at its size take a few milliseconds, so that the bound does not act without a stall.

--- a/src/leader.c
+++ b/src/leader.c
@@ -22,6 +22,9 @@
 /* After a call of SrEngine_Tick, the next one follows no sooner than this many
  * times the duration of the call, so that responses are read in between. */
 #define ENGINE_PAUSE_FACTOR 2
+/* Longest such pause. A call takes long if the process was stopped meanwhile;
+ * workers must then be polled before their leases expire. */
+#define ENGINE_PAUSE_MAX_MS 250
 /* Time for which a watch of the jobs or cancellations waits for a change. A
  * lost response is detected after this time plus the grace period of the store
  * adapter, well within the 3 s in which a cancellation must take effect. */
@@ -158,7 +161,11 @@
     SrEngine_Tick(leader->engine, SrLedger_IsWritable(leader->options.ledger),
                   SrOs_MonotonicMs(), SrOs_UnixMs());
     int64_t now_us = SrOs_MonotonicUs();
-    leader->next_tick_us = now_us + ENGINE_PAUSE_FACTOR * (now_us - from_us);
+    int64_t pause_us = ENGINE_PAUSE_FACTOR * (now_us - from_us);
+    leader->next_tick_us =
+        now_us + (pause_us < ENGINE_PAUSE_MAX_MS * SR_US_PER_MS
+                      ? pause_us
+                      : ENGINE_PAUSE_MAX_MS * SR_US_PER_MS);
     SrMetrics_Observe(leader->options.kernel->metrics, "sr_engine_tick_us",
                       NULL, NULL, (uint64_t)(now_us - from_us));
     if (SrEngine_HasChanges(leader->engine)) {
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -25,21 +25,38 @@
     struct SrNodeSettings settings;
     struct SrLedger *ledger;
     struct SrLeader *leader;
+    /* The process is stopped for so long when it sends the next command, ms.
+     */
+    int64_t stall_ms;
+    /* Number of commands, and the latest of them. */
+    unsigned commands;
+    struct SrCommand command;
 };
 
 static void
-ignore_command(void *context, const struct SrCommand *command)
+record_command(void *context, const struct SrCommand *command)
 {
-    (void)context;
-    (void)command;
+    struct World *world = context;
+    world->commands++;
+    world->command = *command;
+    if (world->stall_ms > 0) {
+        struct timespec stall = {
+            .tv_sec = world->stall_ms / SR_MS_PER_SECOND,
+            .tv_nsec = world->stall_ms % SR_MS_PER_SECOND * 1000000,
+        };
+        world->stall_ms = 0;
+        nanosleep(&stall, NULL);
+    }
 }
 
+/* A row whose value is not empty registers a worker. */
 static bool
-reject_worker(const struct SrRow *row, struct SrWorkerEntry *entry)
+read_worker(const struct SrRow *row, struct SrWorkerEntry *entry)
 {
-    (void)row;
-    (void)entry;
-    return false;
+    *entry = (struct SrWorkerEntry){.accelerators = 1, .incarnation = 1};
+    SrUtil_Copy(entry->id, sizeof(entry->id), row->key);
+    SrUtil_Copy(entry->address, sizeof(entry->address), "127.0.0.1:1");
+    return row->size > 0;
 }
 
 static void
@@ -53,8 +70,8 @@
         .ledger = world->ledger,
         .term = term,
         .worker_table = "workers",
-        .read_worker = reject_worker,
-        .send = ignore_command,
+        .read_worker = read_worker,
+        .send = record_command,
         .context = world,
     });
 }
@@ -623,6 +640,46 @@
     }
 }
 
+/* Time for which a leader is stopped while it decides. */
+static const int64_t stalls_ms[] = {0, 300, 1000, 3000};
+
+/* Guards against a leader that does nothing for seconds after a stall: the
+ * pause after a decision was twice the time from its start to its end, and so
+ * twice the stall. */
+static void
+leader_goes_on_after_a_stall(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(stalls_ms); i++) {
+        struct World world;
+        begin(&world, LIMIT_MS);
+        store_value(&world, "", "workers", "w", (const uint8_t *)"w", 1);
+        world.stall_ms = stalls_ms[i];
+        start_ledger(&world);
+        run_until_elected(&world);
+        int64_t end_ms = SrOs_MonotonicMs() + LIMIT_MS;
+        while (world.commands == 0 && SrOs_MonotonicMs() < end_ms) {
+            run_once(&world);
+        }
+        assert_int_equal(world.commands, 1);
+        int64_t resumed_ms = SrOs_MonotonicMs();
+        SrLeader_OnResponse(
+            world.leader, &world.command,
+            &(struct SrCommandResponse){.result = SR_COMMAND_DONE,
+                                        .clock_ms = 1000,
+                                        .incarnation = 1});
+        while (world.commands == 1 && SrOs_MonotonicMs() < end_ms) {
+            run_once(&world);
+        }
+        int64_t idle_ms = SrOs_MonotonicMs() - resumed_ms;
+        if (idle_ms > SOON_MS) {
+            fail_msg("no command for %ld ms after a stall of %ld ms",
+                     (long)idle_ms, (long)stalls_ms[i]);
+        }
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -638,6 +695,7 @@
         cmocka_unit_test(job_with_unreadable_progress_is_not_run_again),
         cmocka_unit_test(jobs_and_progress_are_read_at_once),
         cmocka_unit_test(no_job_is_loaded_without_its_progress),
+        cmocka_unit_test(leader_goes_on_after_a_stall),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
