--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -16,6 +16,9 @@
 #define HOST "127.0.0.1"
 #define PORT 7961
 #define CONNECTIONS 300
+/* Servers whose listener is closed under callers, and their number. */
+#define LISTENERS 40
+#define CALLERS 4
 /* Interval at which a slow sender sends a byte. */
 #define CALLER_INTERVAL_MS 30
 
@@ -333,6 +336,66 @@
     assert_int_equal(status, 0);
 }
 
+/* Caller that connects again and again until the server refuses it, in a
+ * process of its own. Its exit status tells whether a connection ended without
+ * a response. */
+static int
+connect_until_refused(void)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons(PORT),
+        .sin_addr.s_addr = inet_addr(HOST),
+    };
+    for (;;) {
+        char response[1024] = "";
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0) {
+            return 0;
+        }
+        send(fd, WHOLE, strlen(WHOLE), MSG_NOSIGNAL);
+        ssize_t got = recv(fd, response, sizeof(response) - 1, 0);
+        close(fd);
+        if (got <= 0) {
+            return 1;
+        }
+    }
+}
+
+/* A connection that is established while the listener is being closed is
+ * served, too. */
+static void
+closing_listener_resets_no_connection(void **state)
+{
+    (void)state;
+    unsigned failures = 0;
+    for (unsigned i = 0; i < LISTENERS; i++) {
+        struct Fixture fixture = {0};
+        pid_t callers[CALLERS];
+        /* Forked first, so that they do not inherit the listener. */
+        for (unsigned k = 0; k < CALLERS; k++) {
+            callers[k] = fork();
+            if (callers[k] == 0) {
+                usleep(CALLER_INTERVAL_MS * 1000);
+                _exit(connect_until_refused());
+            }
+        }
+        create_server(&fixture, 64);
+        usleep(CALLER_INTERVAL_MS * 1000);
+        run_loop(fixture.loop);
+        SrHttpServer_StopListening(fixture.server);
+        run_loop(fixture.loop);
+        SrHttpServer_Destroy(fixture.server);
+        for (unsigned k = 0; k < CALLERS; k++) {
+            int status = -1;
+            waitpid(callers[k], &status, 0);
+            failures += status == 0 ? 0 : 1;
+        }
+        ev_loop_destroy(fixture.loop);
+    }
+    assert_int_equal(failures, 0);
+}
+
 int
 main(void)
 {
@@ -340,6 +403,7 @@
         cmocka_unit_test(requests_during_shutdown),
         cmocka_unit_test(all_connections_get_a_response),
         cmocka_unit_test(sender_that_goes_on_gets_the_response),
+        cmocka_unit_test(closing_listener_resets_no_connection),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
