Test: servers of the HTTP test have an address of their own

Callers saw nothing. The test listened on a fixed address, and libmicrohttpd shares an address between processes: two runs at once failed in all of four tries, each getting a part of the other's connections. One of 27 runs had failed before, without its output.

--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -13,7 +13,6 @@
 #include "http_server.h"
 #include "log.h"
 
-#define HOST "127.0.0.1"
 #define PORT 7961
 #define CONNECTIONS 300
 /* Servers whose listener is closed under callers, and their number. */
@@ -22,6 +21,10 @@
 /* Interval at which a slow sender sends a byte. */
 #define CALLER_INTERVAL_MS 30
 
+/* Loopback address of this process: servers of two processes could listen on
+ * the same address, and each would get a part of the connections. */
+static char host[16];
+
 struct Fixture {
     struct ev_loop *loop;
     struct SrHttpServer *server;
@@ -57,7 +60,7 @@
     struct sockaddr_in address = {
         .sin_family = AF_INET,
         .sin_port = htons(PORT),
-        .sin_addr.s_addr = inet_addr(HOST),
+        .sin_addr.s_addr = inet_addr(host),
     };
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
@@ -216,11 +219,13 @@
 static void
 create_server(struct Fixture *fixture, unsigned connections_max)
 {
+    char address[32];
+    snprintf(address, sizeof(address), "%s:%d", host, PORT);
     fixture->loop = ev_loop_new(EVFLAG_AUTO);
     assert_int_equal(
         SrHttpServer_Create(fixture->loop,
                             &(struct SrHttpServerOptions){
-                                .address = HOST ":7961",
+                                .address = address,
                                 .body_max = 1024,
                                 .connections_max = connections_max,
                                 .read_timeout_ms = 5000,
@@ -345,7 +350,7 @@
     struct sockaddr_in address = {
         .sin_family = AF_INET,
         .sin_port = htons(PORT),
-        .sin_addr.s_addr = inet_addr(HOST),
+        .sin_addr.s_addr = inet_addr(host),
     };
     for (;;) {
         char response[1024] = "";
@@ -405,6 +410,9 @@
         cmocka_unit_test(sender_that_goes_on_gets_the_response),
         cmocka_unit_test(closing_listener_resets_no_connection),
     };
+    unsigned id = (unsigned)getpid();
+    snprintf(host, sizeof(host), "127.%u.%u.%u", 64 + (id >> 16) % 64,
+             (id >> 8) % 256, 1 + id % 254);
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
