A poll in flight does not keep a crash from being taken back

Callers saw a job without fault as failed after machines had stalled: crashes that could have been taken back still counted.

Cause: the first response of the same incarnation may belong to a poll sent before the crash was counted. It does not take the crash back, as it may have been sent before a crash; but it also cleared all suspects of the worker, as a response of a new incarnation does. The next poll then had nothing to take back. After a stall a poll is usually in flight.

Evidence: the new case of test_crashes crashes_are_told_from_other_losses, "vanished and back, with a poll in flight meanwhile", counts 1 crash instead of 0 on the former code.

Change: a response clears the suspects of other incarnations only.

--- a/src/engine_crashes.c
+++ b/src/engine_crashes.c
@@ -159,9 +159,6 @@
         count_crash(engine, worker, suspect, sign, one_job && suspect->likely,
                     now_ms);
     }
-    if (sign == SR_CRASH_NEW_INCARNATION) {
-        SrFleet_ClearSuspects(worker);
-    }
 }
 
 static void
@@ -232,6 +229,13 @@
         }
     }
     SrEngine_OnCrash(engine, worker, SR_CRASH_NEW_INCARNATION, now_ms);
+    SR_LIST_EACH_SAFE(link, &worker->suspects)
+    {
+        struct SrSuspect *suspect = suspect_at(link);
+        if (incarnation == 0 || suspect->incarnation != incarnation) {
+            SrFleet_RemoveSuspect(suspect);
+        }
+    }
 }
 
 void
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -158,8 +158,8 @@
 
 /* Counts a crash of the worker, if it has suspects, against their tasks, and
  * fails the jobs of those under which too many workers have crashed. The
- * departure of a draining worker is no crash. If only the entry is gone, the
- * suspects are kept, since the same incarnation may be back. May free runs. */
+ * departure of a draining worker is no crash. The suspects are kept, since the
+ * same incarnation may be back. May free runs. */
 void SrEngine_OnCrash(struct SrEngine *engine, struct SrWorker *worker,
                       enum SrCrashSign sign, int64_t now_ms);
 
@@ -178,7 +178,8 @@
                      int64_t now_ms);
 
 /* Same as SrEngine_OnCrash, after adding the runs that belong to another
- * incarnation than the given one, which is 0 if unknown. */
+ * incarnation than the given one, which is 0 if unknown. Keeps only suspects
+ * of the given one. */
 void SrEngine_CountCrash(struct SrEngine *engine, struct SrWorker *worker,
                          int64_t incarnation, int64_t now_ms);
 
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -15,6 +15,10 @@
     int64_t now_ms;
     /* The worker responds. */
     bool reachable;
+    /* The worker responds to its next poll only when the test says so. */
+    bool holds_poll;
+    bool poll_held;
+    struct SrCommand held_poll;
     /* The worker lists the run with this number. */
     bool running;
     uint32_t number;
@@ -105,6 +109,12 @@
         memcpy(commands, run->commands, count * sizeof(commands[0]));
         run->count = 0;
         for (unsigned i = 0; i < count; i++) {
+            if (run->holds_poll && !run->poll_held &&
+                commands[i].kind == SR_COMMAND_POLL) {
+                run->poll_held = true;
+                run->held_poll = commands[i];
+                continue;
+            }
             respond_to(run, &commands[i]);
         }
     }
@@ -157,6 +167,8 @@
     bool restarted;
     /* The worker's entry is back, too. */
     bool returns;
+    /* The worker first responds to a poll sent before the silence ended. */
+    bool poll_held;
     uint32_t crashes;
 };
 
@@ -175,6 +187,11 @@
      .gone_first = true, .returns = true, .crashes = 0},
     {"vanished after the lease has expired, and back", .silent_ms = 9000,
      .gone_last = true, .returns = true, .crashes = 0},
+    {"vanished and back, with a poll in flight meanwhile", .silent_ms = 9000,
+     .gone_last = true, .returns = true, .poll_held = true, .crashes = 0},
+    {"vanished and back as a new incarnation, with a poll in flight meanwhile",
+     .silent_ms = 9000, .gone_last = true, .returns = true, .poll_held = true,
+     .restarted = true, .crashes = 1},
     {"vanished and back as a new incarnation", .silent_ms = 9000,
      .gone_first = true, .returns = true, .restarted = true, .crashes = 1},
     {"left after draining", .silent_ms = 9000, .draining = true,
@@ -203,6 +220,7 @@
         run.entry.draining = c->draining;
         SrEngine_SetWorker(run.engine, "w", &run.entry, run.now_ms);
         run.reachable = false;
+        run.holds_poll = c->poll_held;
         if (c->gone_first) {
             SrEngine_SetWorker(run.engine, "w", NULL, run.now_ms);
         }
@@ -213,6 +231,9 @@
         run.running = run.running && c->silent_ms < 6000 && !c->restarted;
         run.reachable = c->returns || (!c->gone_first && !c->gone_last);
         run.entry.incarnation += c->restarted ? 5000 : 0;
+        if (run.poll_held) {
+            respond_to(&run, &run.held_poll);
+        }
         pass_time(&run, 300);
         if (c->returns) {
             SrEngine_SetWorker(run.engine, "w", &run.entry, run.now_ms);
