A candidate does not count a pause during its poll as the leader's silence

Callers saw: a change of leaders although the leader lived, and nothing started until the new one had loaded.

Cause: the time by which a poll of the leader row is sent late is left out of the leader's silence, but not a pause that falls into the poll itself. The poll's response is not acted on, since the store's latency then seems high; the next poll, 300 ms later and on time, counts the whole pause. With a store that takes 300 ms, half of all pauses fall into a poll.

Change: while a poll is in flight a timer checks each 100 ms that the process runs. The time by which it is late is left out too.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -13,6 +13,9 @@
 #define LEADER_KEY "leader"
 /* Interval at which candidates poll the leader row. */
 #define POLL_MS 300
+/* Interval at which the process checks that it runs while a poll is in flight.
+ */
+#define READ_CHECK_MS 100
 /* A candidate treats the leader as failed when the leader row has not changed
  * for LEADER_TIMEOUT_MS, the time of three renewals, plus
  * LEADER_TIMEOUT_LATENCIES times the store's current latency. */
@@ -345,6 +348,24 @@
                                claim_delay_ms(ledger);
 }
 
+/* Leaves out the time by which the timer is late: what paused this process may
+ * have paused the leader too. */
+static void
+leave_out_lateness(struct SrLedger *ledger)
+{
+    int64_t late_ms = SrOs_MonotonicMs() - ledger->due_ms;
+    if (late_ms > 0) {
+        ledger->unchanged_since_ms += late_ms;
+    }
+}
+
+static void
+check_read(void *context)
+{
+    leave_out_lateness(context);
+    run_after(context, READ_CHECK_MS, check_read);
+}
+
 static void
 on_polled(void *context, const struct SrRowsResponse *response)
 {
@@ -354,6 +375,8 @@
     if (ledger == NULL) {
         return;
     }
+    leave_out_lateness(ledger);
+    SrTimer_Stop(&ledger->timer);
     if (response->error != SR_ROWS_OK) {
         /* While the store is unavailable, the leader cannot renew the row
          * either, so the leader's timeout starts again. */
@@ -394,11 +417,8 @@
 poll_row(void *context)
 {
     struct SrLedger *ledger = context;
-    int64_t late_ms = SrOs_MonotonicMs() - ledger->due_ms;
-    if (late_ms > 0) {
-        /* What paused this process may have paused the leader too. */
-        ledger->unchanged_since_ms += late_ms;
-    }
+    leave_out_lateness(ledger);
+    run_after(ledger, READ_CHECK_MS, check_read);
     SrRows_Read(ledger->options.rows,
                 &(struct SrRowsRange){
                     .table = SR_TABLE_LEADER,
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -283,6 +283,35 @@
     end(&world);
 }
 
+/* The same if the pause falls into a poll: the next one, on time, counted the
+ * pause as the leader's silence. */
+static void
+candidate_does_not_count_its_pause_during_a_poll(void **state)
+{
+    (void)state;
+    struct timespec pause = {.tv_sec = 1, .tv_nsec = 500000000};
+    struct World world;
+    begin(&world);
+    add_candidate(&world, 0, "a");
+    run_until(&world, &world.candidates[0].leading, true);
+    SrLedger_Destroy(world.candidates[0].ledger);
+    world.candidates[0].ledger = NULL;
+    run_for(&world, 0);
+    add_candidate(&world, 1, "b");
+    run_for(&world, 100);
+    while (SrMemoryRows_Pending(world.memory) == 0) {
+        ev_run(world.kernel->loop, EVRUN_ONCE);
+    }
+    nanosleep(&pause, NULL);
+    /* The response, and the next poll. */
+    run_for(&world, 400);
+    assert_false(world.candidates[1].leading);
+    int64_t resumed_ms = SrOs_MonotonicMs();
+    run_until(&world, &world.candidates[1].leading, true);
+    assert_in_range(SrOs_MonotonicMs() - resumed_ms, 0, 1500);
+    end(&world);
+}
+
 /* Runs the loop and completes the store's calls, the first with the given
  * outcome, until the candidate leads. Returns the number of calls. */
 static unsigned
@@ -451,6 +480,7 @@
         cmocka_unit_test(dead_leader_is_replaced_and_writes_no_more),
         cmocka_unit_test(row_that_is_old_at_first_sight_is_claimed_at_once),
         cmocka_unit_test(candidate_does_not_count_its_own_pause),
+        cmocka_unit_test(candidate_does_not_count_its_pause_during_a_poll),
         cmocka_unit_test(released_leadership_is_taken),
         cmocka_unit_test(release_follows_the_transaction_in_flight),
         cmocka_unit_test(leadership_is_confirmed_from_the_sending_of_a_call),
