The time limit of a stop does not begin at the end of a stall

Callers saw: requests without a response when a node was killed at the end of its grace period, although it had got SIGTERM.

Cause: a node that is stalled when SIGTERM is sent counts its limit from when it handles the signal. With steady traffic it is not idle before the limit, and gets SIGKILL while it still waits. Class of fault: time in which a process did not run is charged to its peers.

Change: the lag of the event loop when the signal is handled, up to which the signal may have waited, is taken off the limit. It is logged as late-ms of stop-asked. The signal may also have come at the end of the stall: the node then ends sooner than it needs to, but responds to each request.

--- a/src/loop_lag.c
+++ b/src/loop_lag.c
@@ -6,6 +6,8 @@
 
 #define INTERVAL_MS 200
 #define BEHIND_MS 100
+/* Time in which the events that were waiting with a late timer are handled. */
+#define JUST_RUN_MS 100
 #define ON_TIME_MS 20
 #define ON_TIME_COUNT 5
 
@@ -13,6 +15,8 @@
 SrLoopLag_Update(struct SrLoopLag *lag, int64_t lag_ms, int64_t now_ms)
 {
     lag->on_time = lag_ms <= ON_TIME_MS ? lag->on_time + 1 : 0;
+    lag->late_ms = lag_ms;
+    lag->ran_ms = now_ms;
     if (!lag->behind && lag_ms > BEHIND_MS) {
         lag->behind = true;
         lag->behind_since_ms = now_ms - lag_ms;
@@ -70,3 +74,12 @@
 {
     SrTimer_Stop(&lag->timer);
 }
+
+int64_t
+SrLoopLag_LatenessMs(const struct SrLoopLag *lag, int64_t now_ms)
+{
+    if (now_ms > lag->due_ms) {
+        return now_ms - lag->due_ms;
+    }
+    return now_ms - lag->ran_ms <= JUST_RUN_MS ? lag->late_ms : 0;
+}
--- a/src/loop_lag.h
+++ b/src/loop_lag.h
@@ -13,6 +13,9 @@
     struct SrTimer timer;
     /* When the timer is due, ms of the monotonic clock. */
     int64_t due_ms;
+    /* How late the latest timer was, and when it ran; ms. */
+    int64_t late_ms;
+    int64_t ran_ms;
     /* When the process fell behind, ms of the monotonic clock. */
     int64_t behind_since_ms;
     /* Successive timers that were on time. */
@@ -37,4 +40,8 @@
 void SrLoopLag_Start(struct SrLoopLag *lag, struct SrKernel *kernel);
 void SrLoopLag_Stop(struct SrLoopLag *lag);
 
+/* Returns by how much an event that is handled now may be late, ms: the lag of
+ * the timer that is due, or has just run. */
+int64_t SrLoopLag_LatenessMs(const struct SrLoopLag *lag, int64_t now_ms);
+
 #endif
--- a/src/node.c
+++ b/src/node.c
@@ -410,10 +410,16 @@
     if (node->kernel->stopping) {
         return;
     }
-    SR_INFO("node", "stop-asked", "signal=%d leading=%d", watcher->signum,
-            SrLedger_IsLeading(node->ledger));
-    int64_t limit_ms = node->settings.grace_ms - STOP_RESERVE_MS;
-    SrIntake_Close(node->intake, SrOs_MonotonicMs() + limit_ms);
+    int64_t now_ms = SrOs_MonotonicMs();
+    /* The signal may have been sent while the process was stalled. */
+    int64_t late_ms = SrLoopLag_LatenessMs(&node->loop_lag, now_ms);
+    int64_t limit_ms = node->settings.grace_ms - STOP_RESERVE_MS - late_ms;
+    if (limit_ms < 0) {
+        limit_ms = 0;
+    }
+    SR_INFO("node", "stop-asked", "signal=%d leading=%d late-ms=%ld",
+            watcher->signum, SrLedger_IsLeading(node->ledger), (long)late_ms);
+    SrIntake_Close(node->intake, now_ms + limit_ms);
     SrShutdown_Begin(&node->shutdown, &(struct SrShutdownOptions){
                                           .kernel = node->kernel,
                                           .server = node->callers_server,
--- a/tests/test_node_shutdown.c
+++ b/tests/test_node_shutdown.c
@@ -46,12 +46,18 @@
     /* Largest time between the two parts of a request's body. */
     unsigned pause_max_ms;
     const char *store_faults;
+    /* The node is stalled when it gets the signal, for this time. */
+    int64_t stall_ms;
 };
 
 static const struct Case stop_cases[] = {
-    {"bodies in two parts", 400, "slow_ms=400"},
-    {"bodies that do not arrive before the node ends", 4000, "slow_ms=400"},
-    {"store that does not respond before the node ends", 400, "slow_ms=2500"},
+    {"bodies in two parts", 400, "slow_ms=400", 0},
+    {"bodies that do not arrive before the node ends", 4000, "slow_ms=400", 0},
+    {"store that does not respond before the node ends", 400, "slow_ms=2500",
+     0},
+    /* Guards against counting the time limit from the end of a stall. */
+    {"bodies that do not arrive, signal during a stall", 4000, "slow_ms=400",
+     1500},
 };
 
 struct Test;
@@ -77,6 +83,7 @@
     "reloads and new configurations",
     400,
     "slow_ms=50",
+    0,
 };
 
 struct Test {
@@ -342,9 +349,17 @@
 run_stop_case(const struct Case *options)
 {
     struct Test *test = start_case(options);
+    pid_t pid = test->site.nodes[0].pid;
+    if (options->stall_ms > 0) {
+        kill(pid, SIGSTOP);
+    }
     test->signal_ms = SrOs_MonotonicMs();
     SoakSite_StopNode(&test->site, 0);
-    run_for(test, GRACE_MS);
+    if (options->stall_ms > 0) {
+        run_for(test, options->stall_ms);
+        kill(pid, SIGCONT);
+    }
+    run_for(test, GRACE_MS - options->stall_ms);
     print_message("the node ended after %ld ms\n",
                   (long)(SrOs_MonotonicMs() - test->signal_ms));
     if (test->site.nodes[0].state != NODE_DOWN) {
