A request whose rest arrives while the server is paused is served

Callers saw 408 for a request that they had sent whole, after the process had been paused for longer than the read timeout.

Cause: when the loop goes on, the timer that rejects slow senders runs before the socket is read. Class of fault: time in which the process did not run is charged to its peer.

Evidence: the new test of test_http_server fails on the former code: no 200 for a body whose second half arrived during a pause of 1 s, with a read timeout of 0.5 s. Nodes have a read timeout of 10 s, so there it takes a pause of that length.

Change: before a request is rejected as too slow, what has arrived is read. test_http_server passes.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -208,18 +208,34 @@
                               (unsigned)CLOSE_SECONDS);
 }
 
+/* Returns the oldest request that is being received, if the read timeout has
+ * passed since it began, else NULL. */
+static struct SrHttpRequest *
+overdue_request(struct SrHttpServer *server)
+{
+    if (SrList_IsEmpty(&server->receiving)) {
+        return NULL;
+    }
+    struct SrHttpRequest *request =
+        SR_CONTAINER(server->receiving.next, struct SrHttpRequest, link);
+    int64_t age_ms = SrOs_MonotonicMs() - request->started_ms;
+    return age_ms >= server->options.read_timeout_ms ? request : NULL;
+}
+
 static void
 on_sweep(struct ev_loop *loop, ev_timer *watcher, int events)
 {
     (void)loop;
     (void)events;
     struct SrHttpServer *server = watcher->data;
-    int64_t cutoff_ms = SrOs_MonotonicMs() - server->options.read_timeout_ms;
-    SR_LIST_EACH_SAFE(link, &server->receiving)
-    {
-        struct SrHttpRequest *request =
-            SR_CONTAINER(link, struct SrHttpRequest, link);
-        if (request->started_ms > cutoff_ms) {
+    if (overdue_request(server) == NULL) {
+        return;
+    }
+    /* The rest may have arrived while the process was paused. */
+    run_daemon(server);
+    for (;;) {
+        struct SrHttpRequest *request = overdue_request(server);
+        if (request == NULL) {
             break;
         }
         reject_slow_sender(request);
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -20,6 +20,7 @@
 #define CALLERS 4
 /* Interval at which a slow sender sends a byte. */
 #define CALLER_INTERVAL_MS 30
+#define READ_TIMEOUT_MS 5000
 
 /* Loopback address of this process: servers of two processes could listen on
  * the same address, and each would get a part of the connections. */
@@ -31,6 +32,8 @@
     unsigned handled;
     /* The handler does not respond. */
     bool silent;
+    /* 0 for READ_TIMEOUT_MS. */
+    int64_t read_timeout_ms;
 };
 
 static void
@@ -222,19 +225,21 @@
     char address[32];
     snprintf(address, sizeof(address), "%s:%d", host, PORT);
     fixture->loop = ev_loop_new(EVFLAG_AUTO);
-    assert_int_equal(
-        SrHttpServer_Create(fixture->loop,
-                            &(struct SrHttpServerOptions){
-                                .address = address,
-                                .body_max = 1024,
-                                .connections_max = connections_max,
-                                .read_timeout_ms = 5000,
-                                .handle = handle,
-                                .reject = reject,
-                                .context = fixture,
-                            },
-                            &fixture->server),
-        SR_HTTP_SERVER_OK);
+    assert_int_equal(SrHttpServer_Create(
+                         fixture->loop,
+                         &(struct SrHttpServerOptions){
+                             .address = address,
+                             .body_max = 1024,
+                             .connections_max = connections_max,
+                             .read_timeout_ms = fixture->read_timeout_ms != 0
+                                                    ? fixture->read_timeout_ms
+                                                    : READ_TIMEOUT_MS,
+                             .handle = handle,
+                             .reject = reject,
+                             .context = fixture,
+                         },
+                         &fixture->server),
+                     SR_HTTP_SERVER_OK);
 }
 
 static void
@@ -401,6 +406,28 @@
     assert_int_equal(failures, 0);
 }
 
+/* Guards against rejecting a request whose rest arrived while the server was
+ * paused. */
+static void
+body_that_arrives_during_a_pause_is_read(void **state)
+{
+    (void)state;
+    struct Fixture fixture = {.read_timeout_ms = 500};
+    char response[1024] = "";
+    create_server(&fixture, 8);
+    int fd = connect_to_server();
+    send_text(fd, HALF_BODY);
+    run_loop(fixture.loop);
+    send_text(fd, "fghij");
+    usleep(1000 * 1000);
+    run_loop(fixture.loop);
+    SrHttpServer_Destroy(fixture.server);
+    receive_all(fd, response, sizeof(response));
+    close(fd);
+    ev_loop_destroy(fixture.loop);
+    assert_int_equal(strncmp(response, "HTTP/1.1 200", 12), 0);
+}
+
 int
 main(void)
 {
@@ -409,6 +436,7 @@
         cmocka_unit_test(all_connections_get_a_response),
         cmocka_unit_test(sender_that_goes_on_gets_the_response),
         cmocka_unit_test(closing_listener_resets_no_connection),
+        cmocka_unit_test(body_that_arrives_during_a_pause_is_read),
     };
     unsigned id = (unsigned)getpid();
     snprintf(host, sizeof(host), "127.%u.%u.%u", 64 + (id >> 16) % 64,
