Test of the HTTP server waits until the slow sender has begun

sender_that_goes_on_gets_the_response gave the sender's process 15 ms to connect and to send half of its body before the server ended. The server now goes on until it has received the half, whenever that is, so the check is the same and does not depend on the time.

--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -338,8 +338,9 @@
     if (caller == 0) {
         _exit(send_body_slowly());
     }
-    usleep(CALLER_INTERVAL_MS * 500);
-    run_loop(fixture.loop);
+    while (SrHttpServer_Count(fixture.server).receiving == 0) {
+        ev_run(fixture.loop, EVRUN_ONCE);
+    }
     SrHttpServer_Destroy(fixture.server);
     ev_loop_destroy(fixture.loop);
     waitpid(caller, &status, 0);
