Test of a deployment: mass starts, regions, racks; idle jobs with their cause

The users saw jobs that stood although there was room, around a start of many nodes in traffic. The test had no such start, its check for idle jobs ended with the record's last line, workers and store responded at once everywhere, and no job needed a rack.

All nodes or those of one region are killed and started together; messages between three regions take 30 ms, which the stand-in of the site adds; gangs need one rack, data are in racks, and work away from them takes three times as long. The check for idle jobs goes on until the record is read and writes the log line that says why the job waits.

--- a/standin/main.c
+++ b/standin/main.c
@@ -417,6 +417,10 @@
      .key = 'n',
      .arg = "N",
      .doc = "client accounts of a large configuration"},
+    {.name = "region-ms",
+     .key = 'g',
+     .arg = "MS",
+     .doc = "time that a message between two regions takes"},
     {0},
 };
 
@@ -473,6 +477,9 @@
     case 'n':
         standin->accounts = (unsigned)strtoul(text, NULL, 10);
         return 0;
+    case 'g':
+        standin->region_ms = strtoll(text, NULL, 10);
+        return 0;
     case ARGP_KEY_ARG:
         arguments->role = text;
         return 0;
@@ -522,6 +529,9 @@
     for (unsigned i = 0; i < port_count; i++) {
         listen_on(standin, standin->port + (int)i);
     }
+    for (int i = 1; standin->region_ms > 0 && i < STANDIN_REGIONS; i++) {
+        listen_on(standin, standin->port - i);
+    }
     return 0;
 }
 
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -18,6 +18,9 @@
 #include "platform.pb-c.h"
 #include "util.h"
 
+/* Regions of the role site, if messages between them take time. */
+#define STANDIN_REGIONS 3
+
 /* Active faults of this process; initially none. The fields have the names
  * that POST /fault takes. */
 struct Faults {
@@ -124,6 +127,9 @@
     /* Role site: number of client accounts of a configuration with three
      * queues; 0 for the small configuration. */
     unsigned accounts;
+    /* Role site: time that a message between two regions takes, ms; 0 if there
+     * is one region. */
+    int64_t region_ms;
     /* Concurrent requests of each backend server. */
     unsigned slots;
     /* Time that a backend server takes for a request, ms. */
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -34,6 +34,10 @@
 #define CLAIM_PORT 7999
 /* Address of the forwarder: last byte of the host, and port. */
 #define FORWARDER "11:7100"
+/* Port of the store; nodes of other regions use the ports before it. */
+#define STORE_PORT 7000
+/* Time within which nodes that are started together start. */
+#define START_SPREAD_MS 300
 /* Port of a node's metrics. */
 #define METRICS_PORT 7000
 #define METRICS_TIMEOUT_MS 500
@@ -81,6 +85,12 @@
                : &node_classes[1];
 }
 
+unsigned
+SoakSite_RegionOf(unsigned number)
+{
+    return number % SOAK_DOMAINS % SOAK_REGIONS;
+}
+
 /* Writes the settings of a node of a deployment, which reaches the store
  * without the forwarder. */
 static void
@@ -90,16 +100,17 @@
     const struct SoakNodeClass *class = node_class(site, number);
     FILE *file = fopen(path, "w");
     fprintf(file,
-            "node_name=n%u\nzone=d%u\nregion=r\n"
+            "node_name=n%u\nzone=d%u\nregion=r%u\n"
             "listen_addresses.front=%s.%u:8521\n"
             "listen_addresses.ready_address=%s.%u:8523\n"
-            "internal_port_range=7000,7015\nplatform.address=%s.%s\n"
+            "internal_port_range=7000,7015\nplatform.address=%s.10:%u\n"
             "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=900\n"
             "bounds.grace_s=%d\nbounds.status_s=120\n"
             "bounds.remote_factor=3\nbounds.reclaim_ms=3400\n"
             "limits.cpu_share=%.2f\nlimits.max_fds=%u\n",
-            number, number % SOAK_DOMAINS, site->host, 20 + number, site->host,
-            20 + number, site->host, SOAK_STORE, SOAK_GRACE_S,
+            number, number % SOAK_DOMAINS, SoakSite_RegionOf(number),
+            site->host, 20 + number, site->host, 20 + number, site->host,
+            STORE_PORT - SoakSite_RegionOf(number), SOAK_GRACE_S,
             class->cpu_share, class->descriptors);
     fclose(file);
 }
@@ -156,6 +167,8 @@
 {
     char log[128];
     char listen_option[96];
+    char rack_option[32];
+    char region_option[32];
     char *arguments[] = {
         (char *)Harness_Standin(),
         (char *)role,
@@ -164,9 +177,14 @@
         site->is_deployment ? (char *)"--accounts=10" : NULL,
         (char *)"--cores=128",
         (char *)"--memory-mb=262144",
-        (char *)"--rack-size=20",
+        rack_option,
+        region_option,
         NULL,
     };
+    snprintf(rack_option, sizeof(rack_option), "--rack-size=%d",
+             SOAK_RACK_SIZE);
+    snprintf(region_option, sizeof(region_option), "--region-ms=%d",
+             SOAK_REGION_MS);
     snprintf(listen_option, sizeof(listen_option), "--listen=%s.%s",
              site->host, address_end);
     snprintf(log, sizeof(log), "%s/%s.log", site->folder, name);
@@ -274,6 +292,20 @@
     kill_node(site, &site->nodes[number]);
 }
 
+void
+SoakSite_KillNodes(struct SoakSite *site, unsigned region, int64_t down_ms)
+{
+    int64_t start_ms = SrOs_MonotonicMs() + down_ms;
+    for (unsigned i = 0; i < site->node_count; i++) {
+        if (region < SOAK_REGIONS && SoakSite_RegionOf(i) != region) {
+            continue;
+        }
+        kill_node(site, &site->nodes[i]);
+        site->nodes[i].until_ms =
+            start_ms + SoakSite_RandomMs(site, 0, START_SPREAD_MS);
+    }
+}
+
 void
 SoakSite_PauseNode(struct SoakSite *site, unsigned number, int64_t length_ms)
 {
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -18,6 +18,11 @@
 /* Failure domains of a deployment, and time in which one of its nodes must end
  * after SIGTERM. */
 #define SOAK_DOMAINS 6
+/* Regions of a deployment, and time that a message between two takes, ms. */
+#define SOAK_REGIONS 3
+#define SOAK_REGION_MS 30
+/* Workers in each rack of a deployment. */
+#define SOAK_RACK_SIZE 20
 #define SOAK_GRACE_S 6
 /* Address of the store's stand-in: last byte of the host, and port. */
 #define SOAK_STORE "10:7000"
@@ -177,6 +182,14 @@
 /* Sends SIGKILL to a node unless it is down. It is started again later. */
 void SoakSite_KillNode(struct SoakSite *site, unsigned number);
 
+/* Sends SIGKILL to all nodes, or those of a region if that is below
+ * SOAK_REGIONS, which are started again together after that time. */
+void SoakSite_KillNodes(struct SoakSite *site, unsigned region,
+                        int64_t down_ms);
+
+/* Returns the region of a node of a deployment. */
+unsigned SoakSite_RegionOf(unsigned number);
+
 /* Suspends a node that is up for that time. */
 void SoakSite_PauseNode(struct SoakSite *site, unsigned number,
                         int64_t length_ms);
--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -21,6 +21,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "harness.h"
@@ -49,6 +50,8 @@
 #define GIVE_UP_MS 4000
 #define ATTEMPTS_MAX 5
 #define RETRY_MS 400
+/* Longest time for which nodes that are killed together are down. */
+#define HERD_DOWN_MAX_MS 3000
 /* Largest time between the two parts of a body that is sent in two. */
 #define SPLIT_MAX_MS 400
 /* Bounds of the deployment. */
@@ -68,6 +71,8 @@
 #define CALM_BEFORE_MS 4000
 #define SAMPLE_MS 100
 #define SPANS_MAX 1024
+/* Longest log line that is quoted. */
+#define CAUSE_SIZE 512
 #define LASTING_JOBS 6
 /* Size of the runs of CI. */
 #define CI_NODES 8
@@ -85,6 +90,9 @@
     FAULT_CONFIG,
     FAULT_RELOADS,
     FAULT_CLOSING,
+    /* All nodes, or all of a region, are killed and started together. */
+    FAULT_HERDS,
+    FAULT_REGIONS,
     FAULT_KINDS
 };
 
@@ -93,7 +101,8 @@
     [FAULT_PAUSES] = "pauses",   [FAULT_STALLS] = "stalls",
     [FAULT_WORKERS] = "workers", [FAULT_STORE] = "store",
     [FAULT_CONFIG] = "config",   [FAULT_RELOADS] = "reloads",
-    [FAULT_CLOSING] = "closing"};
+    [FAULT_CLOSING] = "closing", [FAULT_HERDS] = "herds",
+    [FAULT_REGIONS] = "regions"};
 
 /* Kind of job: its queue and how its properties are distributed. */
 struct JobClass {
@@ -115,6 +124,10 @@
     double checkpoints;
     double cancelled;
     double further_step;
+    /* Shares of the jobs whose gangs need one rack, and of those whose data
+     * are in a rack. */
+    double same_rack;
+    double data_rack;
 };
 
 static const struct JobClass classes[] = {
@@ -131,6 +144,8 @@
         .gang = true,
         .checkpoints = 0.45,
         .cancelled = 0.05,
+        .same_rack = 0.6,
+        .data_rack = 0.3,
     },
     {
         .path = "/load/",
@@ -143,6 +158,7 @@
         .cpu = 15000,
         .memory_mb = 39000,
         .gang = true,
+        .same_rack = 0.8,
     },
     {
         .path = "/recut/",
@@ -158,6 +174,7 @@
         .checkpoints = 0.45,
         .cancelled = 0.15,
         .further_step = 0.2,
+        .data_rack = 0.12,
     },
 };
 
@@ -180,13 +197,16 @@
 struct Job {
     struct Rig *rig;
     char id[20];
-    char body[768];
+    char body[1024];
     const struct JobClass *class;
     unsigned account;
     unsigned width;
     unsigned steps;
     unsigned accelerators;
     bool gang;
+    bool same_rack;
+    /* Number of the rack with the job's data; -1 if it has none. */
+    int data_rack;
     bool lasting;
     enum JobState state;
     unsigned attempts;
@@ -221,7 +241,7 @@
     enum Request request;
     /* Job of the request in progress; NULL if there is none. */
     struct Job *job;
-    char out[1400];
+    char out[1700];
     size_t out_size;
     size_t sent;
     char in[8192];
@@ -286,6 +306,8 @@
     unsigned cut_half_received;
     unsigned idle_counted;
     unsigned idle_near_fault;
+    /* When the record was read. */
+    int64_t end_ms;
     unsigned former_violations;
     /* Longest time between two starts during the traffic. */
     int64_t longest_gap_ms;
@@ -721,10 +743,19 @@
 write_body(struct Job *job, unsigned work_ms, unsigned estimated_ms,
            bool checkpoints)
 {
-    int length = snprintf(job->body, sizeof(job->body),
-                          "{\"spec\":\"ms=%u;gang=%u;gpu=%u%s\",\"steps\":[",
-                          work_ms, job->gang ? job->width : 0,
-                          job->accelerators, checkpoints ? ";saved=64" : "");
+    char rack[32] = "";
+    char data_rack[48] = "";
+    if (job->data_rack >= 0) {
+        snprintf(rack, sizeof(rack), ";rack=r1-%d", job->data_rack);
+        snprintf(data_rack, sizeof(data_rack), ",\"data_rack\":\"r1-%d\"",
+                 job->data_rack);
+    }
+    int length =
+        snprintf(job->body, sizeof(job->body),
+                 "{\"spec\":\"ms=%u;gang=%u;gpu=%u%s%s%s\",\"steps\":[",
+                 work_ms, job->gang ? job->width : 0, job->accelerators,
+                 job->same_rack ? ";tight=1" : "", rack,
+                 checkpoints ? ";saved=64" : "");
     for (unsigned i = 0; i < job->steps; i++) {
         char after[32] = "";
         if (i > 0) {
@@ -733,16 +764,23 @@
         length +=
             snprintf(job->body + length, sizeof(job->body) - (size_t)length,
                      "%s{\"count\":%u,\"cpu\":%u,\"mem_mb\":%u,\"gpu\":%u,"
-                     "\"estimated_ms\":%u%s%s%s%s}",
+                     "\"estimated_ms\":%u%s%s%s%s%s%s}",
                      i > 0 ? "," : "", job->width, job->class->cpu,
                      job->class->memory_mb, job->accelerators, estimated_ms,
                      after, job->gang ? ",\"gang\":true" : "",
+                     job->same_rack ? ",\"same_rack\":true" : "", data_rack,
                      job->lasting ? ",\"continuous\":true" : "",
                      checkpoints ? ",\"enable_checkpoints\":true" : "");
     }
     snprintf(job->body + length, sizeof(job->body) - (size_t)length, "]}");
 }
 
+static unsigned
+rack_count(const struct Rig *rig)
+{
+    return (rig->site.worker_count + SOAK_RACK_SIZE - 1) / SOAK_RACK_SIZE;
+}
+
 /* Submits a new job with random properties; the first jobs last. */
 static void
 on_submit(void *context)
@@ -777,6 +815,10 @@
                             ? job->class->accelerators
                             : accelerators[SoakSite_Random(&rig->site, 5)];
     job->gang = job->class->gang && job->width > 1;
+    job->same_rack = job->gang && random_share(rig) < job->class->same_rack;
+    job->data_rack = !job->lasting && random_share(rig) < job->class->data_rack
+                         ? (int)SoakSite_Random(&rig->site, rack_count(rig))
+                         : -1;
     unsigned work_ms =
         random_size(rig, job->class->mean_work_ms, job->class->work_spread,
                     job->class->max_work_ms);
@@ -883,6 +925,24 @@
     inject_into_node(rig, number, rig->leader_fault);
 }
 
+/* Kills all nodes, or those of a random region. */
+static void
+kill_together(struct Rig *rig, enum Fault fault)
+{
+    struct SoakSite *site = &rig->site;
+    unsigned region = fault == FAULT_REGIONS
+                          ? SoakSite_Random(site, SOAK_REGIONS)
+                          : SOAK_REGIONS;
+    int64_t down_ms = SoakSite_RandomMs(site, 200, HERD_DOWN_MAX_MS);
+    for (unsigned i = 0; i < site->node_count; i++) {
+        rig->killed[i] |=
+            region == SOAK_REGIONS || SoakSite_RegionOf(i) == region;
+    }
+    write_event(rig, "%s %u for %lld ms", fault_names[fault], region,
+                (long long)down_ms);
+    SoakSite_KillNodes(site, region, down_ms);
+}
+
 /* Injects a fault into the leader with a probability of a third, else into a
  * random node. */
 static void
@@ -937,6 +997,10 @@
         write_event(rig, "config");
         SoakSite_InjectFault(site, SOAK_CONFIG_CHANGED);
         return;
+    case FAULT_HERDS:
+    case FAULT_REGIONS:
+        kill_together(rig, fault);
+        return;
     case FAULT_CLOSING:
     case FAULT_KINDS:
         return;
@@ -1148,6 +1212,71 @@
     return places >= needed;
 }
 
+/* Returns true if the line is about the job and says why it waits. */
+static bool
+names_cause(const char *line, const struct Job *job)
+{
+    static const char *const events[] = {"event=idle ",
+                                         "event=waits ",
+                                         "event=held ",
+                                         "event=start-unanswered ",
+                                         "event=late-start-awaited ",
+                                         "event=start-turned-away "};
+    char id[32];
+    snprintf(id, sizeof(id), " id=%s ", job->id);
+    if (strstr(line, id) == NULL) {
+        return false;
+    }
+    for (size_t i = 0; i < SR_LENGTH(events); i++) {
+        if (strstr(line, events[i]) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Writes the time as the logs do; the text orders like the time. */
+static void
+write_timestamp(int64_t monotonic_ms, char *to, size_t size)
+{
+    int64_t unix_ms = monotonic_ms + SrOs_UnixMs() - SrOs_MonotonicMs();
+    time_t seconds = (time_t)(unix_ms / 1000);
+    struct tm utc;
+    gmtime_r(&seconds, &utc);
+    size_t length = strftime(to, size, "%Y-%m-%dT%H:%M:%S", &utc);
+    snprintf(to + length, size - length, ".%03dZ", (int)(unix_ms % 1000));
+}
+
+/* Writes to the events the latest log line before `now_ms` that says why the
+ * job waits. */
+static void
+write_cause(struct Rig *rig, const struct Job *job, int64_t now_ms)
+{
+    char now[64];
+    char *line = NULL;
+    size_t line_size = 0;
+    char latest[CAUSE_SIZE] = "";
+    write_timestamp(now_ms, now, sizeof(now));
+    for (unsigned i = 0; i < rig->site.node_count; i++) {
+        char path[128];
+        snprintf(path, sizeof(path), "%s/n%u.log", rig->site.folder, i);
+        FILE *file = fopen(path, "r");
+        while (file != NULL && getline(&line, &line_size, file) > 0) {
+            if (strncmp(line, now, strlen(now)) <= 0 &&
+                strncmp(line, latest, strlen(now)) >= 0 &&
+                names_cause(line, job)) {
+                SrUtil_Copy(latest, sizeof(latest), line);
+            }
+        }
+        if (file != NULL) {
+            fclose(file);
+        }
+    }
+    free(line);
+    latest[strcspn(latest, "\n")] = '\0';
+    write_event(rig, "cause: %s", latest[0] != '\0' ? latest : "none logged");
+}
+
 /* Counts a job that has been idle for long enough, once. */
 static void
 count_idle(struct Replay *replay, struct Job *job)
@@ -1160,6 +1289,7 @@
             rig->idle_counted++;
             write_event(rig, "idle until %lld: %s", (long long)now_ms,
                         job->id);
+            write_cause(rig, job, now_ms);
             record_failure(
                 rig, "nothing of a job ran although there was room:", job->id);
         }
@@ -1236,8 +1366,21 @@
     }
 }
 
-/* Replays the record and checks for jobs that are idle although there is
- * room. Returns the number of starts. */
+/* Checks all jobs at the times of samples from `*next_ms` up to `to_ms`. */
+static void
+check_samples(struct Replay *replay, int64_t *next_ms, int64_t to_ms)
+{
+    struct Rig *rig = replay->rig;
+    for (; *next_ms < to_ms; *next_ms += SAMPLE_MS) {
+        replay->now_ms = *next_ms;
+        for (unsigned i = 0; i < rig->job_count; i++) {
+            check_idle(replay, &rig->jobs[i]);
+        }
+    }
+}
+
+/* Replays the record and checks for jobs that are idle although there is room,
+ * up to the time when the record was read. Returns the number of starts. */
 static unsigned
 check_idle_jobs(struct Rig *rig)
 {
@@ -1254,12 +1397,7 @@
         char *end = strchr(line, '\n');
         int64_t time_ms = strtoll(line, NULL, 10);
         next_ms = next_ms == 0 ? time_ms : next_ms;
-        for (; next_ms < time_ms; next_ms += SAMPLE_MS) {
-            replay.now_ms = next_ms;
-            for (unsigned i = 0; i < rig->job_count; i++) {
-                check_idle(&replay, &rig->jobs[i]);
-            }
-        }
+        check_samples(&replay, &next_ms, time_ms);
         replay.now_ms = time_ms;
         if (end != NULL) {
             *end = '\0';
@@ -1270,6 +1408,7 @@
         }
         line = end != NULL ? end + 1 : NULL;
     }
+    check_samples(&replay, &next_ms, rig->end_ms);
     for (unsigned i = 0; i < rig->job_count; i++) {
         free(rig->jobs[i].tasks);
     }
@@ -1426,6 +1565,7 @@
     start_rig(rig, seed);
     ev_run(rig->site.kernel->loop, 0);
     SrTimer_Stop(&rig->query);
+    rig->end_ms = SrOs_MonotonicMs();
     rig->record = SoakSite_ReadRecord(&rig->site);
     check_results(rig);
     rig->former_violations = SoakSite_CheckViolations(&rig->site, rig->record);
