A line names why nothing of a job runs

Callers saw jobs that stood although there was room; from a job's id nobody could tell why. `plan waits` logs the first reason of a wait only, and says neither that room is reserved for another job, nor that workers are avoided or do not respond, nor that an allocation is not stored or a start not sent.

The leader checks each 250 ms of which jobs nothing runs, and after a second logs `plan idle` with the cause and its figures, once for each reason of a wait: late start (which worker, for how long), unknown run, account limit, rack, reservation (for which job), avoided or unusable workers, shortage (of what), unconfirmed leader, unwritten, unsent or unanswered starts. `explain` ends with the latest of these lines while nothing of the job has run since.

Tests: test_idle has a case for each cause that can be arranged, each logged once in 3 s; test_explain.

--- a/src/engine.c
+++ b/src/engine.c
@@ -966,6 +966,7 @@
         SrPlan_MoveRunsOffDraining(engine, now_ms);
     }
     update_written(engine);
+    SrEngine_CheckIdle(engine, writable, now_ms);
     if (writable && engine->catalog != NULL &&
         now_ms - engine->created_ms >= FIRST_PASS_DELAY_MS &&
         now_ms - engine->last_pass_ms >=
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -55,6 +55,8 @@
     int64_t last_pass_ms;
     /* When all runs were last checked for expired leases and stalls. */
     int64_t last_check_ms;
+    /* When the jobs were last checked for those of which nothing runs. */
+    int64_t last_idle_check_ms;
     /* Number of the latest successful status poll. */
     uint64_t poll_number;
     /* Bounds of the store's clock minus the local monotonic clock, ms. */
@@ -235,6 +237,19 @@
  * does not count them as expired yet. */
 bool SrEngine_MayGrant(const struct SrEngine *engine, int64_t now_ms);
 
+struct SrIdleCause;
+
+/* Logs why nothing of a job runs, for the jobs whose tasks could run, or lets
+ * the next placement pass log it. `writable` is false if there are no passes
+ * at present. */
+void SrEngine_CheckIdle(struct SrEngine *engine, bool writable,
+                        int64_t now_ms);
+
+/* Sets `cause` to the late starts that hold the task. */
+void SrEngine_FindLateStart(const struct SrEngine *engine,
+                            const struct SrFlowTask *task, int64_t now_ms,
+                            struct SrIdleCause *cause);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/explain.c
+++ b/src/explain.c
@@ -30,6 +30,9 @@
     /* Time stamps of the first and the last line about the id. */
     char first[TIMESTAMP_LENGTH + 1];
     char last[TIMESTAMP_LENGTH + 1];
+    /* The latest line that says why nothing of the job runs, unless something
+     * ran or the job ended since; else NULL. */
+    const char *idle;
     /* Workers named in lines about the id. */
     char workers[WORKERS_MAX][SR_ID_SIZE];
     size_t worker_count;
@@ -153,6 +156,27 @@
                 worker);
 }
 
+/* Events after which a former reason why nothing of the job runs is void. */
+static const char *const ends_of_idle[] = {
+    " event=run-started ",
+    " event=completed ",
+    " event=failed ",
+    " event=cancelled ",
+};
+
+static void
+update_idle(struct Timeline *timeline, const char *text)
+{
+    if (strstr(text, " event=idle ") != NULL) {
+        timeline->idle = text;
+    }
+    for (size_t i = 0; i < SR_LENGTH(ends_of_idle); i++) {
+        if (strstr(text, ends_of_idle[i]) != NULL) {
+            timeline->idle = NULL;
+        }
+    }
+}
+
 static void
 scan_lines(struct Timeline *timeline, const struct Lines *lines)
 {
@@ -165,6 +189,7 @@
             SrUtil_Copy(timeline->first, sizeof(timeline->first), text);
         }
         SrUtil_Copy(timeline->last, sizeof(timeline->last), text);
+        update_idle(timeline, text);
         add_worker(timeline, text);
     }
 }
@@ -207,6 +232,10 @@
             fprintf(out, "  %s\n", text);
         }
     }
+    if (timeline->idle != NULL) {
+        fprintf(out, "nothing runs, because: %s\n",
+                strstr(timeline->idle, " id=") + 1);
+    }
 }
 
 static void
--- a/src/flow.h
+++ b/src/flow.h
@@ -159,6 +159,13 @@
     /* Runs of other jobs were preempted for a gang of this job, and none of
      * the job's runs has been allocated since. */
     bool has_preempted;
+    /* When a run of the job was last found to be executing, or the job could
+     * not run yet, ms of the monotonic clock; 0 before the first check. */
+    int64_t active_ms;
+    /* The next placement pass logs why nothing of the job runs. */
+    bool explains_idle;
+    /* Bit set of the reasons (enum SrIdleReason) logged since `active_ms`. */
+    uint32_t idle_reasons_logged;
     /* Precedence in the current placement pass; 0 is the highest. */
     uint32_t rank;
     /* Number of accelerators that the widest step needs. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -74,11 +74,24 @@
     }
 }
 
+static void
+note_reservation(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                 unsigned tasks)
+{
+    uint64_t size = (uint64_t)tasks * unit->step->accelerators;
+    if (pass->largest_reservation == NULL ||
+        size > pass->largest_reservation_size) {
+        pass->largest_reservation = unit->flow;
+        pass->largest_reservation_size = size;
+    }
+}
+
 /* Reserves the assigned resources: no other unit of this pass gets them. */
 static void
 reserve(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
     SrPlan_ChargeAccount(pass, unit, unit->count);
+    note_reservation(pass, unit, unit->count);
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
@@ -169,6 +182,7 @@
             pass->reserved_gangs++;
             reserve(pass, unit);
             log_wait(pass, unit, "room-held");
+            SrPlan_LogIdleReserved(pass, unit);
             return true;
         }
         return false;
@@ -182,6 +196,7 @@
         pass->reserved_urgent_gangs++;
         reserve(pass, unit);
         log_wait(pass, unit, "room-held");
+        SrPlan_LogIdleReserved(pass, unit);
         return true;
     }
     if (assign(pass, unit, SR_AVAILABLE_BY_PREEMPTION) &&
@@ -191,6 +206,7 @@
         pass->reserved_urgent_gangs++;
         reserve(pass, unit);
         log_wait(pass, unit, "room-claimed");
+        SrPlan_LogIdleReserved(pass, unit);
         return true;
     }
     return false;
@@ -200,6 +216,7 @@
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
     if (SrPlan_TasksWithinLimit(pass, unit) < unit->count) {
+        SrPlan_LogIdle(pass, unit);
         SrPlan_WaitForLimit(pass, unit, unit->count);
         log_wait(pass, unit, "account-limit");
         return;
@@ -213,11 +230,13 @@
         SrPlan_FitsInRack(pass, unit)) {
         pass->waiting_gangs++;
         log_wait(pass, unit, "no-rack");
+        SrPlan_LogIdle(pass, unit);
         return;
     }
     if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere)) {
         pass->waiting_gangs++;
         log_wait(pass, unit, "no-room");
+        SrPlan_LogIdle(pass, unit);
     }
 }
 
@@ -295,6 +314,8 @@
     }
     SrPlan_Take(pass, worker, &unit->demand, 1);
     SrPlan_ChargeAccount(pass, unit, 1);
+    note_reservation(pass, unit, 1);
+    SrPlan_LogIdleReserved(pass, unit);
     return true;
 }
 
@@ -340,6 +361,7 @@
             continue;
         }
         if (SrPlan_TasksWithinLimit(pass, unit) == 0) {
+            SrPlan_LogIdle(pass, unit);
             SrPlan_WaitForLimit(pass, unit, 1);
             log_wait(pass, unit, "account-limit");
             return;
@@ -356,12 +378,14 @@
         }
         if (!place_task(pass, unit, task)) {
             log_wait(pass, unit, "no-room");
+            SrPlan_LogIdle(pass, unit);
             return;
         }
         previous = is_unsuspicious(task) && task->active_run != NULL
                        ? task->active_run->worker
                        : NULL;
     }
+    SrPlan_LogIdle(pass, unit);
 }
 
 static void
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -33,17 +33,6 @@
     return false;
 }
 
-static bool
-is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
-            enum SrAvailability kind)
-{
-    bool usable =
-        kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
-    return usable && worker->service == unit->service &&
-           (unit->step->label[0] == '\0' ||
-            has_label(worker, unit->step->label));
-}
-
 static unsigned
 count_step_runs(const struct SrWorker *worker, const struct SrPlanUnit *unit)
 {
@@ -234,11 +223,29 @@
            worker->known_flow != NULL && worker->known_flow != unit->flow;
 }
 
+bool
+SrPlan_MayExecute(const struct SrWorker *worker, const struct SrPlanUnit *unit)
+{
+    return worker->service == unit->service &&
+           (unit->step->label[0] == '\0' ||
+            has_label(worker, unit->step->label)) &&
+           !is_kept_apart(worker, unit);
+}
+
+static bool
+is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+            enum SrAvailability kind)
+{
+    bool usable =
+        kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
+    return usable && SrPlan_MayExecute(worker, unit);
+}
+
 unsigned
 SrPlan_TasksThatFitOn(const struct SrWorker *worker,
                       const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
-    if (!is_eligible(worker, unit, kind) || is_kept_apart(worker, unit)) {
+    if (!is_eligible(worker, unit, kind)) {
         return 0;
     }
     struct SrResources available = available_on(worker, unit, kind);
@@ -698,19 +705,27 @@
                                               : tightest_rack(pass, unit);
 }
 
-bool
-SrPlan_MayWaitForRack(const struct SrPlanPass *pass,
+int64_t
+SrPlan_RackWaitLeftMs(const struct SrPlanPass *pass,
                       const struct SrPlanUnit *unit)
 {
     int64_t reclaim_ms = pass->engine->options.reclaim_ms;
-    if (unit->flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
-        pass->now_ms >= unit->flow->arrived_ms + reclaim_ms -
-                            SrPlan_PreemptionMs(pass) - SR_PLAN_MARGIN_MS) {
-        return false;
-    }
-    double waited_ms = (double)(pass->now_ms - unit->ready_ms);
     double slowdown = pass->engine->options.remote_factor - 1;
-    return waited_ms < RACK_WAIT_SHARE * slowdown * unit->step->estimated_ms;
+    int64_t until_ms = unit->ready_ms + (int64_t)(RACK_WAIT_SHARE * slowdown *
+                                                  unit->step->estimated_ms);
+    if (unit->flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0) {
+        int64_t limit_ms = unit->flow->arrived_ms + reclaim_ms -
+                           SrPlan_PreemptionMs(pass) - SR_PLAN_MARGIN_MS;
+        until_ms = limit_ms < until_ms ? limit_ms : until_ms;
+    }
+    return until_ms > pass->now_ms ? until_ms - pass->now_ms : 0;
+}
+
+bool
+SrPlan_MayWaitForRack(const struct SrPlanPass *pass,
+                      const struct SrPlanUnit *unit)
+{
+    return SrPlan_RackWaitLeftMs(pass, unit) > 0;
 }
 
 bool
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -170,6 +170,10 @@
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
     unsigned waiting_gangs;
+    /* The job for which the most accelerators are reserved, and their number.
+     */
+    const struct SrFlow *largest_reservation;
+    uint64_t largest_reservation_size;
     /* Number of runs allocated. */
     size_t allocated;
 };
@@ -299,4 +303,27 @@
  * called after runs have been preempted. */
 void SrPlan_ForgetMisses(struct SrPlanPass *pass);
 
+/* Returns true if the worker may execute the unit's tasks, whether it is
+ * usable or has room at present or not. */
+bool SrPlan_MayExecute(const struct SrWorker *worker,
+                       const struct SrPlanUnit *unit);
+
+/* Returns for how long the unit may still wait for its preferred rack, ms. */
+int64_t SrPlan_RackWaitLeftMs(const struct SrPlanPass *pass,
+                              const struct SrPlanUnit *unit);
+
+/* If nothing of the unit's job has run for a while, logs why the unit, which
+ * the pass does not place, does not run. To be called before anything is
+ * reserved for it. */
+void SrPlan_LogIdle(const struct SrPlanPass *pass,
+                    const struct SrPlanUnit *unit);
+
+/* The same for a unit for which room is reserved that is not free yet. */
+void SrPlan_LogIdleReserved(const struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit);
+
+/* The same for a step of which the task `held` may not be started. */
+void SrPlan_LogIdleHeld(const struct SrPlanPass *pass,
+                        const struct SrFlowTask *held, uint32_t waiting);
+
 #endif
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -239,6 +239,9 @@
     const struct SrFlowTask *first_held =
         count_waiting(first, step->count, &waiting, &held);
     log_held(first, first_held, held);
+    if (held > 0 && (waiting == 0 || step->gang)) {
+        SrPlan_LogIdleHeld(pass, first_held, waiting + held);
+    }
     if (waiting == 0 || (step->gang && waiting < step->count) ||
         !SrFlow_IsStepReady(flow, occurrence, index)) {
         return;
