Jobs that stand beside room: tests that fail on the present code

Three of three arrangements of room leave a job without runs for 3 s: room in several racks, away from its data, and reserved for a larger job. A gang with an unanswered start stands for 13 s.

--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -37,8 +37,9 @@
     bool is_unconfirmed;
     bool is_unwritable;
     bool is_unwritten;
-    /* Job 0 needs its tasks in one rack. */
+    /* Job 0 prefers that its tasks are in one rack, or in a given one. */
     bool same_rack;
+    const char *data_rack;
     unsigned priority;
 };
 
@@ -123,6 +124,9 @@
     step.accelerators = WORKER_ACCELERATORS;
     step.gang = count > 1;
     step.same_rack = site->same_rack && job == 0;
+    if (site->data_rack != NULL && job == 0) {
+        step.data_rack = (char *)site->data_rack;
+    }
     step.cpu_millis = 1000;
     step.memory_mb = 1000;
     step.estimated_ms = estimated_ms;
@@ -471,11 +475,142 @@
     }
 }
 
+/* Returns the run of the task number `index` of job 0, or NULL. */
+static const struct Run *
+find_run(const struct Site *site, unsigned index)
+{
+    char task[SR_TASK_NAME_SIZE];
+    snprintf(task, sizeof(task), "0000000000000000.0.0.%u", index);
+    for (unsigned i = 0; i < site->run_count; i++) {
+        if (strcmp(site->runs[i].task, task) == 0) {
+            return &site->runs[i];
+        }
+    }
+    return NULL;
+}
+
+/* Four racks with a free worker and a busy one each. */
+static void
+fill_racks_by_half(struct Site *site)
+{
+    static const char *const racks[] = {"a", "b", "c", "d"};
+    char id[SR_ID_SIZE];
+    for (unsigned i = 0; i < SR_LENGTH(racks); i++) {
+        snprintf(id, sizeof(id), "busy%u", i);
+        set_worker(site, id, racks[i], false);
+        submit(site, i + 1, 1, 9000);
+        serve(site, 500);
+    }
+    for (unsigned i = 0; i < SR_LENGTH(racks); i++) {
+        snprintf(id, sizeof(id), "free%u", i);
+        set_worker(site, id, racks[i], false);
+    }
+    serve(site, 300);
+}
+
+static void
+prefer_one_rack(struct Site *site)
+{
+    fill_racks_by_half(site);
+    site->same_rack = true;
+    submit(site, 0, 2, 9000);
+}
+
+static void
+prefer_full_rack(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    submit(site, 1, 1, 9000);
+    serve(site, 500);
+    set_worker(site, "w2", "b", false);
+    set_worker(site, "w3", "b", false);
+    serve(site, 300);
+    site->data_rack = "a";
+    submit(site, 0, 1, 9000);
+}
+
+/* Job 2 needs four workers, of which three are free. */
+static void
+reserve_most_workers(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    submit(site, 1, 1, 9000);
+    serve(site, 8000);
+    set_worker(site, "w2", "a", false);
+    set_worker(site, "w3", "a", false);
+    set_worker(site, "w4", "a", false);
+    serve(site, 300);
+    submit(site, 2, 4, 9000);
+    serve(site, 300);
+    submit(site, 0, 1, 9000);
+}
+
+static const struct {
+    const char *name;
+    void (*arrange)(struct Site *site);
+} rooms[] = {
+    {"in several racks", prefer_one_rack},
+    {"away from the data", prefer_full_rack},
+    {"reserved for a larger job", reserve_most_workers},
+};
+
+/* Guards against a job of which nothing runs for 3 s although there is room
+ * for twice what it needs: it waited for a rack for up to three quarters of
+ * the time that it would lose elsewhere, or the room was reserved for a gang.
+ */
+static void
+job_does_not_stand_beside_room(void **state)
+{
+    (void)state;
+    unsigned idle = 0;
+    for (size_t i = 0; i < SR_LENGTH(rooms); i++) {
+        struct Site site;
+        open_site(&site);
+        rooms[i].arrange(&site);
+        serve(&site, 2900);
+        if (find_run(&site, 0) == NULL) {
+            print_message("nothing runs: room %s\n", rooms[i].name);
+            idle++;
+        }
+        close_site(&site);
+    }
+    assert_int_equal(idle, 0);
+}
+
+/* Guards against a gang that stands for 13 s because a start of one of its
+ * members, on a worker that has responded since, may still be executed. */
+static void
+gang_with_a_late_start_is_started_on_the_same_worker(void **state)
+{
+    (void)state;
+    struct Site site;
+    open_site(&site);
+    set_worker(&site, "w1", "a", false);
+    set_worker(&site, "w2", "a", false);
+    serve(&site, 300);
+    site.is_start_silent = true;
+    submit(&site, 0, 2, 9000);
+    serve(&site, 3500);
+    assert_null(find_run(&site, 0));
+    site.is_start_silent = false;
+    /* New workers, which are preferred to those that did not respond. */
+    set_worker(&site, "w3", "a", false);
+    set_worker(&site, "w4", "a", false);
+    serve(&site, 2900);
+    for (unsigned i = 0; i < 2; i++) {
+        assert_non_null(find_run(&site, i));
+        assert_true(strcmp(find_run(&site, i)->worker, "w3") < 0);
+    }
+    close_site(&site);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(cause_is_logged_once),
+        cmocka_unit_test(job_does_not_stand_beside_room),
+        cmocka_unit_test(gang_with_a_late_start_is_started_on_the_same_worker),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
