A gang with a late start is started on the same worker

Callers saw gangs of which nothing ran for 13 s, and up to 19 s after a change of leaders, beside free workers. One member's start had got no response, so it may be executed up to 13 s later; the run was over (stopped for other work, or given up), and the whole gang waited, though all its workers responded. On real nodes with 6% of the commands late for some seconds, a gang of five whose run had been acknowledged and was preempted then stood for 9.6 s (`reason=late-start left-ms=8438`).

A single task may be started on the worker of the late start: that worker must restart before it executes it, and with the restart the new run is over. The same holds for a member of a gang. Members with late starts are pinned to their workers, the others are placed as before; the gang waits if a pinned member does not fit, has failed there, or has late starts on several workers.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -296,8 +296,10 @@
 
     /* Number of the unit's tasks that fit on the worker. */
     unsigned fit;
-    /* Number of the unit's tasks that are assigned to the worker. */
+    /* Number of the unit's tasks that are assigned to the worker, and of those
+     * that must be, if the unit is a gang. */
     unsigned assigned;
+    unsigned pinned;
     /* Penalty of choosing the worker. */
     int64_t penalty;
 };
--- a/src/flow.c
+++ b/src/flow.c
@@ -346,9 +346,7 @@
 bool
 SrFlow_MayStart(const struct SrFlowTask *task)
 {
-    return !task->done && task->active_run == NULL &&
-           task->unknown_runs == 0 &&
-           (task->late_starts == 0 || !SrFlow_StepOf(task)->gang);
+    return !task->done && task->active_run == NULL && task->unknown_runs == 0;
 }
 
 bool
--- a/src/flow.h
+++ b/src/flow.h
@@ -251,7 +251,8 @@
 bool SrFlow_RecordFailure(struct SrFlowTask *task, uint32_t run);
 
 /* Returns true if the task is not done, and no run of it is known that may be
- * executing. */
+ * executing. With late starts, it may be started on `late_start_worker` only.
+ */
 bool SrFlow_MayStart(const struct SrFlowTask *task);
 
 /* Records that a worker crashed while it executed run `run` of the task, which
--- a/src/plan.c
+++ b/src/plan.c
@@ -65,10 +65,20 @@
 {
     uint32_t number = next_gang_run(unit);
     struct SrFlowTask *task = unit->first;
+    for (uint32_t i = 0; i < unit->count; i++) {
+        if (unit->first[i].late_starts > 0) {
+            struct SrWorker *worker = unit->first[i].late_start_worker;
+            allocate(pass, unit, worker, &unit->first[i], number);
+            worker->assigned--;
+        }
+    }
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
         for (; worker->assigned > 0; worker->assigned--) {
+            while (task->late_starts > 0) {
+                task++;
+            }
             allocate(pass, unit, worker, task++, number);
         }
     }
@@ -212,6 +222,48 @@
     return false;
 }
 
+/* Returns true if the task, which has late starts, may be started on their
+ * worker: when that worker restarts, which it must do first, the new run is
+ * over. A task that has failed there may not, unless it lasts: then it has no
+ * limit of failures, but must not stay away. */
+static bool
+may_start_beside_late_start(const struct SrPlanUnit *unit,
+                            const struct SrFlowTask *task)
+{
+    const struct SrWorker *worker = task->late_start_worker;
+    return worker != NULL && (unit->step->continuous || task->failures == 0 ||
+                              strcmp(task->failed_on, worker->info.id) != 0);
+}
+
+/* Pins the gang's tasks with late starts to their workers. Returns false if
+ * one of them may be started on no worker. */
+static bool
+pin_tasks(const struct SrPlanUnit *unit)
+{
+    for (uint32_t i = 0; i < unit->count && unit->late_count > 0; i++) {
+        const struct SrFlowTask *task = &unit->first[i];
+        if (task->late_starts == 0) {
+            continue;
+        }
+        if (!may_start_beside_late_start(unit, task)) {
+            return false;
+        }
+        task->late_start_worker->pinned++;
+    }
+    return true;
+}
+
+static void
+unpin_tasks(const struct SrPlanUnit *unit)
+{
+    for (uint32_t i = 0; i < unit->count && unit->late_count > 0; i++) {
+        const struct SrFlowTask *task = &unit->first[i];
+        if (task->late_starts > 0 && task->late_start_worker != NULL) {
+            task->late_start_worker->pinned = 0;
+        }
+    }
+}
+
 static void
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
@@ -221,6 +273,11 @@
         log_wait(pass, unit, "account-limit");
         return;
     }
+    if (!pin_tasks(unit)) {
+        log_wait(pass, unit, "late-start");
+        SrPlan_LogIdle(pass, unit);
+        return;
+    }
     bool prefers_rack =
         unit->step->same_rack || unit->step->data_rack[0] != '\0';
     if (prefers_rack && try_place_gang(pass, unit, SrPlan_AssignInRack)) {
@@ -327,8 +384,7 @@
 }
 
 /* Allocates the resources of a task of which an earlier run may still be
- * started late, if there are free ones on the worker that may do so: when that
- * worker restarts, which it must do first, the new run is over. */
+ * started late, if there are free ones on the worker that may do so. */
 static void
 place_beside_late_start(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
                         struct SrFlowTask *task)
@@ -336,10 +392,7 @@
     struct SrWorker *worker = task->late_start_worker;
     bool failed_there =
         worker != NULL && strcmp(task->failed_on, worker->info.id) == 0;
-    /* A task that lasts has no limit of failures, but must not stay away. */
-    bool excluded =
-        failed_there && !unit->step->continuous && task->failures > 0;
-    if (worker == NULL || excluded ||
+    if (!may_start_beside_late_start(unit, task) ||
         SrPlan_TasksThatFitOn(worker, unit,
                               failed_there ? SR_AVAILABLE_NOW
                                            : SR_AVAILABLE_AT_NEED) == 0) {
@@ -394,6 +447,7 @@
     for (size_t i = 0; i < pass->unit_count; i++) {
         if (pass->units[i].step->gang) {
             place_gang(pass, &pass->units[i]);
+            unpin_tasks(&pass->units[i]);
         }
         else {
             place_tasks(pass, &pass->units[i]);
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -452,7 +452,7 @@
     struct SrPlanMiss miss = miss_of(unit, count, kind, in_rack);
     /* Units without these limits may fit. */
     if (unit->step->label[0] != '\0' || unit->step->max_per_worker > 0 ||
-        unit->crashes >= SR_FLOW_KNOWN_CRASHES) {
+        unit->crashes >= SR_FLOW_KNOWN_CRASHES || unit->late_count > 0) {
         return;
     }
     for (unsigned i = 0; i < misses->count; i++) {
@@ -489,7 +489,12 @@
     for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
         struct SrWorker *worker = pass->workers[i];
         worker->assigned = 0;
-        worker->fit = SrPlan_TasksThatFitOn(worker, unit, kind);
+        /* A task that may run on this worker only does not avoid it. */
+        worker->fit = SrPlan_TasksThatFitOn(worker, unit,
+                                            worker->pinned > 0 &&
+                                                    kind == SR_AVAILABLE_NOW
+                                                ? SR_AVAILABLE_AT_NEED
+                                                : kind);
         if (worker->fit > 0) {
             worker->penalty = SrPlan_PenaltyOf(pass, worker, unit, kind);
         }
@@ -529,6 +534,26 @@
     }
 }
 
+/* Assigns the tasks that must be on certain workers, of those from index
+ * `from` to `to` - 1 of the pass, and subtracts their number from `*left`.
+ * Returns false if they do not fit there, or some must be on other workers. */
+static bool
+assign_pinned(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+              unsigned from, unsigned to, uint32_t *left)
+{
+    uint32_t pinned = 0;
+    for (unsigned i = from; i < to && unit->late_count > 0; i++) {
+        struct SrWorker *worker = pass->workers[i];
+        if (worker->pinned > worker->fit) {
+            return false;
+        }
+        worker->assigned = worker->pinned;
+        pinned += worker->pinned;
+    }
+    *left -= pinned;
+    return pinned == unit->late_count;
+}
+
 /* Assigns the unit's tasks to the workers with the lowest penalties in the
  * given rack, or in all racks if it is SR_PLAN_NO_RACK. Each worker's `fit`
  * and `penalty` must be set. Returns false if the tasks do not fit. */
@@ -539,11 +564,14 @@
     unsigned to = rack != SR_PLAN_NO_RACK ? from + pass->racks[rack].count
                                           : pass->worker_count;
     uint32_t left = unit->count;
+    if (!assign_pinned(pass, unit, from, to, &left)) {
+        return false;
+    }
     while (left > 0) {
         struct SrWorker *best = NULL;
         for (unsigned i = from; i < to; i++) {
             struct SrWorker *worker = pass->workers[i];
-            if (worker->assigned == 0 && worker->fit > 0 &&
+            if (worker->assigned < worker->fit &&
                 (best == NULL || worker->penalty < best->penalty)) {
                 best = worker;
             }
@@ -551,8 +579,10 @@
         if (best == NULL) {
             return false;
         }
-        best->assigned = best->fit < left ? best->fit : left;
-        left -= best->assigned;
+        uint32_t room = best->fit - best->assigned;
+        uint32_t added = room < left ? room : left;
+        best->assigned += added;
+        left -= added;
     }
     return true;
 }
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -116,6 +116,8 @@
     struct SrResources demand;
     /* Number of tasks to place. */
     uint32_t count;
+    /* Number of these tasks that late starts keep from other workers. */
+    uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
     /* When the leader first found the step ready to run. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -181,7 +181,7 @@
 }
 
 /* Logs, once for each wait of the step, that `held` of its tasks may not be
- * started, and why the first of them may not. */
+ * started, since a worker lists unknown runs of them, as of the first one. */
 static void
 log_held(struct SrFlowTask *first, const struct SrFlowTask *task,
          uint32_t held)
@@ -204,6 +204,18 @@
                 : "-");
 }
 
+/* Returns the number of tasks that may be started, but because of late starts
+ * on one worker only. */
+static uint32_t
+count_late(const struct SrFlowTask *first, uint32_t count)
+{
+    uint32_t late = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        late += SrFlow_MayStart(&first[i]) && first[i].late_starts > 0 ? 1 : 0;
+    }
+    return late;
+}
+
 /* Returns the highest number of crashes under a task that is not done. */
 static uint32_t
 highest_crashes(const struct SrFlowTask *first, uint32_t count)
@@ -257,6 +269,7 @@
         .service = service_of(pass, flow),
         .demand = SrFleet_TaskDemand(step),
         .count = waiting,
+        .late_count = count_late(first, step->count),
         .crashes = highest_crashes(first, step->count),
         .ready_ms = first->ready_ms,
         .start_by_ms =
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -21,8 +21,9 @@
     struct SrCatalog *catalog;
     int64_t now_ms;
     int64_t incarnations[WORKERS];
-    /* The worker gives no response. */
+    /* The worker gives no response, or has no resources. */
     bool silent[WORKERS];
+    bool is_full[WORKERS];
     /* Index of the task that the worker lists as running with run 1, or -1. */
     int lists[WORKERS];
     struct SrCommand polls[64];
@@ -68,9 +69,9 @@
         .address = "a",
         .service = "service",
         .incarnation = world->incarnations[w],
-        .cpu_millis = 64000,
-        .memory_mb = 64000,
-        .accelerators = 8,
+        .cpu_millis = world->is_full[w] ? 0 : 64000,
+        .memory_mb = world->is_full[w] ? 0 : 64000,
+        .accelerators = world->is_full[w] ? 0 : 8,
     };
     snprintf(entry.id, sizeof(entry.id), "w%u", w);
     snprintf(entry.domain, sizeof(entry.domain), "d%u", w);
@@ -480,6 +481,8 @@
     (void)state;
     struct World world;
     create_world(&world, 2);
+    world.is_full[0] = true;
+    set_worker(&world, 0);
     Sr__FlowTask task = SR__FLOW_TASK__INIT;
     Sr__FlowTask *tasks[] = {&task};
     Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
