A job of which nothing runs for 2 s takes room that is there for twice its need

Callers saw jobs of which nothing ran for many seconds beside room: after a start of all nodes in traffic, 15 jobs of one queue at the same time, 4 to 10 s after all was calm. A gang with `same_rack`, and a task whose data are in a full rack, waited for up to three quarters of the time that they would lose elsewhere, 14 s; a gang for which the room of one rack was reserved waited without any limit, as the end of runs beyond their estimate is always expected soon. After a mass start the urgent gangs spread over all racks, so no rack empties: 6 or 7 of 20 workers of each were free. Others stood beside room that was reserved for such gangs.

After 2 s without a run, a job gets room in any rack, and room reserved for gangs that are not urgent, if there is room for twice what it needs: it is not short then, and the users' limit for a job with room is 3 s. Reservations for urgent work hold.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -275,6 +275,8 @@
 
     /* Neither allocated nor reserved for a unit of the pass. */
     struct SrResources free;
+    /* Reserved for gangs that are not urgent. */
+    struct SrResources held;
     /* `free` plus the resources of the runs that are being stopped. */
     struct SrResources free_after_stops;
     /* Over the runs that may end or be preempted: the earliest expected end,
--- a/src/plan.c
+++ b/src/plan.c
@@ -108,6 +108,9 @@
         if (worker->assigned > 0) {
             SrPlan_Take(pass, worker, &unit->demand, worker->assigned);
         }
+        if (worker->assigned > 0 && unit->flow->rank > SR_RANK_URGENT) {
+            SrResources_Add(&worker->held, &unit->demand, worker->assigned);
+        }
     }
 }
 
@@ -264,6 +267,26 @@
     }
 }
 
+/* Allocates room for a gang of which nothing has run for long. Other than in
+ * try_place_gang, the room need not be in one rack, and may be reserved for
+ * gangs that are not urgent. Returns false if there is too little. */
+static bool
+place_overdue_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    if (!unit->overdue || !SrPlan_HasAmpleRoom(pass, unit, unit->count)) {
+        return false;
+    }
+    bool prefers_rack =
+        unit->step->same_rack || unit->step->data_rack[0] != '\0';
+    if ((prefers_rack &&
+         SrPlan_AssignInRack(pass, unit, SR_AVAILABLE_UNHELD)) ||
+        SrPlan_AssignAnywhere(pass, unit, SR_AVAILABLE_UNHELD)) {
+        allocate_gang(pass, unit);
+        return true;
+    }
+    return false;
+}
+
 static void
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
@@ -278,6 +301,9 @@
         SrPlan_LogIdle(pass, unit);
         return;
     }
+    if (place_overdue_gang(pass, unit)) {
+        return;
+    }
     bool prefers_rack =
         unit->step->same_rack || unit->step->data_rack[0] != '\0';
     if (prefers_rack && try_place_gang(pass, unit, SrPlan_AssignInRack)) {
@@ -306,7 +332,8 @@
     struct SrWorker *best = NULL;
     int64_t best_penalty = 0;
     const char *rack = unit->step->data_rack;
-    bool rack_required = rack[0] != '\0' && SrPlan_MayWaitForRack(pass, unit);
+    bool rack_required = rack[0] != '\0' && kind != SR_AVAILABLE_UNHELD &&
+                         SrPlan_MayWaitForRack(pass, unit);
     SR_LIST_EACH(link, &pass->engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(link);
@@ -331,6 +358,25 @@
     return best;
 }
 
+/* Allocates room for the first task of a job of which nothing has run for
+ * long, as place_overdue_gang does. Returns false if there is too little. */
+static bool
+place_overdue_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                   struct SrFlowTask *task)
+{
+    if (!unit->overdue || unit->flow->outstanding > 0 ||
+        !SrPlan_HasAmpleRoom(pass, unit, 1)) {
+        return false;
+    }
+    struct SrWorker *worker =
+        choose_worker(pass, unit, task, SR_AVAILABLE_UNHELD);
+    if (worker == NULL) {
+        return false;
+    }
+    allocate(pass, unit, worker, task, task->run + 1);
+    return true;
+}
+
 /* Allocates the task's resources or, for urgent work, reserves resources that
  * become free or preempts runs. Returns false if none of these is possible. */
 static bool
@@ -348,6 +394,9 @@
         allocate(pass, unit, worker, task, task->run + 1);
         return true;
     }
+    if (place_overdue_task(pass, unit, task)) {
+        return true;
+    }
     if (unit->flow->rank > SR_RANK_URGENT) {
         return false;
     }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -155,6 +155,10 @@
     case SR_AVAILABLE_NOW:
     case SR_AVAILABLE_AT_NEED:
         return worker->free;
+    case SR_AVAILABLE_UNHELD:
+        available = worker->free;
+        SrResources_Add(&available, &worker->held, 1);
+        return available;
     case SR_AVAILABLE_AFTER_STOPS:
         return available;
     case SR_AVAILABLE_TOTAL:
@@ -517,6 +521,21 @@
     return sum;
 }
 
+bool
+SrPlan_HasAmpleRoom(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                    uint32_t tasks)
+{
+    uint32_t needed = SR_PLAN_IDLE_ROOM_FACTOR * tasks;
+    if (SrPlan_IsMiss(pass, unit, needed, SR_AVAILABLE_UNHELD, false)) {
+        return false;
+    }
+    if (compute_fit(pass, unit, SR_AVAILABLE_UNHELD) < needed) {
+        SrPlan_AddMiss(pass, unit, needed, SR_AVAILABLE_UNHELD, false);
+        return false;
+    }
+    return true;
+}
+
 /* Same as compute_fit, but leaves out the racks that are known to have too few
  * free resources for the whole unit: their `fit` is 0. */
 static void
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -16,6 +16,12 @@
 /* Margin for a stop that takes longer than the configured time and for the
  * time until the leader has read a new job, ms. */
 #define SR_PLAN_MARGIN_MS 600
+/* A job of which nothing has run for this long takes room that is there for
+ * twice what it needs, whichever rack it is in and whichever gang of lower
+ * urgency it is reserved for. The users' limit is 3 s; within the rest, the
+ * allocation is stored and the start reaches its worker. */
+#define SR_PLAN_IDLE_MAX_MS 2000
+#define SR_PLAN_IDLE_ROOM_FACTOR 2
 /* Penalties of choosing a worker. Each accelerator that is available on the
  * worker counts as a penalty of 1. */
 
@@ -68,6 +74,10 @@
     SR_AVAILABLE_NOW,
     /* The same, also on a worker that is avoided because of its failures. */
     SR_AVAILABLE_AT_NEED,
+    /* As SR_AVAILABLE_NOW, also what is reserved for gangs that are not
+     * urgent.
+     */
+    SR_AVAILABLE_UNHELD,
     /* Free once the runs being stopped have stopped. */
     SR_AVAILABLE_AFTER_STOPS,
     /* As SR_AVAILABLE_AFTER_STOPS, plus those of runs that are expected to end
@@ -109,6 +119,8 @@
     unsigned service;
     /* `start_by_ms` is past. False for guaranteed work. */
     bool late;
+    /* Nothing of the job has run for SR_PLAN_IDLE_MAX_MS. */
+    bool overdue;
     const Sr__FlowStep *step;
     /* First task of the step, placed or not. */
     struct SrFlowTask *first;
@@ -305,6 +317,11 @@
  * called after runs have been preempted. */
 void SrPlan_ForgetMisses(struct SrPlanPass *pass);
 
+/* Returns true if there is room on all workers together for
+ * SR_PLAN_IDLE_ROOM_FACTOR times that number of the unit's tasks. */
+bool SrPlan_HasAmpleRoom(struct SrPlanPass *pass,
+                         const struct SrPlanUnit *unit, uint32_t tasks);
+
 /* Returns true if the worker may execute the unit's tasks, whether it is
  * usable or has room at present or not. */
 bool SrPlan_MayExecute(const struct SrWorker *worker,
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -30,6 +30,7 @@
         worker->usable_at_need && SrFleet_IsUsable(worker, pass->now_ms);
     worker->free = SrFleet_Capacity(worker);
     SrResources_Add(&worker->free, &worker->allocated, -1);
+    worker->held = (struct SrResources){0};
     worker->free_after_stops = worker->free;
     worker->earliest_end_ms = INT64_MAX;
     worker->highest_rank = 0;
@@ -282,6 +283,8 @@
     unit.late =
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
+    unit.overdue = flow->outstanding == 0 && flow->active_ms != 0 &&
+                   pass->now_ms - flow->active_ms >= SR_PLAN_IDLE_MAX_MS;
     add_unit(pass, &unit);
 }
 
--- a/tests/test_deployment.c
+++ b/tests/test_deployment.c
@@ -1614,6 +1614,9 @@
 static const struct Case cases[] = {
     {1, "stops,pauses,reloads", 3000},
     {2, "kills,stalls,store,closing", 5000},
+    /* One fault, and calm after it. */
+    {3, "herds", 30000},
+    {4, "regions", 30000},
 };
 
 static void
