A task with a late start gets the room that becomes free on its worker

Callers saw a job of one task of which nothing ran for 5 s beside free workers: a start of it got no response and may be executed late, so it may run on that worker only, and each resource that became free there went to other work.

Once nothing of the job has run for 2 s, the room on that worker is reserved for it behind work of higher precedence.

--- a/src/plan.c
+++ b/src/plan.c
@@ -446,6 +446,10 @@
                               failed_there ? SR_AVAILABLE_NOW
                                            : SR_AVAILABLE_AT_NEED) == 0) {
         log_wait(pass, unit, "late-start");
+        if (unit->overdue && worker != NULL) {
+            /* What becomes free there goes to this task. */
+            SrPlan_Take(pass, worker, &unit->demand, 1);
+        }
         return;
     }
     allocate(pass, unit, worker, task, task->run + 1);
