Jobs keep their age under a new leader

Callers saw jobs that waited anew under each leader: with three starts of all nodes within 31 s, a gang accepted before the first one was given another 14 s to wait for a rack by each of three leaders, and its latest start in time was counted from each election (`start-by-in-ms` 8462, 8231, 8241), so it stood behind jobs that were accepted later. Jobs were taken on in the order of their ids, so another part of an account's urgent jobs could be within its guarantee than before.

A new leader takes a job's age from the time of acceptance in its row, by the clocks of two machines; it sorts the jobs by it, and a wait for a rack counts from then if nothing of the job has run. Jobs that arrive later count from their arrival, as before.

test_leader jobs_keep_their_age_under_a_new_leader: before, the age of each job is 0 and the order is that of the ids.

--- a/src/engine.c
+++ b/src/engine.c
@@ -426,6 +426,25 @@
     return true;
 }
 
+void
+SrEngine_SetAge(struct SrEngine *engine, const char *id, int64_t age_ms,
+                int64_t now_ms)
+{
+    struct SrFlow *flow = SrEngine_FindFlow(engine, id);
+    if (flow == NULL || age_ms <= 0) {
+        return;
+    }
+    flow->arrived_ms = now_ms - age_ms;
+    struct SrList *before = flow->link.prev;
+    while (before != &engine->flows &&
+           SR_CONTAINER(before, struct SrFlow, link)->arrived_ms >
+               flow->arrived_ms) {
+        before = before->prev;
+    }
+    SrList_Remove(&flow->link);
+    SrList_Append(before->next, &flow->link);
+}
+
 void
 SrEngine_CancelFlow(struct SrEngine *engine, const char *id, int64_t now_ms)
 {
--- a/src/engine.h
+++ b/src/engine.h
@@ -122,6 +122,13 @@
 void SrEngine_SetDomainOut(struct SrEngine *engine, const char *domain,
                            bool out);
 
+/* Sets how long ago a job was accepted, ms. For the jobs that a new leader
+ * finds: they may have waited under a former one, and how long they may still
+ * wait, and their order, follow from that. No effect if the job is not known.
+ */
+void SrEngine_SetAge(struct SrEngine *engine, const char *id, int64_t age_ms,
+                     int64_t now_ms);
+
 /* Adds a stored job; takes ownership of the record. `progress` is NULL if none
  * is stored. A job that is known already is left unchanged, and one with an
  * invalid record is rejected; the record is freed in both cases. Returns false
--- a/src/leader.c
+++ b/src/leader.c
@@ -229,6 +229,15 @@
                          : NULL;
 }
 
+/* Returns how long ago the job was accepted, ms, by the clocks of this process
+ * and of the one that accepted it; 0 if that is unknown or not in the past. */
+static int64_t
+age_of(const Sr__FlowRecord *record)
+{
+    int64_t age_ms = SrOs_UnixMs() - record->accepted_ms;
+    return record->accepted_ms > 0 && age_ms > 0 ? age_ms : 0;
+}
+
 /* Takes ownership of the record. */
 static void
 add_job(struct SrLeader *leader, const char *id, Sr__FlowRecord *record)
@@ -240,9 +249,13 @@
         SrCodec_Free(record);
         return;
     }
+    /* The age of a job that arrives now is known better without the clocks of
+     * other machines. */
+    int64_t age_ms = leader->loaded ? 0 : age_of(record);
     if (SrEngine_AddFlow(leader->engine, id, record,
                          unmatched != NULL ? unmatched->progress : NULL,
                          SrOs_MonotonicMs())) {
+        SrEngine_SetAge(leader->engine, id, age_ms, SrOs_MonotonicMs());
         free_unmatched(leader, unmatched);
     }
     else {
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -260,7 +260,11 @@
         return;
     }
     if (first->ready_ms == 0) {
-        first->ready_ms = pass->now_ms;
+        /* A job of which nothing has run yet may have waited under a former
+         * leader. */
+        bool since_arrival = step->n_after == 0 &&
+                             flow->record->occurrences == 0 && !flow->begun;
+        first->ready_ms = since_arrival ? flow->arrived_ms : pass->now_ms;
     }
     int64_t critical_path_ms = flow->critical_path_ms;
     struct SrPlanUnit unit = {
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "codec.h"
+#include "engine_state.h"
 #include "job_rows.h"
 #include "leader.h"
 #include "log.h"
@@ -143,8 +144,9 @@
     store_value(world, partition, table, key, value, size);
 }
 
+/* Stores a job that was accepted so long ago. */
 static void
-store_job(struct World *world, const char *id)
+store_aged_job(struct World *world, const char *id, int64_t age_ms)
 {
     Sr__FlowRecord record = SR__FLOW_RECORD__INIT;
     Sr__FlowStep step = SR__FLOW_STEP__INIT;
@@ -153,9 +155,16 @@
     record.queue = (char *)"q";
     record.steps = steps;
     record.n_steps = 1;
+    record.accepted_ms = SrOs_UnixMs() - age_ms;
     store(world, SrJobRows_PartitionOf(id), SR_TABLE_JOBS, id, &record);
 }
 
+static void
+store_job(struct World *world, const char *id)
+{
+    store_aged_job(world, id, 0);
+}
+
 static void
 store_progress(struct World *world, const char *id, Sr__FlowStatus status)
 {
@@ -277,6 +286,46 @@
     end(&world);
 }
 
+/* Guards against a job that has to wait anew under each leader: for a rack,
+ * for its guarantee, and behind jobs that were accepted later. */
+static void
+jobs_keep_their_age_under_a_new_leader(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *id;
+        int64_t age_ms;
+    } jobs[] = {{"00000000000000a1", 20000},
+                {"00000000000000a2", 60000},
+                {"00000000000000a3", 0},
+                {"00000000000000a4", 40000}};
+    static const char *const order[] = {"00000000000000a2", "00000000000000a4",
+                                        "00000000000000a1",
+                                        "00000000000000a3"};
+    struct World world;
+    begin(&world, LIMIT_MS);
+    for (size_t i = 0; i < SR_LENGTH(jobs); i++) {
+        store_aged_job(&world, jobs[i].id, jobs[i].age_ms);
+    }
+    start_ledger(&world);
+    run_for(&world, SOON_MS);
+    assert_non_null(world.leader);
+    const struct SrEngine *engine = SrLeader_Engine(world.leader);
+    for (size_t i = 0; i < SR_LENGTH(jobs); i++) {
+        const struct SrFlow *flow = SrEngine_FindFlow(engine, jobs[i].id);
+        int64_t age_ms = SrOs_MonotonicMs() - flow->arrived_ms;
+        assert_in_range(age_ms, jobs[i].age_ms, jobs[i].age_ms + LIMIT_MS);
+    }
+    size_t found = 0;
+    SR_LIST_EACH(link, &engine->flows)
+    {
+        assert_string_equal(SR_CONTAINER(link, struct SrFlow, link)->id,
+                            order[found++]);
+    }
+    assert_int_equal(found, SR_LENGTH(order));
+    end(&world);
+}
+
 /* If progress rows were never deleted, each new leader would take longer to
  * load them. If a job's progress were deleted before the job, the job would
  * run again. */
@@ -685,6 +734,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(jobs_of_all_partitions_are_found),
+        cmocka_unit_test(jobs_keep_their_age_under_a_new_leader),
         cmocka_unit_test(progress_is_deleted_after_the_job),
         cmocka_unit_test(many_expired_jobs_are_deleted_one_by_one),
         cmocka_unit_test(orphaned_progress_is_deleted),
