Room counts for an idle job only while it is there

The limit of 2 s after which a job takes room in any rack, and room that is reserved, counted from the job's last run.

The time counts from when ample room was first found, by a check each 250 ms; it starts anew once the room is gone or something of the job runs.

--- a/src/flow.h
+++ b/src/flow.h
@@ -88,6 +88,12 @@
     /* When the leader first found the step ready to run, ms of the monotonic
      * clock; 0 before. Set for the first task of a step only. */
     int64_t ready_ms;
+    /* Since when there has been ample room for the step while nothing of the
+     * job ran, as far as checked, and when that was last checked, ms of the
+     * monotonic clock; 0 if there is none, and before the first check. Set for
+     * the first task of a step only. */
+    int64_t room_since_ms;
+    int64_t room_checked_ms;
     /* Number of the step's tasks that are at work; valid within one placement
      * pass only, for the first task of a step that lasts. */
     uint32_t at_work;
--- a/src/plan.c
+++ b/src/plan.c
@@ -267,13 +267,13 @@
     }
 }
 
-/* Allocates room for a gang of which nothing has run for long. Other than in
+/* Allocates room for a gang that stands beside it for long. Other than in
  * try_place_gang, the room need not be in one rack, and may be reserved for
  * gangs that are not urgent. Returns false if there is too little. */
 static bool
-place_overdue_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+place_idle_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
-    if (!unit->overdue || !SrPlan_HasAmpleRoom(pass, unit, unit->count)) {
+    if (!SrPlan_IsIdleBesideRoom(pass, unit, unit->count)) {
         return false;
     }
     bool prefers_rack =
@@ -301,7 +301,7 @@
         SrPlan_LogIdle(pass, unit);
         return;
     }
-    if (place_overdue_gang(pass, unit)) {
+    if (place_idle_gang(pass, unit)) {
         return;
     }
     bool prefers_rack =
@@ -358,14 +358,13 @@
     return best;
 }
 
-/* Allocates room for the first task of a job of which nothing has run for
- * long, as place_overdue_gang does. Returns false if there is too little. */
+/* Allocates room for the first task of a job that stands beside it for long,
+ * as place_idle_gang does. Returns false if there is too little. */
 static bool
-place_overdue_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
-                   struct SrFlowTask *task)
+place_idle_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                struct SrFlowTask *task)
 {
-    if (!unit->overdue || unit->flow->outstanding > 0 ||
-        !SrPlan_HasAmpleRoom(pass, unit, 1)) {
+    if (!SrPlan_IsIdleBesideRoom(pass, unit, 1)) {
         return false;
     }
     struct SrWorker *worker =
@@ -394,7 +393,7 @@
         allocate(pass, unit, worker, task, task->run + 1);
         return true;
     }
-    if (place_overdue_task(pass, unit, task)) {
+    if (place_idle_task(pass, unit, task)) {
         return true;
     }
     if (unit->flow->rank > SR_RANK_URGENT) {
@@ -446,7 +445,7 @@
                               failed_there ? SR_AVAILABLE_NOW
                                            : SR_AVAILABLE_AT_NEED) == 0) {
         log_wait(pass, unit, "late-start");
-        if (unit->overdue && worker != NULL) {
+        if (unit->flow->outstanding == 0 && worker != NULL) {
             /* What becomes free there goes to this task. */
             SrPlan_Take(pass, worker, &unit->demand, 1);
         }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -521,9 +521,9 @@
     return sum;
 }
 
-bool
-SrPlan_HasAmpleRoom(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
-                    uint32_t tasks)
+static bool
+has_ample_room(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+               uint32_t tasks)
 {
     uint32_t needed = SR_PLAN_IDLE_ROOM_FACTOR * tasks;
     if (SrPlan_IsMiss(pass, unit, needed, SR_AVAILABLE_UNHELD, false)) {
@@ -536,6 +536,34 @@
     return true;
 }
 
+bool
+SrPlan_IsIdleBesideRoom(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                        uint32_t tasks)
+{
+    struct SrFlowTask *first = unit->first;
+    int64_t unchecked_ms = pass->now_ms - first->room_checked_ms;
+    if (unit->flow->outstanding > 0 || unchecked_ms > SR_PLAN_ROOM_FORGET_MS) {
+        first->room_since_ms = 0;
+    }
+    if (unit->flow->outstanding > 0) {
+        return false;
+    }
+    bool is_due = first->room_since_ms != 0 &&
+                  pass->now_ms - first->room_since_ms >= SR_PLAN_IDLE_MAX_MS;
+    if (unchecked_ms < SR_PLAN_ROOM_CHECK_MS && !is_due) {
+        return false;
+    }
+    first->room_checked_ms = pass->now_ms;
+    if (!has_ample_room(pass, unit, tasks)) {
+        first->room_since_ms = 0;
+        return false;
+    }
+    if (first->room_since_ms == 0) {
+        first->room_since_ms = pass->now_ms;
+    }
+    return is_due;
+}
+
 /* Same as compute_fit, but leaves out the racks that are known to have too few
  * free resources for the whole unit: their `fit` is 0. */
 static void
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -16,12 +16,17 @@
 /* Margin for a stop that takes longer than the configured time and for the
  * time until the leader has read a new job, ms. */
 #define SR_PLAN_MARGIN_MS 600
-/* A job of which nothing has run for this long takes room that is there for
+/* A job of which nothing runs takes room that has been there for this long for
  * twice what it needs, whichever rack it is in and whichever gang of lower
  * urgency it is reserved for. The users' limit is 3 s; within the rest, the
- * allocation is stored and the start reaches its worker. */
+ * room is noticed, the allocation is stored and the start reaches its worker.
+ */
 #define SR_PLAN_IDLE_MAX_MS 2000
 #define SR_PLAN_IDLE_ROOM_FACTOR 2
+/* Interval of the checks for such room, and time without a check after which
+ * the room counts anew. */
+#define SR_PLAN_ROOM_CHECK_MS 250
+#define SR_PLAN_ROOM_FORGET_MS 1000
 /* Penalties of choosing a worker. Each accelerator that is available on the
  * worker counts as a penalty of 1. */
 
@@ -119,8 +124,6 @@
     unsigned service;
     /* `start_by_ms` is past. False for guaranteed work. */
     bool late;
-    /* Nothing of the job has run for SR_PLAN_IDLE_MAX_MS. */
-    bool overdue;
     const Sr__FlowStep *step;
     /* First task of the step, placed or not. */
     struct SrFlowTask *first;
@@ -317,10 +320,12 @@
  * called after runs have been preempted. */
 void SrPlan_ForgetMisses(struct SrPlanPass *pass);
 
-/* Returns true if there is room on all workers together for
- * SR_PLAN_IDLE_ROOM_FACTOR times that number of the unit's tasks. */
-bool SrPlan_HasAmpleRoom(struct SrPlanPass *pass,
-                         const struct SrPlanUnit *unit, uint32_t tasks);
+/* Returns true if nothing of the unit's job runs, and for SR_PLAN_IDLE_MAX_MS
+ * there has been ample room: on all workers together, for
+ * SR_PLAN_IDLE_ROOM_FACTOR times that number of the unit's tasks. To be called
+ * in each pass before anything is reserved for the unit. */
+bool SrPlan_IsIdleBesideRoom(struct SrPlanPass *pass,
+                             const struct SrPlanUnit *unit, uint32_t tasks);
 
 /* Returns true if the worker may execute the unit's tasks, whether it is
  * usable or has room at present or not. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -287,8 +287,6 @@
     unit.late =
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
-    unit.overdue = flow->outstanding == 0 && flow->active_ms != 0 &&
-                   pass->now_ms - flow->active_ms >= SR_PLAN_IDLE_MAX_MS;
     add_unit(pass, &unit);
 }
 
