--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -40,7 +40,8 @@
     /* Job 0 prefers that its tasks are in one rack, or in a given one. */
     bool same_rack;
     const char *data_rack;
-    unsigned priority;
+    /* Accelerators of each task of the jobs submitted from now on. */
+    uint32_t accelerators;
 };
 
 static void
@@ -74,7 +75,7 @@
     *site = (struct Site){
         .catalog = SrCatalog_Create(1, 1, 0),
         .now_ms = 1000,
-        .priority = 2,
+        .accelerators = WORKER_ACCELERATORS,
     };
     site->catalog->queues[0].name = SrUtil_Strdup("q");
     site->catalog->queues[0].host = SrUtil_Strdup("h");
@@ -121,7 +122,7 @@
     Sr__FlowStep *steps[] = {&step};
     snprintf(id, sizeof(id), "%016u", job);
     step.count = count;
-    step.accelerators = WORKER_ACCELERATORS;
+    step.accelerators = site->accelerators;
     step.gang = count > 1;
     step.same_rack = site->same_rack && job == 0;
     if (site->data_rack != NULL && job == 0) {
@@ -489,21 +490,29 @@
     return NULL;
 }
 
-/* Four racks with a free worker and a busy one each. */
+static const char *const rack_names[] = {"a", "b", "c", "d"};
+
+/* Adds a busy worker to each rack. */
 static void
-fill_racks_by_half(struct Site *site)
+add_busy_workers(struct Site *site)
 {
-    static const char *const racks[] = {"a", "b", "c", "d"};
     char id[SR_ID_SIZE];
-    for (unsigned i = 0; i < SR_LENGTH(racks); i++) {
+    for (unsigned i = 0; i < SR_LENGTH(rack_names); i++) {
         snprintf(id, sizeof(id), "busy%u", i);
-        set_worker(site, id, racks[i], false);
+        set_worker(site, id, rack_names[i], false);
         submit(site, i + 1, 1, 9000);
         serve(site, 500);
     }
-    for (unsigned i = 0; i < SR_LENGTH(racks); i++) {
+}
+
+/* Adds a free worker to each of the racks from `from` to `to` - 1. */
+static void
+add_free_workers(struct Site *site, unsigned from, unsigned to)
+{
+    char id[SR_ID_SIZE];
+    for (unsigned i = from; i < to; i++) {
         snprintf(id, sizeof(id), "free%u", i);
-        set_worker(site, id, racks[i], false);
+        set_worker(site, id, rack_names[i], false);
     }
     serve(site, 300);
 }
@@ -511,7 +520,8 @@
 static void
 prefer_one_rack(struct Site *site)
 {
-    fill_racks_by_half(site);
+    add_busy_workers(site);
+    add_free_workers(site, 0, SR_LENGTH(rack_names));
     site->same_rack = true;
     submit(site, 0, 2, 9000);
 }
@@ -577,6 +587,62 @@
     assert_int_equal(idle, 0);
 }
 
+/* Guards against a gang that has been short of room, and is spread over
+ * several racks at the moment when there is some: a rack may be free soon. */
+static void
+room_counts_from_when_it_is_there(void **state)
+{
+    (void)state;
+    struct Site site;
+    open_site(&site);
+    add_busy_workers(&site);
+    add_free_workers(&site, 0, 2);
+    site.same_rack = true;
+    submit(&site, 0, 2, 9000);
+    serve(&site, 5000);
+    assert_null(find_run(&site, 0));
+    add_free_workers(&site, 2, SR_LENGTH(rack_names));
+    serve(&site, 1400);
+    assert_null(find_run(&site, 0));
+    serve(&site, 1200);
+    assert_non_null(find_run(&site, 0));
+    close_site(&site);
+}
+
+/* Guards against a task that may run on one worker only, because of a late
+ * start, and never gets enough room there: what becomes free goes to others.
+ */
+static void
+task_with_a_late_start_gets_room_on_its_worker(void **state)
+{
+    (void)state;
+    struct Site site;
+    open_site(&site);
+    set_worker(&site, "w1", "a", false);
+    serve(&site, 300);
+    site.is_start_silent = true;
+    submit(&site, 0, 1, 9000);
+    serve(&site, 2900);
+    SrEngine_SetDomainOut(site.engine, "", true);
+    serve(&site, 1000);
+    site.is_start_silent = false;
+    site.accelerators = WORKER_ACCELERATORS / 2;
+    submit(&site, 1, 1, 5000);
+    submit(&site, 2, 1, 5000);
+    submit(&site, 3, 1, 60000);
+    SrEngine_SetDomainOut(site.engine, "", false);
+    serve(&site, 500);
+    assert_null(find_run(&site, 0));
+    assert_int_equal(site.run_count, 2);
+    SrEngine_CancelFlow(site.engine, "0000000000000001", site.now_ms);
+    serve(&site, 1000);
+    assert_int_equal(site.run_count, 1);
+    SrEngine_CancelFlow(site.engine, "0000000000000002", site.now_ms);
+    serve(&site, 1000);
+    assert_non_null(find_run(&site, 0));
+    close_site(&site);
+}
+
 /* Guards against a gang that stands for 13 s because a start of one of its
  * members, on a worker that has responded since, may still be executed. */
 static void
@@ -610,6 +676,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(cause_is_logged_once),
         cmocka_unit_test(job_does_not_stand_beside_room),
+        cmocka_unit_test(room_counts_from_when_it_is_there),
+        cmocka_unit_test(task_with_a_late_start_gets_room_on_its_worker),
         cmocka_unit_test(gang_with_a_late_start_is_started_on_the_same_worker),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
