--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -664,8 +664,8 @@
     set_worker(&site, "w4", "a", false);
     serve(&site, 2900);
     for (unsigned i = 0; i < 2; i++) {
-        assert_non_null(find_run(&site, i));
-        assert_true(strcmp(find_run(&site, i)->worker, "w3") < 0);
+        const struct Run *run = find_run(&site, i);
+        assert_true(run != NULL && strcmp(run->worker, "w3") < 0);
     }
     close_site(&site);
 }
