--- a/src/plan.c
+++ b/src/plan.c
@@ -84,6 +84,7 @@
     }
 }
 
+/* Remembers the largest reservation of the pass, for the log. */
 static void
 note_reservation(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
                  unsigned tasks)
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -79,8 +79,7 @@
     SR_AVAILABLE_NOW,
     /* The same, also on a worker that is avoided because of its failures. */
     SR_AVAILABLE_AT_NEED,
-    /* As SR_AVAILABLE_NOW, also what is reserved for gangs that are not
-     * urgent.
+    /* As SR_AVAILABLE_NOW, and what is reserved for gangs that are not urgent.
      */
     SR_AVAILABLE_UNHELD,
     /* Free once the runs being stopped have stopped. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -182,7 +182,7 @@
 }
 
 /* Logs, once for each wait of the step, that `held` of its tasks may not be
- * started, since a worker lists unknown runs of them, as of the first one. */
+ * started, and the unknown runs because of which the first of them may not. */
 static void
 log_held(struct SrFlowTask *first, const struct SrFlowTask *task,
          uint32_t held)
