--- a/review/lib2/platform.c
+++ b/review/lib2/platform.c
@@ -1108,7 +1108,7 @@
         struct worker *w = &workers[i];
         snprintf(w->id, sizeof(w->id), "i-%08x", 0x5a000000 + i);
         snprintf(w->zone, sizeof(w->zone), "%s", zones[i % 3]);
-        snprintf(w->rack, sizeof(w->rack), "r%d-1", i % 3 + 1);
+        snprintf(w->rack, sizeof(w->rack), "r%d-%d", i % 3 + 1, i / 3 % 2 + 1);
         snprintf(w->kind, sizeof(w->kind), "a");
         w->cpu = 32000;
         w->mem = 65536;
