--- a/review/lib2/platform.c
+++ b/review/lib2/platform.c
@@ -624,6 +624,37 @@
     return 404;
 }
 
+/* Binds a socket to the port of the loopback address; to a free one, which is
+ * stored, if it is 0. */
+static int
+bind_to(int *port)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons((uint16_t)*port)};
+    socklen_t size = sizeof(a);
+    int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
+        getsockname(fd, (struct sockaddr *)&a, &size) != 0) {
+        fprintf(stderr, "cannot bind: %s\n", strerror(errno));
+        exit(2);
+    }
+    *port = ntohs(a.sin_port);
+    return fd;
+}
+
+static int
+listen_on(int *port)
+{
+    int fd = bind_to(port);
+    if (listen(fd, 512) != 0) {
+        fprintf(stderr, "cannot listen: %s\n", strerror(errno));
+        exit(2);
+    }
+    return fd;
+}
+
 static void
 drop_connections(struct worker *w)
 {
@@ -641,7 +672,8 @@
     w->up = false;
     shutdown(w->listener, SHUT_RDWR);
     close(w->listener);
-    w->listener = -1;
+    /* Refuses connections, and keeps the port from other programs. */
+    w->listener = bind_to(&w->port);
     drop_connections(w);
     w->run_count = 0;
     w->ended_count = 0;
@@ -650,25 +682,6 @@
     pthread_cond_broadcast(&changed);
 }
 
-static int
-listen_on(int *port)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port = htons((uint16_t)*port)};
-    socklen_t size = sizeof(a);
-    int one = 1, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-        listen(fd, 512) != 0 ||
-        getsockname(fd, (struct sockaddr *)&a, &size) != 0) {
-        fprintf(stderr, "cannot listen: %s\n", strerror(errno));
-        exit(2);
-    }
-    *port = ntohs(a.sin_port);
-    return fd;
-}
-
 struct connection {
     int fd;
     struct worker *worker;
@@ -983,7 +996,12 @@
            (long long)w->born, w->kind, w->gpu);
     /* The report is in the store before the first order can arrive. */
     write_entry(w);
-    w->listener = listen_on(&w->port);
+    if (w->listener < 0) {
+        w->listener = bind_to(&w->port);
+    }
+    if (listen(w->listener, 512) != 0) {
+        finish(2, "worker cannot listen");
+    }
     begin_accepting(w->listener, w, 0);
 }
 
@@ -1106,7 +1124,8 @@
     worker_count = total;
     for (int i = 0; i < total; i++) {
         struct worker *w = &workers[i];
-        snprintf(w->id, sizeof(w->id), "i-%08x", 0x5a000000 + i);
+        snprintf(w->id, sizeof(w->id), "i-%06x%02x", (unsigned)getpid(), i);
+        w->listener = -1;
         snprintf(w->zone, sizeof(w->zone), "%s", zones[i % 3]);
         snprintf(w->rack, sizeof(w->rack), "r%d-%d", i % 3 + 1, i / 3 % 2 + 1);
         snprintf(w->kind, sizeof(w->kind), "a");
