Review: case 6, channels to the workers that go silent

Cause: a call that times out costs only the connection that it used. All other idle connections to that worker are kept and tried one after the other, without probes, while the worker's lease expires.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in late lasting rack waiting kind; do
+for name in late lasting rack waiting silence; do
     cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Wno-format-truncation \
         -o "target/review-2/$name" \
         "review/lib2/$name.c" review/lib2/platform.c \
--- a/review/lib2/platform.c
+++ b/review/lib2/platform.c
@@ -50,6 +50,7 @@
 static int row_count;
 static int64_t version;
 static int store_ports[NODES_MAX];
+int silences;
 bool store_silent, store_busy, store_cut[NODES_MAX];
 int store_lost, store_slow_ms;
 static FILE *out;
@@ -684,6 +685,8 @@
 
 struct connection {
     int fd;
+    /* Value of `silences` when the connection was opened. */
+    int opened;
     struct worker *worker;
     /* Store: the node that connects to this port. */
     int node;
@@ -867,6 +870,9 @@
             answer = json_object();
             status = 503;
         }
+        else if (c->worker != NULL && c->opened < silences) {
+            lost = true;
+        }
         else if (c->worker != NULL && c->worker->cut) {
             lost = true;
         }
@@ -883,7 +889,7 @@
             pthread_mutex_unlock(&lock);
             lost = c->worker == NULL ? store_silent || store_cut[c->node] ||
                                            (writes && chance(store_lost))
-                                     : c->worker->cut;
+                                     : c->worker->cut || c->opened < silences;
         }
         json_decref(root);
         if (lost) {
@@ -962,7 +968,7 @@
         }
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
         struct connection *c = malloc(sizeof(*c));
-        *c = (struct connection){fd, a.worker, a.node};
+        *c = (struct connection){fd, silences, a.worker, a.node};
         if (a.worker != NULL) {
             pthread_mutex_lock(&lock);
             if (a.worker->conn_count < 256) {
--- a/review/lib2/platform.h
+++ b/review/lib2/platform.h
@@ -97,6 +97,9 @@
 extern int worker_count;
 extern struct node nodes[NODES_MAX];
 extern int node_count;
+/* Raised by one, all channels to workers that are open go silent for good:
+ * what comes on them is neither carried out nor answered. New ones work. */
+extern int silences;
 /* The store sends no answer and does nothing; answers 503 and does nothing;
  * does `store_lost` in a hundred of the writes and sends no answer; takes so
  * much longer for each answer. */
