--- a/src/engine.c
+++ b/src/engine.c
@@ -556,8 +556,10 @@
     SrEngine_MarkDirty(engine, flow);
     SrEngine_Observe(engine, SR_ENGINE_COMPLETED, flow,
                      now_ms - flow->arrived_ms);
-    SR_INFO("engine", "completed", "id=%s queue=%s after-ms=%ld", flow->id,
-            flow->record->queue, (long)(now_ms - flow->arrived_ms));
+    SR_INFO("engine", "completed",
+            "id=%s queue=%s after-ms=%ld objective-ms=%ld", flow->id,
+            flow->record->queue, (long)(now_ms - flow->arrived_ms),
+            (long)SrFlow_ObjectiveMs(flow));
 }
 
 void
--- a/src/flow.c
+++ b/src/flow.c
@@ -467,3 +467,10 @@
     }
     return longest;
 }
+
+int64_t
+SrFlow_ObjectiveMs(const struct SrFlow *flow)
+{
+    return flow->record->target_ms +
+           (int64_t)(flow->record->stretch * (double)flow->critical_path_ms);
+}
--- a/src/flow.h
+++ b/src/flow.h
@@ -302,4 +302,8 @@
  * flow, which has it in `critical_path_ms`. */
 int64_t SrFlow_CriticalPathMs(const struct SrFlow *flow);
 
+/* Returns the objective for the job's completion time, ms after its
+ * acceptance, by the estimates of its tasks. */
+int64_t SrFlow_ObjectiveMs(const struct SrFlow *flow);
+
 #endif
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -6,19 +6,6 @@
 /* A gang or task waits for its preferred rack for at most this share of the
  * time that it would lose by running more slowly in another one. */
 #define RACK_WAIT_SHARE 0.75
-/* A task that lasts is at work from this progress on. */
-#define AT_WORK_PERCENT 100
-/* Penalty for each core-second of work lost by preemption on the worker. */
-#define STOP_COST_PENALTY 100
-/* Workers below this speed are avoided. The speeds of healthy workers differ
- * by a fifth. */
-#define SLOW_SPEED 0.55
-#define SLOW_PENALTY 1500
-/* For urgent work, a worker that is not below SLOW_SPEED has this penalty
- * times (1 / speed - 1), the relative increase of the run time. A worker that
- * took twice the time would have the same penalty as one with this many more
- * accelerators available. */
-#define SPEED_PENALTY 16
 /* Racks whose speeds differ by less than this count as equally fast. */
 #define SPEED_TOLERANCE 0.05
 
@@ -48,95 +35,6 @@
     return count;
 }
 
-/* Returns true if the run's task, which lasts, is at work. */
-static bool
-is_at_work(const struct SrRun *run)
-{
-    return run->state == SR_RUNSTATE_STARTED && !run->stopping &&
-           !run->is_victim && run->percent >= AT_WORK_PERCENT;
-}
-
-/* Returns the first task of the step that the run executes. */
-static struct SrFlowTask *
-first_of_step(const struct SrRun *run)
-{
-    return SrFlow_StepTasks(run->task->flow, run->task->occurrence,
-                            run->task->step);
-}
-
-void
-SrPlan_ResetAtWork(const struct SrWorker *worker)
-{
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->step->continuous) {
-            first_of_step(run)->at_work = 0;
-        }
-    }
-}
-
-void
-SrPlan_CountAtWork(const struct SrRun *run, bool at_work)
-{
-    if (!run->step->continuous || !is_at_work(run)) {
-        return;
-    }
-    if (at_work) {
-        first_of_step(run)->at_work++;
-    }
-    else {
-        first_of_step(run)->at_work--;
-    }
-}
-
-/* Returns true if the step of the run, whose task lasts, allows the run to be
- * stopped, and the rest of its gang with it. */
-static bool
-may_be_unavailable(const struct SrRun *run)
-{
-    const Sr__FlowStep *step = run->step;
-    if (step->max_unavailable == 0) {
-        return true;
-    }
-    if (step->gang) {
-        return step->count <= step->max_unavailable;
-    }
-    uint32_t others = first_of_step(run)->at_work - (is_at_work(run) ? 1 : 0);
-    return step->count - others <= step->max_unavailable;
-}
-
-bool
-SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run)
-{
-    const struct SrFlow *flow = run->task->flow;
-    if (run->stopping || flow->rank <= unit->flow->rank) {
-        return false;
-    }
-    return !run->step->continuous ||
-           (unit->flow->rank == SR_RANK_GUARANTEED && may_be_unavailable(run));
-}
-
-static void
-mark_victim(struct SrRun *run)
-{
-    SrPlan_CountAtWork(run, false);
-    run->is_victim = true;
-}
-
-static void
-clear_victims(const struct SrWorker *worker)
-{
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim) {
-            run->is_victim = false;
-            SrPlan_CountAtWork(run, true);
-        }
-    }
-}
-
 static bool
 ends_in_time(const struct SrRun *run, const struct SrPlanUnit *unit)
 {
@@ -145,9 +43,9 @@
 }
 
 /* Returns the worker's resources that count as available to the unit. */
-static struct SrResources
-available_on(const struct SrWorker *worker, const struct SrPlanUnit *unit,
-             enum SrAvailability kind)
+struct SrResources
+SrPlan_AvailableOn(const struct SrWorker *worker,
+                   const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
     struct SrResources available = worker->free_after_stops;
     bool has_victims = false;
@@ -184,12 +82,12 @@
         SrResources_Add(&available, &run->demand, 1);
         if (run->step->continuous) {
             /* Counts against what its step allows to be unavailable. */
-            mark_victim(run);
+            SrPlan_MarkVictim(run);
             has_victims = true;
         }
     }
     if (has_victims) {
-        clear_victims(worker);
+        SrPlan_ClearVictims(worker);
     }
     return available;
 }
@@ -252,7 +150,7 @@
     if (!is_eligible(worker, unit, kind)) {
         return 0;
     }
-    struct SrResources available = available_on(worker, unit, kind);
+    struct SrResources available = SrPlan_AvailableOn(worker, unit, kind);
     unsigned fit = SrPlan_TasksThatFit(&available, &unit->demand);
     if (unit->step->max_per_worker > 0) {
         unsigned outstanding = count_step_runs(worker, unit);
@@ -287,107 +185,6 @@
     return best;
 }
 
-int64_t
-SrPlan_StopCost(const struct SrPlanPass *pass, const struct SrRun *run)
-{
-    int64_t members = run->step->gang ? run->step->count : 1;
-    return 1 + members * SrFleet_LostWork(run,
-                                          pass->engine->options.checkpoint_ms,
-                                          pass->now_ms);
-}
-
-struct SrRun *
-SrPlan_CheapestVictim(const struct SrPlanPass *pass,
-                      const struct SrWorker *worker,
-                      const struct SrPlanUnit *unit)
-{
-    struct SrRun *best = NULL;
-    int64_t best_cost = 0;
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim || !SrPlan_MayPreempt(unit, run)) {
-            continue;
-        }
-        int64_t cost = SrPlan_StopCost(pass, run);
-        if (best == NULL || cost < best_cost) {
-            best = run;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
-/* Returns the cost of stopping the runs that must be preempted for the given
- * number of the unit's tasks to fit on the worker. */
-static int64_t
-preemption_cost(const struct SrPlanPass *pass, const struct SrWorker *worker,
-                const struct SrPlanUnit *unit, unsigned tasks)
-{
-    struct SrResources available = worker->free_after_stops;
-    int64_t cost = 0;
-    while (SrPlan_TasksThatFit(&available, &unit->demand) < tasks) {
-        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-        if (run == NULL) {
-            break;
-        }
-        mark_victim(run);
-        SrResources_Add(&available, &run->demand, 1);
-        cost += SrPlan_StopCost(pass, run);
-    }
-    clear_victims(worker);
-    return cost;
-}
-
-/* Returns the penalty for the worker's speed. A slow worker delays a whole
- * gang, so all work avoids it; urgent work also prefers fast workers. */
-static int64_t
-slowness_penalty(const struct SrWorker *worker, const struct SrPlanUnit *unit)
-{
-    if (worker->speed < SLOW_SPEED) {
-        return SLOW_PENALTY;
-    }
-    if (unit->flow->rank > SR_RANK_URGENT) {
-        return 0;
-    }
-    return (int64_t)(SPEED_PENALTY * (1 / worker->speed - 1));
-}
-
-int64_t
-SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes)
-{
-    int64_t penalty = (int64_t)worker->suspect_count * SR_PLAN_PENALTY_SUSPECT;
-    if (crashes > 0) {
-        penalty += (int64_t)worker->run_count * SR_PLAN_PENALTY_BYSTANDER;
-    }
-    return penalty;
-}
-
-/* Prefers healthy workers, and of these the ones with the fewest accelerators
- * available. */
-int64_t
-SrPlan_PenaltyOf(const struct SrPlanPass *pass, const struct SrWorker *worker,
-                 const struct SrPlanUnit *unit, enum SrAvailability kind)
-{
-    struct SrResources available = available_on(worker, unit, kind);
-    int64_t penalty =
-        (int64_t)worker->failure_score * SR_PLAN_PENALTY_FAILURE_SCORE;
-    if (kind == SR_AVAILABLE_BY_PREEMPTION) {
-        penalty += preemption_cost(pass, worker, unit, 1) * STOP_COST_PENALTY;
-    }
-    if (strcmp(unit->first->failed_on, worker->info.id) == 0) {
-        penalty += SR_PLAN_PENALTY_FAILED_HERE;
-    }
-    if (worker->info.cold_ms > 0) {
-        penalty += SR_PLAN_PENALTY_COLD;
-    }
-    penalty += slowness_penalty(worker, unit);
-    if (unit->step->gang) {
-        penalty += SrPlan_SuspectPenalty(worker, unit->crashes);
-    }
-    return penalty + available.accelerators;
-}
-
 /* Returns an upper bound of the number of the unit's tasks that fit in the
  * free resources. */
 static uint64_t
@@ -650,64 +447,6 @@
     return slowest;
 }
 
-/* Returns the cost of the preemptions that the latest assignment needs on
- * `count` workers of the pass, from index `first`. */
-static int64_t
-assignment_cost(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
-                unsigned first, unsigned count)
-{
-    int64_t cost = 0;
-    for (unsigned i = first; i < first + count; i++) {
-        const struct SrWorker *worker = pass->workers[i];
-        if (worker->assigned > 0) {
-            cost += preemption_cost(pass, worker, unit, worker->assigned);
-        }
-    }
-    return cost;
-}
-
-/* Returns true if enough runs may be preempted for the latest assignment on
- * all workers together: each worker by itself may have enough, and the steps
- * of lasting tasks allow fewer. */
-static bool
-is_preemption_possible(const struct SrPlanPass *pass,
-                       const struct SrPlanUnit *unit)
-{
-    bool possible = true;
-    for (unsigned i = 0; i < pass->worker_count && possible; i++) {
-        const struct SrWorker *worker = pass->workers[i];
-        struct SrResources available = worker->free_after_stops;
-        while (possible && SrPlan_TasksThatFit(&available, &unit->demand) <
-                               worker->assigned) {
-            struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-            possible = run != NULL;
-            if (run != NULL) {
-                mark_victim(run);
-                SrResources_Add(&available, &run->demand, 1);
-            }
-        }
-    }
-    for (unsigned i = 0; i < pass->worker_count; i++) {
-        clear_victims(pass->workers[i]);
-    }
-    return possible;
-}
-
-bool
-SrPlan_IsPreemptionWorthwhile(const struct SrPlanPass *pass,
-                              const struct SrPlanUnit *unit)
-{
-    const Sr__FlowStep *step = unit->step;
-    if (unit->flow->rank == SR_RANK_GUARANTEED) {
-        return is_preemption_possible(pass, unit);
-    }
-    int64_t cores = SR_CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
-                    step->cpu_millis / 1000;
-    int64_t unit_cost = cores * unit->count * step->estimated_ms / 1000;
-    return pass->now_ms < unit->start_by_ms &&
-           assignment_cost(pass, unit, 0, pass->worker_count) <= unit_cost;
-}
-
 static void
 clear_assigned(const struct SrPlanPass *pass, const struct SrPlanRack *rack)
 {
@@ -758,8 +497,8 @@
             continue;
         }
         assign(pass, unit, i);
-        int64_t cost = assignment_cost(pass, unit, pass->racks[i].first,
-                                       pass->racks[i].count);
+        int64_t cost = SrPlan_AssignmentCost(pass, unit, pass->racks[i].first,
+                                             pass->racks[i].count);
         clear_assigned(pass, &pass->racks[i]);
         if (best == SR_PLAN_NO_RACK || cost < best_cost) {
             best = i;
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -194,6 +194,10 @@
     size_t allocated;
 };
 
+/* Compares two units (struct SrPlanUnit) for qsort: the one that is placed
+ * first is the lower one. */
+int SrPlan_CompareUnits(const void *left, const void *right);
+
 /* Collects the units that can run now, in order of precedence. */
 void SrPlan_CollectUnits(struct SrPlanPass *pass);
 
@@ -260,6 +264,28 @@
  * the next crash shows which of them is the cause, and from many runs. */
 int64_t SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes);
 
+/* Returns the worker's resources that count as available to the unit. */
+struct SrResources SrPlan_AvailableOn(const struct SrWorker *worker,
+                                      const struct SrPlanUnit *unit,
+                                      enum SrAvailability kind);
+
+/* Marks the run as one that would be preempted, until SrPlan_ClearVictims is
+ * called for its worker. */
+void SrPlan_MarkVictim(struct SrRun *run);
+void SrPlan_ClearVictims(const struct SrWorker *worker);
+
+/* Returns the cost of stopping the runs that must be preempted for the given
+ * number of the unit's tasks to fit on the worker. */
+int64_t SrPlan_PreemptionCost(const struct SrPlanPass *pass,
+                              const struct SrWorker *worker,
+                              const struct SrPlanUnit *unit, unsigned tasks);
+
+/* Returns the cost of the preemptions that the latest assignment needs on
+ * `count` workers of the pass, from index `first`. */
+int64_t SrPlan_AssignmentCost(const struct SrPlanPass *pass,
+                              const struct SrPlanUnit *unit, unsigned first,
+                              unsigned count);
+
 /* Returns the penalty of choosing the worker; lower is better. */
 int64_t SrPlan_PenaltyOf(const struct SrPlanPass *pass,
                          const struct SrWorker *worker,
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -266,7 +266,6 @@
                              flow->record->occurrences == 0 && !flow->begun;
         first->ready_ms = since_arrival ? flow->arrived_ms : pass->now_ms;
     }
-    int64_t critical_path_ms = flow->critical_path_ms;
     struct SrPlanUnit unit = {
         .flow = flow,
         .step = step,
@@ -277,10 +276,8 @@
         .late_count = count_late(first, step->count),
         .crashes = highest_crashes(first, step->count),
         .ready_ms = first->ready_ms,
-        .start_by_ms =
-            flow->arrived_ms + flow->record->target_ms +
-            (int64_t)(flow->record->stretch * (double)critical_path_ms) -
-            critical_path_ms,
+        .start_by_ms = flow->arrived_ms + SrFlow_ObjectiveMs(flow) -
+                       flow->critical_path_ms,
     };
     /* Guaranteed work is never late: its start is bounded by the guarantee,
      * not by the job's objective. */
@@ -303,27 +300,6 @@
     }
 }
 
-static int
-compare_units(const void *left, const void *right)
-{
-    const struct SrPlanUnit *a = left;
-    const struct SrPlanUnit *b = right;
-    if (a->flow->rank != b->flow->rank) {
-        return a->flow->rank < b->flow->rank ? -1 : 1;
-    }
-    /* A job for which runs were preempted gets the resources they held. */
-    if (a->flow->has_preempted != b->flow->has_preempted) {
-        return a->flow->has_preempted ? -1 : 1;
-    }
-    if (a->late != b->late) {
-        return a->late ? 1 : -1;
-    }
-    if (a->start_by_ms != b->start_by_ms) {
-        return a->start_by_ms < b->start_by_ms ? -1 : 1;
-    }
-    return a->first < b->first ? -1 : a->first > b->first;
-}
-
 void
 SrPlan_CollectUnits(struct SrPlanPass *pass)
 {
@@ -340,7 +316,8 @@
     if (pass->unit_count == 0) {
         return;
     }
-    qsort(pass->units, pass->unit_count, sizeof(*pass->units), compare_units);
+    qsort(pass->units, pass->unit_count, sizeof(*pass->units),
+          SrPlan_CompareUnits);
 }
 
 void
