Leases of 6 s at most; urgent jobs keep a reserve while they wait

Change: the leader grants leases of 6 s at most; leases that a former leader may have granted, and those of starts that are executed late, still count with the longest one. Urgent jobs keep 0.3 of their run time in reserve before runs are preempted for them.

--- a/src/engine.c
+++ b/src/engine.c
@@ -788,7 +788,7 @@
         bool expired = SrFleet_IsLeaseExpired(&engine->fleet, worker, now_ms);
         /* An unknown run has begun a lease of its own. */
         if (expired && now_ms - worker->unknown_runs_ms >
-                           SrFleet_LeaseExpiryMs(engine->fleet.lease_ms)) {
+                           SrFleet_LeaseExpiryMs(engine->fleet.lease_max_ms)) {
             SrEngine_ClearUnknownRuns(engine, worker);
         }
         SrEngine_ExpireSuspects(worker, now_ms);
--- a/src/engine_unacked.c
+++ b/src/engine_unacked.c
@@ -84,7 +84,7 @@
         if (start->until_ms < now_ms &&
             (!start->holds_task ||
              now_ms - granted_ms >
-                 SrFleet_LeaseExpiryMs(engine->fleet.lease_ms))) {
+                 SrFleet_LeaseExpiryMs(engine->fleet.lease_max_ms))) {
             SrEngine_RemoveUnackedStart(engine, start);
         }
     }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -6,6 +6,10 @@
 /* A worker whose latest response is older than this gets no new work. The time
  * covers a status poll: a slow exchange and 1 s of waiting at the worker. */
 #define RESPONSE_FRESH_MS 2200
+/* Longest lease that is granted, ms: what a lost worker ran is started anew
+ * only once its lease has expired. A new leader polls all workers well within
+ * this time after the death of its predecessor. */
+#define LEASE_GRANT_MS 6000
 /* By the platform's contract, a worker's clock runs slow by at most this. */
 #define CLOCK_DRIFT_PERCENT 2
 #define LEASE_MARGIN_MS 400
@@ -42,12 +46,14 @@
 }
 
 void
-SrFleet_Init(struct SrFleet *fleet, int64_t lease_ms)
+SrFleet_Init(struct SrFleet *fleet, int64_t lease_max_ms)
 {
     SrMap_Init(&fleet->by_id);
     SrList_Init(&fleet->workers);
     SrList_Init(&fleet->unsettled_runs);
-    fleet->lease_ms = lease_ms;
+    fleet->lease_max_ms = lease_max_ms;
+    fleet->lease_ms =
+        lease_max_ms < LEASE_GRANT_MS ? lease_max_ms : LEASE_GRANT_MS;
 }
 
 static void
@@ -331,10 +337,11 @@
 SrFleet_IsLeaseExpired(const struct SrFleet *fleet,
                        const struct SrWorker *worker, int64_t now_ms)
 {
-    int64_t granted_ms = worker->granted_ms > worker->late_start_until_ms
-                             ? worker->granted_ms
-                             : worker->late_start_until_ms;
-    return now_ms - granted_ms > SrFleet_LeaseExpiryMs(fleet->lease_ms);
+    int64_t lease_ms =
+        worker->grant_inherited ? fleet->lease_max_ms : fleet->lease_ms;
+    return now_ms - worker->granted_ms > SrFleet_LeaseExpiryMs(lease_ms) &&
+           now_ms - worker->late_start_until_ms >
+               SrFleet_LeaseExpiryMs(fleet->lease_max_ms);
 }
 
 bool
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -335,7 +335,10 @@
     /* Racks and services of all workers known so far. */
     struct SrNames racks;
     struct SrNames services;
-    /* Longest lease that workers accept, ms. */
+    /* Longest lease that workers accept, ms. A start that is executed by an
+     * incarnation that the leader does not know begins one of this length. */
+    int64_t lease_max_ms;
+    /* Lease that this leader grants, ms. */
     int64_t lease_ms;
 };
 
@@ -345,7 +348,8 @@
  * covers a tenth of a second of transit. */
 int64_t SrFleet_LeaseExpiryMs(int64_t lease_ms);
 
-void SrFleet_Init(struct SrFleet *fleet, int64_t lease_ms);
+/* `lease_max_ms` is the longest lease that workers accept. */
+void SrFleet_Init(struct SrFleet *fleet, int64_t lease_max_ms);
 
 /* Frees all workers and their runs. */
 void SrFleet_Clear(struct SrFleet *fleet);
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -9,6 +9,11 @@
  * free within this time. */
 #define RESERVE_AHEAD_MS 3000
 
+/* Part of the estimated run time that an urgent job keeps in reserve while it
+ * waits for runs to end by themselves: its slowest member takes longer than
+ * estimated. */
+#define RUN_RESERVE 0.3
+
 void
 SrPlan_CountRun(struct SrWorker *worker, const struct SrFlowTask *task)
 {
@@ -137,7 +142,8 @@
     if (flow->rank > SR_RANK_URGENT) {
         return pass->now_ms + RESERVE_AHEAD_MS;
     }
-    int64_t until_ms = unit->start_by_ms - SrPlan_PreemptionMs(pass);
+    int64_t until_ms = unit->start_by_ms - SrPlan_PreemptionMs(pass) -
+                       (int64_t)(RUN_RESERVE * (double)flow->critical_path_ms);
     if (flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
         flow->arrived_ms + reclaim_ms - SrPlan_PreemptionMs(pass) -
                 SR_PLAN_MARGIN_MS <
