The last attempt of a job avoids workers that failed

Cause: while a tenth of the workers failed all that they started, gangs of 13 met one in most attempts and were given up after two; a worker was avoided after three failures, and the rack of a gang was chosen by speed alone.

Change: a worker is avoided after two failures in a row; a rack is preferred if the workers that the gang would get there have failed less; a job that one more failure would end is not placed on workers that have failed lately, except where it would stand idle beside ample room.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -36,7 +36,7 @@
 /* Amount by which each failure raises the worker's failure score. */
 #define FAILURE_SCORE_STEP 2
 /* Score at which the worker gets no new work for AVOID_MS. */
-#define FAILURE_SCORE_MAX 6
+#define FAILURE_SCORE_MAX 4
 #define AVOID_MS 4000
 
 int64_t
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -134,13 +134,25 @@
            !is_kept_apart(worker, unit);
 }
 
+/* Returns true if the worker has failed lately and the unit must not fail once
+ * more. */
+static bool
+is_risky(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+         enum SrAvailability kind)
+{
+    return unit->last_attempt && worker->failure_score > 0 &&
+           kind != SR_AVAILABLE_AT_NEED && kind != SR_AVAILABLE_UNHELD &&
+           kind != SR_AVAILABLE_TOTAL;
+}
+
 static bool
 is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
             enum SrAvailability kind)
 {
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
-    return usable && SrPlan_MayExecute(worker, unit);
+    return usable && SrPlan_MayExecute(worker, unit) &&
+           !is_risky(worker, unit, kind);
 }
 
 unsigned
@@ -253,7 +265,8 @@
     struct SrPlanMiss miss = miss_of(unit, count, kind, in_rack);
     /* Units without these limits may fit. */
     if (unit->step->label[0] != '\0' || unit->step->max_per_worker > 0 ||
-        unit->crashes >= SR_FLOW_KNOWN_CRASHES || unit->late_count > 0) {
+        unit->crashes >= SR_FLOW_KNOWN_CRASHES || unit->late_count > 0 ||
+        unit->last_attempt) {
         return;
     }
     for (unsigned i = 0; i < misses->count; i++) {
@@ -431,6 +444,22 @@
     return true;
 }
 
+/* Returns the highest failure score of a worker of the assignment in the rack.
+ */
+static unsigned
+highest_assigned_failures(const struct SrPlanPass *pass,
+                          const struct SrPlanRack *rack)
+{
+    unsigned highest = 0;
+    for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
+        const struct SrWorker *worker = pass->workers[i];
+        if (worker->assigned > 0 && worker->failure_score > highest) {
+            highest = worker->failure_score;
+        }
+    }
+    return highest;
+}
+
 /* Returns the speed of the slowest worker of the assignment in the rack. */
 static double
 slowest_assigned_speed(const struct SrPlanPass *pass,
@@ -456,13 +485,14 @@
 }
 
 /* Returns the index of a rack in which the unit fits: that of the unit's data
- * or else the one in which the unit runs fastest, and of about equally fast
- * ones that in which the fewest of its tasks fit. Returns SR_PLAN_NO_RACK if
- * there is none. */
+ * or else, of the racks where the workers have failed least, the one in which
+ * the unit runs fastest, and of about equally fast ones that in which the
+ * fewest of its tasks fit. Returns SR_PLAN_NO_RACK if there is none. */
 static unsigned
 fastest_rack(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
     unsigned best = SR_PLAN_NO_RACK;
+    unsigned best_failures = 0;
     double best_speed = 0;
     for (unsigned i = 0; i < pass->rack_count; i++) {
         if (pass->racks[i].fit < unit->count) {
@@ -473,12 +503,18 @@
             return i;
         }
         assign(pass, unit, i);
+        unsigned failures = highest_assigned_failures(pass, &pass->racks[i]);
         double speed = slowest_assigned_speed(pass, &pass->racks[i]);
         clear_assigned(pass, &pass->racks[i]);
-        if (best == SR_PLAN_NO_RACK || speed > best_speed + SPEED_TOLERANCE ||
-            (speed > best_speed - SPEED_TOLERANCE &&
-             pass->racks[i].fit < pass->racks[best].fit)) {
+        bool better = best == SR_PLAN_NO_RACK || failures < best_failures;
+        if (!better && failures == best_failures) {
+            better = speed > best_speed + SPEED_TOLERANCE ||
+                     (speed > best_speed - SPEED_TOLERANCE &&
+                      pass->racks[i].fit < pass->racks[best].fit);
+        }
+        if (better) {
             best = i;
+            best_failures = failures;
             best_speed = speed;
         }
     }
--- a/src/plan_score.c
+++ b/src/plan_score.c
@@ -12,7 +12,7 @@
  * times (1 / speed - 1), the relative increase of the run time. A worker that
  * took twice the time would have the same penalty as one with this many more
  * accelerators available. */
-#define SPEED_PENALTY 64
+#define SPEED_PENALTY 100
 
 /* Returns the penalty for the worker's speed. A slow worker delays a whole
  * gang, so all work avoids it; urgent work also prefers fast workers. */
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -134,6 +134,8 @@
     uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
+    /* One more failure of a task of the unit fails the job. */
+    bool last_attempt;
     /* When the leader first found the step ready to run. */
     int64_t ready_ms;
     /* Latest start of the job's first step that meets the job's objective for
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -236,6 +236,20 @@
     return crashes;
 }
 
+/* Returns true if one more failure of a task that is not done fails the job.
+ */
+static bool
+is_last_attempt(const struct SrFlowTask *first, uint32_t count)
+{
+    uint32_t limit = first->flow->record->max_attempts;
+    for (uint32_t i = 0; i < count && limit > 1; i++) {
+        if (!first[i].done && first[i].failures + 1 >= limit) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns the number of the service that runs the job. */
 static unsigned
 service_of(const struct SrPlanPass *pass, const struct SrFlow *flow)
@@ -281,6 +295,8 @@
         .count = waiting,
         .late_count = count_late(first, step->count),
         .crashes = highest_crashes(first, step->count),
+        .last_attempt =
+            !step->continuous && is_last_attempt(first, step->count),
         .ready_ms = first->ready_ms,
         .start_by_ms = flow->arrived_ms + SrFlow_ObjectiveMs(flow) -
                        flow->critical_path_ms,
