Forecast of urgent jobs; long work leaves headroom for them

Change: the leader learns how often jobs of each queue and account arrive and what they need. Work of lower priority that cannot save checkpoints and would still run when these come leaves as many empty workers as urgent jobs of the next 1.5 s are expected to need, as long as it can wait without being late and does not stand idle beside ample room.

--- a/src/engine.c
+++ b/src/engine.c
@@ -35,6 +35,9 @@
  * STALL_DOUBLINGS_MAX times. */
 #define STALLS_BEFORE_DOUBLING 1
 #define STALL_DOUBLINGS_MAX 12
+/* A new leader learns the rate of arrivals from the jobs that are younger than
+ * this. */
+#define ARRIVAL_AGE_MAX_MS 8000
 /* A gang member that reports at least this progress is not considered stalled:
  * it may have done its work and be waiting for the other members. Workers
  * round percentages up. */
@@ -75,6 +78,7 @@
     engine->term = term;
     engine->created_ms = now_ms;
     engine->confirmed_ms = now_ms;
+    engine->forecast = SrForecast_Create();
     SrFleet_Init(&engine->fleet, options->lease_ms);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
@@ -107,6 +111,7 @@
         free(SR_CONTAINER(entry, struct SrEarlyCancellation, entry));
     }
     SrMap_Clear(&engine->early_cancellations);
+    SrForecast_Destroy(engine->forecast);
     free(engine);
 }
 
@@ -398,6 +403,14 @@
     return true;
 }
 
+static void
+observe_arrival(struct SrEngine *engine, const struct SrFlow *flow)
+{
+    SrForecast_OnArrival(engine->forecast, flow->record->queue,
+                         flow->record->account, flow->record->priority,
+                         flow->widest_step_accelerators, flow->arrived_ms);
+}
+
 bool
 SrEngine_AddFlow(struct SrEngine *engine, const char *id,
                  Sr__FlowRecord *record, const Sr__FlowProgress *progress,
@@ -422,6 +435,9 @@
         SrEngine_RemoveFlow(engine, flow);
         return false;
     }
+    if (progress == NULL && engine->first_tick_ms != 0) {
+        observe_arrival(engine, flow);
+    }
     apply_early_cancellation(engine, flow, now_ms);
     return true;
 }
@@ -435,6 +451,9 @@
         return;
     }
     flow->arrived_ms = now_ms - age_ms;
+    if (age_ms < ARRIVAL_AGE_MAX_MS) {
+        observe_arrival(engine, flow);
+    }
     struct SrList *before = flow->link.prev;
     while (before != &engine->flows &&
            SR_CONTAINER(before, struct SrFlow, link)->arrived_ms >
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -4,6 +4,7 @@
 
 #include "engine.h"
 #include "fleet.h"
+#include "forecast.h"
 
 #define SR_DOMAINS_OUT_MAX 64
 /* Time for which an unacknowledged start may be executed after its timeout. By
@@ -27,6 +28,7 @@
      * logged. */
     bool grants_paused;
     const struct SrCatalog *catalog;
+    struct SrForecast *forecast;
     struct SrFleet fleet;
     /* Number of workers whose latest poll failed, as of the latest call of
      * SrEngine_SendCommands. */
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -286,6 +286,8 @@
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
+    /* The worker is usable, and nothing is allocated or reserved on it. */
+    bool empty;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -340,6 +340,7 @@
         struct SrWorker *worker = SrFleet_WorkerAt(link);
         bool in_rack = rack[0] == '\0' || strcmp(worker->info.rack, rack) == 0;
         if ((rack_required && !in_rack) ||
+            SrPlan_IsHeadroom(pass, worker, unit, kind) ||
             SrPlan_TasksThatFitOn(worker, unit, kind) == 0) {
             continue;
         }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -145,6 +145,16 @@
            kind != SR_AVAILABLE_TOTAL;
 }
 
+bool
+SrPlan_IsHeadroom(const struct SrPlanPass *pass, const struct SrWorker *worker,
+                  const struct SrPlanUnit *unit, enum SrAvailability kind)
+{
+    uint32_t taken = unit->step->gang ? unit->count : 1;
+    return unit->leaves_headroom && worker->empty && pass->headroom > 0 &&
+           pass->empty_workers < pass->headroom + taken &&
+           (kind == SR_AVAILABLE_NOW || kind == SR_AVAILABLE_IN_TIME);
+}
+
 static bool
 is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
             enum SrAvailability kind)
@@ -219,8 +229,9 @@
 implies(const struct SrPlanMiss *miss, const struct SrPlanMiss *other)
 {
     return miss->service == other->service &&
-           miss->in_rack <= other->in_rack && miss->count <= other->count &&
-           miss->rank <= other->rank &&
+           miss->in_rack <= other->in_rack &&
+           miss->leaves_headroom <= other->leaves_headroom &&
+           miss->count <= other->count && miss->rank <= other->rank &&
            miss->wait_until_ms >= other->wait_until_ms &&
            SrResources_AreWithin(&miss->demand, &other->demand);
 }
@@ -231,6 +242,7 @@
 {
     return (struct SrPlanMiss){
         .in_rack = in_rack,
+        .leaves_headroom = unit->leaves_headroom,
         .count = count,
         .service = unit->service,
         .demand = unit->demand,
@@ -303,6 +315,10 @@
     for (unsigned i = rack->first; i < rack->first + rack->count; i++) {
         struct SrWorker *worker = pass->workers[i];
         worker->assigned = 0;
+        worker->fit = 0;
+        if (SrPlan_IsHeadroom(pass, worker, unit, kind)) {
+            continue;
+        }
         /* A task that may run on this worker only does not avoid it. */
         worker->fit = SrPlan_TasksThatFitOn(worker, unit,
                                             worker->pinned > 0 &&
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -100,6 +100,7 @@
  * rack if `in_rack` is true, and the properties on which these depend. */
 struct SrPlanMiss {
     bool in_rack;
+    bool leaves_headroom;
     uint32_t count;
     unsigned service;
     struct SrResources demand;
@@ -134,6 +135,8 @@
     uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
+    /* The unit leaves the headroom of the pass to urgent jobs. */
+    bool leaves_headroom;
     /* One more failure of a task of the unit fails the job. */
     bool last_attempt;
     /* When the leader first found the step ready to run. */
@@ -185,6 +188,10 @@
      */
     unsigned reserved_urgent_gangs;
     unsigned reserved_gangs;
+    /* Number of usable workers on which nothing is allocated or reserved, and
+     * how many of them are left to urgent jobs that are expected. */
+    unsigned empty_workers;
+    unsigned headroom;
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
     unsigned waiting_gangs;
@@ -261,6 +268,13 @@
                                const struct SrPlanUnit *unit,
                                enum SrAvailability kind);
 
+/* Returns true if the worker is part of the headroom that the unit leaves to
+ * urgent jobs. */
+bool SrPlan_IsHeadroom(const struct SrPlanPass *pass,
+                       const struct SrWorker *worker,
+                       const struct SrPlanUnit *unit,
+                       enum SrAvailability kind);
+
 /* Returns the penalty of choosing the worker for a task under which `crashes`
  * workers have crashed: such a task is kept apart from others like it, so that
  * the next crash shows which of them is the cause, and from many runs. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -14,6 +14,10 @@
  * estimated. */
 #define RUN_RESERVE 0.3
 
+/* Urgent jobs that are expected within this time find empty workers: the time
+ * in which the preemption of runs would delay them. */
+#define HEADROOM_AHEAD_MS 1500
+
 void
 SrPlan_CountRun(struct SrWorker *worker, const struct SrFlowTask *task)
 {
@@ -40,6 +44,7 @@
     worker->earliest_end_ms = INT64_MAX;
     worker->highest_rank = 0;
     worker->run_count = 0;
+    worker->empty = false;
     worker->suspect_count = 0;
     worker->known_flow = NULL;
     SR_LIST_EACH(link, &worker->runs)
@@ -84,6 +89,10 @@
             const struct SrResources *demand, unsigned tasks)
 {
     int64_t before = worker->free.accelerators;
+    if (tasks > 0 && worker->empty) {
+        worker->empty = false;
+        pass->empty_workers--;
+    }
     SrResources_Add(&worker->free, demand, -(int64_t)tasks);
     SrResources_Add(&worker->free_after_stops, demand, -(int64_t)tasks);
     if (!worker->usable || before == worker->free.accelerators) {
@@ -261,6 +270,20 @@
     return SrNames_Find(&pass->engine->fleet.services, service);
 }
 
+/* Returns true if the unit may wait for room beside the headroom for urgent
+ * jobs: it would still hold that room when they come, loses work when it is
+ * preempted for them, and can wait without being late. */
+static bool
+leaves_headroom(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    return unit->flow->rank > SR_RANK_URGENT && !unit->step->continuous &&
+           !unit->step->checkpoints &&
+           unit->step->estimated_ms > HEADROOM_AHEAD_MS &&
+           pass->now_ms < unit->start_by_ms - SrPlan_PreemptionMs(pass) -
+                              (int64_t)(RUN_RESERVE *
+                                        (double)unit->flow->critical_path_ms);
+}
+
 static void
 add_step(struct SrPlanPass *pass, struct SrFlow *flow, uint32_t occurrence,
          uint32_t index)
@@ -306,6 +329,7 @@
     unit.late =
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
+    unit.leaves_headroom = leaves_headroom(pass, &unit);
     add_unit(pass, &unit);
 }
 
@@ -342,6 +366,26 @@
           SrPlan_CompareUnits);
 }
 
+/* Sets how many empty workers are left to urgent jobs. */
+static void
+set_headroom(struct SrPlanPass *pass)
+{
+    struct SrForecastNeed need = SrForecast_Need(
+        pass->engine->forecast, 0, HEADROOM_AHEAD_MS, pass->now_ms);
+    int64_t each = 0;
+    unsigned usable = 0;
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        if (pass->workers[i]->usable) {
+            each += SrFleet_Capacity(pass->workers[i]).accelerators;
+            usable++;
+        }
+    }
+    if (each > 0) {
+        pass->headroom = (unsigned)(need.confidence * need.accelerators *
+                                    usable / (double)each);
+    }
+}
+
 void
 SrPlan_GroupWorkersByRack(struct SrPlanPass *pass)
 {
@@ -365,6 +409,8 @@
             count_free(&pass->free, worker->free.accelerators, 1);
             count_free(&pass->racks[worker->rack].free,
                        worker->free.accelerators, 1);
+            worker->empty = worker->run_count == 0;
+            pass->empty_workers += worker->empty ? 1 : 0;
         }
         count++;
     }
@@ -380,4 +426,5 @@
         struct SrPlanRack *rack = &pass->racks[worker->rack];
         pass->workers[rack->first + rack->count++] = worker;
     }
+    set_headroom(pass);
 }
