--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -16,7 +16,7 @@
 
 /* Urgent jobs that are expected within this time find empty workers: the time
  * in which the preemption of runs would delay them. */
-#define HEADROOM_AHEAD_MS 1500
+#define HEADROOM_AHEAD_MS 3000
 
 void
 SrPlan_CountRun(struct SrWorker *worker, const struct SrFlowTask *task)
