--- a/src/fleet.h
+++ b/src/fleet.h
@@ -286,6 +286,8 @@
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
+    /* The worker is usable, and nothing is allocated or reserved on it. */
+    bool empty;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
@@ -335,7 +337,10 @@
     /* Racks and services of all workers known so far. */
     struct SrNames racks;
     struct SrNames services;
-    /* Longest lease that workers accept, ms. */
+    /* Longest lease that workers accept, ms. A start that is executed by an
+     * incarnation that the leader does not know begins one of this length. */
+    int64_t lease_max_ms;
+    /* Lease that this leader grants, ms. */
     int64_t lease_ms;
 };
 
@@ -345,7 +350,8 @@
  * covers a tenth of a second of transit. */
 int64_t SrFleet_LeaseExpiryMs(int64_t lease_ms);
 
-void SrFleet_Init(struct SrFleet *fleet, int64_t lease_ms);
+/* `lease_max_ms` is the longest lease that workers accept. */
+void SrFleet_Init(struct SrFleet *fleet, int64_t lease_max_ms);
 
 /* Frees all workers and their runs. */
 void SrFleet_Clear(struct SrFleet *fleet);
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -100,6 +100,7 @@
  * rack if `in_rack` is true, and the properties on which these depend. */
 struct SrPlanMiss {
     bool in_rack;
+    bool leaves_headroom;
     uint32_t count;
     unsigned service;
     struct SrResources demand;
@@ -134,6 +135,10 @@
     uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
+    /* The unit leaves the headroom of the pass to urgent jobs. */
+    bool leaves_headroom;
+    /* One more failure of a task of the unit fails the job. */
+    bool last_attempt;
     /* When the leader first found the step ready to run. */
     int64_t ready_ms;
     /* Latest start of the job's first step that meets the job's objective for
@@ -183,6 +188,10 @@
      */
     unsigned reserved_urgent_gangs;
     unsigned reserved_gangs;
+    /* Number of usable workers on which nothing is allocated or reserved, and
+     * how many of them are left to urgent jobs that are expected. */
+    unsigned empty_workers;
+    unsigned headroom;
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
     unsigned waiting_gangs;
@@ -194,6 +203,10 @@
     size_t allocated;
 };
 
+/* Compares two units (struct SrPlanUnit) for qsort: the one that is placed
+ * first is the lower one. */
+int SrPlan_CompareUnits(const void *left, const void *right);
+
 /* Collects the units that can run now, in order of precedence. */
 void SrPlan_CollectUnits(struct SrPlanPass *pass);
 
@@ -255,11 +268,40 @@
                                const struct SrPlanUnit *unit,
                                enum SrAvailability kind);
 
+/* Returns true if the worker is part of the headroom that the unit leaves to
+ * urgent jobs. */
+bool SrPlan_IsHeadroom(const struct SrPlanPass *pass,
+                       const struct SrWorker *worker,
+                       const struct SrPlanUnit *unit,
+                       enum SrAvailability kind);
+
 /* Returns the penalty of choosing the worker for a task under which `crashes`
  * workers have crashed: such a task is kept apart from others like it, so that
  * the next crash shows which of them is the cause, and from many runs. */
 int64_t SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes);
 
+/* Returns the worker's resources that count as available to the unit. */
+struct SrResources SrPlan_AvailableOn(const struct SrWorker *worker,
+                                      const struct SrPlanUnit *unit,
+                                      enum SrAvailability kind);
+
+/* Marks the run as one that would be preempted, until SrPlan_ClearVictims is
+ * called for its worker. */
+void SrPlan_MarkVictim(struct SrRun *run);
+void SrPlan_ClearVictims(const struct SrWorker *worker);
+
+/* Returns the cost of stopping the runs that must be preempted for the given
+ * number of the unit's tasks to fit on the worker. */
+int64_t SrPlan_PreemptionCost(const struct SrPlanPass *pass,
+                              const struct SrWorker *worker,
+                              const struct SrPlanUnit *unit, unsigned tasks);
+
+/* Returns the cost of the preemptions that the latest assignment needs on
+ * `count` workers of the pass, from index `first`. */
+int64_t SrPlan_AssignmentCost(const struct SrPlanPass *pass,
+                              const struct SrPlanUnit *unit, unsigned first,
+                              unsigned count);
+
 /* Returns the penalty of choosing the worker; lower is better. */
 int64_t SrPlan_PenaltyOf(const struct SrPlanPass *pass,
                          const struct SrWorker *worker,
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -9,6 +9,15 @@
  * free within this time. */
 #define RESERVE_AHEAD_MS 3000
 
+/* Part of the estimated run time that an urgent job keeps in reserve while it
+ * waits for runs to end by themselves: its slowest member takes longer than
+ * estimated. */
+#define RUN_RESERVE 0.3
+
+/* Urgent jobs that are expected within this time find empty workers: the time
+ * in which the preemption of runs would delay them. */
+#define HEADROOM_AHEAD_MS 3000
+
 void
 SrPlan_CountRun(struct SrWorker *worker, const struct SrFlowTask *task)
 {
@@ -35,6 +44,7 @@
     worker->earliest_end_ms = INT64_MAX;
     worker->highest_rank = 0;
     worker->run_count = 0;
+    worker->empty = false;
     worker->suspect_count = 0;
     worker->known_flow = NULL;
     SR_LIST_EACH(link, &worker->runs)
@@ -79,6 +89,10 @@
             const struct SrResources *demand, unsigned tasks)
 {
     int64_t before = worker->free.accelerators;
+    if (tasks > 0 && worker->empty) {
+        worker->empty = false;
+        pass->empty_workers--;
+    }
     SrResources_Add(&worker->free, demand, -(int64_t)tasks);
     SrResources_Add(&worker->free_after_stops, demand, -(int64_t)tasks);
     if (!worker->usable || before == worker->free.accelerators) {
@@ -137,7 +151,8 @@
     if (flow->rank > SR_RANK_URGENT) {
         return pass->now_ms + RESERVE_AHEAD_MS;
     }
-    int64_t until_ms = unit->start_by_ms - SrPlan_PreemptionMs(pass);
+    int64_t until_ms = unit->start_by_ms - SrPlan_PreemptionMs(pass) -
+                       (int64_t)(RUN_RESERVE * (double)flow->critical_path_ms);
     if (flow->rank == SR_RANK_GUARANTEED && reclaim_ms > 0 &&
         flow->arrived_ms + reclaim_ms - SrPlan_PreemptionMs(pass) -
                 SR_PLAN_MARGIN_MS <
@@ -230,6 +245,20 @@
     return crashes;
 }
 
+/* Returns true if one more failure of a task that is not done fails the job.
+ */
+static bool
+is_last_attempt(const struct SrFlowTask *first, uint32_t count)
+{
+    uint32_t limit = first->flow->record->max_attempts;
+    for (uint32_t i = 0; i < count && limit > 1; i++) {
+        if (!first[i].done && first[i].failures + 1 >= limit) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns the number of the service that runs the job. */
 static unsigned
 service_of(const struct SrPlanPass *pass, const struct SrFlow *flow)
@@ -241,6 +270,20 @@
     return SrNames_Find(&pass->engine->fleet.services, service);
 }
 
+/* Returns true if the unit may wait for room beside the headroom for urgent
+ * jobs: it would still hold that room when they come, loses work when it is
+ * preempted for them, and can wait without being late. */
+static bool
+leaves_headroom(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    return unit->flow->rank > SR_RANK_URGENT && !unit->step->continuous &&
+           !unit->step->checkpoints &&
+           unit->step->estimated_ms > HEADROOM_AHEAD_MS &&
+           pass->now_ms < unit->start_by_ms - SrPlan_PreemptionMs(pass) -
+                              (int64_t)(RUN_RESERVE *
+                                        (double)unit->flow->critical_path_ms);
+}
+
 static void
 add_step(struct SrPlanPass *pass, struct SrFlow *flow, uint32_t occurrence,
          uint32_t index)
@@ -266,7 +309,6 @@
                              flow->record->occurrences == 0 && !flow->begun;
         first->ready_ms = since_arrival ? flow->arrived_ms : pass->now_ms;
     }
-    int64_t critical_path_ms = flow->critical_path_ms;
     struct SrPlanUnit unit = {
         .flow = flow,
         .step = step,
@@ -276,17 +318,18 @@
         .count = waiting,
         .late_count = count_late(first, step->count),
         .crashes = highest_crashes(first, step->count),
+        .last_attempt =
+            !step->continuous && is_last_attempt(first, step->count),
         .ready_ms = first->ready_ms,
-        .start_by_ms =
-            flow->arrived_ms + flow->record->target_ms +
-            (int64_t)(flow->record->stretch * (double)critical_path_ms) -
-            critical_path_ms,
+        .start_by_ms = flow->arrived_ms + SrFlow_ObjectiveMs(flow) -
+                       flow->critical_path_ms,
     };
     /* Guaranteed work is never late: its start is bounded by the guarantee,
      * not by the job's objective. */
     unit.late =
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
+    unit.leaves_headroom = leaves_headroom(pass, &unit);
     add_unit(pass, &unit);
 }
 
@@ -303,27 +346,6 @@
     }
 }
 
-static int
-compare_units(const void *left, const void *right)
-{
-    const struct SrPlanUnit *a = left;
-    const struct SrPlanUnit *b = right;
-    if (a->flow->rank != b->flow->rank) {
-        return a->flow->rank < b->flow->rank ? -1 : 1;
-    }
-    /* A job for which runs were preempted gets the resources they held. */
-    if (a->flow->has_preempted != b->flow->has_preempted) {
-        return a->flow->has_preempted ? -1 : 1;
-    }
-    if (a->late != b->late) {
-        return a->late ? 1 : -1;
-    }
-    if (a->start_by_ms != b->start_by_ms) {
-        return a->start_by_ms < b->start_by_ms ? -1 : 1;
-    }
-    return a->first < b->first ? -1 : a->first > b->first;
-}
-
 void
 SrPlan_CollectUnits(struct SrPlanPass *pass)
 {
@@ -340,7 +362,28 @@
     if (pass->unit_count == 0) {
         return;
     }
-    qsort(pass->units, pass->unit_count, sizeof(*pass->units), compare_units);
+    qsort(pass->units, pass->unit_count, sizeof(*pass->units),
+          SrPlan_CompareUnits);
+}
+
+/* Sets how many empty workers are left to urgent jobs. */
+static void
+set_headroom(struct SrPlanPass *pass)
+{
+    struct SrForecastNeed need = SrForecast_Need(
+        pass->engine->forecast, 0, HEADROOM_AHEAD_MS, pass->now_ms);
+    int64_t each = 0;
+    unsigned usable = 0;
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        if (pass->workers[i]->usable) {
+            each += SrFleet_Capacity(pass->workers[i]).accelerators;
+            usable++;
+        }
+    }
+    if (each > 0) {
+        pass->headroom = (unsigned)(need.confidence * need.accelerators *
+                                    usable / (double)each);
+    }
 }
 
 void
@@ -366,6 +409,8 @@
             count_free(&pass->free, worker->free.accelerators, 1);
             count_free(&pass->racks[worker->rack].free,
                        worker->free.accelerators, 1);
+            worker->empty = worker->run_count == 0;
+            pass->empty_workers += worker->empty ? 1 : 0;
         }
         count++;
     }
@@ -381,4 +426,5 @@
         struct SrPlanRack *rack = &pass->racks[worker->rack];
         pass->workers[rack->first + rack->count++] = worker;
     }
+    set_headroom(pass);
 }
