Intake: submissions and cancellations wait for the store's return

Cause: during an outage of the store for all nodes each attempt of a caller was refused, also those that came so late that the store was back before their deadline: "the store refuses calls", "the store is away", and for 0.2 s after the return "the configuration is old".

Change: a submission or cancellation with up to 1.3 s left waits until the store responds to any call of the node, is then authorised with a fresh configuration and written, urgent queues first. The queue is bounded by number, bytes and a share for each account (write_queue.c). Requests with more time left are refused sooner than before, after 0.5 s of silence with a refused call, and come back after 1 s (retry_after.c). Other callers are told the rest of the outage that earlier ones let expect. A request with a write without a response does not wait, and ends as unknown.

--- a/src/intake.c
+++ b/src/intake.c
@@ -9,6 +9,8 @@
 #include "log.h"
 #include "os.h"
 #include "progress_rows.h"
+#include "retry_after.h"
+#include "write_queue.h"
 
 /* A job's id: 16 hexadecimal digits. */
 #define JOB_ID_DIGITS 16
@@ -23,7 +25,7 @@
 /* Time reserved for the response to reach the caller before its deadline. */
 #define RESPONSE_MARGIN_MS 200
 /* If the store still refuses calls when a request is this old, the request is
- * refused, and the response says when to repeat it. Calls are retried for
+ * refused or waits for the store (see write_queue.h). Calls are retried for
  * longer after a write without a response, which may have taken effect. */
 #define REFUSED_RETRY_MS 500
 /* Delay before a failed call to the store is retried. */
@@ -32,16 +34,16 @@
  * and keys may have been removed meanwhile: the shortest time within which a
  * change must take effect is 3 s. */
 #define CATALOG_AGE_MAX_MS 2600
-/* A refused caller is asked to repeat the request after 1 s, plus 1 s for each
- * RETRY_AFTER_STEP_MS since the store's last response, up to
- * RETRY_AFTER_MAX_S: the few retries of a caller must outlast an outage of the
- * store. */
-#define RETRY_AFTER_S 1
-#define RETRY_AFTER_MAX_S 4
-#define RETRY_AFTER_STEP_MS 1500
 /* The store counts as unavailable after this time without a response, which is
  * longer than any watch call waits for a change. */
 #define STORE_UNAVAILABLE_MS 1300
+/* The same if the store has refused a call of a request since its last
+ * response: each node reads the leader's row every 0.3 s. */
+#define STORE_REFUSING_MS 500
+/* Maximum number of waiting requests that are sent after one response of the
+ * store. Their own responses let the next ones go, so that many requests do
+ * not meet a store that has just come back at one time. */
+#define RELEASE_MAX 32
 
 /* A call to the store on behalf of a request. */
 enum StoreCall {
@@ -65,11 +67,25 @@
     /* Runs until a failed call is retried. */
     struct SrTimer retry_timer;
     char id[SR_ID_SIZE];
+    /* What the caller sent, for the authorisation after a wait; NULL unless
+     * the request may wait for the store. `key` is also NULL if the caller
+     * sent none. */
+    char *host;
+    char *path;
+    char *key;
+    /* Place in the intake's `waiting`. */
+    struct SrWriteQueueItem item;
+    /* Time spent waiting for the store, and when the current wait began, ms;
+     * 0 if the request does not wait. */
+    int64_t held_ms;
+    int64_t held_since_ms;
+    bool was_held;
     /* Names in the configuration, which may be of any length; empty until they
      * are known. */
     char *queue;
     char *account;
-    /* Submission: the packed job. */
+    /* Submission: the packed job; before the authorisation, without what the
+     * configuration adds to it. */
     uint8_t *value;
     size_t size;
     /* Local time at which the request arrived, ms. */
@@ -95,6 +111,18 @@
     struct SrList pending;
     /* Local time until which requests are handled, ms; see SrIntake_Close. */
     int64_t end_ms;
+    /* Requests that wait for the store or the configuration. */
+    struct SrWriteQueue waiting;
+    /* When the store last responded to any call of the process, and when it
+     * last refused a call of a request, ms; initially the time of creation,
+     * and 0. */
+    int64_t responded_ms;
+    int64_t refused_ms;
+    struct SrRetryAfterHistory outages;
+    /* Requests that began to wait, and those of them that were refused, since
+     * the store last came back. */
+    unsigned held_count;
+    unsigned held_refused_count;
 };
 
 static const char *const result_texts[] = {
@@ -118,6 +146,9 @@
 };
 
 static void send_store_call(void *context);
+static void on_store_response(void *context);
+static void start_request(struct PendingRequest *pending,
+                          struct SrRequest *request);
 
 const char *
 SrIntake_ResultText(enum SrResultKind kind)
@@ -132,14 +163,36 @@
     intake->options = *options;
     SrList_Init(&intake->pending);
     intake->end_ms = INT64_MAX;
+    intake->responded_ms = SrOs_MonotonicMs();
+    SrWriteQueue_Init(&intake->waiting);
+    SrRows_Listen(options->rows, on_store_response, intake);
     return intake;
 }
 
+/* Ends the request's wait for the store, if it waits. */
+static void
+end_wait(struct PendingRequest *pending)
+{
+    struct SrIntake *intake = pending->intake;
+    if (SrList_IsEmpty(&pending->item.link)) {
+        return;
+    }
+    SrTimer_Stop(&pending->retry_timer);
+    SrWriteQueue_Remove(&intake->waiting, &pending->item);
+    pending->held_ms += SrOs_MonotonicMs() - pending->held_since_ms;
+    SrMetrics_Set(intake->options.kernel->metrics, "sr_requests_held", NULL,
+                  NULL, intake->waiting.count);
+}
+
 static void
 free_request(struct PendingRequest *pending)
 {
+    end_wait(pending);
     SrTimer_Stop(&pending->retry_timer);
     SrList_Remove(&pending->link);
+    free(pending->host);
+    free(pending->path);
+    free(pending->key);
     free(pending->queue);
     free(pending->account);
     free(pending->value);
@@ -166,6 +219,11 @@
     struct SrMetrics *metrics = intake->options.kernel->metrics;
     SrMetrics_Count(metrics, "sr_requests", "result",
                     SrIntake_ResultText(kind), 1);
+    if (pending->was_held) {
+        intake->held_refused_count += kind == SR_RESULT_REFUSED ? 1 : 0;
+        SrMetrics_Count(metrics, "sr_requests_after_hold", "result",
+                        SrIntake_ResultText(kind), 1);
+    }
     SrMetrics_Observe(metrics, "sr_request_us", "account", pending->account,
                       (uint64_t)us);
 }
@@ -177,21 +235,23 @@
     int64_t took_ms = SrOs_MonotonicMs() - pending->started_ms;
     const struct SrCatalog *catalog =
         intake->options.catalog(intake->options.context);
+    end_wait(pending);
     record_metrics(intake, pending, result->kind, took_ms * SR_US_PER_MS);
     if (pending->kind == SR_REQUEST_SUBMIT ||
         pending->kind == SR_REQUEST_CANCEL ||
         (result->kind != SR_RESULT_STATE && result->kind != SR_RESULT_COUNT)) {
-        SR_INFO("intake", "answered",
-                "id=%s request=%s queue=%s account=%s result=%s text=%s "
-                "tries=%u took-ms=%ld config=%lu config-age-ms=%ld",
-                pending->id, kind_texts[pending->kind], pending->queue,
-                pending->account, SrIntake_ResultText(result->kind),
-                result->text != NULL ? result->text : "-", pending->call_count,
-                (long)took_ms,
-                (unsigned long)(catalog != NULL ? catalog->version : 0),
-                catalog != NULL ? (long)intake->options.catalog_age_ms(
-                                      intake->options.context)
-                                : -1L);
+        SR_INFO(
+            "intake", "answered",
+            "id=%s request=%s queue=%s account=%s result=%s text=%s "
+            "tries=%u took-ms=%ld held-ms=%ld config=%lu config-age-ms=%ld",
+            pending->id, kind_texts[pending->kind], pending->queue,
+            pending->account, SrIntake_ResultText(result->kind),
+            result->text != NULL ? result->text : "-", pending->call_count,
+            (long)took_ms, (long)pending->held_ms,
+            (unsigned long)(catalog != NULL ? catalog->version : 0),
+            catalog != NULL
+                ? (long)intake->options.catalog_age_ms(intake->options.context)
+                : -1L);
     }
     SrIntake_Done *done = pending->done;
     void *context = pending->context;
@@ -199,15 +259,26 @@
     done(context, result);
 }
 
+/* Time until the caller's deadline, ms. */
+static int64_t
+deadline_left_ms(const struct PendingRequest *pending)
+{
+    return pending->started_ms + pending->deadline_ms - SrOs_MonotonicMs();
+}
+
 /* Time after which a refused caller should repeat the request, s. */
 static unsigned
-retry_after_s(const struct SrIntake *intake)
+retry_after_s(const struct PendingRequest *pending)
 {
-    int64_t steps =
-        SrRows_MsSinceResponse(intake->options.rows) / RETRY_AFTER_STEP_MS;
-    return steps < RETRY_AFTER_MAX_S - RETRY_AFTER_S
-               ? RETRY_AFTER_S + (unsigned)steps
-               : RETRY_AFTER_MAX_S;
+    const struct SrIntake *intake = pending->intake;
+    return SrRetryAfter_Decide(
+        &intake->outages,
+        &(struct SrRetryAfterState){
+            .silent_ms = SrRows_MsSinceResponse(intake->options.rows),
+            .deadline_left_ms = deadline_left_ms(pending),
+            .urgent = pending->item.priority == 0,
+            .spread = SrUtil_HashText(pending->id),
+        });
 }
 
 static void
@@ -218,7 +289,7 @@
         .kind = kind,
         .text = text,
         .retry_after_s =
-            kind == SR_RESULT_REFUSED ? retry_after_s(pending->intake) : 0,
+            kind == SR_RESULT_REFUSED ? retry_after_s(pending) : 0,
     };
     finish(pending, &result);
 }
@@ -245,18 +316,129 @@
     return end_ms - RESPONSE_MARGIN_MS - SrOs_MonotonicMs();
 }
 
-/* Retries a failed call to the store, or finishes the request if there is not
- * enough time left or the store keeps refusing calls (REFUSED_RETRY_MS). */
+/* Returns true if the store does not respond, or refuses this node, so that a
+ * call would most likely fail. */
+static bool
+is_store_away(const struct SrIntake *intake)
+{
+    int64_t silent_ms = SrRows_MsSinceResponse(intake->options.rows);
+    return silent_ms > STORE_UNAVAILABLE_MS ||
+           (silent_ms >= STORE_REFUSING_MS &&
+            SrOs_MonotonicMs() - intake->refused_ms <= silent_ms);
+}
+
+static bool
+is_catalog_fresh(const struct SrIntake *intake)
+{
+    const struct SrIntakeOptions *options = &intake->options;
+    return options->catalog(options->context) != NULL &&
+           options->catalog_age_ms(options->context) <= CATALOG_AGE_MAX_MS;
+}
+
+/* Sets the account and the priority by which the request waits. They are taken
+ * from the configuration at hand, which may be too old to authorise it. */
+static void
+describe_wait(struct PendingRequest *pending)
+{
+    const struct SrIntakeOptions *options = &pending->intake->options;
+    const struct SrCatalog *catalog = options->catalog(options->context);
+    const struct SrCatalogQueue *queue = NULL;
+    const struct SrCatalogAccount *account = NULL;
+    const char *rest;
+    if (catalog != NULL) {
+        queue =
+            SrCatalog_FindQueue(catalog, pending->host, pending->path, &rest);
+    }
+    if (catalog != NULL && pending->key != NULL) {
+        account = SrCatalog_AccountByKey(catalog, pending->key);
+    }
+    pending->item.priority = queue != NULL ? queue->priority : UINT32_MAX;
+    pending->item.account = SrUtil_HashText(account ? account->name : "");
+    pending->item.bytes = sizeof(*pending) + pending->size +
+                          strlen(pending->host) + strlen(pending->path) +
+                          (pending->key != NULL ? strlen(pending->key) : 0);
+}
+
+static void
+on_wait_over(void *context)
+{
+    finish_with(context, SR_RESULT_REFUSED,
+                "the store did not respond in time");
+}
+
+static void
+wait_for_store(struct PendingRequest *pending, int64_t now_ms)
+{
+    struct SrIntake *intake = pending->intake;
+    SrWriteQueue_Add(&intake->waiting, &pending->item);
+    intake->held_count += pending->was_held ? 0 : 1;
+    pending->was_held = true;
+    pending->held_since_ms = now_ms;
+    SrMetrics_Set(intake->options.kernel->metrics, "sr_requests_held", NULL,
+                  NULL, intake->waiting.count);
+    SrTimer_Start(&pending->retry_timer, intake->options.kernel,
+                  pending->item.end_ms - now_ms, 0, on_wait_over, pending);
+}
+
+/* Lets a submission or cancellation wait for the store or the configuration,
+ * or refuses it; `text` says why it can't go on. It must be certain that no
+ * write took effect. */
+static void
+wait_or_refuse(struct PendingRequest *pending, const char *text)
+{
+    struct SrIntake *intake = pending->intake;
+    int64_t now_ms = SrOs_MonotonicMs();
+    int64_t latency_ms = SrRows_LatencyMs(intake->options.rows);
+    if (pending->host == NULL || pending->id[0] == '\0') {
+        finish_with(pending, SR_RESULT_REFUSED, text);
+        return;
+    }
+    describe_wait(pending);
+    pending->item.end_ms =
+        now_ms + time_left_ms(pending) -
+        (latency_ms > CALL_MIN_MS ? latency_ms : CALL_MIN_MS);
+    switch (
+        SrWriteQueue_Decide(&intake->waiting, &pending->item,
+                            &(struct SrWriteQueueState){
+                                .now_ms = now_ms,
+                                .deadline_left_ms = deadline_left_ms(pending),
+                                .store_responds = !is_store_away(intake) &&
+                                                  !is_catalog_fresh(intake),
+                            })) {
+    case SR_WRITE_QUEUE_HOLD:
+        wait_for_store(pending, now_ms);
+        break;
+    case SR_WRITE_QUEUE_REPEAT:
+    case SR_WRITE_QUEUE_TOO_LATE:
+        finish_with(pending, SR_RESULT_REFUSED, text);
+        break;
+    case SR_WRITE_QUEUE_FULL:
+        finish_with(pending, SR_RESULT_REFUSED,
+                    "too many requests wait for the store");
+        break;
+    case SR_WRITE_QUEUE_ACCOUNT_FULL:
+        finish_with(pending, SR_RESULT_REFUSED,
+                    "too many requests of the account wait for the store");
+        break;
+    }
+}
+
+/* Retries a failed call to the store, or ends the attempt if there is not
+ * enough time left or the store keeps refusing calls. */
 static void
 retry_or_finish(struct PendingRequest *pending, enum SrRowsError error)
 {
-    int64_t elapsed_ms = SrOs_MonotonicMs() - pending->started_ms;
+    int64_t now_ms = SrOs_MonotonicMs();
     bool is_write = pending->store_call == STORE_WRITE;
     pending->outcome_unknown |= is_write && error == SR_ROWS_UNKNOWN;
-    if (!pending->outcome_unknown && error == SR_ROWS_REFUSED &&
-        elapsed_ms >= REFUSED_RETRY_MS) {
-        finish_with(pending, SR_RESULT_REFUSED, "the store refuses calls");
-        return;
+    if (!pending->outcome_unknown && error == SR_ROWS_REFUSED) {
+        pending->intake->refused_ms = now_ms;
+        if (now_ms - pending->started_ms >= REFUSED_RETRY_MS ||
+            is_store_away(pending->intake)) {
+            pending->item.next_ms = now_ms + RETRY_MS;
+            wait_or_refuse(pending, "the store refuses calls");
+            return;
+        }
     }
     if (time_left_ms(pending) <= RETRY_MS) {
         give_up(pending, "the store does not answer");
@@ -582,10 +764,34 @@
         return false;
     }
     complete_record(pending, request->record, queue);
+    free(pending->value);
     pending->value = SrCodec_Pack(request->record, &pending->size);
     return check_size(pending, request->record);
 }
 
+/* Returns why no request can be handled now, or NULL if they can. */
+static const char *
+find_obstacle(const struct SrIntake *intake)
+{
+    const struct SrIntakeOptions *options = &intake->options;
+    if (options->catalog(options->context) == NULL) {
+        return "no configuration yet";
+    }
+    if (!is_catalog_fresh(intake)) {
+        return "the configuration is old";
+    }
+    return is_store_away(intake) ? "the store is away" : NULL;
+}
+
+/* Packs the job of a submission that may wait for its authorisation. */
+static void
+keep_record(struct PendingRequest *pending, const Sr__FlowRecord *record)
+{
+    if (record != NULL && pending->value == NULL) {
+        pending->value = SrCodec_Pack(record, &pending->size);
+    }
+}
+
 /* Looks up the queue and the account; `rest` is set to the part of the path
  * after the queue's prefix. Returns false if the request is refused or
  * rejected; it is then finished. */
@@ -595,16 +801,10 @@
 {
     const struct SrIntakeOptions *options = &pending->intake->options;
     const struct SrCatalog *catalog = options->catalog(options->context);
-    if (catalog == NULL) {
-        finish_with(pending, SR_RESULT_REFUSED, "no configuration yet");
-        return false;
-    }
-    if (options->catalog_age_ms(options->context) > CATALOG_AGE_MAX_MS) {
-        finish_with(pending, SR_RESULT_REFUSED, "the configuration is old");
-        return false;
-    }
-    if (SrRows_MsSinceResponse(options->rows) > STORE_UNAVAILABLE_MS) {
-        finish_with(pending, SR_RESULT_REFUSED, "the store is away");
+    const char *obstacle = find_obstacle(pending->intake);
+    if (obstacle != NULL) {
+        keep_record(pending, request->record);
+        wait_or_refuse(pending, obstacle);
         return false;
     }
     *queue = SrCatalog_FindQueue(catalog, request->host, request->path, rest);
@@ -670,6 +870,81 @@
     send_store_call(pending);
 }
 
+/* Begins a request anew that waited, with the configuration in force now. */
+static void
+resume(struct PendingRequest *pending)
+{
+    struct SrRequest request = {
+        .kind = pending->kind,
+        .host = pending->host,
+        .path = pending->path,
+        .key = pending->key,
+    };
+    end_wait(pending);
+    if (pending->value != NULL) {
+        request.record = SrCodec_Unpack(&sr__flow_record__descriptor,
+                                        pending->value, pending->size);
+    }
+    pending->store_call =
+        request.kind == SR_REQUEST_CANCEL ? STORE_READ_JOB : STORE_WRITE;
+    start_request(pending, &request);
+    SrCodec_Free(request.record);
+}
+
+/* Learns from an outage of the store that has just ended. */
+static void
+end_outage(struct SrIntake *intake, int64_t now_ms)
+{
+    int64_t silent_ms = now_ms - intake->responded_ms;
+    intake->responded_ms = now_ms;
+    if (silent_ms <= STORE_UNAVAILABLE_MS) {
+        return;
+    }
+    SrRetryAfter_Learn(&intake->outages, silent_ms);
+    SR_INFO("intake", "store-back",
+            "silent-ms=%ld expected-ms=%ld waiting=%u held=%u held-refused=%u",
+            (long)silent_ms, (long)intake->outages.outage_ms,
+            intake->waiting.count, intake->held_count,
+            intake->held_refused_count);
+    intake->held_count = 0;
+    intake->held_refused_count = 0;
+}
+
+/* Called at each response of the store: sends the requests that wait. */
+static void
+on_store_response(void *context)
+{
+    struct SrIntake *intake = context;
+    int64_t now_ms = SrOs_MonotonicMs();
+    end_outage(intake, now_ms);
+    if (find_obstacle(intake) != NULL) {
+        return;
+    }
+    for (unsigned i = 0; i < RELEASE_MAX; i++) {
+        struct SrWriteQueueItem *item =
+            SrWriteQueue_Next(&intake->waiting, now_ms);
+        if (item == NULL) {
+            return;
+        }
+        resume(SR_CONTAINER(item, struct PendingRequest, item));
+    }
+}
+
+/* Keeps what is needed to begin the request anew, if it may wait. Queries and
+ * malformed submissions do not wait. */
+static void
+keep_request(struct PendingRequest *pending, const struct SrRequest *request)
+{
+    if (request->kind != SR_REQUEST_CANCEL && request->record == NULL) {
+        return;
+    }
+    SrUtil_SetText(&pending->host, request->host);
+    SrUtil_SetText(&pending->path, request->path);
+    if (request->key != NULL) {
+        SrUtil_SetText(&pending->key, request->key);
+    }
+}
+
 void
 SrIntake_Handle(struct SrIntake *intake, struct SrRequest *request,
                 SrIntake_Done *done, void *context)
@@ -685,6 +960,9 @@
     pending->deadline_ms = request->deadline_ms;
     pending->done = done;
     pending->context = context;
+    SrList_Init(&pending->item.link);
+    pending->item.priority = UINT32_MAX;
+    keep_request(pending, request);
     SrList_Append(&intake->pending, &pending->link);
     start_request(pending, request);
     SrCodec_Free(request->record);
--- a/src/memory_rows.c
+++ b/src/memory_rows.c
@@ -64,6 +64,10 @@
     /* Key whose writes are rejected; NULL for none. */
     const char *rejected_key;
     int64_t latency_ms;
+    int64_t silent_ms;
+    /* See SrRows_Listen. */
+    void (*on_response)(void *context);
+    void *listener;
 };
 
 struct SrMemoryRows *
@@ -453,6 +457,7 @@
     }
     switch (outcome) {
     case SR_MEMORY_SERVE:
+        memory->silent_ms = 0;
         serve(memory, call);
         break;
     case SR_MEMORY_LOSE_RESPONSE:
@@ -475,6 +480,9 @@
         break;
     }
     free_call(call);
+    if (outcome == SR_MEMORY_SERVE && memory->on_response != NULL) {
+        memory->on_response(memory->listener);
+    }
 }
 
 void
@@ -529,3 +537,23 @@
 {
     return memory->latency_ms;
 }
+
+void
+SrMemoryRows_SetSilentMs(struct SrMemoryRows *memory, int64_t silent_ms)
+{
+    memory->silent_ms = silent_ms;
+}
+
+int64_t
+SrMemoryRows_MsSinceResponse(const struct SrMemoryRows *memory)
+{
+    return memory->silent_ms;
+}
+
+void
+SrMemoryRows_Listen(struct SrMemoryRows *memory,
+                    void (*on_response)(void *context), void *context)
+{
+    memory->on_response = on_response;
+    memory->listener = context;
+}
--- a/src/memory_rows.h
+++ b/src/memory_rows.h
@@ -65,6 +65,15 @@
                                int64_t latency_ms);
 int64_t SrMemoryRows_LatencyMs(const struct SrMemoryRows *memory);
 
+/* Sets the value that SrRows_MsSinceResponse returns until the next call is
+ * served; it does not grow. */
+void SrMemoryRows_SetSilentMs(struct SrMemoryRows *memory, int64_t silent_ms);
+int64_t SrMemoryRows_MsSinceResponse(const struct SrMemoryRows *memory);
+
+/* See SrRows_Listen. */
+void SrMemoryRows_Listen(struct SrMemoryRows *memory,
+                         void (*on_response)(void *context), void *context);
+
 /* Returns the current value of the first row with this table and key in any
  * partition, or NULL. The value is owned by the store and valid until the row
  * changes. */
--- a/src/rows.c
+++ b/src/rows.c
@@ -71,6 +71,20 @@
     }
 }
 
+void
+SrRows_Listen(const struct SrRows *rows, void (*on_response)(void *context),
+              void *context)
+{
+    switch (rows->kind) {
+    case SR_ROWS_PLATFORM:
+        SrPlatformRows_Listen(rows->u.platform, on_response, context);
+        break;
+    case SR_ROWS_MEMORY:
+        SrMemoryRows_Listen(rows->u.memory, on_response, context);
+        break;
+    }
+}
+
 int64_t
 SrRows_MsSinceResponse(const struct SrRows *rows)
 {
@@ -78,7 +92,7 @@
     case SR_ROWS_PLATFORM:
         return SrPlatformRows_MsSinceResponse(rows->u.platform);
     case SR_ROWS_MEMORY:
-        return 0;
+        return SrMemoryRows_MsSinceResponse(rows->u.memory);
     }
     return 0;
 }
--- a/src/rows.h
+++ b/src/rows.h
@@ -145,6 +145,12 @@
 void SrRows_Watch(const struct SrRows *rows, const char *table, uint64_t after,
                   int64_t wait_ms, SrRows_Done *done, void *context);
 
+/* Calls `on_response` at the end of each call that the store responded to, as
+ * SrRows_MsSinceResponse counts it, after the call's own function. NULL ends
+ * that; there is one such function at a time. */
+void SrRows_Listen(const struct SrRows *rows,
+                   void (*on_response)(void *context), void *context);
+
 /* Time since the store last responded to a call, ms; a large value before the
  * first response. A response that reports overload or an internal error of the
  * store does not count. */
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -656,6 +656,182 @@
     }
 }
 
+/* Hands a request to the intake while the store is away. */
+static void
+send_during_outage(struct World *world, enum SrRequestKind kind,
+                   int64_t silent_ms, int64_t deadline_ms)
+{
+    struct SrRequest request = {
+        .kind = kind,
+        .host = "h",
+        .path = "/p/" JOB_ID,
+        .key = "k",
+        .deadline_ms = deadline_ms,
+    };
+    if (kind == SR_REQUEST_SUBMIT) {
+        request.record = make_record();
+    }
+    world->finished = false;
+    SrMemoryRows_SetSilentMs(world->memory, silent_ms);
+    SrIntake_Handle(world->intake, &request, on_result, world);
+}
+
+/* A response of the store to a call that is not the intake's. */
+static void
+respond_to_other_call(struct World *world)
+{
+    SrMemoryRows_Watch(world->memory, "op", 0, 0, ignore_response, NULL);
+    SrMemoryRows_Step(world->memory, SR_MEMORY_SERVE);
+}
+
+struct OutageCase {
+    const char *name;
+    enum SrRequestKind kind;
+    int64_t silent_ms;
+    int64_t catalog_age_ms;
+    /* The first call is sent and refused. */
+    bool refused;
+    /* The account's key is replaced before the configuration is read again. */
+    bool revoked;
+    enum SrResultKind result;
+};
+
+static const struct OutageCase outage_cases[] = {
+    {"store away", SR_REQUEST_SUBMIT, 2000, 0, false, false,
+     SR_RESULT_ACCEPTED},
+    {"old configuration", SR_REQUEST_SUBMIT, 5000, 5000, false, false,
+     SR_RESULT_ACCEPTED},
+    {"just back, old configuration", SR_REQUEST_SUBMIT, 0, 5000, false, false,
+     SR_RESULT_ACCEPTED},
+    {"store refuses", SR_REQUEST_SUBMIT, 600, 0, true, false,
+     SR_RESULT_ACCEPTED},
+    {"key revoked", SR_REQUEST_SUBMIT, 5000, 5000, false, true,
+     SR_RESULT_BAD_KEY},
+    {"cancellation", SR_REQUEST_CANCEL, 5000, 5000, false, false,
+     SR_RESULT_NO_JOB},
+};
+
+/* Guards against refusals of the last attempts before the store is back, and
+ * against authorisation by an old configuration. */
+static void
+requests_wait_for_the_end_of_an_outage(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(outage_cases); i++) {
+        const struct OutageCase *c = &outage_cases[i];
+        struct World world;
+        begin(&world);
+        world.catalog_age_ms = c->catalog_age_ms;
+        send_during_outage(&world, c->kind, c->silent_ms, 1000);
+        if (c->refused) {
+            SrMemoryRows_Step(world.memory, SR_MEMORY_REFUSE);
+            usleep(80 * 1000);
+        }
+        if (world.finished || SrMemoryRows_Pending(world.memory) != 0) {
+            fail_msg("%s: does not wait", c->name);
+        }
+        if (c->catalog_age_ms > 0) {
+            respond_to_other_call(&world);
+            assert_int_equal(SrMemoryRows_Pending(world.memory), 0);
+        }
+        if (c->revoked) {
+            SrUtil_SetText(&world.catalog->accounts[0].keys[0], "other");
+        }
+        world.catalog_age_ms = 0;
+        respond_to_other_call(&world);
+        /* No timer has run: the calls are sent by the response. */
+        while (SrMemoryRows_Pending(world.memory) > 0) {
+            SrMemoryRows_Step(world.memory, SR_MEMORY_SERVE);
+        }
+        if (!world.finished || world.result.kind != c->result) {
+            fail_msg("%s: %s", c->name,
+                     SrIntake_ResultText(world.result.kind));
+        }
+        assert_int_equal(is_stored(&world), c->result == SR_RESULT_ACCEPTED);
+        end(&world);
+    }
+}
+
+/* Guards against a wait that helps no caller: of one that can repeat its
+ * request elsewhere, and of one that asks for a state. */
+static void
+other_requests_are_refused_at_once(void **state)
+{
+    (void)state;
+    static const struct {
+        enum SrRequestKind kind;
+        int64_t deadline_ms;
+    } cases[] = {
+        {SR_REQUEST_SUBMIT, 3000},
+        {SR_REQUEST_SUBMIT, 2000},
+        {SR_REQUEST_SUBMIT, 230},
+        {SR_REQUEST_STATE, 1000},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct World world;
+        begin(&world);
+        send_during_outage(&world, cases[i].kind, 2000, cases[i].deadline_ms);
+        assert_true(world.finished);
+        assert_int_equal(world.result.kind, SR_RESULT_REFUSED);
+        assert_int_equal(world.result.retry_after_s, 1);
+        end(&world);
+    }
+}
+
+/* Guards against a caller that gets no response before its deadline, and
+ * against *not run* after a write that may still be applied. */
+static void
+a_wait_ends_before_the_deadline(void **state)
+{
+    (void)state;
+    enum { DEADLINE_MS = 700 };
+    for (int written = 0; written < 2; written++) {
+        struct World world;
+        begin(&world);
+        int64_t from_ms = SrOs_MonotonicMs();
+        send_during_outage(&world, SR_REQUEST_SUBMIT, written ? 0 : 2000,
+                           DEADLINE_MS);
+        if (written) {
+            SrMemoryRows_Step(world.memory, SR_MEMORY_DELAY);
+            SrMemoryRows_SetSilentMs(world.memory, 2000);
+        }
+        while (!world.finished && SrOs_MonotonicMs() < from_ms + 5000) {
+            SrMemoryRows_Step(world.memory, SR_MEMORY_REFUSE);
+            ev_run(world.kernel->loop, EVRUN_NOWAIT);
+        }
+        assert_true(world.finished);
+        assert_int_equal(world.result.kind,
+                         written ? SR_RESULT_UNKNOWN : SR_RESULT_REFUSED);
+        assert_true(SrOs_MonotonicMs() - from_ms < DEADLINE_MS);
+        SrMemoryRows_ApplyDelayed(world.memory);
+        assert_int_equal(is_stored(&world), written);
+        end(&world);
+    }
+}
+
+/* Guards against a waiting request without a response when its node stops, and
+ * against *not run* for one whose write has just been sent. */
+static void
+a_node_may_stop_while_requests_wait(void **state)
+{
+    (void)state;
+    for (int sent = 0; sent < 2; sent++) {
+        struct World world;
+        begin(&world);
+        send_during_outage(&world, SR_REQUEST_SUBMIT, 2000, 1000);
+        assert_false(world.finished);
+        if (sent) {
+            respond_to_other_call(&world);
+        }
+        assert_int_equal(SrMemoryRows_Pending(world.memory), sent);
+        SrIntake_GiveUp(world.intake);
+        assert_true(world.finished);
+        assert_int_equal(world.result.kind,
+                         sent ? SR_RESULT_UNKNOWN : SR_RESULT_REFUSED);
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -674,6 +850,10 @@
         cmocka_unit_test(requests_get_the_expected_result),
         cmocka_unit_test(job_state_is_returned_and_job_cancelled),
         cmocka_unit_test(each_response_is_logged_with_the_job_id),
+        cmocka_unit_test(requests_wait_for_the_end_of_an_outage),
+        cmocka_unit_test(other_requests_are_refused_at_once),
+        cmocka_unit_test(a_wait_ends_before_the_deadline),
+        cmocka_unit_test(a_node_may_stop_while_requests_wait),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
