Engine: workers that respond stay usable after an outage of the store

Cause: entries of workers expire during an outage of the store and are back up to 2 s after it. The leader took all of these workers for gone, although they answered its polls, and placed nothing on them for that time.

Change: the leader tells the engine when the watch of the workers' table has had no response for 1.05 s, and when it responds again.

--- a/src/engine.c
+++ b/src/engine.c
@@ -496,17 +496,26 @@
     }
 }
 
+void
+SrEngine_RemoveEntry(struct SrEngine *engine, struct SrWorker *worker,
+                     int64_t now_ms)
+{
+    worker->present = false;
+    worker->entry_missing = false;
+    SR_INFO("engine", "worker-gone", "worker=%s", worker->info.id);
+    /* Runs are suspected already if the lease has expired. */
+    SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
+}
+
 void
 SrEngine_SetWorker(struct SrEngine *engine, const char *id,
                    const struct SrWorkerEntry *entry, int64_t now_ms)
 {
     struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
     if (entry == NULL) {
-        if (worker != NULL && worker->present) {
-            worker->present = false;
-            SR_INFO("engine", "worker-gone", "worker=%s", id);
-            /* Runs are suspected already if the lease has expired. */
-            SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
+        if (worker != NULL && worker->present &&
+            !SrEngine_KeepWithoutEntry(engine, worker, now_ms)) {
+            SrEngine_RemoveEntry(engine, worker, now_ms);
         }
         return;
     }
@@ -542,6 +551,7 @@
         worker->info.incarnation = incarnation;
     }
     worker->present = true;
+    worker->entry_missing = false;
 }
 
 /* Marks the flow as completed once all of its tasks are done. */
@@ -980,6 +990,7 @@
     log_grants(engine, now_ms);
     if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
         engine->last_check_ms = now_ms;
+        SrEngine_CheckOutage(engine, now_ms);
         end_runs_without_lease(engine, now_ms);
         stop_stalled_runs(engine, now_ms);
     }
--- a/src/engine.h
+++ b/src/engine.h
@@ -152,6 +152,14 @@
 void SrEngine_SetWorker(struct SrEngine *engine, const char *id,
                         const struct SrWorkerEntry *entry, int64_t now_ms);
 
+/* Reports that the workers' table has had no response of the store since
+ * `since_ms`, for longer than a worker's heartbeat interval, and that the
+ * store responds again; the latter before the rows of that response. Workers
+ * whose entries vanish in between or within 2 s of the store's return count as
+ * present until then as long as they respond. */
+void SrEngine_OnStoreLost(struct SrEngine *engine, int64_t since_ms);
+void SrEngine_OnStoreBack(struct SrEngine *engine, int64_t now_ms);
+
 /* Handles the response to a command, or the lack of one. Called once for
  * each command. */
 void SrEngine_OnResponse(struct SrEngine *engine,
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -11,6 +11,20 @@
  * 12 s later. One second is added for the exchange itself. */
 #define SR_UNACKED_START_MS 13000
 
+/* The latest outage of the store, as seen by the follower of the workers'
+ * table. */
+struct SrStoreOutage {
+    /* From its beginning until the entries of all workers must be back. */
+    bool active;
+    int64_t since_ms;
+    /* When the store responded again; 0 if not yet. */
+    int64_t back_ms;
+    /* Workers that counted as present without an entry, and those of them
+     * that were gone after all. */
+    unsigned kept;
+    unsigned gone;
+};
+
 struct SrEngine {
     struct SrEngineOptions options;
     uint64_t term;
@@ -27,6 +41,7 @@
      * logged. */
     bool grants_paused;
     const struct SrCatalog *catalog;
+    struct SrStoreOutage outage;
     struct SrFleet fleet;
     /* Number of workers whose latest poll failed, as of the latest call of
      * SrEngine_SendCommands. */
@@ -250,6 +265,20 @@
                             const struct SrFlowTask *task, int64_t now_ms,
                             struct SrIdleCause *cause);
 
+/* Marks the worker as gone: the store has no entry of it. */
+void SrEngine_RemoveEntry(struct SrEngine *engine, struct SrWorker *worker,
+                          int64_t now_ms);
+
+/* Returns true if the worker, whose entry has been deleted, still counts as
+ * present: the entry may have expired only because the store was away, and the
+ * worker responds. */
+bool SrEngine_KeepWithoutEntry(struct SrEngine *engine,
+                               struct SrWorker *worker, int64_t now_ms);
+
+/* Marks the workers as gone that are kept without an entry and no longer
+ * respond, or whose entry is not back in time. */
+void SrEngine_CheckOutage(struct SrEngine *engine, int64_t now_ms);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -337,6 +337,13 @@
     return now_ms - granted_ms > SrFleet_LeaseExpiryMs(fleet->lease_ms);
 }
 
+bool
+SrFleet_Responds(const struct SrWorker *worker, int64_t now_ms)
+{
+    return worker->response_ms != 0 &&
+           now_ms - worker->response_ms < RESPONSE_FRESH_MS;
+}
+
 bool
 SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -174,8 +174,13 @@
     struct SrMapEntry entry;
     struct SrList link;
     struct SrWorkerEntry info;
-    /* False if the store has no entry of the worker. */
+    /* False if the store has no entry of the worker, unless `entry_missing`.
+     */
     bool present;
+    /* The entry vanished with an outage of the store, as that of this
+     * incarnation; see SrEngine_KeepWithoutEntry. */
+    bool entry_missing;
+    int64_t missing_incarnation;
     /* Numbers of `info.rack` and `info.service` (see SrFleet_SetInfo). */
     unsigned rack;
     unsigned service;
@@ -444,6 +449,9 @@
 bool SrFleet_IsLeaseExpired(const struct SrFleet *fleet,
                             const struct SrWorker *worker, int64_t now_ms);
 
+/* Returns true if the worker has responded to a poll recently. */
+bool SrFleet_Responds(const struct SrWorker *worker, int64_t now_ms);
+
 /* Returns true if the worker responds and may get new work, without regard to
  * excluded failure domains. */
 bool SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms);
--- a/src/leader.c
+++ b/src/leader.c
@@ -34,6 +34,11 @@
  * drain of a worker must be detected within 3 s. */
 #define WORKER_WATCH_MS 1200
 #define WORKER_PAUSE_MS 500
+/* The store counts as lost after this time without a response to the watch of
+ * the workers: longer than two heartbeat intervals, of 0.5 s each, and than
+ * the pause between two watches. A watch may wait longer for the first change,
+ * but each heartbeat of a worker is one. */
+#define WORKERS_LOST_MS 1050
 #define CALL_TIMEOUT_MS 1200
 #define RETRY_MS 100
 #define PAGE_ROWS 500
@@ -94,6 +99,8 @@
     bool progress_loaded;
     bool jobs_loaded;
     bool loaded;
+    /* The watch of the workers has had no response for WORKERS_LOST_MS. */
+    bool store_lost;
     /* List of struct HeldJob, in the order of reading. */
     struct SrList held_jobs;
     /* Progress rows by job id, without those whose jobs have been read. Once
@@ -143,6 +150,23 @@
 static void read_progress(void *context);
 static void delete_expired(void *context);
 
+/* Tells the engine whether the store responds to the watch of the workers. */
+static void
+update_store_state(struct SrLeader *leader)
+{
+    int64_t now_ms = SrOs_MonotonicMs();
+    int64_t age_ms = SrFollower_AgeMs(leader->workers);
+    bool lost =
+        SrFollower_IsLoaded(leader->workers) && age_ms > WORKERS_LOST_MS;
+    if (lost && !leader->store_lost) {
+        SrEngine_OnStoreLost(leader->engine, now_ms - age_ms);
+    }
+    else if (!lost && leader->store_lost) {
+        SrEngine_OnStoreBack(leader->engine, now_ms);
+    }
+    leader->store_lost = lost;
+}
+
 static void
 run_engine(void *context)
 {
@@ -150,6 +174,7 @@
     if (!leader->loaded) {
         return;
     }
+    update_store_state(leader);
     int64_t from_us = SrOs_MonotonicUs();
     if (from_us < leader->next_tick_us) {
         SrLeader_Wake(leader);
@@ -203,6 +228,7 @@
     struct SrLeader *leader = context;
     struct SrWorkerEntry entry;
     bool valid = !row->deleted && leader->options.read_worker(row, &entry);
+    update_store_state(leader);
     SrEngine_SetWorker(leader->engine, row->key, valid ? &entry : NULL,
                        SrOs_MonotonicMs());
     SrLeader_Wake(leader);
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -729,6 +729,61 @@
     }
 }
 
+/* Runs for so long, and responds to the commands. If the store is away, it
+ * responds to no call. */
+static void
+run_with_worker(struct World *world, int64_t ms, bool away)
+{
+    unsigned answered = world->commands;
+    int64_t end_ms = SrOs_MonotonicMs() + ms;
+    while (SrOs_MonotonicMs() < end_ms) {
+        if (away) {
+            ev_run(world->kernel->loop, EVRUN_NOWAIT);
+        }
+        else {
+            run_once(world);
+        }
+        if (world->commands != answered) {
+            answered = world->commands;
+            SrLeader_OnResponse(
+                world->leader, &world->command,
+                &(struct SrCommandResponse){.result = SR_COMMAND_DONE,
+                                            .clock_ms = 1000,
+                                            .incarnation = 1});
+        }
+    }
+}
+
+/* Guards against a leader that places nothing after an outage of the store,
+ * in which the entries of all workers expired; without an outage, a worker
+ * whose entry is deleted is gone. */
+static void
+workers_stay_usable_after_an_outage_of_the_store(void **state)
+{
+    (void)state;
+    for (int away = 0; away < 2; away++) {
+        struct World world;
+        struct SrRowsWrite write = {"workers", "w", NULL, 0, true};
+        begin(&world, LIMIT_MS);
+        store_value(&world, "", "workers", "w", (const uint8_t *)"w", 1);
+        start_ledger(&world);
+        run_until_elected(&world);
+        run_with_worker(&world, SOON_MS, false);
+        assert_int_equal(stats_of(&world).usable, 1);
+        run_with_worker(&world, 1300, away != 0);
+        SrMemoryRows_Commit(world.memory,
+                            &(struct SrRowsTransaction){
+                                .partition = "",
+                                .writes = &write,
+                                .write_count = 1,
+                            },
+                            expect_success, NULL);
+        run_with_worker(&world, SOON_MS, false);
+        assert_int_equal(stats_of(&world).usable, away);
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -746,6 +801,7 @@
         cmocka_unit_test(jobs_and_progress_are_read_at_once),
         cmocka_unit_test(no_job_is_loaded_without_its_progress),
         cmocka_unit_test(leader_goes_on_after_a_stall),
+        cmocka_unit_test(workers_stay_usable_after_an_outage_of_the_store),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
