Node: not ready once the store has been silent for 1.3 s

Cause: a node that the store refuses, while other nodes reach it, refused its callers for 2.6 s, until its configuration was old, before it reported that it was not ready.

Change: readiness is what the intake says (SrIntake_IsReady): not ready after 1.3 s without a response of the store, as from then on it refuses requests, or with an old configuration. The load balancer takes the node out after two misses, so that an outage of under 2.3 s takes none out.

How much sooner callers are served was not measured with a load balancer.

--- a/src/intake.c
+++ b/src/intake.c
@@ -335,6 +335,14 @@
            options->catalog_age_ms(options->context) <= CATALOG_AGE_MAX_MS;
 }
 
+bool
+SrIntake_IsReady(const struct SrIntake *intake)
+{
+    return is_catalog_fresh(intake) &&
+           SrRows_MsSinceResponse(intake->options.rows) <=
+               STORE_UNAVAILABLE_MS;
+}
+
 /* Sets the account and the priority by which the request waits. They are taken
  * from the configuration at hand, which may be too old to authorise it. */
 static void
--- a/src/intake.h
+++ b/src/intake.h
@@ -93,6 +93,10 @@
  * dropped request: cancel all calls of `rows` before. */
 void SrIntake_Destroy(struct SrIntake *intake);
 
+/* Returns false if the intake has refused requests for so long, because of the
+ * store or the configuration, that callers are better served by others. */
+bool SrIntake_IsReady(const struct SrIntake *intake);
+
 /* Sets the time, ms of the monotonic clock, at which the process ends:
  * requests make no call to the store that cannot complete before it. */
 void SrIntake_Close(struct SrIntake *intake, int64_t end_ms);
--- a/src/node.c
+++ b/src/node.c
@@ -34,9 +34,6 @@
  * period of the store adapter, within 3 s, the shortest time within which a
  * change must take effect. */
 #define OPERATOR_WATCH_MS 800
-/* The node reports that it is not ready if its configuration is older than
- * this (see SrFollower_AgeMs). */
-#define READY_CONFIG_AGE_MAX_MS 2600
 /* Maximum number of callers' connections at one time: the limit on file
  * descriptors, less those for connections to workers and the store. */
 #define CALLER_CONNECTIONS_MAX 3000
@@ -307,9 +304,7 @@
 on_ready_check(void *context, struct SrHttpRequest *request)
 {
     const struct SrNode *node = context;
-    bool ready =
-        !node->kernel->stopping && node->catalog != NULL &&
-        SrFollower_AgeMs(node->operator_rows) < READY_CONFIG_AGE_MAX_MS;
+    bool ready = !node->kernel->stopping && SrIntake_IsReady(node->intake);
     if (!SrPlatformFront_IsReadyCheck(request)) {
         respond_with_text(request, 404, "no such page\n", 13);
         return;
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -832,6 +832,33 @@
     }
 }
 
+/* Guards against callers that a load balancer sends to a node which refuses
+ * them, and against a node that is taken out for a short pause of the store.
+ */
+static void
+a_node_that_refuses_requests_is_not_ready(void **state)
+{
+    (void)state;
+    static const struct {
+        int64_t silent_ms;
+        int64_t catalog_age_ms;
+        bool ready;
+    } cases[] = {
+        {0, 0, true},
+        {1200, 1200, true},
+        {1400, 1400, false},
+        {0, 2700, false},
+    };
+    for (size_t i = 0; i < SR_LENGTH(cases); i++) {
+        struct World world;
+        begin(&world);
+        world.catalog_age_ms = cases[i].catalog_age_ms;
+        SrMemoryRows_SetSilentMs(world.memory, cases[i].silent_ms);
+        assert_int_equal(SrIntake_IsReady(world.intake), cases[i].ready);
+        end(&world);
+    }
+}
+
 int
 main(void)
 {
@@ -854,6 +881,7 @@
         cmocka_unit_test(other_requests_are_refused_at_once),
         cmocka_unit_test(a_wait_ends_before_the_deadline),
         cmocka_unit_test(a_node_may_stop_while_requests_wait),
+        cmocka_unit_test(a_node_that_refuses_requests_is_not_ready),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
