--- a/src/forecast.c
+++ b/src/forecast.c
@@ -84,9 +84,12 @@
 {
     struct Class *known = find_or_add(forecast, queue, account);
     double weight = decay(known->updated_ms, now_ms);
+    /* A new leader reads the stored jobs in any order. */
+    double added = decay(now_ms, known->updated_ms);
     known->priority = priority;
-    known->arrivals = known->arrivals * weight + 1;
-    known->accelerators = known->accelerators * weight + (double)accelerators;
+    known->arrivals = known->arrivals * weight + added;
+    known->accelerators =
+        known->accelerators * weight + added * (double)accelerators;
     known->updated_ms =
         now_ms > known->updated_ms ? now_ms : known->updated_ms;
     known->observed++;
