The last attempt of a job waits for other workers for a limited time

Cause: a job that one more failure would end was not placed on a worker that had failed and not succeeded since, however long ago that was. A gang of two whole workers never ran again where there was room for less than twice its need: with two workers that had both failed once, or with three of which two had, it had not started after 20 s.

Change: workers count as failed for 10 s after their latest failure.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -38,6 +38,10 @@
 /* Score at which the worker gets no new work for AVOID_MS. */
 #define FAILURE_SCORE_MAX 4
 #define AVOID_MS 4000
+/* Time after its latest failure in which a worker gets no last attempt of a
+ * job. Without a limit, a job would wait for ever where workers that get no
+ * other work have most of the room. */
+#define FAILED_LATELY_MS 10000
 
 int64_t
 SrFleet_LeaseExpiryMs(int64_t lease_ms)
@@ -457,6 +461,7 @@
 SrFleet_RecordFailure(struct SrWorker *worker, int64_t now_ms)
 {
     worker->failure_score += FAILURE_SCORE_STEP;
+    worker->failed_ms = now_ms;
     if (worker->failure_score >= FAILURE_SCORE_MAX) {
         worker->failure_score = FAILURE_SCORE_MAX - FAILURE_SCORE_STEP;
         worker->avoid_until_ms = now_ms + AVOID_MS;
@@ -470,3 +475,10 @@
         worker->failure_score--;
     }
 }
+
+bool
+SrFleet_HasFailedLately(const struct SrWorker *worker, int64_t now_ms)
+{
+    return worker->failure_score > 0 &&
+           now_ms - worker->failed_ms < FAILED_LATELY_MS;
+}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -254,6 +254,8 @@
     /* Grows with each failure (see SrFleet_RecordFailure) and shrinks with
      * each successful run. */
     unsigned failure_score;
+    /* When it last grew. */
+    int64_t failed_ms;
     /* The worker has refused a start, and gets none before this time. */
     int64_t refused_until_ms;
     /* The worker has failed, and gets work before this time only if it can't
@@ -286,6 +288,8 @@
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
+    /* The worker may fail again: see SrFleet_HasFailedLately. */
+    bool failed_lately;
     /* The worker is usable, and nothing is allocated or reserved on it. */
     bool empty;
     /* Number of runs on the worker. */
@@ -478,6 +482,10 @@
 void SrFleet_RecordFailure(struct SrWorker *worker, int64_t now_ms);
 void SrFleet_RecordSuccess(struct SrWorker *worker);
 
+/* Returns true if the worker has failed lately, with few successes since: a
+ * job that one more failure would end is not placed on it. */
+bool SrFleet_HasFailedLately(const struct SrWorker *worker, int64_t now_ms);
+
 /* Updates the speed of the run's worker and the estimate error of the run's
  * queue, if the run has made enough progress to measure its rate. */
 void SrFleet_UpdateSpeed(struct SrFleet *fleet, const struct SrRun *run);
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -140,7 +140,7 @@
 is_risky(const struct SrWorker *worker, const struct SrPlanUnit *unit,
          enum SrAvailability kind)
 {
-    return unit->last_attempt && worker->failure_score > 0 &&
+    return unit->last_attempt && worker->failed_lately &&
            kind != SR_AVAILABLE_AT_NEED && kind != SR_AVAILABLE_UNHELD &&
            kind != SR_AVAILABLE_TOTAL;
 }
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -38,7 +38,7 @@
     supply->free.accelerators += not_below_zero(free.accelerators);
     supply->free.cpu_millis += not_below_zero(free.cpu_millis);
     supply->free.memory_mb += not_below_zero(free.memory_mb);
-    if (worker->usable) {
+    if (worker->usable && !(unit->last_attempt && worker->failed_lately)) {
         supply->fit += SrPlan_TasksThatFit(&worker->free, &unit->demand);
         supply->fit_unreserved += fit;
     }
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -45,6 +45,7 @@
     worker->highest_rank = 0;
     worker->run_count = 0;
     worker->empty = false;
+    worker->failed_lately = SrFleet_HasFailedLately(worker, pass->now_ms);
     worker->suspect_count = 0;
     worker->known_flow = NULL;
     SR_LIST_EACH(link, &worker->runs)
