--- a/src/engine.c
+++ b/src/engine.c
@@ -1045,12 +1045,21 @@
 SrEngine_Stats(const struct SrEngine *engine, int64_t now_ms)
 {
     struct SrEngineStats stats = {0};
+    int64_t accelerators = 0;
+    unsigned available = 0;
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        bool usable = SrFleet_IsUsable(worker, now_ms);
         stats.workers++;
-        stats.usable += SrFleet_IsUsable(worker, now_ms) ? 1 : 0;
+        stats.usable += usable ? 1 : 0;
+        if (usable && !SrEngine_IsDomainOut(engine, worker->info.domain)) {
+            available++;
+            accelerators += SrFleet_Capacity(worker).accelerators;
+            stats.empty += SrList_IsEmpty(&worker->runs) ? 1 : 0;
+        }
     }
+    stats.headroom = SrPlan_Headroom(engine, available, accelerators, now_ms);
     SR_LIST_EACH(link, &engine->flows)
     {
         const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
--- a/src/engine.h
+++ b/src/engine.h
@@ -218,6 +218,10 @@
     unsigned running;
     /* Jobs that have not ended and of which no run has been allocated yet. */
     unsigned waiting;
+    /* Workers that get new work and have no runs, and how many of them long
+     * work of lower priority leaves to expected urgent jobs. */
+    unsigned empty;
+    unsigned headroom;
 };
 struct SrEngineStats SrEngine_Stats(const struct SrEngine *engine,
                                     int64_t now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -55,6 +55,9 @@
     bool replan;
     /* When the latest placement pass was executed. */
     int64_t last_pass_ms;
+    /* The headroom holds work back, as last logged, and when that was. */
+    bool headroom_holds;
+    int64_t headroom_logged_ms;
     /* When all runs were last checked for expired leases and stalls. */
     int64_t last_check_ms;
     /* When the jobs were last checked for those of which nothing runs. */
--- a/src/idle.c
+++ b/src/idle.c
@@ -44,6 +44,11 @@
                  cause->u.reserved.fit, cause->u.reserved.fit_without,
                  cause->u.reserved.job);
         break;
+    case SR_IDLE_HEADROOM:
+        LOG_IDLE("headroom", " fit=%u empty=%u headroom=%u",
+                 cause->u.headroom.fit, cause->u.headroom.empty,
+                 cause->u.headroom.headroom);
+        break;
     case SR_IDLE_AVOIDED:
         LOG_IDLE("avoided", " fit=%u fit-there=%u workers=%u worker=%s",
                  cause->u.workers.fit, cause->u.workers.fit_there,
--- a/src/idle.h
+++ b/src/idle.h
@@ -19,6 +19,8 @@
     SR_IDLE_RACK,
     /* There is room, but it is reserved for other jobs. */
     SR_IDLE_RESERVED,
+    /* There is room, but it is left to urgent jobs that are expected. */
+    SR_IDLE_HEADROOM,
     /* There is room, but on workers that are avoided after failures. */
     SR_IDLE_AVOIDED,
     /* There is room, but on workers that get no starts at present: they do not
@@ -76,6 +78,12 @@
             /* The job with the largest reservation; empty if none. */
             const char *job;
         } reserved;
+        struct {
+            unsigned fit;
+            /* Number of empty workers, and how many of them are left. */
+            unsigned empty;
+            unsigned headroom;
+        } headroom;
         struct {
             /* Number of tasks that fit on usable workers, and of those that
              * fit on the other ones. */
--- a/src/node.c
+++ b/src/node.c
@@ -349,6 +349,8 @@
     SrMetrics_Set(metrics, "sr_jobs", "state", "known", stats.flows);
     SrMetrics_Set(metrics, "sr_jobs", "state", "waiting", stats.waiting);
     SrMetrics_Set(metrics, "sr_runs", NULL, NULL, stats.running);
+    SrMetrics_Set(metrics, "sr_empty_workers", NULL, NULL, stats.empty);
+    SrMetrics_Set(metrics, "sr_headroom_workers", NULL, NULL, stats.headroom);
 }
 
 static void
--- a/src/plan.c
+++ b/src/plan.c
@@ -14,6 +14,8 @@
 #define RESERVED_URGENT_GANGS_MAX 64
 /* Maximum number of non-urgent gangs for which one pass reserves resources. */
 #define RESERVED_GANGS_MAX 3
+/* The log says at most once in this time whether headroom holds work back. */
+#define HEADROOM_LOG_MS 1000
 
 static void
 allocate(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
@@ -176,6 +178,19 @@
             (unsigned long)pass->engine->catalog->version);
 }
 
+/* Logs why the unit, which got nothing, waits, and notes for the log of the
+ * pass if that is the headroom. */
+static void
+note_no_room(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    if (!pass->headroom_holds || !unit->first->wait_logged) {
+        bool held_back = SrPlan_IsHeldBack(pass, unit);
+        pass->headroom_holds |= held_back;
+        log_wait(pass, unit, held_back ? "headroom" : "no-room");
+    }
+    SrPlan_LogIdle(pass, unit);
+}
+
 /* Assigns the gang to workers by `assign`, and allocates free resources for it
  * or, if there are too few, reserves resources that become free or, for urgent
  * work, preempts runs. Returns false if none of these is possible. */
@@ -319,8 +334,7 @@
     }
     if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere)) {
         pass->waiting_gangs++;
-        log_wait(pass, unit, "no-room");
-        SrPlan_LogIdle(pass, unit);
+        note_no_room(pass, unit);
     }
 }
 
@@ -484,8 +498,7 @@
             continue;
         }
         if (!place_task(pass, unit, task)) {
-            log_wait(pass, unit, "no-room");
-            SrPlan_LogIdle(pass, unit);
+            note_no_room(pass, unit);
             return;
         }
         previous = is_unsuspicious(task) && task->active_run != NULL
@@ -509,6 +522,21 @@
     }
 }
 
+/* Logs that the headroom begins or ends to hold work back. */
+static void
+log_headroom(const struct SrPlanPass *pass)
+{
+    struct SrEngine *engine = pass->engine;
+    if (pass->headroom_holds == engine->headroom_holds ||
+        pass->now_ms - engine->headroom_logged_ms < HEADROOM_LOG_MS) {
+        return;
+    }
+    engine->headroom_holds = pass->headroom_holds;
+    engine->headroom_logged_ms = pass->now_ms;
+    SR_INFO("plan", "headroom", "holds=%d workers=%u empty=%u",
+            pass->headroom_holds, pass->headroom, pass->empty_workers);
+}
+
 size_t
 SrPlan_Pass(struct SrEngine *engine, int64_t now_ms)
 {
@@ -527,6 +555,7 @@
         SrPlan_CountAccounts(pass);
         place_units(pass);
     }
+    log_headroom(pass);
     size_t allocated = pass->allocated;
     free(pass->workers);
     free(pass->racks);
--- a/src/plan.h
+++ b/src/plan.h
@@ -16,4 +16,10 @@
  * set. */
 size_t SrPlan_Pass(struct SrEngine *engine, int64_t now_ms);
 
+/* Returns how many empty workers are left to the urgent jobs that are
+ * expected, if `usable` workers with that many accelerators in all get work.
+ */
+unsigned SrPlan_Headroom(const struct SrEngine *engine, unsigned usable,
+                         int64_t accelerators, int64_t now_ms);
+
 #endif
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -145,13 +145,21 @@
            kind != SR_AVAILABLE_TOTAL;
 }
 
+/* Returns true if the unit must not be placed on empty workers. */
+static bool
+leaves_empty_workers(const struct SrPlanPass *pass,
+                     const struct SrPlanUnit *unit)
+{
+    uint32_t taken = unit->step->gang ? unit->count : 1;
+    return unit->leaves_headroom && pass->headroom > 0 &&
+           pass->empty_workers < pass->headroom + taken;
+}
+
 bool
 SrPlan_IsHeadroom(const struct SrPlanPass *pass, const struct SrWorker *worker,
                   const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
-    uint32_t taken = unit->step->gang ? unit->count : 1;
-    return unit->leaves_headroom && worker->empty && pass->headroom > 0 &&
-           pass->empty_workers < pass->headroom + taken &&
+    return worker->empty && leaves_empty_workers(pass, unit) &&
            (kind == SR_AVAILABLE_NOW || kind == SR_AVAILABLE_IN_TIME);
 }
 
@@ -223,6 +231,25 @@
     return sum;
 }
 
+bool
+SrPlan_IsHeldBack(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    unsigned needed = unit->step->gang ? unit->count : 1;
+    unsigned fit = 0;
+    unsigned fit_empty = 0;
+    if (!leaves_empty_workers(pass, unit) || pass->empty_workers == 0 ||
+        fit_bound(&pass->free, unit) < needed) {
+        return false;
+    }
+    for (unsigned i = 0; i < pass->worker_count && fit < needed; i++) {
+        const struct SrWorker *worker = pass->workers[i];
+        unsigned tasks = SrPlan_TasksThatFitOn(worker, unit, SR_AVAILABLE_NOW);
+        fit += tasks;
+        fit_empty += worker->empty ? tasks : 0;
+    }
+    return fit >= needed && fit_empty > 0;
+}
+
 /* Returns true if the second unit does not fit either, because it needs at
  * least as much as the first, and no more is available to it. */
 static bool
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -131,6 +131,12 @@
            unsigned count)
 {
     struct Supply supply = count_supply(pass, unit);
+    if (SrPlan_IsHeldBack(pass, unit)) {
+        return (struct SrIdleCause){
+            .reason = SR_IDLE_HEADROOM,
+            .u.headroom = {supply.fit, pass->empty_workers, pass->headroom},
+        };
+    }
     if (supply.fit >= count) {
         bool prefers_rack =
             unit->step->same_rack || unit->step->data_rack[0] != '\0';
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -192,6 +192,8 @@
      * how many of them are left to urgent jobs that are expected. */
     unsigned empty_workers;
     unsigned headroom;
+    /* A unit waits that would fit without the headroom. */
+    bool headroom_holds;
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
     unsigned waiting_gangs;
@@ -275,6 +277,11 @@
                        const struct SrPlanUnit *unit,
                        enum SrAvailability kind);
 
+/* Returns true if the unit would fit in what is free now, but part of that is
+ * the headroom. */
+bool SrPlan_IsHeldBack(const struct SrPlanPass *pass,
+                       const struct SrPlanUnit *unit);
+
 /* Returns the penalty of choosing the worker for a task under which `crashes`
  * workers have crashed: such a task is kept apart from others like it, so that
  * the next crash shows which of them is the cause, and from many runs. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -367,24 +367,31 @@
           SrPlan_CompareUnits);
 }
 
+unsigned
+SrPlan_Headroom(const struct SrEngine *engine, unsigned usable,
+                int64_t accelerators, int64_t now_ms)
+{
+    struct SrForecastNeed need =
+        SrForecast_Need(engine->forecast, 0, HEADROOM_AHEAD_MS, now_ms);
+    return accelerators > 0 ? (unsigned)(need.confidence * need.accelerators *
+                                         usable / (double)accelerators)
+                            : 0;
+}
+
 /* Sets how many empty workers are left to urgent jobs. */
 static void
 set_headroom(struct SrPlanPass *pass)
 {
-    struct SrForecastNeed need = SrForecast_Need(
-        pass->engine->forecast, 0, HEADROOM_AHEAD_MS, pass->now_ms);
-    int64_t each = 0;
+    int64_t accelerators = 0;
     unsigned usable = 0;
     for (unsigned i = 0; i < pass->worker_count; i++) {
         if (pass->workers[i]->usable) {
-            each += SrFleet_Capacity(pass->workers[i]).accelerators;
+            accelerators += SrFleet_Capacity(pass->workers[i]).accelerators;
             usable++;
         }
     }
-    if (each > 0) {
-        pass->headroom = (unsigned)(need.confidence * need.accelerators *
-                                    usable / (double)each);
-    }
+    pass->headroom =
+        SrPlan_Headroom(pass->engine, usable, accelerators, pass->now_ms);
 }
 
 void
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -330,6 +330,30 @@
     submit(site, 0, 1, 9000);
 }
 
+static void
+fail_before_the_last_attempt(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    struct SrWorker *worker = SrFleet_Find(&site->engine->fleet, "w1");
+    SrFleet_RecordFailure(worker, site->now_ms);
+    submit(site, 0, 1, 9000);
+    SrEngine_FindTask(site->engine, "0000000000000000.0.0.0")->failures = 2;
+}
+
+/* Urgent jobs have arrived that would need more than the two workers. */
+static void
+expect_urgent_jobs(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    set_worker(site, "w2", "a", false);
+    serve(site, 500);
+    for (unsigned i = 0; i < 100; i++) {
+        SrForecast_OnArrival(site->engine->forecast, "urgent", "account", 0,
+                             WORKER_ACCELERATORS, site->now_ms);
+    }
+    submit(site, 0, 1, 9000);
+}
+
 static void
 let_worker_drain(struct Site *site)
 {
@@ -409,6 +433,10 @@
      "reason=reserved fit=0 fit-without=1 for=0000000000000002"},
     {"the worker is avoided", avoid_worker,
      "reason=avoided fit=0 fit-there=1 workers=1 worker=w1"},
+    {"the worker failed and must not once more", fail_before_the_last_attempt,
+     "reason=avoided fit=0 fit-there=1 workers=1 worker=w1"},
+    {"the room is left to urgent jobs", expect_urgent_jobs,
+     "reason=headroom fit=2 empty=2 headroom="},
     {"the worker drains", let_worker_drain,
      "reason=unusable fit=0 fit-there=1 workers=1 worker=w1"},
     {"the leader can't write", lose_confirmation,
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -11,6 +11,8 @@
 #include "log.h"
 
 #define LEASE_MS 6000
+/* Longest lease of workers that accept more than a leader grants. */
+#define LONG_LEASE_MS 10000
 #define JOB "0000000000000001"
 #define STEP_MS 20
 /* Start of the local clock, and when the engine is created. */
@@ -25,6 +27,8 @@
     /* Polls without a response. */
     struct SrCommand polls[4];
     unsigned poll_count;
+    /* The latest start command. */
+    struct SrCommand start;
     /* Longest lease granted so far, on the worker's clock, which is the local
      * clock. */
     int64_t granted_until_ms;
@@ -44,6 +48,7 @@
         break;
     case SR_COMMAND_START:
         world->starts++;
+        world->start = *command;
         deadline_ms = command->u.start.deadline_ms;
         break;
     case SR_COMMAND_STOP:
@@ -83,7 +88,7 @@
 }
 
 static void
-create_world(struct World *world)
+create_world(struct World *world, int64_t lease_ms)
 {
     struct SrWorkerEntry entry = {
         .id = "w",
@@ -103,7 +108,7 @@
     world->catalog->queues[0].service = SrUtil_Strdup("service");
     world->engine = SrEngine_Create(
         &(struct SrEngineOptions){
-            .lease_ms = LEASE_MS,
+            .lease_ms = lease_ms,
             .stop_ms = 200,
             .retention_ms = 1000000,
             .remote_factor = 3,
@@ -175,7 +180,7 @@
 {
     (void)state;
     struct World world;
-    create_world(&world);
+    create_world(&world, LEASE_MS);
     while (world.now_ms < CREATED_MS + 2000) {
         tick(&world, true);
         respond(&world, SR_COMMAND_DONE, false);
@@ -199,7 +204,7 @@
 {
     (void)state;
     struct World world;
-    create_world(&world);
+    create_world(&world, LEASE_MS);
     while (world.now_ms < CREATED_MS + 2000) {
         tick(&world, true);
         respond(&world, SR_COMMAND_DONE, false);
@@ -245,17 +250,18 @@
      .response_ms = 3000},
 };
 
+/* Checks when the successor gives up the run, where workers accept leases of
+ * that length. */
 static void
-successor_waits_for_leases_of_its_predecessor(void **state)
+check_successor(int64_t lease_ms)
 {
-    (void)state;
     for (size_t i = 0; i < SR_LENGTH(successor_cases); i++) {
         const struct SuccessorCase *c = &successor_cases[i];
         Sr__FlowProgress progress = SR__FLOW_PROGRESS__INIT;
         Sr__FlowTask task = SR__FLOW_TASK__INIT;
         Sr__FlowTask *tasks[] = {&task};
         struct World world;
-        create_world(&world);
+        create_world(&world, lease_ms);
         task.run = 1;
         task.worker = (char *)"w";
         task.born = 1;
@@ -269,7 +275,7 @@
         int64_t last_grant_ms = CREATED_MS + c->last_grant_ms;
         bool responded = false;
         while (SrEngine_Stats(world.engine, world.now_ms).running > 0 &&
-               world.now_ms < CREATED_MS + 10 * LEASE_MS) {
+               world.now_ms < CREATED_MS + 10 * lease_ms) {
             bool responds = !responded && c->response_ms != 0 &&
                             world.poll_count > 0 &&
                             world.now_ms >= CREATED_MS + c->response_ms;
@@ -282,7 +288,7 @@
                     responds);
             tick(&world, true);
         }
-        int64_t expiry_ms = last_grant_ms + SrFleet_LeaseExpiryMs(LEASE_MS);
+        int64_t expiry_ms = last_grant_ms + SrFleet_LeaseExpiryMs(lease_ms);
         if (world.now_ms < expiry_ms || world.now_ms > expiry_ms + 100) {
             print_message("%s: run given up after %ld ms, lease ends after "
                           "%ld ms\n",
@@ -294,6 +300,57 @@
     }
 }
 
+/* Guards against a successor that starts a task again while its run goes on
+ * under a lease of a former leader, and against one that waits longer. */
+static void
+successor_waits_for_leases_of_its_predecessor(void **state)
+{
+    (void)state;
+    check_successor(LEASE_MS);
+    check_successor(LONG_LEASE_MS);
+}
+
+/* Guards against jobs that wait for the longest lease that workers accept when
+ * a worker is lost, and against starting them while the worker runs them. */
+static void
+lost_workers_runs_end_with_a_short_lease(void **state)
+{
+    (void)state;
+    struct World world;
+    create_world(&world, LONG_LEASE_MS);
+    while (world.now_ms < CREATED_MS + 2000) {
+        tick(&world, true);
+        respond(&world, SR_COMMAND_DONE, false);
+    }
+    add_job(&world, NULL);
+    while (world.starts == 0) {
+        tick(&world, true);
+        respond(&world, SR_COMMAND_DONE, false);
+        write_changes(&world);
+    }
+    SrEngine_OnResponse(
+        world.engine, &world.start,
+        &(struct SrCommandResponse){.result = SR_COMMAND_DONE, .clock_ms = -1},
+        world.now_ms);
+    for (unsigned i = 0; i < 50; i++) {
+        tick(&world, true);
+        respond(&world, SR_COMMAND_DONE, true);
+    }
+    int64_t granted_until_ms = world.granted_until_ms;
+    assert_in_range(granted_until_ms, world.now_ms + LEASE_MS - 1500,
+                    world.now_ms + LEASE_MS);
+    while (SrEngine_Stats(world.engine, world.now_ms).running > 0 &&
+           world.now_ms < granted_until_ms + LONG_LEASE_MS) {
+        tick(&world, true);
+        respond(&world, SR_COMMAND_NO_RESPONSE, false);
+    }
+    /* Later polls may have extended the lease, for all that the leader knows.
+     */
+    assert_in_range(world.now_ms, world.granted_until_ms,
+                    world.granted_until_ms + 1000);
+    destroy_world(&world);
+}
+
 int
 main(void)
 {
@@ -301,6 +358,7 @@
         cmocka_unit_test(unconfirmed_leader_grants_no_lease),
         cmocka_unit_test(unconfirmed_leader_sends_no_start),
         cmocka_unit_test(successor_waits_for_leases_of_its_predecessor),
+        cmocka_unit_test(lost_workers_runs_end_with_a_short_lease),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
