--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -38,7 +38,7 @@
     supply->free.accelerators += not_below_zero(free.accelerators);
     supply->free.cpu_millis += not_below_zero(free.cpu_millis);
     supply->free.memory_mb += not_below_zero(free.memory_mb);
-    if (worker->usable) {
+    if (worker->usable && !(unit->last_attempt && worker->failed_lately)) {
         supply->fit += SrPlan_TasksThatFit(&worker->free, &unit->demand);
         supply->fit_unreserved += fit;
     }
@@ -131,6 +131,12 @@
            unsigned count)
 {
     struct Supply supply = count_supply(pass, unit);
+    if (SrPlan_IsHeldBack(pass, unit)) {
+        return (struct SrIdleCause){
+            .reason = SR_IDLE_HEADROOM,
+            .u.headroom = {supply.fit, pass->empty_workers, pass->headroom},
+        };
+    }
     if (supply.fit >= count) {
         bool prefers_rack =
             unit->step->same_rack || unit->step->data_rack[0] != '\0';
