Interference between images is learned, and the plan keeps such tasks apart

Cause: tasks that compete for memory bandwidth or caches of a worker slow each other, which the resources of a step do not describe. Such tasks were placed together while other workers had capacity.

Change: interference.c compares the progress of one run, or the response times of a serving task, before and after exactly one image comes to its worker or leaves it. The penalty of a worker grows with the slowdown in both directions, at most to 1200. The fifth entry of a running run (its figure) is decoded.

--- a/src/commands.h
+++ b/src/commands.h
@@ -117,6 +117,10 @@
     char checkpoint[SR_CHECKPOINT_SIZE];
     /* Progress in percent. */
     int percent;
+    /* Rough figure for the last half second: the tail of a serving task's
+     * response times, ms; for any other task, the processor time in use,
+     * thousandths of a core. -1 if unknown. */
+    int figure;
 };
 
 struct SrTerminatedReport {
--- a/src/engine.c
+++ b/src/engine.c
@@ -76,6 +76,7 @@
     engine->created_ms = now_ms;
     engine->confirmed_ms = now_ms;
     SrFleet_Init(&engine->fleet, options->lease_ms);
+    SrInterference_Init(&engine->interference);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
     SrList_Init(&engine->flows);
@@ -983,6 +984,7 @@
         end_runs_without_lease(engine, now_ms);
         stop_stalled_runs(engine, now_ms);
     }
+    SrInterference_Expire(&engine->interference, now_ms);
     if (writable) {
         SrPlan_MoveRunsOffDraining(engine, now_ms);
     }
@@ -1039,5 +1041,7 @@
         stats.running += flow->outstanding;
         stats.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
     }
+    stats.interference_pairs = engine->interference.known_count;
+    stats.separations = engine->separations;
     return stats;
 }
--- a/src/engine.h
+++ b/src/engine.h
@@ -218,6 +218,10 @@
     unsigned running;
     /* Jobs that have not ended and of which no run has been allocated yet. */
     unsigned waiting;
+    /* Pairs of images with a known interference, and tasks placed apart
+     * because of it so far. */
+    unsigned interference_pairs;
+    uint64_t separations;
 };
 struct SrEngineStats SrEngine_Stats(const struct SrEngine *engine,
                                     int64_t now_ms);
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -221,6 +221,7 @@
         return false;
     }
     run->listed_by_poll = engine->poll_number;
+    run->figure = report->figure;
     if (run->state != SR_RUNSTATE_STARTED) {
         run->state = SR_RUNSTATE_STARTED;
         run->response_ms = now_ms;
@@ -476,6 +477,7 @@
     }
     SrEngine_ClearOutlivedCrashes(engine, worker, sent_ms);
     update_unlisted(engine, worker, response, sent_ms, now_ms);
+    SrEngine_ObserveInterference(engine, worker, now_ms);
 }
 
 /* Handles a start that the worker is known not to have executed. */
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -64,6 +64,12 @@
     int64_t store_offset_max_ms;
     /* Number of start commands without a response so far. */
     unsigned starts_in_flight;
+    struct SrInterference interference;
+    /* First task of the unit for which a worker was last avoided because of
+     * interference; valid within one placement pass only. */
+    const struct SrFlowTask *separating;
+    /* Number of tasks placed apart because of interference. */
+    uint64_t separations;
 };
 
 /* Cancellation of a job that is not known. The job's write may be under way,
@@ -250,6 +256,21 @@
                             const struct SrFlowTask *task, int64_t now_ms,
                             struct SrIdleCause *cause);
 
+/* Size of the buffer for an image that has no name. */
+#define SR_ENGINE_IMAGE_SIZE (SR_ID_SIZE + 16)
+
+/* Returns what stands for the task's image: its name or, if it has none, the
+ * queue and the step's index, which are written to the buffer. Valid as long
+ * as the flow and the buffer. */
+const char *SrEngine_ImageOf(const struct SrFlowTask *task,
+                             char buffer[SR_ENGINE_IMAGE_SIZE]);
+
+/* Passes the runs that the latest poll lists on the worker to the estimates of
+ * interference. */
+void SrEngine_ObserveInterference(struct SrEngine *engine,
+                                  const struct SrWorker *worker,
+                                  int64_t now_ms);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -195,6 +195,7 @@
     run->number = number;
     run->allocated_ms = now_ms;
     run->percent = -1;
+    run->figure = -1;
     run->percent_ms = now_ms;
     run->progress_ms = now_ms;
     SrResources_Add(&worker->allocated, &run->demand, 1);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -14,6 +14,7 @@
 
 #include "commands.h"
 #include "flow.h"
+#include "interference.h"
 #include "list.h"
 #include "map.h"
 #include "resources.h"
@@ -86,6 +87,9 @@
     int64_t percent_ms;
     /* When `percent` or the checkpoint last changed, or the run started. */
     int64_t progress_ms;
+    /* Figure of the latest report; see struct SrRunningReport. */
+    int figure;
+    struct SrInterferenceTrack interference;
     /* First reported progress above 0, and when it was reported; 0 before. The
      * rate of progress is computed from this point on. */
     int first_percent;
--- a/src/plan.c
+++ b/src/plan.c
@@ -19,6 +19,7 @@
 allocate(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
          struct SrWorker *worker, struct SrFlowTask *task, uint32_t number)
 {
+    SrPlan_CountSeparation(pass, unit, worker);
     struct SrRun *run = SrFleet_Allocate(&pass->engine->fleet, worker, task,
                                          number, pass->now_ms);
     run->incarnation = worker->info.incarnation;
@@ -515,6 +516,7 @@
     struct SrPlanPass *pass = SrUtil_Calloc(1, sizeof(*pass));
     pass->engine = engine;
     pass->now_ms = now_ms;
+    engine->separating = NULL;
     pass->accounts =
         SrUtil_Calloc(engine->catalog->account_count, sizeof(*pass->accounts));
     for (size_t i = 0; i < engine->catalog->account_count; i++) {
--- a/src/plan_score.c
+++ b/src/plan_score.c
@@ -13,6 +13,11 @@
  * took twice the time would have the same penalty as one with this many more
  * accelerators available. */
 #define SPEED_PENALTY 16
+/* Penalty for a slowdown to twice the time, of the new task or of one on the
+ * worker, and limit of all of them together. The limit is less than what keeps
+ * work off slow or suspect workers and out of other racks. */
+#define INTERFERENCE_PENALTY 300
+#define INTERFERENCE_PENALTY_MAX 1200
 
 /* Returns the penalty for the worker's speed. A slow worker delays a whole
  * gang, so all work avoids it; urgent work also prefers fast workers. */
@@ -28,6 +33,55 @@
     return (int64_t)(SPEED_PENALTY * (1 / worker->speed - 1));
 }
 
+/* Returns the penalty for the interference between the unit's tasks and the
+ * runs on the worker, in both directions. */
+static int64_t
+interference_penalty(const struct SrPlanPass *pass,
+                     const struct SrWorker *worker,
+                     const struct SrPlanUnit *unit)
+{
+    const struct SrInterference *interference = &pass->engine->interference;
+    char buffer[SR_ENGINE_IMAGE_SIZE];
+    char other_buffer[SR_ENGINE_IMAGE_SIZE];
+    double slowdown = 0;
+    if (interference->known_count == 0) {
+        return 0;
+    }
+    unsigned image = SrInterference_FindImage(
+        interference, SrEngine_ImageOf(unit->first, buffer));
+    if (image == SR_INTERFERENCE_NO_IMAGE ||
+        interference->known_with[image] == 0) {
+        return 0;
+    }
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        unsigned other = SrInterference_ImageOfRun(
+            interference, &run->interference,
+            SrEngine_ImageOf(run->task, other_buffer));
+        if (run->stopping || other == SR_INTERFERENCE_NO_IMAGE) {
+            continue;
+        }
+        slowdown +=
+            SrInterference_SlowdownByNumber(interference, image, other) - 1;
+        slowdown +=
+            SrInterference_SlowdownByNumber(interference, other, image) - 1;
+    }
+    int64_t penalty = (int64_t)(INTERFERENCE_PENALTY * slowdown);
+    return penalty < INTERFERENCE_PENALTY_MAX ? penalty
+                                              : INTERFERENCE_PENALTY_MAX;
+}
+
+void
+SrPlan_CountSeparation(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                       const struct SrWorker *worker)
+{
+    if (pass->engine->separating == unit->first &&
+        interference_penalty(pass, worker, unit) == 0) {
+        pass->engine->separations++;
+    }
+}
+
 int64_t
 SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes)
 {
@@ -58,6 +112,11 @@
         penalty += SR_PLAN_PENALTY_COLD;
     }
     penalty += slowness_penalty(worker, unit);
+    int64_t interference = interference_penalty(pass, worker, unit);
+    if (interference > 0) {
+        pass->engine->separating = unit->first;
+    }
+    penalty += interference;
     if (unit->step->gang) {
         penalty += SrPlan_SuspectPenalty(worker, unit->crashes);
     }
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -264,6 +264,12 @@
  * the next crash shows which of them is the cause, and from many runs. */
 int64_t SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes);
 
+/* Counts the unit's next task as placed apart if a worker was avoided for the
+ * unit because of interference and there is none on the given worker. */
+void SrPlan_CountSeparation(struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit,
+                            const struct SrWorker *worker);
+
 /* Returns the worker's resources that count as available to the unit. */
 struct SrResources SrPlan_AvailableOn(const struct SrWorker *worker,
                                       const struct SrPlanUnit *unit,
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -282,6 +282,42 @@
     }
 }
 
+static const struct {
+    const char *row_end;
+    int expected;
+} figure_cases[] = {
+    {"", -1},      {",0", 0},           {",37", 37},       {",37.9", 37},
+    {",-1", -1},   {",1e300", -1},      {",null", -1},     {",\"37\"", -1},
+    {",[37]", -1}, {",2147483648", -1}, {",37,\"x\"", 37},
+};
+
+/* Guards against a malformed figure that makes the whole response count as
+ * none, and against an absent one that is taken for 0. */
+static void
+figures_are_optional(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(figure_cases); i++) {
+        struct SrCommandResponse response;
+        char text[128];
+        snprintf(text, sizeof(text),
+                 "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",41%s]]}",
+                 figure_cases[i].row_end);
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = 200,
+                .body = (const uint8_t *)text,
+                .size = strlen(text),
+            },
+            &response);
+        assert_int_equal(response.result, SR_COMMAND_DONE);
+        assert_int_equal(response.running[0].figure, figure_cases[i].expected);
+        assert_int_equal(response.running[0].percent, 41);
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 /* Lengths of checkpoints; one that is longer than SR_CHECKPOINT_SIZE - 1
  * counts as absent. */
 static const size_t checkpoint_lengths[] = {0, 16, 64, 80, 256, 257, 4000};
@@ -644,6 +680,7 @@
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
         cmocka_unit_test(progress_is_within_its_range),
+        cmocka_unit_test(figures_are_optional),
         cmocka_unit_test(a_checkpoint_is_whole_or_absent),
         cmocka_unit_test(full_lists_may_lack_terminated_runs),
         cmocka_unit_test(longest_run_lists_are_read),
