Filler runs beside serving tasks are throttled by pace commands

Cause: fillers, which are allocated no processor time, raise the response times of serving tasks on their worker, by amounts that change within seconds. The leader could only stop them.

A new leader tells each filler its share. It takes effect only with the setting bounds.interference_ms.

Switches over the commands in tests have the new case.

--- a/bench/bench_exchange.c
+++ b/bench/bench_exchange.c
@@ -157,6 +157,7 @@
                     "5c0e7a21d94b36f8.0.1.17");
         command.u.stop.run = 2;
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/src/commands.h
+++ b/src/commands.h
@@ -21,6 +21,8 @@
     SR_COMMAND_POLL,
     SR_COMMAND_START,
     SR_COMMAND_STOP,
+    /* Sets the share at which a run may work, and disturb others. */
+    SR_COMMAND_PACE,
     /* Asks the advisor which workers may run a step. Not sent by the engine.
      */
     SR_COMMAND_ADVISE,
@@ -64,6 +66,12 @@
             char task[SR_TASK_NAME_SIZE];
             uint32_t run;
         } stop;
+        struct {
+            char task[SR_TASK_NAME_SIZE];
+            uint32_t run;
+            /* 0 to 100; 100 at the start of each run. */
+            int percent;
+        } pace;
         struct {
             char step[SR_TASK_NAME_SIZE];
             char workers[SR_ADVICE_WORKERS_MAX][SR_ID_SIZE];
--- a/src/engine.c
+++ b/src/engine.c
@@ -276,6 +276,7 @@
             &engine->fleet, worker, &flow->tasks[i], stored->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
         run->inherited = true;
+        run->pace = SrEngine_UnconfirmedPace(engine);
         worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
         inherit_lease_grant(engine, worker, stored);
@@ -1041,6 +1042,18 @@
         stats.running += flow->outstanding;
         stats.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
     }
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        const struct SrWorker *worker = SrFleet_WorkerAt(link);
+        SR_LIST_EACH(run_link, &worker->runs)
+        {
+            const struct SrRun *run =
+                SR_CONTAINER(run_link, struct SrRun, link);
+            stats.throttled +=
+                SrEngine_IsThrottled(run) && run->was_throttled ? 1 : 0;
+        }
+    }
+    stats.pace_calls = engine->pace_calls;
     stats.interference_pairs = engine->interference.known_count;
     stats.separations = engine->separations;
     return stats;
--- a/src/engine.h
+++ b/src/engine.h
@@ -58,6 +58,11 @@
     int64_t reclaim_ms;
     /* Interval between two checkpoints of a run, ms. */
     int64_t checkpoint_ms;
+    /* Time for which response times above the target of a serving task are
+     * tolerated, ms; 0 if filler runs are not throttled. */
+    int64_t interference_ms;
+    /* Time until a pace command takes effect, ms. */
+    int64_t pace_ms;
     /* Time for which the state of an ended job is kept, ms. */
     int64_t retention_ms;
     /* Factor by which a task takes longer outside its preferred rack. */
@@ -222,6 +227,10 @@
      * because of it so far. */
     unsigned interference_pairs;
     uint64_t separations;
+    /* Filler runs that work at less than the full share, and pace commands
+     * sent so far. */
+    unsigned throttled;
+    uint64_t pace_calls;
 };
 struct SrEngineStats SrEngine_Stats(const struct SrEngine *engine,
                                     int64_t now_ms);
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -131,7 +131,8 @@
         /* The worker would return the same results. */
         return false;
     }
-    if (has_possible_late_start(worker, now_ms)) {
+    if (has_possible_late_start(worker, now_ms) ||
+        SrEngine_NeedsFigures(worker, now_ms)) {
         return true;
     }
     if (!worker->has_unconfirmed_runs) {
@@ -351,5 +352,6 @@
             continue;
         }
         send_polls(engine, worker, now_ms);
+        SrEngine_SendPaces(engine, worker, now_ms);
     }
 }
--- a/src/engine_interference.c
+++ b/src/engine_interference.c
@@ -22,6 +22,7 @@
     struct SrInterferenceRun runs[SR_INTERFERENCE_RUNS_MAX];
     char buffers[SR_INTERFERENCE_RUNS_MAX][SR_ENGINE_IMAGE_SIZE];
     size_t count = 0;
+    bool disturbed = false;
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
@@ -38,7 +39,9 @@
             .figure = run->figure,
             .serving = run->step->latency_target_ms > 0,
         };
+        disturbed |= SrEngine_IsThrottled(run);
         count++;
     }
-    SrInterference_Observe(&engine->interference, runs, count, false, now_ms);
+    SrInterference_Observe(&engine->interference, runs, count, disturbed,
+                           now_ms);
 }
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -98,6 +98,7 @@
              run->state == SR_RUNSTATE_INHERITED)) {
             run->incarnation = incarnation;
             run->response_ms = now_ms;
+            run->pace = SrEngine_UnconfirmedPace(engine);
             continue;
         }
         SrEngine_EndRun(engine, run, SR_RUN_LAPSED, "", now_ms);
@@ -477,6 +478,7 @@
     }
     SrEngine_ClearOutlivedCrashes(engine, worker, sent_ms);
     update_unlisted(engine, worker, response, sent_ms, now_ms);
+    SrEngine_UpdateThrottle(engine, worker, now_ms);
     SrEngine_ObserveInterference(engine, worker, now_ms);
 }
 
@@ -786,6 +788,9 @@
         notice_restart(engine, worker, command, response, now_ms);
         on_stop_response(engine, worker, command, response, now_ms);
         break;
+    case SR_COMMAND_PACE:
+        SrEngine_OnPaceResponse(engine, worker, command, response, now_ms);
+        break;
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -70,6 +70,8 @@
     const struct SrFlowTask *separating;
     /* Number of tasks placed apart because of interference. */
     uint64_t separations;
+    /* Number of pace commands sent. */
+    uint64_t pace_calls;
 };
 
 /* Cancellation of a job that is not known. The job's write may be under way,
@@ -271,6 +273,35 @@
                                   const struct SrWorker *worker,
                                   int64_t now_ms);
 
+/* Time that a figure covers, ms. */
+#define SR_ENGINE_FIGURE_MS 500
+
+/* Returns the pace of a run that may have been given one without a response to
+ * this leader: unknown, or the full share if no run is throttled. */
+int SrEngine_UnconfirmedPace(const struct SrEngine *engine);
+
+/* Returns true if the run is a filler that may work at less than the full
+ * share. */
+bool SrEngine_IsThrottled(const struct SrRun *run);
+
+/* Updates the share of the worker's filler runs after a poll. */
+void SrEngine_UpdateThrottle(struct SrEngine *engine, struct SrWorker *worker,
+                             int64_t now_ms);
+
+/* Returns true if the worker must be polled without delay because a serving
+ * task on it is above its target. */
+bool SrEngine_NeedsFigures(const struct SrWorker *worker, int64_t now_ms);
+
+/* Sends the pace commands that are due. */
+void SrEngine_SendPaces(struct SrEngine *engine, struct SrWorker *worker,
+                        int64_t now_ms);
+
+void SrEngine_OnPaceResponse(struct SrEngine *engine,
+                             const struct SrWorker *worker,
+                             const struct SrCommand *command,
+                             const struct SrCommandResponse *response,
+                             int64_t now_ms);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -138,6 +138,7 @@
     worker->service = intern(&fleet->services, "");
     worker->clock_ms = -1;
     worker->speed = 1;
+    SrThrottle_Init(&worker->throttle);
     SrList_Init(&worker->runs);
     SrList_Init(&worker->unacked_starts);
     SrList_Init(&worker->unknown_runs);
@@ -196,6 +197,7 @@
     run->allocated_ms = now_ms;
     run->percent = -1;
     run->figure = -1;
+    run->pace = SR_THROTTLE_FULL;
     run->percent_ms = now_ms;
     run->progress_ms = now_ms;
     SrResources_Add(&worker->allocated, &run->demand, 1);
@@ -429,7 +431,7 @@
     struct SrWorker *worker = run->worker;
     double span_ms = (double)(run->percent_ms - run->first_percent_ms);
     double progress = run->percent - run->first_percent;
-    if (step->continuous || step->estimated_ms == 0 ||
+    if (step->continuous || step->estimated_ms == 0 || run->was_throttled ||
         progress < SPEED_MIN_PERCENT || span_ms <= 0) {
         return;
     }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -18,6 +18,7 @@
 #include "list.h"
 #include "map.h"
 #include "resources.h"
+#include "throttle.h"
 #include "worker_entry.h"
 
 enum SrRunState {
@@ -90,6 +91,25 @@
     /* Figure of the latest report; see struct SrRunningReport. */
     int figure;
     struct SrInterferenceTrack interference;
+    /* The following fields are used for filler runs only. */
+
+    /* Share in percent that the worker last acknowledged; SR_THROTTLE_FULL
+     * before, and SR_THROTTLE_UNKNOWN after a former leader or a command
+     * without a response may have set another one. */
+    int pace;
+    bool pace_in_flight;
+    int64_t pace_sent_ms;
+    int64_t next_pace_ms;
+    /* Pace commands without success in a row. */
+    unsigned paces_failed;
+    /* The pace of the latest command without a response, and until when it may
+     * still be executed; 0 if there is none. */
+    int late_pace;
+    int64_t late_pace_until_ms;
+    /* The run was told to work at less than the full share, so that its
+     * progress says nothing about the worker's speed. */
+    bool was_throttled;
+
     /* First reported progress above 0, and when it was reported; 0 before. The
      * rate of progress is computed from this point on. */
     int first_percent;
@@ -275,6 +295,11 @@
      * none did, or the response to a later poll lists none. */
     int64_t unknown_runs_ms;
 
+    /* Share of the filler runs on the worker, and whether there were any at
+     * the latest poll. */
+    struct SrThrottle throttle;
+    bool has_fillers;
+
     /* The following fields are valid within one placement pass only. */
 
     /* Neither allocated nor reserved for a unit of the pass. */
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -96,11 +96,13 @@
    */
   protobuf_c_boolean continuous;
   /*
-   * Not used by the scheduler.
+   * Name of what the tasks execute; tasks of one image interfere with others
+   * alike. Empty if there is none: the queue and the step's index stand for it.
    */
   char *image;
   /*
-   * Not used by the scheduler.
+   * Target for the response times of a task that serves requests, ms; 0 if the
+   * tasks serve none.
    */
   uint32_t latency_target_ms;
   /*
--- a/src/leader.c
+++ b/src/leader.c
@@ -607,6 +607,8 @@
             .stop_ms = options->settings->stop_ms,
             .reclaim_ms = options->settings->reclaim_ms,
             .checkpoint_ms = options->settings->checkpoint_ms,
+            .interference_ms = options->settings->interference_ms,
+            .pace_ms = options->settings->pace_ms,
             .retention_ms = options->settings->status_retention_ms +
                             SR_LEADER_RETENTION_MARGIN_MS,
             .remote_factor = options->settings->remote_factor,
--- a/src/node.c
+++ b/src/node.c
@@ -349,6 +349,12 @@
     SrMetrics_Set(metrics, "sr_jobs", "state", "known", stats.flows);
     SrMetrics_Set(metrics, "sr_jobs", "state", "waiting", stats.waiting);
     SrMetrics_Set(metrics, "sr_runs", NULL, NULL, stats.running);
+    SrMetrics_Set(metrics, "sr_interference_pairs", NULL, NULL,
+                  stats.interference_pairs);
+    SrMetrics_Set(metrics, "sr_tasks_separated", NULL, NULL,
+                  stats.separations);
+    SrMetrics_Set(metrics, "sr_throttled_runs", NULL, NULL, stats.throttled);
+    SrMetrics_Set(metrics, "sr_pace_calls", NULL, NULL, stats.pace_calls);
 }
 
 static void
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -54,6 +54,11 @@
     int64_t reclaim_ms;
     /* Time that a task runs between two checkpoints, ms. */
     int64_t checkpoint_ms;
+    /* Time for which response times above the target of a serving task are
+     * tolerated, ms; 0 if filler tasks are not throttled. */
+    int64_t interference_ms;
+    /* Time until a pace command takes effect, ms. */
+    int64_t pace_ms;
     /* Largest value of a row in the store, bytes as base64; 0 for the usual
      * limit. */
     int64_t row_bytes;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -794,6 +794,7 @@
     case SR_COMMAND_STOP:
         result = execute_stop(sim, worker, command);
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         return;
     }
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -516,6 +516,88 @@
     ev_loop_destroy(exchange.loop);
 }
 
+struct Received {
+    struct ev_loop *loop;
+    char path[64];
+    char body[256];
+};
+
+static void
+keep_request(void *context, struct SrHttpRequest *request)
+{
+    struct Received *received = context;
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(request, &size);
+    SrUtil_Copy(received->path, sizeof(received->path),
+                SrHttpRequest_Path(request));
+    snprintf(received->body, sizeof(received->body), "%.*s", (int)size,
+             (const char *)body);
+    SrHttpRequest_Respond(request, &(struct SrHttpServerResponse){
+                                       .status = 404,
+                                       .type = "application/json",
+                                   });
+}
+
+static void
+end_pace(void *context, const struct SrCommand *command,
+         const struct SrCommandResponse *response)
+{
+    const struct Received *received = context;
+    assert_int_equal(command->kind, SR_COMMAND_PACE);
+    assert_int_equal(response->result, SR_COMMAND_INVALID);
+    ev_break(received->loop, EVBREAK_ALL);
+}
+
+/* Guards against a pace that the platform's workers do not understand. */
+static void
+a_pace_is_encoded_as_the_platform_reads_it(void **state)
+{
+    (void)state;
+    struct Received received = {.loop = ev_loop_new(EVFLAG_AUTO)};
+    struct SrHttpServer *server = NULL;
+    assert_int_equal(SrHttpServer_Create(received.loop,
+                                         &(struct SrHttpServerOptions){
+                                             .address = WORKER_ADDRESS,
+                                             .body_max = 1000,
+                                             .connections_max = 10,
+                                             .read_timeout_ms = 5000,
+                                             .handle = keep_request,
+                                             .reject = reject_request,
+                                             .context = &received,
+                                         },
+                                         &server),
+                     SR_HTTP_SERVER_OK);
+    struct SrHttpClient *http =
+        SrHttpClient_Create(&(struct SrHttpClientOptions){
+            .loop = received.loop,
+            .connections_kept = 1,
+            .shards = 1,
+        });
+    struct SrPlatformCommands *commands =
+        SrPlatformCommands_Create(http, WORKER_ADDRESS, end_pace, &received);
+    SrPlatformCommands_Send(
+        commands, &(struct SrCommand){
+                      .kind = SR_COMMAND_PACE,
+                      .worker = "w",
+                      .address = WORKER_ADDRESS,
+                      .term = 7,
+                      .timeout_ms = EXCHANGE_MS,
+                      .u.pace = {.task = "a.0.0.1", .run = 2, .percent = 40},
+                  });
+    ev_run(received.loop, 0);
+    assert_string_equal(received.path, "/sassafrasrelay/pace");
+    json_t *root = json_loads(received.body, 0, NULL);
+    json_t *expected = json_pack("{s:i,s:s,s:i,s:i}", "fencing_token", 7,
+                                 "task", "a.0.0.1", "run", 2, "percent", 40);
+    assert_true(json_equal(root, expected));
+    json_decref(root);
+    json_decref(expected);
+    SrPlatformCommands_Destroy(commands);
+    SrHttpClient_Destroy(http);
+    SrHttpServer_Destroy(server);
+    ev_loop_destroy(received.loop);
+}
+
 struct BadCatalog {
     const char *body;
     enum SrDecodeError error;
@@ -625,6 +707,10 @@
 static const struct SettingsCase settings_cases[] = {
     {"no extra line", "", SR_PLATFORM_SETTINGS_OK},
     {"fraction", "bounds.checkpoint_s=0.5\n", SR_PLATFORM_SETTINGS_OK},
+    {"interference", "bounds.interference_ms=4500\nbounds.pace_ms=100\n",
+     SR_PLATFORM_SETTINGS_OK},
+    {"bad interference", "bounds.interference_ms=soon\n",
+     SR_PLATFORM_SETTINGS_BAD_VALUE},
     {"unknown field", "new.field=1\n", SR_PLATFORM_SETTINGS_OK},
     {"no value", "zone\n", SR_PLATFORM_SETTINGS_BAD_LINE},
     {"not a number", "bounds.grace_s=six\n", SR_PLATFORM_SETTINGS_BAD_VALUE},
@@ -662,6 +748,7 @@
     assert_int_equal(load_with_line("bounds.checkpoint_s=0.5\n", &settings),
                      SR_PLATFORM_SETTINGS_OK);
     assert_int_equal(settings.checkpoint_ms, 500);
+    assert_int_equal(settings.interference_ms, 0);
     assert_int_equal(settings.grace_ms, 6000);
     assert_int_equal(settings.domain_count, 2);
     assert_string_equal(settings.metrics_address, "10.0.0.1:7000");
@@ -684,6 +771,7 @@
         cmocka_unit_test(a_checkpoint_is_whole_or_absent),
         cmocka_unit_test(full_lists_may_lack_terminated_runs),
         cmocka_unit_test(longest_run_lists_are_read),
+        cmocka_unit_test(a_pace_is_encoded_as_the_platform_reads_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_contention.c
+++ b/tests/test_contention.c
@@ -274,6 +274,7 @@
     case SR_COMMAND_POLL:
         poll(world, worker, command, &response, running);
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -228,6 +228,7 @@
     case SR_COMMAND_STOP:
         remove_run(site, command->u.stop.task);
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/tests/test_large_jobs.c
+++ b/tests/test_large_jobs.c
@@ -207,6 +207,7 @@
     case SR_COMMAND_STOP:
         stop_run(worker, command);
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -47,6 +47,7 @@
         deadline_ms = command->u.start.deadline_ms;
         break;
     case SR_COMMAND_STOP:
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -57,6 +57,7 @@
         world->last_stop = *command;
         world->stops++;
         break;
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
--- a/tests/test_terminated.c
+++ b/tests/test_terminated.c
@@ -218,6 +218,7 @@
         break;
     }
     case SR_COMMAND_STOP:
+    case SR_COMMAND_PACE:
     case SR_COMMAND_ADVISE:
         break;
     }
