Interference: a pair without a sign of it replaces no other one

Cause: with more pairs of images than the 256 that are known, pairs without interference replaced each other and those with it before they had enough observations.

Change: while all pairs are in use, a new one replaces the oldest only if the comparison that adds it suggests a slowdown. That comparison is not counted, since a selected observation would bias the estimate.

--- a/src/interference.c
+++ b/src/interference.c
@@ -76,6 +76,7 @@
     }
     set_known(interference, pair, false);
     interference->index[pair->image][pair->other] = 0;
+    interference->pair_count--;
     *pair = (struct SrInterferencePair){0};
 }
 
@@ -96,6 +97,7 @@
         }
     }
     remove_pair(interference, oldest);
+    interference->pair_count++;
     oldest->image = image;
     oldest->other = other;
     interference->index[image][other] =
@@ -247,7 +249,9 @@
 }
 
 /* Compares the run's current window with the previous one if exactly one image
- * came or left between them. */
+ * came or left between them. While all pairs are in use, a new one replaces
+ * the oldest only if the comparison suggests interference: else pairs without
+ * any would replace each other before they have enough observations. */
 static void
 compare(struct SrInterference *interference, struct SrInterferenceTrack *track,
         bool serving, int64_t now_ms)
@@ -268,9 +272,19 @@
     double change = log_time(current, serving) - log_time(previous, serving);
     double slowdown = arrived ? change : -change;
     slowdown = fmax(fmin(slowdown, log(RATIO_MAX)), -log(RATIO_MAX));
-    struct SrInterferencePair *pair = find_or_add_pair(
-        interference, track->image, (unsigned)__builtin_ctzll(difference));
+    unsigned other = (unsigned)__builtin_ctzll(difference);
+    bool replaces = interference->index[track->image][other] == 0 &&
+                    interference->pair_count == SR_INTERFERENCE_PAIRS_MAX;
+    if (replaces && slowdown < log(KNOWN_RATIO)) {
+        return;
+    }
+    struct SrInterferencePair *pair =
+        find_or_add_pair(interference, track->image, other);
     pair->latest_ms = now_ms;
+    if (replaces) {
+        /* Counted, a selected observation would bias the estimate. */
+        return;
+    }
     add_to_mean(arrived ? &pair->arrivals : &pair->departures, slowdown);
     assess(interference, pair);
 }
--- a/src/interference.h
+++ b/src/interference.h
@@ -109,6 +109,7 @@
     struct SrInterferencePair pairs[SR_INTERFERENCE_PAIRS_MAX];
     /* For two images, 1 plus the index of their pair; 0 if there is none. */
     uint16_t index[SR_INTERFERENCE_IMAGES_MAX][SR_INTERFERENCE_IMAGES_MAX];
+    unsigned pair_count;
     /* Number of pairs whose estimate counts, in total and by image. */
     unsigned known_count;
     unsigned known_with[SR_INTERFERENCE_IMAGES_MAX];
