Pace: an unresponsive worker is not polled for its figures

Cause: the figures that asked for quicker polls stay as they were while a worker does not respond, so that quick polls to it would go on.

Change: only workers with runs and without a failed poll are polled so.

Result: test_throttle passes.

--- a/src/engine_pace.c
+++ b/src/engine_pace.c
@@ -117,7 +117,8 @@
 SrEngine_NeedsFigures(const struct SrWorker *worker, int64_t now_ms)
 {
     return worker->has_fillers && worker->throttle.share > 0 &&
-           worker->throttle.over_since_ms != 0 &&
+           worker->throttle.over_since_ms != 0 && worker->failed_polls == 0 &&
+           !SrList_IsEmpty(&worker->runs) &&
            now_ms - worker->response_ms >= SR_ENGINE_FIGURE_MS;
 }
 
