--- a/src/engine.c
+++ b/src/engine.c
@@ -80,6 +80,7 @@
     engine->confirmed_ms = now_ms;
     engine->forecast = SrForecast_Create();
     SrFleet_Init(&engine->fleet, options->lease_ms);
+    SrInterference_Init(&engine->interference);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
     SrList_Init(&engine->flows);
@@ -280,6 +281,7 @@
             &engine->fleet, worker, &flow->tasks[i], stored->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
         run->inherited = true;
+        run->pace = SrEngine_UnconfirmedPace(engine);
         worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
         inherit_lease_grant(engine, worker, stored);
@@ -1013,6 +1015,7 @@
         end_runs_without_lease(engine, now_ms);
         stop_stalled_runs(engine, now_ms);
     }
+    SrInterference_Expire(&engine->interference, now_ms);
     if (writable) {
         SrPlan_MoveRunsOffDraining(engine, now_ms);
     }
@@ -1078,5 +1081,19 @@
         stats.running += flow->outstanding;
         stats.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
     }
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        const struct SrWorker *worker = SrFleet_WorkerAt(link);
+        SR_LIST_EACH(run_link, &worker->runs)
+        {
+            const struct SrRun *run =
+                SR_CONTAINER(run_link, struct SrRun, link);
+            stats.throttled +=
+                SrEngine_IsThrottled(run) && run->was_throttled ? 1 : 0;
+        }
+    }
+    stats.pace_calls = engine->pace_calls;
+    stats.interference_pairs = engine->interference.known_count;
+    stats.separations = engine->separations;
     return stats;
 }
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -84,6 +84,18 @@
     int64_t store_offset_max_ms;
     /* Number of start commands without a response so far. */
     unsigned starts_in_flight;
+    struct SrInterference interference;
+    /* First task of the unit for which a worker was last avoided because of
+     * interference; valid within one placement pass only. */
+    const struct SrFlowTask *separating;
+    /* First task of the unit whose image was last looked up, and the number of
+     * that image; valid within one placement pass only. */
+    const struct SrFlowTask *image_task;
+    unsigned image;
+    /* Number of tasks placed apart because of interference. */
+    uint64_t separations;
+    /* Number of pace commands sent. */
+    uint64_t pace_calls;
 };
 
 /* Cancellation of a job that is not known. The job's write may be under way,
@@ -283,6 +295,49 @@
 /* Marks the workers as gone that are kept without an entry and no longer
  * respond, or whose entry is not back in time. */
 void SrEngine_CheckOutage(struct SrEngine *engine, int64_t now_ms);
+/* Size of the buffer for an image that has no name. */
+#define SR_ENGINE_IMAGE_SIZE (SR_ID_SIZE + 16)
+
+/* Returns what stands for the task's image: its name or, if it has none, the
+ * queue and the step's index, which are written to the buffer. Valid as long
+ * as the flow and the buffer. */
+const char *SrEngine_ImageOf(const struct SrFlowTask *task,
+                             char buffer[SR_ENGINE_IMAGE_SIZE]);
+
+/* Passes the runs that the latest poll lists on the worker to the estimates of
+ * interference. */
+void SrEngine_ObserveInterference(struct SrEngine *engine,
+                                  const struct SrWorker *worker,
+                                  int64_t now_ms);
+
+/* Time that a figure covers, ms. */
+#define SR_ENGINE_FIGURE_MS 500
+
+/* Returns the pace of a run that may have been given one without a response to
+ * this leader: unknown, or the full share if no run is throttled. */
+int SrEngine_UnconfirmedPace(const struct SrEngine *engine);
+
+/* Returns true if the run is a filler that may work at less than the full
+ * share. */
+bool SrEngine_IsThrottled(const struct SrRun *run);
+
+/* Updates the share of the worker's filler runs after a poll. */
+void SrEngine_UpdateThrottle(struct SrEngine *engine, struct SrWorker *worker,
+                             int64_t now_ms);
+
+/* Returns true if the worker must be polled without delay because a serving
+ * task on it is above its target. */
+bool SrEngine_NeedsFigures(const struct SrWorker *worker, int64_t now_ms);
+
+/* Sends the pace commands that are due. */
+void SrEngine_SendPaces(struct SrEngine *engine, struct SrWorker *worker,
+                        int64_t now_ms);
+
+void SrEngine_OnPaceResponse(struct SrEngine *engine,
+                             const struct SrWorker *worker,
+                             const struct SrCommand *command,
+                             const struct SrCommandResponse *response,
+                             int64_t now_ms);
 
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
