Tests: clients that finish nothing and read nothing, against a real node

Clients that leave requests open after all but the last byte of a body grow a node past the memory of its VM, and clients that only open connections take the readiness port and the metrics port away from everyone else.

test_hostile_clients plays 22 crowds of at most 500 connections against a node whose settings give it 64 MB (32 MB for bodies of many fields) and 4,096 descriptors (400 in two cases). Each case checks that the node lives, that its peak memory and its descriptors stay within these limits, and that a submission, the readiness check and the metrics are answered while the crowd's connections are open. It checks no times and no share of served requests.

While bodies of 87,000 steps are decoded one after the other the node also loses sight of its store and refuses requests.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -63,7 +63,7 @@
 for test in build-asan/test_*; do
     case $test in
     "$longest" | *.dir | */test_deployment | */test_faults | */test_gate | \
-        */test_jobs | */test_node_shutdown | */test_nodes | \
+        */test_hostile_clients | */test_jobs | */test_node_shutdown | */test_nodes | \
         */test_odd_entries | */test_refusals | */test_relay | */test_soak)
         continue
         ;;
@@ -71,6 +71,7 @@
     run "$test"
 done
 run "$BUILD/test_gate"
+run "$BUILD/test_hostile_clients"
 run "$BUILD/test_jobs"
 run "$BUILD/test_node_shutdown"
 run "$BUILD/test_nodes"
--- a/tests/soak_site.c
+++ b/tests/soak_site.c
@@ -131,9 +131,10 @@
             "bounds.max_hold_ms=6000\nbounds.stop_timeout_ms=200\n"
             "bounds.grace_s=%d\nbounds.status_s=120\n"
             "bounds.remote_factor=3\nbounds.reclaim_ms=2900\n"
-            "limits.cpu_share=1\n",
+            "limits.cpu_share=1\n%s",
             number, number, site->host, 20 + number, site->host, 20 + number,
-            site->host, 7300 + number, GRACE_S);
+            site->host, 7300 + number, GRACE_S,
+            site->limits != NULL ? site->limits : "");
     fclose(file);
 }
 
--- a/tests/soak_site.h
+++ b/tests/soak_site.h
@@ -126,6 +126,9 @@
     unsigned worker_count;
     /* Path of the nodes' binary; NULL for that of the build. */
     const char *binary;
+    /* Set before SoakSite_Start: further lines of the nodes' settings, or
+     * NULL. */
+    const char *limits;
     /* The nodes have the limits and bounds of a deployment. */
     bool is_deployment;
     /* Start of the period of the processor quotas, and end of a stall of all
