HTTP server: a memory budget for what clients do not finish

400 clients that left a body open after all but its last byte took a node from 13 MB to 92 to 124 MB, more than the smallest VM has beside its work. 64 silent connections made the readiness port or the metrics port unavailable to everyone. Bodies of 87,000 steps took 50 MB each while they were decoded, and the node refused requests meanwhile because it had not heard from its store.

receive_budget accounts for connections, bodies, requests in progress and unread responses, with a share for each client address, and selects the request with the least recent progress when the budget is used up. http_server answers it with 503 and Retry-After, or closes the connection. Requests that the handler was passed are never selected. The callers' port gets a fifth of limits.memory_mb and of limits.max_fds; the readiness and metrics ports have limits of their own. At its limit of connections a node closes the longest idle one for a new one. A body that is too large is refused from its length, and at most 1 MiB of it is read. A job's JSON is scanned for more than 8,192 values or 32 levels before it is parsed. Bodies are freed once they are decoded.

Connections that got a 408 are closed 1 s later even if the client goes on sending; single bytes kept them open before. The node keeps connections to workers within limits.max_fds: 1,976 instead of 2,075 at 3,075 descriptors.

The case ordinary_clients is new: none of 400 ordinary clients is refused for the budget.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -156,6 +156,13 @@
                 .text = "the process is stopping",
                 .retry_after_ms = SR_MS_PER_SECOND,
             },
+        [SR_HTTP_OVERLOADED] =
+            {
+                .code = SR__ERROR_CODE__ERROR_UNAVAILABLE,
+                .outcome = SR__OUTCOME__OUTCOME_NOT_RUN,
+                .text = "too many unfinished requests",
+                .retry_after_ms = SR_MS_PER_SECOND,
+            },
     };
     struct SrHttpBody body = {.type = TYPE_PROTOBUF};
     body.data = SrCall_PackFailure(&failures[reason], &body.size);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -13,6 +13,7 @@
 #include "list.h"
 #include "log.h"
 #include "os.h"
+#include "receive_budget.h"
 #include "util.h"
 
 /* Initial size of the buffer for a request body, and block size of truncated
@@ -35,11 +36,26 @@
 #define STOPPING_RETRY_AFTER "1"
 /* Memory of libmicrohttpd per connection, for headers and buffers. */
 #define CONNECTION_BYTES (8 * 1024)
+/* Connections that libmicrohttpd may accept before those that are closed for
+ * them have gone; it accepts 10 in one step. */
+#define CONNECTIONS_SLACK 16
+/* After a response to a request that was received in part, the rest of the
+ * request is read up to this size before the connection is closed: closing a
+ * socket with unread data resets the connection, and a client that sends its
+ * whole body first might not read the response. */
+#define DISCARD_MAX_BYTES (1024 * 1024)
+/* Interval between two log lines about closed connections. */
+#define CLOSED_LOG_MS 1000
+/* Time after which a request that was closed for others is to be repeated, s;
+ * stalled requests end within the read timeout at the latest. */
+#define OVERLOADED_RETRY_AFTER "2"
 
 struct SrHttpServer {
     struct ev_loop *loop;
     struct MHD_Daemon *daemon;
     struct SrHttpServerOptions options;
+    /* For the log. */
+    char address[64];
     ev_io readable;
     ev_prepare prepare;
     ev_timer timeout;
@@ -48,10 +64,22 @@
      * written to the socket directly: the client may still be sending. */
     struct SrList fresh;
     struct SrList finished;
+    /* Connections between two requests, idle for longest first. */
+    struct SrList idle;
     /* Requests that are being received, oldest first. */
     struct SrList receiving;
     /* Requests that were passed to the handler and have no response yet. */
     struct SrList handled;
+    /* Requests whose responses are being sent, oldest first. */
+    struct SrList responded;
+    struct SrReceiveBudget budget;
+    /* Open connections, without those that are being closed. */
+    unsigned connections;
+    /* Connections closed by reason, their number in the latest log line, and
+     * its time, ms of the monotonic clock. */
+    uint64_t closed[SR_HTTP_CLOSURES];
+    uint64_t closed_logged;
+    int64_t closed_logged_ms;
     /* MHD_run must be called: connections were resumed or added, which does
      * not make the epoll descriptor readable. */
     bool run_needed;
@@ -65,6 +93,13 @@
 struct Connection {
     struct SrList link;
     struct MHD_Connection *mhd;
+    /* The request in progress, or NULL. */
+    struct SrHttpRequest *request;
+    struct SrReceiveEntry entry;
+    /* When the connection was added to its list, ms of the monotonic clock. */
+    int64_t since_ms;
+    /* The socket was shut down; libmicrohttpd closes it in its next step. */
+    bool closing;
 };
 
 enum RequestState {
@@ -89,8 +124,8 @@
     /* Bytes received, and allocated size of `body`. */
     size_t size;
     size_t capacity;
-    /* The body exceeds the limit; the rest of it is discarded. */
-    bool too_large;
+    /* Bytes received after the request was rejected. */
+    size_t discarded;
     /* When the headers arrived, ms of the monotonic clock. */
     int64_t started_ms;
     /* Response of the handler and its HTTP status code. `mhd_response` is NULL
@@ -106,6 +141,19 @@
     [SR_HTTP_SERVER_CANNOT_LISTEN] = "cannot listen on the address",
 };
 
+static const char *const closure_texts[] = {
+    [SR_HTTP_CLOSED_TOO_LARGE] = "too-large",
+    [SR_HTTP_CLOSED_TOO_SLOW] = "too-slow",
+    [SR_HTTP_CLOSED_MEMORY] = "memory",
+    [SR_HTTP_CLOSED_CONNECTIONS] = "connections",
+};
+
+const char *
+SrHttpServer_ClosureText(enum SrHttpClosure closure)
+{
+    return closure_texts[closure];
+}
+
 const char *
 SrHttpServer_ErrorText(enum SrHttpServerError error)
 {
@@ -194,18 +242,179 @@
     free(body.data);
 }
 
-/* Responds with status 408 to a request that has not arrived within the read
- * timeout, before libmicrohttpd closes the idle connection. */
+/* Shuts the socket down, so that libmicrohttpd closes the connection. */
+static void
+close_connection(struct SrHttpServer *server, struct Connection *connection)
+{
+    if (connection->closing) {
+        return;
+    }
+    connection->closing = true;
+    server->connections--;
+    shutdown(socket_of(connection->mhd), SHUT_RDWR);
+    server->run_needed = true;
+}
+
+/* Moves a connection to the end of a list. */
+static void
+move_connection(struct Connection *connection, struct SrList *list)
+{
+    SrList_Remove(&connection->link);
+    SrList_Append(list, &connection->link);
+    connection->since_ms = SrOs_MonotonicMs();
+}
+
+/* Frees the body; the connection holds `held` bytes from now on. */
+static void
+free_body(struct SrHttpRequest *request, size_t held)
+{
+    free(request->body);
+    request->body = NULL;
+    request->size = 0;
+    request->capacity = 0;
+    SrReceiveBudget_Hold(&request->server->budget,
+                         &connection_of(request->connection)->entry,
+                         SR_HTTP_CONNECTION_BYTES + held);
+}
+
+/* Responds to a request that was received in part, or may be under way on a
+ * connection without a request so far. The client gets the end of the
+ * connection too, but some of what it still sends is received: closing a
+ * socket with unread data would reset the connection, and the client might not
+ * read the response. */
 static void
-reject_slow_sender(struct SrHttpRequest *request)
+finish_connection(struct SrHttpServer *server, struct MHD_Connection *mhd,
+                  enum SrHttpRejection reason)
 {
-    write_rejection(request->server, request->connection,
-                    SR_HTTP_SENDER_TOO_SLOW, "408 Request Timeout", "");
+    static const struct {
+        const char *status;
+        const char *headers;
+    } heads[] = {
+        [SR_HTTP_BODY_TOO_LARGE] = {"413 Content Too Large", ""},
+        [SR_HTTP_SENDER_TOO_SLOW] = {"408 Request Timeout", ""},
+        [SR_HTTP_STOPPING] = {"503 Service Unavailable",
+                              "Retry-After: " STOPPING_RETRY_AFTER "\r\n"},
+        [SR_HTTP_OVERLOADED] = {"503 Service Unavailable",
+                                "Retry-After: " OVERLOADED_RETRY_AFTER "\r\n"},
+    };
+    struct Connection *connection = connection_of(mhd);
+    write_rejection(server, mhd, reason, heads[reason].status,
+                    heads[reason].headers);
+    shutdown(socket_of(mhd), SHUT_WR);
+    SrReceiveBudget_Protect(&connection->entry);
+    move_connection(connection, &server->finished);
+}
+
+/* Rejects a request that is being received; see finish_connection. */
+static void
+reject_request(struct SrHttpRequest *request, enum SrHttpRejection reason)
+{
+    finish_connection(request->server, request->connection, reason);
+    free_body(request, 0);
     request->state = REQUEST_REJECTED;
     SrList_Remove(&request->link);
-    MHD_set_connection_option(request->connection,
-                              MHD_CONNECTION_OPTION_TIMEOUT,
-                              (unsigned)CLOSE_SECONDS);
+}
+
+/* Closes a connection without a request in progress, or one whose request the
+ * handler has not been passed or has responded to. */
+static void
+close_for_others(struct SrHttpServer *server, struct Connection *connection,
+                 enum SrHttpClosure reason)
+{
+    struct SrHttpRequest *request = connection->request;
+    server->closed[reason]++;
+    if (request != NULL && request->state == REQUEST_RECEIVING) {
+        reject_request(request, SR_HTTP_OVERLOADED);
+    }
+    else {
+        SrReceiveBudget_Protect(&connection->entry);
+        close_connection(server, connection);
+    }
+}
+
+/* Closes other connections while the clients hold too much memory, after
+ * `connection` has received a part of its request or a response. */
+static void
+keep_budget(struct SrHttpServer *server, struct Connection *connection)
+{
+    for (;;) {
+        struct SrReceiveEntry *entry =
+            SrReceiveBudget_Victim(&server->budget, &connection->entry);
+        if (entry == NULL) {
+            break;
+        }
+        close_for_others(server, SR_CONTAINER(entry, struct Connection, entry),
+                         SR_HTTP_CLOSED_MEMORY);
+    }
+}
+
+/* Returns the first connection of a list that is not being closed. */
+static struct Connection *
+first_open(const struct SrList *list)
+{
+    SR_LIST_EACH(link, list)
+    {
+        struct Connection *connection =
+            SR_CONTAINER(link, struct Connection, link);
+        if (!connection->closing) {
+            return connection;
+        }
+    }
+    return NULL;
+}
+
+/* The same for a list of requests. */
+static struct Connection *
+first_open_request(const struct SrList *list)
+{
+    SR_LIST_EACH(link, list)
+    {
+        struct Connection *connection = connection_of(
+            SR_CONTAINER(link, struct SrHttpRequest, link)->connection);
+        if (!connection->closing) {
+            return connection;
+        }
+    }
+    return NULL;
+}
+
+/* Returns the connection to close for a new one: one that was rejected, else
+ * the one that has been without a request for longest, else the oldest request
+ * that has not arrived or whose response is not read. NULL if all requests are
+ * being handled. */
+static struct Connection *
+oldest_idle(const struct SrHttpServer *server)
+{
+    struct Connection *finished = first_open(&server->finished);
+    struct Connection *fresh = first_open(&server->fresh);
+    struct Connection *idle = first_open(&server->idle);
+    struct Connection *receiving = first_open_request(&server->receiving);
+    if (finished != NULL) {
+        return finished;
+    }
+    if (fresh != NULL && idle != NULL) {
+        return fresh->since_ms <= idle->since_ms ? fresh : idle;
+    }
+    if (fresh != NULL || idle != NULL) {
+        return fresh != NULL ? fresh : idle;
+    }
+    return receiving != NULL ? receiving
+                             : first_open_request(&server->responded);
+}
+
+/* Closes the connections that have been idle for longest while there are more
+ * than the limit. */
+static void
+keep_connections(struct SrHttpServer *server)
+{
+    while (server->connections > server->options.connections_max) {
+        struct Connection *connection = oldest_idle(server);
+        if (connection == NULL) {
+            break;
+        }
+        close_for_others(server, connection, SR_HTTP_CLOSED_CONNECTIONS);
+        close_connection(server, connection);
+    }
 }
 
 /* Returns the oldest request that is being received, if the read timeout has
@@ -222,12 +431,54 @@
     return age_ms >= server->options.read_timeout_ms ? request : NULL;
 }
 
+/* Closes connections some time after their last response was written: a client
+ * that goes on sending would keep them open. */
 static void
-on_sweep(struct ev_loop *loop, ev_timer *watcher, int events)
+close_finished(struct SrHttpServer *server)
+{
+    int64_t end_ms = SrOs_MonotonicMs() - CLOSE_SECONDS * SR_MS_PER_SECOND;
+    for (;;) {
+        struct Connection *connection = first_open(&server->finished);
+        if (connection == NULL || connection->since_ms > end_ms) {
+            break;
+        }
+        close_connection(server, connection);
+    }
+}
+
+/* Logs the numbers of connections closed since the start, at most once in
+ * CLOSED_LOG_MS. */
+static void
+log_closed(struct SrHttpServer *server)
+{
+    const uint64_t *closed = server->closed;
+    uint64_t total = 0;
+    int64_t now_ms = SrOs_MonotonicMs();
+    for (size_t i = 0; i < SR_HTTP_CLOSURES; i++) {
+        total += closed[i];
+    }
+    if (total == server->closed_logged ||
+        now_ms - server->closed_logged_ms < CLOSED_LOG_MS) {
+        return;
+    }
+    SR_INFO("http", "clients-closed",
+            "address=%s too-large=%lu too-slow=%lu memory=%lu connections=%lu "
+            "held-bytes=%lu max-bytes=%lu open=%u",
+            server->address, (unsigned long)closed[SR_HTTP_CLOSED_TOO_LARGE],
+            (unsigned long)closed[SR_HTTP_CLOSED_TOO_SLOW],
+            (unsigned long)closed[SR_HTTP_CLOSED_MEMORY],
+            (unsigned long)closed[SR_HTTP_CLOSED_CONNECTIONS],
+            (unsigned long)server->budget.held,
+            (unsigned long)server->budget.max, server->connections);
+    server->closed_logged = total;
+    server->closed_logged_ms = now_ms;
+}
+
+/* Rejects the requests that have not arrived within the read timeout, before
+ * libmicrohttpd closes their connections. */
+static void
+reject_slow_senders(struct SrHttpServer *server)
 {
-    (void)loop;
-    (void)events;
-    struct SrHttpServer *server = watcher->data;
     if (overdue_request(server) == NULL) {
         return;
     }
@@ -238,16 +489,29 @@
         if (request == NULL) {
             break;
         }
-        reject_slow_sender(request);
+        server->closed[SR_HTTP_CLOSED_TOO_SLOW]++;
+        reject_request(request, SR_HTTP_SENDER_TOO_SLOW);
     }
 }
 
+static void
+on_sweep(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+    (void)loop;
+    (void)events;
+    struct SrHttpServer *server = watcher->data;
+    reject_slow_senders(server);
+    close_finished(server);
+    log_closed(server);
+}
+
 static struct SrHttpRequest *
 begin_request(struct SrHttpServer *server, struct MHD_Connection *connection,
               const char *method, const char *path)
 {
     struct SrHttpRequest *request = SrUtil_Calloc(1, sizeof(*request));
     SrList_Remove(&connection_of(connection)->link);
+    connection_of(connection)->request = request;
     request->server = server;
     request->connection = connection;
     request->method = SrUtil_Strdup(method);
@@ -258,9 +522,10 @@
     return request;
 }
 
-/* Responds with status 413. */
+/* Responds with status 413 to a client that waits for permission to send its
+ * body. */
 static enum MHD_Result
-reject_too_large(struct SrHttpRequest *request)
+refuse_body(struct SrHttpRequest *request)
 {
     struct SrHttpServer *server = request->server;
     struct SrHttpBody body = server->options.reject(server->options.context,
@@ -271,12 +536,26 @@
     MHD_add_response_header(response, "Connection", "close");
     request->state = REQUEST_REJECTED;
     SrList_Remove(&request->link);
+    move_connection(connection_of(request->connection), &server->finished);
     enum MHD_Result result = MHD_queue_response(
         request->connection, MHD_HTTP_CONTENT_TOO_LARGE, response);
     MHD_destroy_response(response);
     return result;
 }
 
+/* Responds with status 413, before the rest of the body is received. */
+static enum MHD_Result
+reject_too_large(struct SrHttpRequest *request)
+{
+    request->server->closed[SR_HTTP_CLOSED_TOO_LARGE]++;
+    if (request->size == 0 &&
+        SrHttpRequest_Header(request, "Expect") != NULL) {
+        return refuse_body(request);
+    }
+    reject_request(request, SR_HTTP_BODY_TOO_LARGE);
+    return MHD_YES;
+}
+
 static bool
 is_content_length_too_large(const struct SrHttpRequest *request)
 {
@@ -285,32 +564,57 @@
            strtoull(length, NULL, 10) > request->server->options.body_max;
 }
 
-/* Appends data to the body, or frees the body and sets `too_large` if the
- * limit is exceeded. */
+/* Enlarges the buffer for `size` more bytes. It grows with what has arrived,
+ * not with the announced length. */
 static void
-append_body(struct SrHttpRequest *request, const char *data, size_t size)
+reserve_body(struct SrHttpRequest *request, size_t size)
 {
-    if (request->size + size > request->server->options.body_max) {
-        request->too_large = true;
-        free(request->body);
-        request->body = NULL;
-        request->size = 0;
-        request->capacity = 0;
+    size_t needed = request->size + size;
+    size_t capacity = request->capacity * 2;
+    if (needed <= request->capacity) {
         return;
     }
-    if (request->size + size > request->capacity) {
-        size_t capacity = request->capacity * 2;
-        if (capacity < request->size + size) {
-            capacity = request->size + size;
-        }
-        if (capacity < BODY_BUFFER_MIN_BYTES) {
-            capacity = BODY_BUFFER_MIN_BYTES;
-        }
-        request->body = SrUtil_Realloc(request->body, capacity);
-        request->capacity = capacity;
+    if (capacity > request->server->options.body_max) {
+        capacity = request->server->options.body_max;
+    }
+    if (capacity < BODY_BUFFER_MIN_BYTES) {
+        capacity = BODY_BUFFER_MIN_BYTES;
+    }
+    if (capacity < needed) {
+        capacity = needed;
     }
+    request->body = SrUtil_Realloc(request->body, capacity);
+    request->capacity = capacity;
+}
+
+/* Appends data to the body. Other requests, or this one, are rejected if the
+ * clients hold too much memory then. */
+static enum MHD_Result
+append_body(struct SrHttpRequest *request, const char *data, size_t size)
+{
+    struct SrHttpServer *server = request->server;
+    struct Connection *connection = connection_of(request->connection);
+    if (request->size + size > server->options.body_max) {
+        return reject_too_large(request);
+    }
+    reserve_body(request, size);
     memcpy(request->body + request->size, data, size);
     request->size += size;
+    SrReceiveBudget_Hold(&server->budget, &connection->entry,
+                         SR_HTTP_CONNECTION_BYTES + request->capacity);
+    SrReceiveBudget_Progress(&server->budget, &connection->entry, size);
+    keep_budget(server, connection);
+    return MHD_YES;
+}
+
+/* Receives the rest of a request that was rejected, up to a limit. */
+static enum MHD_Result
+discard(struct SrHttpRequest *request, size_t *size)
+{
+    bool ended = *size == 0;
+    request->discarded += *size;
+    *size = 0;
+    return ended || request->discarded > DISCARD_MAX_BYTES ? MHD_NO : MHD_YES;
 }
 
 /* Responds to a request that the handler was passed, while the server is being
@@ -346,10 +650,8 @@
 static enum MHD_Result
 finish_receiving(struct SrHttpRequest *request)
 {
-    if (request->too_large) {
-        return reject_too_large(request);
-    }
     struct SrHttpServer *server = request->server;
+    SrReceiveBudget_Protect(&connection_of(request->connection)->entry);
     SrList_Remove(&request->link);
     SrList_Append(&server->handled, &request->link);
     request->state = REQUEST_HANDLED;
@@ -373,11 +675,8 @@
     if (request == NULL) {
         request = begin_request(context, connection, method, path);
         *request_slot = request;
-        /* A body that is too large is received and discarded before the
-         * rejection: a client whose connection is closed while it is sending
-         * would not see the response. */
-        request->too_large = is_content_length_too_large(request);
-        return MHD_YES;
+        return is_content_length_too_large(request) ? reject_too_large(request)
+                                                    : MHD_YES;
     }
     switch (request->state) {
     case REQUEST_RECEIVING:
@@ -391,34 +690,41 @@
     }
     case REQUEST_HANDLED:
         return MHD_YES;
-    case REQUEST_REJECTED: {
-        /* Once the rest has been received, the connection is closed. */
-        bool ended = *size == 0;
-        *size = 0;
-        return ended ? MHD_NO : MHD_YES;
-    }
+    case REQUEST_REJECTED:
+        return discard(request, size);
     }
     if (*size == 0) {
         return finish_receiving(request);
     }
-    if (!request->too_large) {
-        append_body(request, data, *size);
-    }
+    enum MHD_Result result = append_body(request, data, *size);
     *size = 0;
-    return MHD_YES;
+    return result;
+}
+
+/* Takes a request that has ended off its connection. */
+static void
+end_request(struct SrHttpServer *server, struct SrHttpRequest *request,
+            struct Connection *connection)
+{
+    connection->request = NULL;
+    free_body(request, 0);
+    SrReceiveBudget_Protect(&connection->entry);
+    if (request->state == REQUEST_RESPONDED) {
+        move_connection(connection, &server->idle);
+    }
 }
 
 static void
 on_completed(void *context, struct MHD_Connection *connection,
              void **request_slot, enum MHD_RequestTerminationCode code)
 {
-    (void)context;
-    (void)connection;
     (void)code;
+    struct SrHttpServer *server = context;
     struct SrHttpRequest *request = *request_slot;
     if (request == NULL) {
         return;
     }
+    end_request(server, request, connection_of(connection));
     SrList_Remove(&request->link);
     request->server->in_progress--;
     if (request->mhd_response != NULL) {
@@ -431,6 +737,32 @@
     *request_slot = NULL;
 }
 
+static uint32_t
+address_of(struct MHD_Connection *mhd)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    struct sockaddr_in address;
+    memcpy(&address, info->client_addr, sizeof(address));
+    return address.sin_addr.s_addr;
+}
+
+static struct Connection *
+add_connection(struct SrHttpServer *server, struct MHD_Connection *mhd)
+{
+    struct Connection *connection = SrUtil_Calloc(1, sizeof(*connection));
+    connection->mhd = mhd;
+    SrList_Init(&connection->link);
+    SrReceiveBudget_Add(&server->budget, &connection->entry, address_of(mhd),
+                        SR_HTTP_CONNECTION_BYTES);
+    server->connections++;
+    if (server->options.closes_idle) {
+        keep_connections(server);
+    }
+    move_connection(connection, &server->fresh);
+    return connection;
+}
+
 static void
 on_connection(void *context, struct MHD_Connection *mhd, void **slot,
               enum MHD_ConnectionNotificationCode code)
@@ -438,12 +770,13 @@
     struct SrHttpServer *server = context;
     struct Connection *connection = *slot;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        connection = SrUtil_Calloc(1, sizeof(*connection));
-        connection->mhd = mhd;
-        SrList_Append(&server->fresh, &connection->link);
-        *slot = connection;
+        *slot = add_connection(server, mhd);
         return;
     }
+    if (!connection->closing) {
+        server->connections--;
+    }
+    SrReceiveBudget_Remove(&server->budget, &connection->entry);
     SrList_Remove(&connection->link);
     free(connection);
     *slot = NULL;
@@ -499,6 +832,11 @@
     SrList_Init(&server->finished);
     SrList_Init(&server->receiving);
     SrList_Init(&server->handled);
+    SrList_Init(&server->idle);
+    SrList_Init(&server->responded);
+    SrReceiveBudget_Init(&server->budget, options->memory_max);
+    SrUtil_Copy(server->address, sizeof(server->address), options->address);
+    unsigned slack = options->closes_idle ? CONNECTIONS_SLACK : 0;
     unsigned idle_seconds =
         (unsigned)((options->read_timeout_ms + SR_MS_PER_SECOND) /
                    SR_MS_PER_SECOND) +
@@ -507,7 +845,7 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
         server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-        server, MHD_OPTION_CONNECTION_LIMIT, options->connections_max,
+        server, MHD_OPTION_CONNECTION_LIMIT, options->connections_max + slack,
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
@@ -574,22 +912,6 @@
     } while (!blocked && SrOs_MonotonicMs() < end_ms);
 }
 
-/* Responds to a request that was received in part, or may be under way on a
- * connection without a request so far. The client gets the end of the
- * connection too, but what it still sends is received: closing a socket with
- * unread data would reset the connection, and the client might not read the
- * response. */
-static void
-finish_connection(struct SrHttpServer *server, struct MHD_Connection *mhd)
-{
-    struct Connection *connection = connection_of(mhd);
-    write_rejection(server, mhd, SR_HTTP_STOPPING, "503 Service Unavailable",
-                    "Retry-After: " STOPPING_RETRY_AFTER "\r\n");
-    shutdown(socket_of(mhd), SHUT_WR);
-    SrList_Remove(&connection->link);
-    SrList_Append(&server->finished, &connection->link);
-}
-
 /* Sends a response to each request, see SrHttpServer_Destroy. */
 static void
 finish_requests(struct SrHttpServer *server)
@@ -603,14 +925,13 @@
     while (!SrList_IsEmpty(&server->receiving)) {
         struct SrHttpRequest *request =
             SR_CONTAINER(server->receiving.next, struct SrHttpRequest, link);
-        finish_connection(server, request->connection);
-        request->state = REQUEST_REJECTED;
-        SrList_Remove(&request->link);
+        reject_request(request, SR_HTTP_STOPPING);
     }
     while (!SrList_IsEmpty(&server->fresh)) {
         finish_connection(
             server,
-            SR_CONTAINER(server->fresh.next, struct Connection, link)->mhd);
+            SR_CONTAINER(server->fresh.next, struct Connection, link)->mhd,
+            SR_HTTP_STOPPING);
     }
     run_until_blocked(server, flush_end_ms);
     int64_t end_ms = SrOs_MonotonicMs() + LINGER_MS;
@@ -663,11 +984,14 @@
 {
     const union MHD_DaemonInfo *info = MHD_get_daemon_info(
         server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    return (struct SrHttpServerCounts){
+    struct SrHttpServerCounts counts = {
         .connections = info->num_connections,
         .receiving = length_of(&server->receiving),
         .handled = length_of(&server->handled),
+        .held = server->budget.held,
     };
+    memcpy(counts.closed, server->closed, sizeof(counts.closed));
+    return counts;
 }
 
 const char *
@@ -703,6 +1027,12 @@
     return request->body;
 }
 
+void
+SrHttpRequest_ReleaseBody(struct SrHttpRequest *request, size_t kept)
+{
+    free_body(request, kept);
+}
+
 /* Supplies the body of a truncated response, then makes libmicrohttpd close
  * the connection. */
 static ssize_t
@@ -745,8 +1075,15 @@
                       const struct SrHttpServerResponse *response)
 {
     struct SrHttpServer *server = request->server;
+    struct Connection *connection = connection_of(request->connection);
     struct MHD_Response *mhd_response = make_response(response);
     SrList_Remove(&request->link);
+    SrList_Append(&server->responded, &request->link);
+    free_body(request, response->size);
+    /* Other connections are closed for the memory of the response, not its
+     * own. */
+    keep_budget(server, connection);
+    SrReceiveBudget_Progress(&server->budget, &connection->entry, 0);
     if (response->type != NULL) {
         MHD_add_response_header(mhd_response, "Content-Type", response->type);
     }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -23,6 +23,22 @@
     /* The server is being destroyed, and the handler was not passed the
      * request. */
     SR_HTTP_STOPPING,
+    /* Clients hold too much memory or too many connections, and this request
+     * has made the least progress. The handler was not passed it. */
+    SR_HTTP_OVERLOADED,
+};
+
+/* Why the server closes a connection that the client has not ended. */
+enum SrHttpClosure {
+    /* The body is too large. */
+    SR_HTTP_CLOSED_TOO_LARGE,
+    /* The request did not arrive in time. */
+    SR_HTTP_CLOSED_TOO_SLOW,
+    /* Clients hold more memory than the budget. */
+    SR_HTTP_CLOSED_MEMORY,
+    /* There are more connections than the limit. */
+    SR_HTTP_CLOSED_CONNECTIONS,
+    SR_HTTP_CLOSURES,
 };
 
 /* Body and media type of the response to a rejected request. */
@@ -39,6 +55,14 @@
     size_t body_max;
     /* Maximum number of open connections. */
     unsigned connections_max;
+    /* When the number of connections is reached, the one that has been idle
+     * for longest is closed for a new one, which waits otherwise. */
+    bool closes_idle;
+    /* Maximum memory for connections, requests that are being received or
+     * handled, and responses that are being sent, bytes; 0 for no limit. The
+     * requests with the least progress are closed beyond it, except those that
+     * the handler was passed and has not responded to. */
+    size_t memory_max;
     /* Time limit for receiving a whole request, ms. A connection without
      * traffic is closed 1 to 2 s later than this. */
     int64_t read_timeout_ms;
@@ -84,8 +108,18 @@
     size_t receiving;
     /* Requests that the handler was passed and has not responded to. */
     size_t handled;
+    /* Memory that counts towards `memory_max`, bytes. */
+    size_t held;
+    /* Connections closed since the start, by reason. */
+    uint64_t closed[SR_HTTP_CLOSURES];
 };
 
+/* Returns a static name of the reason, as in a metric's label. */
+const char *SrHttpServer_ClosureText(enum SrHttpClosure closure);
+
+/* Memory that one connection without a request counts for, bytes. */
+#define SR_HTTP_CONNECTION_BYTES (12 * 1024)
+
 struct SrHttpServerCounts
 SrHttpServer_Count(const struct SrHttpServer *server);
 
@@ -101,6 +135,11 @@
 const uint8_t *SrHttpRequest_Body(const struct SrHttpRequest *request,
                                   size_t *size);
 
+/* Frees the body of a request that the handler has decoded. `kept` bytes,
+ * which the handler has made of it, still count as memory of the client until
+ * the response. SrHttpRequest_Body returns an empty body afterwards. */
+void SrHttpRequest_ReleaseBody(struct SrHttpRequest *request, size_t kept);
+
 struct SrHttpServerResponse {
     /* HTTP status code. */
     unsigned status;
--- a/src/node.c
+++ b/src/node.c
@@ -37,16 +37,29 @@
 /* The node reports that it is not ready if its configuration is older than
  * this (see SrFollower_AgeMs). */
 #define READY_CONFIG_AGE_MAX_MS 2600
-/* Maximum number of callers' connections at one time: the limit on file
- * descriptors, less those for connections to workers and the store. */
+/* Callers get this part of the VM's memory: a node with 350 workers uses up to
+ * 60 MB of the 120 MB of the smallest VM for everything else. Connections
+ * without a request may use half of it. */
+#define CALLER_MEMORY_DIVISOR 5
+/* Smallest memory for callers, bytes; enough for a few of the largest bodies
+ * beside each other. */
+#define CALLER_MEMORY_MIN (4 * 1024 * 1024)
+/* Part of the VM's descriptors for callers, and limits of their number. Each
+ * request that is being handled may use another one for the store. */
+#define CALLER_DESCRIPTORS_DIVISOR 5
+#define CALLER_CONNECTIONS_MIN 64
 #define CALLER_CONNECTIONS_MAX 3000
+/* Limits of the readiness port, and of the metrics port, whose responses are
+ * larger. */
 #define CHECK_CONNECTIONS_MAX 64
+#define CHECK_MEMORY_MAX (2 * 1024 * 1024)
+#define METRICS_MEMORY_MAX (4 * 1024 * 1024)
 /* Maximum number of connections to the store that are kept for reuse: the
  * watches of a leader and its calls beside them. */
 #define STORE_CONNECTIONS_KEPT 256
-/* Descriptors that are not used for connections to workers: files, connections
- * to the store and those of callers. */
-#define OTHER_DESCRIPTORS 1000
+/* Descriptors for files, and for connections that are being closed for new
+ * ones or are established beyond those that are kept. */
+#define OTHER_DESCRIPTORS 100
 /* Fewest connections to workers that are kept for reuse. */
 #define WORKER_CONNECTIONS_MIN 512
 #define READ_TIMEOUT_MS 10000
@@ -318,6 +331,38 @@
                       ready ? 6 : 5);
 }
 
+/* Reports what clients hold at each port, and the connections that were closed
+ * at all ports. */
+static void
+set_http_gauges(struct SrNode *node)
+{
+    const struct {
+        const char *port;
+        const struct SrHttpServer *server;
+    } ports[] = {
+        {"callers", node->callers_server},
+        {"readiness", node->ready_server},
+        {"metrics", node->metrics_server},
+    };
+    struct SrMetrics *metrics = node->kernel->metrics;
+    uint64_t closed[SR_HTTP_CLOSURES] = {0};
+    for (size_t i = 0; i < SR_LENGTH(ports); i++) {
+        struct SrHttpServerCounts counts = SrHttpServer_Count(ports[i].server);
+        SrMetrics_Set(metrics, "sr_http_held_bytes", "port", ports[i].port,
+                      counts.held);
+        SrMetrics_Set(metrics, "sr_http_connections", "port", ports[i].port,
+                      counts.connections);
+        for (size_t k = 0; k < SR_HTTP_CLOSURES; k++) {
+            closed[k] += counts.closed[k];
+        }
+    }
+    for (size_t k = 0; k < SR_HTTP_CLOSURES; k++) {
+        SrMetrics_Set(metrics, "sr_http_closed", "reason",
+                      SrHttpServer_ClosureText((enum SrHttpClosure)k),
+                      closed[k]);
+    }
+}
+
 static void
 set_gauges(struct SrNode *node)
 {
@@ -363,37 +408,105 @@
         return;
     }
     set_gauges(node);
+    set_http_gauges(node);
     SrMetrics_Print(node->kernel->metrics, out);
     fclose(out);
     respond_with_text(request, 200, text, size);
     free(text);
 }
 
+/* Memory that callers may make the node hold, bytes. */
+static size_t
+caller_memory(const struct SrNodeSettings *settings)
+{
+    size_t memory =
+        (size_t)settings->memory_mb * 1024 * 1024 / CALLER_MEMORY_DIVISOR;
+    return memory > CALLER_MEMORY_MIN ? memory : CALLER_MEMORY_MIN;
+}
+
+/* Maximum number of callers' connections. */
+static unsigned
+caller_connections(const struct SrNodeSettings *settings)
+{
+    size_t by_memory = caller_memory(settings) / 2 / SR_HTTP_CONNECTION_BYTES;
+    size_t connections =
+        (size_t)settings->descriptors_max / CALLER_DESCRIPTORS_DIVISOR;
+    if (connections > by_memory) {
+        connections = by_memory;
+    }
+    if (connections > CALLER_CONNECTIONS_MAX) {
+        connections = CALLER_CONNECTIONS_MAX;
+    }
+    return connections > CALLER_CONNECTIONS_MIN ? (unsigned)connections
+                                                : CALLER_CONNECTIONS_MIN;
+}
+
+/* Listens on `options->address`; the members that all servers of a node have
+ * in common need not be set. */
 static bool
-listen_on(struct SrNode *node, const char *address, unsigned connections,
-          void (*handle)(void *, struct SrHttpRequest *), void *context,
+listen_on(struct SrNode *node, const struct SrHttpServerOptions *options,
           struct SrHttpServer **server)
 {
+    struct SrHttpServerOptions all = *options;
+    all.body_max = BODY_MAX_BYTES;
+    all.closes_idle = true;
+    all.read_timeout_ms = READ_TIMEOUT_MS;
+    all.reject = SrPlatformFront_Reject;
     enum SrHttpServerError error =
-        SrHttpServer_Create(node->kernel->loop,
-                            &(struct SrHttpServerOptions){
-                                .address = address,
-                                .body_max = BODY_MAX_BYTES,
-                                .connections_max = connections,
-                                .read_timeout_ms = READ_TIMEOUT_MS,
-                                .handle = handle,
-                                .reject = SrPlatformFront_Reject,
-                                .context = context,
-                            },
-                            server);
+        SrHttpServer_Create(node->kernel->loop, &all, server);
     if (error != SR_HTTP_SERVER_OK) {
-        SR_ERROR("node", "cannot-listen", "address=%s error=%s", address,
+        SR_ERROR("node", "cannot-listen", "address=%s error=%s", all.address,
                  SrHttpServer_ErrorText(error));
         return false;
     }
     return true;
 }
 
+static bool
+listen_for_callers(struct SrNode *node)
+{
+    return listen_on(
+        node,
+        &(struct SrHttpServerOptions){
+            .address = node->settings.callers_address,
+            .connections_max = caller_connections(&node->settings),
+            .memory_max = caller_memory(&node->settings),
+            .handle = SrPlatformFront_Handle,
+            .context = node->front,
+        },
+        &node->callers_server);
+}
+
+static bool
+listen_for_checks(struct SrNode *node)
+{
+    return listen_on(node,
+                     &(struct SrHttpServerOptions){
+                         .address = node->settings.ready_address,
+                         .connections_max = CHECK_CONNECTIONS_MAX,
+                         .memory_max = CHECK_MEMORY_MAX,
+                         .handle = on_ready_check,
+                         .context = node,
+                     },
+                     &node->ready_server);
+}
+
+/* Does nothing if the settings give no metrics address. */
+static bool
+listen_for_metrics(struct SrNode *node)
+{
+    return node->settings.metrics_address[0] == '\0' ||
+           listen_on(node,
+                     &(struct SrHttpServerOptions){
+                         .address = node->settings.metrics_address,
+                         .connections_max = CHECK_CONNECTIONS_MAX,
+                         .memory_max = METRICS_MEMORY_MAX,
+                         .handle = on_metrics,
+                         .context = node,
+                     },
+                     &node->metrics_server);
+}
+
 static bool
 is_idle(void *context)
 {
@@ -472,7 +585,9 @@
 static unsigned
 worker_connections(const struct SrNodeSettings *settings)
 {
-    int64_t left = settings->descriptors_max - OTHER_DESCRIPTORS;
+    int64_t left = settings->descriptors_max - OTHER_DESCRIPTORS -
+                   STORE_CONNECTIONS_KEPT - 2 * CHECK_CONNECTIONS_MAX -
+                   caller_connections(settings);
     return left > WORKER_CONNECTIONS_MIN ? (unsigned)left
                                          : WORKER_CONNECTIONS_MIN;
 }
@@ -534,15 +649,8 @@
         .on_rejected = on_rejected,
         .context = node,
     });
-    return listen_on(node, node->settings.callers_address,
-                     CALLER_CONNECTIONS_MAX, SrPlatformFront_Handle,
-                     node->front, &node->callers_server) &&
-           listen_on(node, node->settings.ready_address, CHECK_CONNECTIONS_MAX,
-                     on_ready_check, node, &node->ready_server) &&
-           (node->settings.metrics_address[0] == '\0' ||
-            listen_on(node, node->settings.metrics_address,
-                      CHECK_CONNECTIONS_MAX, on_metrics, node,
-                      &node->metrics_server));
+    return listen_for_callers(node) && listen_for_checks(node) &&
+           listen_for_metrics(node);
 }
 
 static void
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -36,6 +36,8 @@
     char advisor_address[SR_ID_SIZE];
     /* Share of one processor core that the VM has; 1 for a whole core. */
     double cpu_share;
+    /* Memory of the VM, MB. */
+    int64_t memory_mb;
     /* Maximum number of open file descriptors of the process. */
     int64_t descriptors_max;
     /* Longest lease that workers accept, ms. */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -570,6 +570,49 @@
     }
 }
 
+/* Guards against parsing a body that takes many times its size, and against
+ * refusing the largest job that is legal. */
+static void
+many_values_are_refused_before_the_parse(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *start;
+        const char *text;
+        unsigned count;
+        const char *end;
+        bool accepted;
+    } rows[] = {
+        {"{\"steps\":[", "{},", 63, "{}]}", true},
+        {"{\"steps\":[{}],\"x\":[", "0,", 8000, "0]}", true},
+        {"{\"steps\":[{}],\"x\":[", "0,", 8200, "0]}", false},
+        {"{\"steps\":[", "{},", 8200, "{}]}", false},
+        {"{\"x\":", "[", 33, "", false},
+        {"{\"steps\":[{}],\"spec\":\"", "[,", 1900, "\"}", true},
+        {"{\"steps\":[{}],\"spec\":\"", "\\\"[,", 900, "\"}", true},
+    };
+    for (size_t i = 0; i < SR_LENGTH(rows); i++) {
+        const char *fault = NULL;
+        char *body = NULL;
+        size_t size = 0;
+        FILE *out = open_memstream(&body, &size);
+        fputs(rows[i].start, out);
+        for (unsigned k = 0; k < rows[i].count; k++) {
+            fputs(rows[i].text, out);
+        }
+        fputs(rows[i].end, out);
+        fclose(out);
+        Sr__FlowRecord *record = SrPlatformFront_DecodeJob(body, size, &fault);
+        print_message("%s... %s\n", rows[i].start,
+                      fault != NULL ? fault : "accepted");
+        assert_int_equal(record != NULL, rows[i].accepted);
+        assert_int_equal(fault != NULL && strstr(fault, "too many") != NULL,
+                         !rows[i].accepted);
+        SrCodec_Free(record);
+        free(body);
+    }
+}
+
 struct SettingsCase {
     const char *name;
     const char *line;
@@ -641,6 +684,7 @@
         cmocka_unit_test(malformed_catalogs_are_refused),
         cmocka_unit_test(job_bodies),
         cmocka_unit_test(malformed_jobs_are_refused),
+        cmocka_unit_test(many_values_are_refused_before_the_parse),
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
         cmocka_unit_test(progress_is_within_its_range),
--- a/tests/test_hostile_clients.c
+++ b/tests/test_hostile_clients.c
@@ -55,6 +55,8 @@
     /* A body far over the limit. */
     PAYLOAD_OVER,
     PAYLOAD_OVER_CHUNKED,
+    /* Nothing wrong: an ordinary submission. */
+    PAYLOAD_JOB,
     /* A whole body of very many fields or steps. */
     PAYLOAD_FIELDS,
     PAYLOAD_STEPS,
@@ -91,6 +93,12 @@
 
 static const struct Case cases[] = {
     {.name = "largest_body"},
+    {.name = "ordinary_clients",
+     .payload = PAYLOAD_JOB,
+     .port = FRONT_PORT,
+     .path = QUEUE,
+     .clients = 400,
+     .is_whole = true},
     {.name = "bodies_in_one_piece",
      .payload = PAYLOAD_SHORT,
      .port = FRONT_PORT,
@@ -222,6 +230,10 @@
     unsigned attempts;
 };
 
+static const char job[] =
+    "{\"spec\":\"ms=100;gang=0;gpu=1\",\"steps\":[{\"count\":1,"
+    "\"cpu\":1000,\"mem_mb\":100,\"gpu\":1,\"estimated_ms\":100}]}";
+
 /* Writes `count` times the text, as chunks if `chunk` is not 0. */
 static void
 write_repeated(FILE *out, const char *text, size_t count, size_t chunk)
@@ -297,6 +309,9 @@
         fputs("Transfer-Encoding: chunked\r\n\r\n", out);
         write_repeated(out, "x", BODY_OVER, CHUNK_BYTES);
         break;
+    case PAYLOAD_JOB:
+        fprintf(out, "Content-Length: %zu\r\n\r\n%s", strlen(job), job);
+        break;
     case PAYLOAD_FIELDS:
         write_fields(out);
         break;
@@ -431,9 +446,13 @@
         send_up_to(test, test->size - c->dripped + i + 1, 1);
     }
     for (unsigned i = 0; c->is_whole && i < c->clients; i++) {
-        char response[512];
+        char response[512] = "";
         if (test->clients[i] >= 0) {
-            recv(test->clients[i], response, sizeof(response), 0);
+            recv(test->clients[i], response, sizeof(response) - 1, 0);
+        }
+        if (c->payload == PAYLOAD_JOB &&
+            (test->clients[i] < 0 || strstr(response, "unfinished") != NULL)) {
+            SoakSite_Fail(&test->site, "an ordinary client is refused", "");
         }
         measure(test);
     }
@@ -460,9 +479,6 @@
 static bool
 is_served(struct Test *test, unsigned port, const char *path, size_t body_size)
 {
-    static const char job[] =
-        "{\"spec\":\"ms=100;gang=0;gpu=1\",\"steps\":[{\"count\":1,"
-        "\"cpu\":1000,\"mem_mb\":100,\"gpu\":1,\"estimated_ms\":100}]}";
     int64_t end_ms = SrOs_MonotonicMs() + ANSWER_LIMIT_MS;
     unsigned status = 0;
     while (status != 200 && SrOs_MonotonicMs() < end_ms) {
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -32,6 +32,7 @@
     unsigned handled;
     /* The handler does not respond. */
     bool silent;
+    size_t memory_max;
     /* 0 for READ_TIMEOUT_MS. */
     int64_t read_timeout_ms;
 };
@@ -231,6 +232,8 @@
                              .address = address,
                              .body_max = 1024,
                              .connections_max = connections_max,
+                             .closes_idle = fixture->memory_max != 0,
+                             .memory_max = fixture->memory_max,
                              .read_timeout_ms = fixture->read_timeout_ms != 0
                                                     ? fixture->read_timeout_ms
                                                     : READ_TIMEOUT_MS,
@@ -429,6 +432,85 @@
     assert_int_equal(strncmp(response, "HTTP/1.1 200", 12), 0);
 }
 
+#define TOO_LARGE "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n"
+#define CHUNKED                                                               \
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+/* Guards against receiving a body that is too large before its rejection, with
+ * a client that waits for the response. */
+static void
+large_bodies_are_refused_before_they_are_read(void **state)
+{
+    (void)state;
+    static const char *const requests[] = {
+        TOO_LARGE "\r\n",
+        TOO_LARGE "\r\nhalf",
+        TOO_LARGE "Expect: 100-continue\r\n\r\n",
+        CHUNKED "800\r\n%02000d",
+    };
+    for (size_t i = 0; i < SR_LENGTH(requests); i++) {
+        struct Fixture fixture = {0};
+        char request[4096];
+        char response[1024] = "";
+        create_server(&fixture, 8);
+        int fd = connect_to_server();
+        snprintf(request, sizeof(request), requests[i], 0);
+        send_text(fd, request);
+        run_loop(fixture.loop);
+        recv(fd, response, sizeof(response) - 1, MSG_DONTWAIT);
+        close(fd);
+        SrHttpServer_Destroy(fixture.server);
+        ev_loop_destroy(fixture.loop);
+        assert_int_equal(strncmp(response, "HTTP/1.1 413", 12), 0);
+        assert_int_equal(fixture.handled, 0);
+    }
+}
+
+/* Memory for three connections, and for bodies of two of them. */
+#define MEMORY_OF_THREE (3 * SR_HTTP_CONNECTION_BYTES + 2 * 4096 + 1024)
+
+/* Guards against closing a request that the handler was passed, or that sends,
+ * instead of one that has stalled. Also against waiting for stalled requests
+ * when there are too many connections. */
+static void
+stalled_requests_are_closed_for_others(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *first;
+        const char *response;
+        unsigned connections_max;
+    } rows[] = {
+        {HALF_BODY, "HTTP/1.1 503", 8},
+        {HALF_BODY "fghij", "HTTP/1.1 504", 8},
+        {HALF_BODY, "HTTP/1.1 503", 2},
+        {HALF_BODY "fghij", "HTTP/1.1 504", 3},
+    };
+    for (size_t i = 0; i < SR_LENGTH(rows); i++) {
+        struct Fixture fixture = {.silent = true,
+                                  .memory_max = MEMORY_OF_THREE * 4 / 3};
+        char response[1024] = "";
+        int fds[3];
+        create_server(&fixture, rows[i].connections_max);
+        for (unsigned k = 0; k < SR_LENGTH(fds); k++) {
+            fds[k] = connect_to_server();
+            send_text(fds[k], k == 0 ? rows[i].first : HALF_BODY);
+            run_loop(fixture.loop);
+        }
+        send_text(fds[2], "fghij");
+        run_loop(fixture.loop);
+        assert_int_equal(fixture.handled, i % 2 == 0 ? 1 : 2);
+        SrHttpServer_Destroy(fixture.server);
+        receive_all(fds[0], response, sizeof(response));
+        for (unsigned k = 0; k < SR_LENGTH(fds); k++) {
+            close(fds[k]);
+        }
+        ev_loop_destroy(fixture.loop);
+        assert_int_equal(
+            strncmp(response, rows[i].response, strlen(rows[i].response)), 0);
+    }
+}
+
 int
 main(void)
 {
@@ -438,6 +520,8 @@
         cmocka_unit_test(sender_that_goes_on_gets_the_response),
         cmocka_unit_test(closing_listener_resets_no_connection),
         cmocka_unit_test(body_that_arrives_during_a_pause_is_read),
+        cmocka_unit_test(large_bodies_are_refused_before_they_are_read),
+        cmocka_unit_test(stalled_requests_are_closed_for_others),
     };
     unsigned id = (unsigned)getpid();
     snprintf(host, sizeof(host), "127.%u.%u.%u", 64 + (id >> 16) % 64,
