check-config: check an operator's configuration before it is stored

Nodes accept a configuration in which a queue, a service or a key can never match, and ignore one that they cannot decode or whose version is not new. The operator learns of it from clients, or from one log line that names a field but no entry.

`sassafrasrelay check-config FILE [--against FILE]` reports errors of each entry with line and path, entries that can never match, guarantees above a cap, and what differs from the version in force. config_check holds the checks, without I/O.

Differences count as findings (exit code 1), as in diff(1). API keys are not printed.

--- a/src/main.c
+++ b/src/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "cli.h"
+#include "cli_check_config.h"
 #include "explain.h"
 #include "gate.h"
 #include "node.h"
@@ -123,6 +124,8 @@
          "  node            Accept jobs of callers and schedule them on an\n"
          "                  external platform if elected as leader.\n"
          "  check-node      Check a node's settings file.\n"
+         "  check-config FILE [--against FILE] [--output=json]\n"
+         "                  Check a configuration for a node's platform.\n"
          "  explain ID [FILE...]\n"
          "                  Print a request's events from the nodes' logs.\n"
          "  check-settings  Check and print a daemon's settings.\n\n"
@@ -177,6 +180,9 @@
     if (strcmp(argv[1], "check-node") == 0) {
         return SrNode_Check(node_settings_path(argc, argv));
     }
+    if (strcmp(argv[1], "check-config") == 0) {
+        return SrCliCheckConfig_Run(argc - 1, argv + 1, stdout);
+    }
     if (takes_settings(argv[1])) {
         return run_with_settings(argv[1], argc - 1, argv + 1);
     }
