Merge repairs: constants of node and score

Cause: two merges kept both values of SPEED_PENALTY and a constant of the readiness check that is not used any more. Change: one of each.

--- a/src/node.c
+++ b/src/node.c
@@ -34,11 +34,6 @@
  * period of the store adapter, within 3 s, the shortest time within which a
  * change must take effect. */
 #define OPERATOR_WATCH_MS 800
-/* Maximum number of callers' connections at one time: the limit on file
- * descriptors, less those for connections to workers and the store. */
-/* The node reports that it is not ready if its configuration is older than
- * this (see SrFollower_AgeMs). */
-#define READY_CONFIG_AGE_MAX_MS 2600
 /* Callers get this part of the VM's memory: a node with 350 workers uses up to
  * 60 MB of the 120 MB of the smallest VM for everything else. Connections
  * without a request may use half of it. */
--- a/src/plan_score.c
+++ b/src/plan_score.c
@@ -13,7 +13,6 @@
  * took twice the time would have the same penalty as one with this many more
  * accelerators available. */
 #define SPEED_PENALTY 100
-#define SPEED_PENALTY 16
 /* Penalty for a slowdown to twice the time, of the new task or of one on the
  * worker, and limit of all of them together. The limit is less than what keeps
  * work off slow or suspect workers and out of other racks. */
