Plan: a job is preempted for at most three different jobs

From three on, the job yields only to guaranteed work that finds no other capacity. The number is in the progress row (FlowProgress.yields), so that a new leader knows it; the ids of the jobs are not. The `plan yield` lines give the number.

--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -995,7 +995,7 @@
   (ProtobufCMessageInit) sr__flow_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr__flow_progress__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sr__flow_progress__field_descriptors[7] =
 {
   {
     "status",
@@ -1069,6 +1069,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "yields",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sr__FlowProgress, yields),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr__flow_progress__field_indices_by_name[] = {
   2,   /* field[2] = begun */
@@ -1077,11 +1089,12 @@
   4,   /* field[4] = parts */
   0,   /* field[0] = status */
   1,   /* field[1] = tasks */
+  6,   /* field[6] = yields */
 };
 static const ProtobufCIntRange sr__flow_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sr__flow_progress__descriptor =
 {
@@ -1091,7 +1104,7 @@
   "Sr__FlowProgress",
   "sr",
   sizeof(Sr__FlowProgress),
-  6,
+  7,
   sr__flow_progress__field_descriptors,
   sr__flow_progress__field_indices_by_name,
   1,  sr__flow_progress__number_ranges,
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -278,10 +278,14 @@
    * In a part: index of the first of its tasks among all tasks of the job.
    */
   uint32_t first_task;
+  /*
+   * Number of different jobs for which the job was preempted.
+   */
+  uint32_t yields;
 };
 #define SR__FLOW_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_progress__descriptor) \
-    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0 }
+    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Sr__LeaderRecord
--- a/src/plan.c
+++ b/src/plan.c
@@ -121,12 +121,17 @@
 {
     uint32_t count;
     struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
-    SR_INFO("plan", "yield",
-            "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld",
-            run->task->flow->id, run->task->step, run->number,
-            run->task->flow->rank, unit->flow->id, unit->flow->rank,
-            (long)SrPlan_StopCost(pass, run));
+    struct SrFlow *flow = run->task->flow;
     struct SrResources demand = run->demand;
+    if (SrYieldLimit_Count(&flow->yields, unit->flow->id)) {
+        SrEngine_MarkDirty(pass->engine, flow);
+    }
+    SR_INFO("plan", "yield",
+            "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld "
+            "yields=%u",
+            flow->id, run->task->step, run->number, flow->rank, unit->flow->id,
+            unit->flow->rank, (long)SrPlan_StopCost(pass, run),
+            flow->yields.count);
     SrPlan_ForgetMisses(pass);
     for (uint32_t i = 0; i < count; i++) {
         struct SrRun *member = first[i].active_run;
@@ -176,6 +181,49 @@
             (unsigned long)pass->engine->catalog->version);
 }
 
+/* Returns true if the pass may still reserve or preempt for urgent gangs. */
+static bool
+may_reserve_urgent(const struct SrPlanPass *pass)
+{
+    return pass->waiting_gangs < WAITING_GANGS_MAX &&
+           pass->reserved_urgent_gangs < RESERVED_URGENT_GANGS_MAX;
+}
+
+/* Preempts runs for the gang, on workers that `assign` chooses. Returns false
+ * if too few may be preempted. */
+static bool
+try_preempt(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+            bool (*assign)(struct SrPlanPass *, const struct SrPlanUnit *,
+                           enum SrAvailability))
+{
+    if (!assign(pass, unit, SR_AVAILABLE_BY_PREEMPTION) ||
+        !SrPlan_IsPreemptionWorthwhile(pass, unit)) {
+        return false;
+    }
+    preempt_for_gang(pass, unit);
+    unit->flow->has_preempted = true;
+    pass->reserved_urgent_gangs++;
+    reserve(pass, unit);
+    log_wait(pass, unit, "room-claimed");
+    SrPlan_LogIdleReserved(pass, unit);
+    return true;
+}
+
+/* Preempts runs of jobs that have reached the preemption limit, for guaranteed
+ * work that finds no other capacity. Returns false if that is not possible. */
+static bool
+preempt_beyond_limit(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                     bool prefers_rack)
+{
+    struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+    if (!exceeding.exceeds_yield_limit || !may_reserve_urgent(pass)) {
+        return false;
+    }
+    return (prefers_rack &&
+            try_preempt(pass, &exceeding, SrPlan_AssignInRack)) ||
+           try_preempt(pass, &exceeding, SrPlan_AssignAnywhere);
+}
+
 /* Assigns the gang to workers by `assign`, and allocates free resources for it
  * or, if there are too few, reserves resources that become free or, for urgent
  * work, preempts runs. Returns false if none of these is possible. */
@@ -201,8 +249,7 @@
         }
         return false;
     }
-    if (pass->waiting_gangs >= WAITING_GANGS_MAX ||
-        pass->reserved_urgent_gangs >= RESERVED_URGENT_GANGS_MAX) {
+    if (!may_reserve_urgent(pass)) {
         return false;
     }
     if (assign(pass, unit, SR_AVAILABLE_AFTER_STOPS) ||
@@ -213,17 +260,7 @@
         SrPlan_LogIdleReserved(pass, unit);
         return true;
     }
-    if (assign(pass, unit, SR_AVAILABLE_BY_PREEMPTION) &&
-        SrPlan_IsPreemptionWorthwhile(pass, unit)) {
-        preempt_for_gang(pass, unit);
-        unit->flow->has_preempted = true;
-        pass->reserved_urgent_gangs++;
-        reserve(pass, unit);
-        log_wait(pass, unit, "room-claimed");
-        SrPlan_LogIdleReserved(pass, unit);
-        return true;
-    }
-    return false;
+    return try_preempt(pass, unit, assign);
 }
 
 /* Returns true if the task, which has late starts, may be started on their
@@ -317,7 +354,8 @@
         SrPlan_LogIdle(pass, unit);
         return;
     }
-    if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere)) {
+    if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere) &&
+        !preempt_beyond_limit(pass, unit, prefers_rack)) {
         pass->waiting_gangs++;
         log_wait(pass, unit, "no-room");
         SrPlan_LogIdle(pass, unit);
@@ -377,6 +415,25 @@
     return true;
 }
 
+/* Preempts runs for the task on a worker, and returns it; NULL if too few may
+ * be preempted on each. */
+static struct SrWorker *
+preempt_for_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                 const struct SrFlowTask *task)
+{
+    struct SrWorker *worker =
+        choose_worker(pass, unit, task, SR_AVAILABLE_BY_PREEMPTION);
+    while (worker != NULL && SrPlan_TasksThatFit(&worker->free_after_stops,
+                                                 &unit->demand) == 0) {
+        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
+        if (run == NULL) {
+            break;
+        }
+        SrPlan_Preempt(pass, run, unit);
+    }
+    return worker;
+}
+
 /* Allocates the task's resources or, for urgent work, reserves resources that
  * become free or preempts runs. Returns false if none of these is possible. */
 static bool
@@ -405,19 +462,15 @@
         worker = choose_worker(pass, unit, task, SR_AVAILABLE_IN_TIME);
     }
     if (worker == NULL) {
-        worker = choose_worker(pass, unit, task, SR_AVAILABLE_BY_PREEMPTION);
+        worker = preempt_for_task(pass, unit, task);
+    }
+    if (worker == NULL && unit->flow->rank == SR_RANK_GUARANTEED) {
+        struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+        worker = preempt_for_task(pass, &exceeding, task);
     }
     if (worker == NULL) {
         return false;
     }
-    while (SrPlan_TasksThatFit(&worker->free_after_stops, &unit->demand) ==
-           0) {
-        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-        if (run == NULL) {
-            break;
-        }
-        SrPlan_Preempt(pass, run, unit);
-    }
     SrPlan_Take(pass, worker, &unit->demand, 1);
     SrPlan_ChargeAccount(pass, unit, 1);
     note_reservation(pass, unit, 1);
--- a/src/plan_accounts.c
+++ b/src/plan_accounts.c
@@ -133,6 +133,10 @@
            tasks_within(account->cap, &account->used_after_stops, unit->step) <
                tasks) {
         struct SrRun *run = cheapest_run_of(pass, account, unit);
+        if (run == NULL) {
+            struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+            run = cheapest_run_of(pass, account, &exceeding);
+        }
         if (run == NULL) {
             break;
         }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -213,6 +213,13 @@
            SrResources_AreWithin(&miss->demand, &other->demand);
 }
 
+/* Returns a number that is lower for units that may preempt more runs. */
+static uint32_t
+preemption_rank(const struct SrPlanUnit *unit)
+{
+    return unit->exceeds_yield_limit ? 0 : unit->flow->rank + 1;
+}
+
 static struct SrPlanMiss
 miss_of(const struct SrPlanUnit *unit, uint32_t count,
         enum SrAvailability kind, bool in_rack)
@@ -222,7 +229,7 @@
         .count = count,
         .service = unit->service,
         .demand = unit->demand,
-        .rank = kind == SR_AVAILABLE_BY_PREEMPTION ? unit->flow->rank : 0,
+        .rank = kind == SR_AVAILABLE_BY_PREEMPTION ? preemption_rank(unit) : 0,
         .wait_until_ms =
             kind == SR_AVAILABLE_IN_TIME ? unit->wait_until_ms : 0,
     };
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -134,6 +134,8 @@
     uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
+    /* Jobs may be preempted for the unit beyond SR_YIELDS_MAX. */
+    bool exceeds_yield_limit;
     /* When the leader first found the step ready to run. */
     int64_t ready_ms;
     /* Latest start of the job's first step that meets the job's objective for
@@ -229,6 +231,10 @@
 void SrPlan_WaitForLimit(struct SrPlanPass *pass,
                          const struct SrPlanUnit *unit, unsigned tasks);
 
+/* Returns the unit with the permission to exceed the preemption limit, which
+ * guaranteed work has that finds no other capacity. */
+struct SrPlanUnit SrPlan_ExceedYieldLimit(const struct SrPlanUnit *unit);
+
 /* Returns true if the unit may preempt the run. Tasks that last are preempted
  * for guaranteed work only, and only as many at a time as their step allows to
  * be unavailable. */
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -61,6 +61,14 @@
     return step->count - others <= step->max_unavailable;
 }
 
+struct SrPlanUnit
+SrPlan_ExceedYieldLimit(const struct SrPlanUnit *unit)
+{
+    struct SrPlanUnit exceeding = *unit;
+    exceeding.exceeds_yield_limit = unit->flow->rank == SR_RANK_GUARANTEED;
+    return exceeding;
+}
+
 bool
 SrPlan_MayPreempt(const struct SrPlanUnit *unit, const struct SrRun *run)
 {
@@ -68,6 +76,10 @@
     if (run->stopping || flow->rank <= unit->flow->rank) {
         return false;
     }
+    if (!unit->exceeds_yield_limit &&
+        !SrYieldLimit_Allows(&flow->yields, unit->flow->id)) {
+        return false;
+    }
     return !run->step->continuous ||
            (unit->flow->rank == SR_RANK_GUARANTEED && may_be_unavailable(run));
 }
