Plan: runs are preempted by the work lost per accelerator freed

Cause: the cost of a preemption was estimated worker by worker. A gang counted once for each member on the chosen workers, so that racks with a gang looked dearer than they are; the cheapest run was stopped first even if a larger one then had to be stopped as well; and runs were stopped that were about to end.

Change: plan_victims.c chooses victims for the whole assignment. A gang is one victim. The next victim is the one with the least work lost since its latest checkpoint per lacking accelerator, and victims that are not needed beside the others are dropped. A run that ends within the time of a preemption is waited for; if it does not end, it is preempted, in time for the guarantee. Racks are compared by the cost of these sets. An assignment whose runs may not all be preempted counts as impossible. For work beyond the preemption limit, jobs within it are preferred as victims.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -197,6 +197,7 @@
     run->percent = -1;
     run->percent_ms = now_ms;
     run->progress_ms = now_ms;
+    SrList_Init(&run->victim);
     SrResources_Add(&worker->allocated, &run->demand, 1);
     SrList_Append(&worker->runs, &run->link);
     SrList_Append(&fleet->unsettled_runs, &run->unsettled);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -98,6 +98,9 @@
     /* Used only while the cost of a preemption is estimated: the run is
      * already counted as a victim. */
     bool is_victim;
+    /* Link in the list of the runs that would be preempted, at the same time.
+     */
+    struct SrList victim;
     /* The run was added to the worker's `suspects`. */
     bool is_suspected;
     /* Number of the latest status poll that listed the run; 0 if none did. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -143,24 +143,6 @@
     }
 }
 
-/* Preempts runs on each worker until the tasks assigned to it fit. */
-static void
-preempt_for_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
-{
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        struct SrWorker *worker = SrFleet_WorkerAt(link);
-        while (worker->assigned >
-               SrPlan_TasksThatFit(&worker->free_after_stops, &unit->demand)) {
-            struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-            if (run == NULL) {
-                break;
-            }
-            SrPlan_Preempt(pass, run, unit);
-        }
-    }
-}
-
 /* Logs, once for each wait, what the unit needs and why it has to wait. */
 static void
 log_wait(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
@@ -200,7 +182,7 @@
         !SrPlan_IsPreemptionWorthwhile(pass, unit)) {
         return false;
     }
-    preempt_for_gang(pass, unit);
+    SrPlan_PreemptForAssignment(pass, unit);
     unit->flow->has_preempted = true;
     pass->reserved_urgent_gangs++;
     reserve(pass, unit);
@@ -423,13 +405,8 @@
 {
     struct SrWorker *worker =
         choose_worker(pass, unit, task, SR_AVAILABLE_BY_PREEMPTION);
-    while (worker != NULL && SrPlan_TasksThatFit(&worker->free_after_stops,
-                                                 &unit->demand) == 0) {
-        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-        if (run == NULL) {
-            break;
-        }
-        SrPlan_Preempt(pass, run, unit);
+    if (worker != NULL) {
+        SrPlan_PreemptOnWorker(pass, unit, worker, 1);
     }
     return worker;
 }
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -8,6 +8,8 @@
 #include "engine_state.h"
 #include "plan.h"
 
+/* Cost of preemptions that are not possible. */
+#define SR_PLAN_IMPOSSIBLE INT64_MAX
 /* Stands for no rack where a function returns the index of one. */
 #define SR_PLAN_NO_RACK UINT_MAX
 /* Time to replace a run by another, in addition to the stop itself, ms: three
@@ -146,6 +148,9 @@
      * are preempted for it. For non-urgent work, for which none are preempted,
      * resources may be reserved that become free until then. */
     int64_t wait_until_ms;
+    /* Where runs are preempted for the unit, those that are expected to end by
+     * then are waited for instead. */
+    int64_t await_until_ms;
 };
 
 /* State of an account in a pass. */
@@ -287,7 +292,10 @@
                               const struct SrPlanUnit *unit, unsigned tasks);
 
 /* Returns the cost of the preemptions that the latest assignment needs on
- * `count` workers of the pass, from index `first`. */
+ * `count` workers of the pass, from index `first`: a gang counts once, however
+ * many of its members run there. Returns SR_PLAN_IMPOSSIBLE if too few runs
+ * may be preempted. All assignments give the unit the same number of
+ * accelerators, so the lowest cost is also the lowest per accelerator. */
 int64_t SrPlan_AssignmentCost(const struct SrPlanPass *pass,
                               const struct SrPlanUnit *unit, unsigned first,
                               unsigned count);
@@ -303,11 +311,16 @@
 int64_t SrPlan_StopCost(const struct SrPlanPass *pass,
                         const struct SrRun *run);
 
-/* Returns the run on the worker that the unit may preempt at the least cost,
- * leaving out those already marked as victims; NULL if there is none. */
-struct SrRun *SrPlan_CheapestVictim(const struct SrPlanPass *pass,
-                                    const struct SrWorker *worker,
-                                    const struct SrPlanUnit *unit);
+/* Preempts the runs that are necessary for that number of the unit's tasks to
+ * fit on the worker. */
+void SrPlan_PreemptOnWorker(struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit,
+                            const struct SrWorker *worker, unsigned tasks);
+
+/* Preempts the runs that are necessary for the unit's latest assignment. Must
+ * be possible: see SrPlan_IsPreemptionWorthwhile. */
+void SrPlan_PreemptForAssignment(struct SrPlanPass *pass,
+                                 const struct SrPlanUnit *unit);
 
 /* Assigns the whole gang to workers of one rack by setting each worker's
  * `assigned`; returns false if the gang fits in no rack. */
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -284,6 +284,10 @@
     unit.late =
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
+    unit.await_until_ms = pass->now_ms + SrPlan_PreemptionMs(pass);
+    if (unit.wait_until_ms < unit.await_until_ms) {
+        unit.await_until_ms = unit.wait_until_ms;
+    }
     add_unit(pass, &unit);
 }
 
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -113,45 +113,296 @@
                                           pass->now_ms);
 }
 
-struct SrRun *
-SrPlan_CheapestVictim(const struct SrPlanPass *pass,
-                      const struct SrWorker *worker,
-                      const struct SrPlanUnit *unit)
+/* Runs that would be preempted for a unit: of a gang one run, which stands for
+ * all members. */
+struct Choice {
+    const struct SrPlanPass *pass;
+    const struct SrPlanUnit *unit;
+    /* If not NULL, only this worker counts, and not the unit's assignment. */
+    const struct SrWorker *only;
+    /* List of struct SrRun, by `victim`. */
+    struct SrList victims;
+};
+
+/* Marks the run, and the rest of its gang, as victims, or no longer. */
+static void
+mark_unit(const struct SrRun *run, bool is_victim)
 {
+    uint32_t count;
+    struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        struct SrRun *member = first[i].active_run;
+        if (member == NULL || member->stopping ||
+            member->is_victim == is_victim) {
+            continue;
+        }
+        if (is_victim) {
+            SrPlan_MarkVictim(member);
+        }
+        else {
+            member->is_victim = false;
+            SrPlan_CountAtWork(member, true);
+        }
+    }
+}
+
+static void
+drop_victim(struct SrRun *run)
+{
+    mark_unit(run, false);
+    SrList_Remove(&run->victim);
+}
+
+static void
+drop_all(struct Choice *choice)
+{
+    SR_LIST_EACH_SAFE(link, &choice->victims)
+    {
+        drop_victim(SR_CONTAINER(link, struct SrRun, victim));
+    }
+}
+
+/* Returns true if the run, which the unit may preempt, ends so soon that the
+ * unit waits for it: with a gang, if all members do. */
+static bool
+is_awaited(const struct SrRun *run, const struct SrPlanUnit *unit)
+{
+    uint32_t count;
+    if (run->is_victim || run->step->continuous ||
+        run->expected_end_ms > unit->await_until_ms ||
+        !SrPlan_MayPreempt(unit, run)) {
+        return false;
+    }
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        const struct SrRun *member = first[i].active_run;
+        if (member != NULL &&
+            (member->state != SR_RUNSTATE_STARTED ||
+             member->expected_end_ms > unit->await_until_ms)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns what the worker has free once the victims are stopped and the
+ * awaited runs have ended. */
+static struct SrResources
+room_on(const struct SrWorker *worker, const struct SrPlanUnit *unit)
+{
+    struct SrResources room = worker->free_after_stops;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (run->is_victim || is_awaited(run, unit)) {
+            SrResources_Add(&room, &run->demand, 1);
+        }
+    }
+    return room;
+}
+
+static bool
+has_room(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+         unsigned tasks)
+{
+    struct SrResources room = room_on(worker, unit);
+    return SrPlan_TasksThatFit(&room, &unit->demand) >= tasks;
+}
+
+/* Returns how many of the accelerators that the unit lacks become free if the
+ * run is stopped, and the rest of its gang with it; at least 1. What would be
+ * freed beyond the need does not count, since it would speak for stopping more
+ * work than necessary. */
+static int64_t
+accelerators_freed(const struct Choice *choice, const struct SrRun *run,
+                   int64_t lacking)
+{
+    uint32_t count;
+    int64_t here = 0;
+    int64_t elsewhere = 0;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        const struct SrRun *member = first[i].active_run;
+        if (member == NULL || member->stopping) {
+            continue;
+        }
+        if (member->worker == run->worker) {
+            here += member->demand.accelerators;
+        }
+        else if (choice->only == NULL && member->worker->assigned > 0) {
+            elsewhere += member->demand.accelerators;
+        }
+    }
+    int64_t freed = (here < lacking ? here : lacking) + elsewhere;
+    return freed > 0 ? freed : 1;
+}
+
+/* Returns the run on the worker that the unit preempts next: of those within
+ * the preemption limit, if there are any, the one with the least work lost per
+ * accelerator freed; of equal ones the one that would end last. Returns NULL
+ * if there is none. */
+static struct SrRun *
+best_victim(const struct Choice *choice, const struct SrWorker *worker,
+            unsigned tasks)
+{
+    const struct SrPlanUnit *unit = choice->unit;
+    struct SrResources room = room_on(worker, unit);
+    int64_t lacking = tasks * unit->demand.accelerators - room.accelerators;
     struct SrRun *best = NULL;
+    bool best_allowed = false;
     int64_t best_cost = 0;
+    int64_t best_freed = 1;
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim || !SrPlan_MayPreempt(unit, run)) {
+        if (run->is_victim || !SrPlan_MayPreempt(unit, run) ||
+            is_awaited(run, unit)) {
             continue;
         }
-        int64_t cost = SrPlan_StopCost(pass, run);
-        if (best == NULL || cost < best_cost) {
+        bool allowed =
+            SrYieldLimit_Allows(&run->task->flow->yields, unit->flow->id);
+        int64_t cost = SrPlan_StopCost(choice->pass, run);
+        int64_t freed = accelerators_freed(choice, run, lacking);
+        int64_t difference = cost * best_freed - best_cost * freed;
+        if (best == NULL || (allowed && !best_allowed) ||
+            (allowed == best_allowed &&
+             (difference < 0 ||
+              (difference == 0 &&
+               run->expected_end_ms > best->expected_end_ms)))) {
             best = run;
+            best_allowed = allowed;
             best_cost = cost;
+            best_freed = freed;
         }
     }
     return best;
 }
 
+/* Adds victims until that many of the unit's tasks fit on the worker. Returns
+ * false if too few runs may be preempted. */
+static bool
+choose_on(struct Choice *choice, const struct SrWorker *worker, unsigned tasks)
+{
+    while (!has_room(worker, choice->unit, tasks)) {
+        struct SrRun *run = best_victim(choice, worker, tasks);
+        if (run == NULL) {
+            return false;
+        }
+        mark_unit(run, true);
+        SrList_Append(&choice->victims, &run->victim);
+    }
+    return true;
+}
+
+/* Returns true if the unit's tasks fit on the workers of the victim's gang
+ * without it. */
+static bool
+is_unneeded(const struct Choice *choice, const struct SrRun *run,
+            unsigned tasks)
+{
+    uint32_t count;
+    bool fits = true;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    mark_unit(run, false);
+    for (uint32_t i = 0; i < count && fits; i++) {
+        const struct SrRun *member = first[i].active_run;
+        const struct SrWorker *worker = member != NULL ? member->worker : NULL;
+        if (worker == NULL ||
+            (choice->only != NULL && worker != choice->only)) {
+            continue;
+        }
+        unsigned needed = choice->only != NULL ? tasks : worker->assigned;
+        fits = needed == 0 || has_room(worker, choice->unit, needed);
+    }
+    mark_unit(run, true);
+    return fits;
+}
+
+/* Drops the victims that are not needed beside the others, the costliest
+ * first. `tasks` is the number of tasks on the only worker, if there is one.
+ */
+static void
+drop_unneeded(struct Choice *choice, unsigned tasks)
+{
+    struct SrRun *costliest;
+    do {
+        int64_t highest = 0;
+        costliest = NULL;
+        SR_LIST_EACH(link, &choice->victims)
+        {
+            struct SrRun *run = SR_CONTAINER(link, struct SrRun, victim);
+            int64_t cost = SrPlan_StopCost(choice->pass, run);
+            if (cost > highest && is_unneeded(choice, run, tasks)) {
+                costliest = run;
+                highest = cost;
+            }
+        }
+        if (costliest != NULL) {
+            drop_victim(costliest);
+        }
+    } while (costliest != NULL);
+}
+
+static void
+begin_choice(struct Choice *choice, const struct SrPlanPass *pass,
+             const struct SrPlanUnit *unit, const struct SrWorker *only)
+{
+    *choice = (struct Choice){.pass = pass, .unit = unit, .only = only};
+    SrList_Init(&choice->victims);
+}
+
+/* Chooses the victims for the tasks on one worker. */
+static void
+choose_for_worker(struct Choice *choice, const struct SrPlanPass *pass,
+                  const struct SrPlanUnit *unit, const struct SrWorker *worker,
+                  unsigned tasks)
+{
+    begin_choice(choice, pass, unit, worker);
+    choose_on(choice, worker, tasks);
+    drop_unneeded(choice, tasks);
+}
+
+/* Chooses the victims for the latest assignment on `count` workers of the
+ * pass, from index `first`. Returns false if too few runs may be preempted. */
+static bool
+choose_for_assignment(struct Choice *choice, const struct SrPlanPass *pass,
+                      const struct SrPlanUnit *unit, unsigned first,
+                      unsigned count)
+{
+    bool possible = true;
+    begin_choice(choice, pass, unit, NULL);
+    for (unsigned i = first; i < first + count && possible; i++) {
+        const struct SrWorker *worker = pass->workers[i];
+        possible = worker->assigned == 0 ||
+                   choose_on(choice, worker, worker->assigned);
+    }
+    if (possible) {
+        drop_unneeded(choice, 0);
+    }
+    return possible;
+}
+
+static int64_t
+cost_of(const struct Choice *choice)
+{
+    int64_t cost = 0;
+    SR_LIST_EACH(link, &choice->victims)
+    {
+        cost += SrPlan_StopCost(choice->pass,
+                                SR_CONTAINER(link, struct SrRun, victim));
+    }
+    return cost;
+}
+
 int64_t
 SrPlan_PreemptionCost(const struct SrPlanPass *pass,
                       const struct SrWorker *worker,
                       const struct SrPlanUnit *unit, unsigned tasks)
 {
-    struct SrResources available = worker->free_after_stops;
-    int64_t cost = 0;
-    while (SrPlan_TasksThatFit(&available, &unit->demand) < tasks) {
-        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-        if (run == NULL) {
-            break;
-        }
-        SrPlan_MarkVictim(run);
-        SrResources_Add(&available, &run->demand, 1);
-        cost += SrPlan_StopCost(pass, run);
-    }
-    SrPlan_ClearVictims(worker);
+    struct Choice choice;
+    choose_for_worker(&choice, pass, unit, worker, tasks);
+    int64_t cost = cost_of(&choice);
+    drop_all(&choice);
     return cost;
 }
 
@@ -160,42 +411,45 @@
                       const struct SrPlanUnit *unit, unsigned first,
                       unsigned count)
 {
-    int64_t cost = 0;
-    for (unsigned i = first; i < first + count; i++) {
-        const struct SrWorker *worker = pass->workers[i];
-        if (worker->assigned > 0) {
-            cost +=
-                SrPlan_PreemptionCost(pass, worker, unit, worker->assigned);
-        }
-    }
+    struct Choice choice;
+    bool possible = choose_for_assignment(&choice, pass, unit, first, count);
+    int64_t cost = possible ? cost_of(&choice) : SR_PLAN_IMPOSSIBLE;
+    drop_all(&choice);
     return cost;
 }
 
-/* Returns true if enough runs may be preempted for the latest assignment on
- * all workers together: each worker by itself may have enough, and the steps
- * of lasting tasks allow fewer. */
-static bool
-is_preemption_possible(const struct SrPlanPass *pass,
-                       const struct SrPlanUnit *unit)
+/* Preempts the runs of the choice. */
+static void
+preempt_chosen(struct Choice *choice, struct SrPlanPass *pass)
 {
-    bool possible = true;
-    for (unsigned i = 0; i < pass->worker_count && possible; i++) {
-        const struct SrWorker *worker = pass->workers[i];
-        struct SrResources available = worker->free_after_stops;
-        while (possible && SrPlan_TasksThatFit(&available, &unit->demand) <
-                               worker->assigned) {
-            struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-            possible = run != NULL;
-            if (run != NULL) {
-                SrPlan_MarkVictim(run);
-                SrResources_Add(&available, &run->demand, 1);
-            }
-        }
+    SR_LIST_EACH(link, &choice->victims)
+    {
+        mark_unit(SR_CONTAINER(link, struct SrRun, victim), false);
     }
-    for (unsigned i = 0; i < pass->worker_count; i++) {
-        SrPlan_ClearVictims(pass->workers[i]);
+    while (!SrList_IsEmpty(&choice->victims)) {
+        struct SrRun *run =
+            SR_CONTAINER(choice->victims.next, struct SrRun, victim);
+        SrList_Remove(&run->victim);
+        SrPlan_Preempt(pass, run, choice->unit);
     }
-    return possible;
+}
+
+void
+SrPlan_PreemptOnWorker(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                       const struct SrWorker *worker, unsigned tasks)
+{
+    struct Choice choice;
+    choose_for_worker(&choice, pass, unit, worker, tasks);
+    preempt_chosen(&choice, pass);
+}
+
+void
+SrPlan_PreemptForAssignment(struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit)
+{
+    struct Choice choice;
+    choose_for_assignment(&choice, pass, unit, 0, pass->worker_count);
+    preempt_chosen(&choice, pass);
 }
 
 bool
@@ -203,13 +457,12 @@
                               const struct SrPlanUnit *unit)
 {
     const Sr__FlowStep *step = unit->step;
+    int64_t cost = SrPlan_AssignmentCost(pass, unit, 0, pass->worker_count);
     if (unit->flow->rank == SR_RANK_GUARANTEED) {
-        return is_preemption_possible(pass, unit);
+        return cost != SR_PLAN_IMPOSSIBLE;
     }
     int64_t cores = SR_CORES_PER_ACCELERATOR * (int64_t)step->accelerators +
                     step->cpu_millis / 1000;
     int64_t unit_cost = cores * unit->count * step->estimated_ms / 1000;
-    return pass->now_ms < unit->start_by_ms &&
-           SrPlan_AssignmentCost(pass, unit, 0, pass->worker_count) <=
-               unit_cost;
+    return pass->now_ms < unit->start_by_ms && cost <= unit_cost;
 }
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -345,11 +345,99 @@
     }
 }
 
+/* Jobs, each submitted some time after the one before, on two racks of two
+ * workers. The last one is urgent and guaranteed. */
+static const struct {
+    const char *name;
+    struct {
+        int64_t after_ms;
+        struct Job job;
+    } jobs[6];
+    /* Number of runs of each job that are preempted. */
+    unsigned preempted[6];
+} victim_cases[] = {
+    {
+        /* Guards against a gang that counts once for each of its members,
+         * so that two runs with more work are preempted instead. */
+        "a gang counts once",
+        {{0, {2, 2, 8, 60000, .single_tasks = true}},
+         {500, {2, 2, 8, 60000, .work_ms = 0}},
+         {1000, {0, 2, 8, 4000, .work_ms = 0}}},
+        {0, 2, 0},
+    },
+    {
+        /* Guards against a gang that is preempted although one worker has
+         * cheaper runs, because of the members elsewhere. */
+        "the members on other workers count",
+        {{0, {2, 2, 8, 60000, .work_ms = 0}},
+         {500, {2, 2, 8, 60000, .single_tasks = true}},
+         {1000, {0, 1, 8, 4000, .work_ms = 0}}},
+        {0, 1, 0},
+    },
+    {
+        /* Guards against preempting a small run that turns out to be too
+         * small, and then a large one that suffices. */
+        "no more runs than needed",
+        {{0, {2, 3, 8, 60000, .single_tasks = true}},
+         {500, {2, 1, 6, 60000, .single_tasks = true}},
+         {500, {2, 1, 2, 60000, .single_tasks = true}},
+         {500, {0, 1, 6, 4000, .work_ms = 0}}},
+        {0, 1, 0, 0},
+    },
+    {
+        /* Guards against preempting a run that is about to end. */
+        "work that ends soon",
+        {{0, {2, 3, 8, 60000, .single_tasks = true}},
+         {500, {2, 1, 4, 60000, .single_tasks = true}},
+         {0, {2, 1, 4, 2300, .single_tasks = true}},
+         {1500, {0, 1, 8, 4000, .work_ms = 0}}},
+        {0, 1, 0, 0},
+    },
+    {
+        /* Guards against a guarantee that is missed because of a run that
+         * goes on beyond its estimate. */
+        "work that does not end as expected",
+        {{0, {2, 3, 8, 60000, .single_tasks = true}},
+         {500, {2, 1, 4, 60000, .single_tasks = true}},
+         {0, {2, 1, 4, 2300, .single_tasks = true, .work_ms = 60000}},
+         {1500, {0, 1, 8, 4000, .work_ms = 0}}},
+        {0, 1, 1, 0},
+    },
+};
+
+static void
+few_runs_with_little_work_are_preempted(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(victim_cases); i++) {
+        struct Site site;
+        unsigned last = 0;
+        open_site(&site, 4, 2, 32);
+        for (unsigned j = 0; victim_cases[i].jobs[j].job.count > 0; j++) {
+            run_for(&site, victim_cases[i].jobs[j].after_ms);
+            last = submit(&site, victim_cases[i].jobs[j].job);
+        }
+        int64_t submitted_ms = site.now_ms;
+        run_for(&site, RECLAIM_MS);
+        for (unsigned j = 0; j <= last; j++) {
+            if (site.preempted[j] != victim_cases[i].preempted[j]) {
+                fail_msg("%s: %u runs of job %u preempted",
+                         victim_cases[i].name, site.preempted[j], j);
+            }
+        }
+        print_message("%s: begun after %lld ms\n", victim_cases[i].name,
+                      (long long)(site.begun_ms[last] - submitted_ms));
+        assert_true(site.begun_ms[last] > 0);
+        close_site(&site);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_job_is_preempted_for_few_others),
+        cmocka_unit_test(few_runs_with_little_work_are_preempted),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
