Plan: capacity that is freed for a gang is claimed for it

Cause: runs were preempted for a gang and the workers that became free went to other jobs, which came earlier in the order of a pass. A guaranteed gang of 7 whole workers preempted in four racks, one after the other, and started after 3.5 s; 6 of 48 jobs for which runs were preempted never started.

Each pass handles the claims before it places anything else: a free claim is allocated, any other is reserved. Members on a worker that becomes unusable move within its rack. A claim that can't be met, is not free within 2 s or belongs to a lower rank than guaranteed work without other capacity is dropped and logged.

--- a/src/engine.c
+++ b/src/engine.c
@@ -5,6 +5,7 @@
 #include "engine_state.h"
 #include "log.h"
 #include "plan.h"
+#include "plan_claim.h"
 #include "plan_drain.h"
 
 /* Time for which a new leader waits for its workers' responses before it
@@ -48,6 +49,10 @@
     [SR_ENGINE_RUN_FAILED] = "run-failed",
     [SR_ENGINE_RUN_LOST] = "run-lost",
     [SR_ENGINE_RUN_CRASHED] = "run-crashed",
+    [SR_ENGINE_RUN_PREEMPTED] = "run-preempted",
+    [SR_ENGINE_CLAIM_MADE] = "claim-made",
+    [SR_ENGINE_CLAIM_MET] = "claim-met",
+    [SR_ENGINE_CLAIM_DROPPED] = "claim-dropped",
 };
 
 const char *
@@ -80,6 +85,7 @@
     SrMap_Init(&engine->early_cancellations);
     SrList_Init(&engine->flows);
     SrList_Init(&engine->dirty);
+    SrList_Init(&engine->claims);
     return engine;
 }
 
@@ -87,6 +93,7 @@
 SrEngine_RemoveFlow(struct SrEngine *engine, struct SrFlow *flow)
 {
     SrMap_Remove(&engine->flows_by_id, &flow->entry);
+    SrPlan_ForgetClaims(engine, flow);
     SrFlow_Destroy(flow);
 }
 
--- a/src/engine.h
+++ b/src/engine.h
@@ -45,6 +45,16 @@
     /* The run's worker crashed, which counts against the task; time for which
      * the run had been executing, as far as known. */
     SR_ENGINE_RUN_CRASHED,
+    /* The run is stopped for work of higher precedence; time since it was
+     * allocated. */
+    SR_ENGINE_RUN_PREEMPTED,
+    /* Runs were preempted for a gang of the job, and the capacity claimed for
+     * it; time since the gang was ready to run. */
+    SR_ENGINE_CLAIM_MADE,
+    /* The gang was allocated as claimed, or the claim was dropped; time since
+     * the claim was made. */
+    SR_ENGINE_CLAIM_MET,
+    SR_ENGINE_CLAIM_DROPPED,
 };
 
 struct SrEngineOptions {
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -39,6 +39,8 @@
     struct SrList flows;
     /* List of the flows whose progress is to be written. */
     struct SrList dirty;
+    /* List of struct SrClaim, in the order in which they were made. */
+    struct SrList claims;
     /* Failure domains excluded from new work. */
     char domains_out[SR_DOMAINS_OUT_MAX][SR_ID_SIZE];
     size_t domains_out_count;
--- a/src/flow.h
+++ b/src/flow.h
@@ -35,6 +35,7 @@
 
 #define SR_FLOW_NOT_FOUND SIZE_MAX
 
+struct SrClaim;
 struct SrRun;
 struct SrWorker;
 
@@ -89,6 +90,9 @@
     /* When the leader first found the step ready to run, ms of the monotonic
      * clock; 0 before. Set for the first task of a step only. */
     int64_t ready_ms;
+    /* Capacity claimed for the step; NULL if none. Set for the first task of a
+     * gang only. */
+    struct SrClaim *claim;
     /* Since when there has been ample room for the step while nothing of the
      * job ran, as far as checked, and when that was last checked, ms of the
      * monotonic clock; 0 if there is none, and before the first check. Set for
--- a/src/idle.c
+++ b/src/idle.c
@@ -83,5 +83,9 @@
         LOG_IDLE("stopping", " runs=%u worker=%s", cause->u.runs.runs,
                  cause->u.runs.worker);
         break;
+    case SR_IDLE_CLAIMED:
+        LOG_IDLE("claimed", " workers=%u left-ms=%ld", cause->u.claim.workers,
+                 (long)cause->u.claim.left_ms);
+        break;
     }
 }
--- a/src/idle.h
+++ b/src/idle.h
@@ -38,6 +38,9 @@
     SR_IDLE_UNANSWERED,
     /* The runs are being stopped. */
     SR_IDLE_STOPPING,
+    /* Runs were preempted for the gang, and the capacity claimed for it is not
+     * free yet. */
+    SR_IDLE_CLAIMED,
 };
 
 struct SrIdleCause {
@@ -101,6 +104,11 @@
             /* Worker of the first of these runs. */
             const char *worker;
         } runs;
+        struct {
+            unsigned workers;
+            /* Time after which the claim is dropped, ms. */
+            int64_t left_ms;
+        } claim;
     } u;
 };
 
--- a/src/node.c
+++ b/src/node.c
@@ -216,6 +216,10 @@
     [SR_ENGINE_RUN_FAILED] = "sr_run_failed_us",
     [SR_ENGINE_RUN_LOST] = "sr_run_lost_us",
     [SR_ENGINE_RUN_CRASHED] = "sr_run_crashed_us",
+    [SR_ENGINE_RUN_PREEMPTED] = "sr_run_preempted_us",
+    [SR_ENGINE_CLAIM_MADE] = "sr_claim_made_us",
+    [SR_ENGINE_CLAIM_MET] = "sr_claim_met_us",
+    [SR_ENGINE_CLAIM_DROPPED] = "sr_claim_dropped_us",
 };
 
 static void
--- a/src/plan.c
+++ b/src/plan.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "plan_claim.h"
 
 /* Number of gangs left waiting in a pass after which further urgent gangs get
  * free resources only: no resources are reserved or preempted for them. This
@@ -138,6 +139,8 @@
         if (member != NULL && !member->stopping) {
             SrResources_Add(&member->worker->free_after_stops, &demand, 1);
             SrPlan_CountAtWork(member, false);
+            SrEngine_Observe(pass->engine, SR_ENGINE_RUN_PREEMPTED, flow,
+                             pass->now_ms - member->allocated_ms);
             SrEngine_StopRun(pass->engine, member, "yields", pass->now_ms);
         }
     }
@@ -187,7 +190,12 @@
     pass->reserved_urgent_gangs++;
     reserve(pass, unit);
     log_wait(pass, unit, "room-claimed");
-    SrPlan_LogIdleReserved(pass, unit);
+    if (unit->late_count > 0) {
+        SrPlan_LogIdleReserved(pass, unit);
+        return true;
+    }
+    SrPlan_Claim(pass, unit);
+    SrPlan_LogIdleClaimed(pass, unit);
     return true;
 }
 
@@ -307,6 +315,39 @@
     return false;
 }
 
+static bool
+place_gang_anywhere(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                    bool prefers_rack)
+{
+    return try_place_gang(pass, unit, SrPlan_AssignAnywhere) ||
+           preempt_beyond_limit(pass, unit, prefers_rack);
+}
+
+/* Allocates the capacity claimed for the gang if it is free, or else keeps it
+ * from other jobs. */
+static void
+place_claimant(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    switch (SrPlan_CheckClaim(pass, unit)) {
+    case SR_CLAIM_FREE:
+        allocate_gang(pass, unit);
+        SrPlan_EndClaim(pass, unit);
+        break;
+    case SR_CLAIM_WAITING:
+        if (place_idle_gang(pass, unit)) {
+            SrPlan_DropClaim(pass, unit, "idle-beside-room");
+            break;
+        }
+        SrPlan_AssignClaim(pass, unit);
+        pass->reserved_urgent_gangs++;
+        reserve(pass, unit);
+        SrPlan_LogIdleClaimed(pass, unit);
+        break;
+    case SR_CLAIM_DROPPED:
+        break;
+    }
+}
+
 static void
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
@@ -336,8 +377,9 @@
         SrPlan_LogIdle(pass, unit);
         return;
     }
-    if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere) &&
-        !preempt_beyond_limit(pass, unit, prefers_rack)) {
+    if (!place_gang_anywhere(pass, unit, prefers_rack) &&
+        (!SrPlan_DropClaimsBelow(pass, unit) ||
+         !place_gang_anywhere(pass, unit, prefers_rack))) {
         pass->waiting_gangs++;
         log_wait(pass, unit, "no-room");
         SrPlan_LogIdle(pass, unit);
@@ -411,6 +453,27 @@
     return worker;
 }
 
+/* Returns a worker that has, or will have, room for the urgent task; preempts
+ * runs if necessary. Returns NULL if there is none. */
+static struct SrWorker *
+find_urgent_worker(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                   const struct SrFlowTask *task)
+{
+    struct SrWorker *worker =
+        choose_worker(pass, unit, task, SR_AVAILABLE_AFTER_STOPS);
+    if (worker == NULL) {
+        worker = choose_worker(pass, unit, task, SR_AVAILABLE_IN_TIME);
+    }
+    if (worker == NULL) {
+        worker = preempt_for_task(pass, unit, task);
+    }
+    if (worker == NULL && unit->flow->rank == SR_RANK_GUARANTEED) {
+        struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+        worker = preempt_for_task(pass, &exceeding, task);
+    }
+    return worker;
+}
+
 /* Allocates the task's resources or, for urgent work, reserves resources that
  * become free or preempts runs. Returns false if none of these is possible. */
 static bool
@@ -434,16 +497,9 @@
     if (unit->flow->rank > SR_RANK_URGENT) {
         return false;
     }
-    worker = choose_worker(pass, unit, task, SR_AVAILABLE_AFTER_STOPS);
-    if (worker == NULL) {
-        worker = choose_worker(pass, unit, task, SR_AVAILABLE_IN_TIME);
-    }
-    if (worker == NULL) {
-        worker = preempt_for_task(pass, unit, task);
-    }
-    if (worker == NULL && unit->flow->rank == SR_RANK_GUARANTEED) {
-        struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
-        worker = preempt_for_task(pass, &exceeding, task);
+    worker = find_urgent_worker(pass, unit, task);
+    if (worker == NULL && SrPlan_DropClaimsBelow(pass, unit)) {
+        worker = find_urgent_worker(pass, unit, task);
     }
     if (worker == NULL) {
         return false;
@@ -524,10 +580,26 @@
     SrPlan_LogIdle(pass, unit);
 }
 
+/* Returns true if the unit is a gang that has a claim, or is allocated. */
+static bool
+is_settled(const struct SrPlanUnit *unit)
+{
+    return unit->step->gang &&
+           (unit->first->claim != NULL || unit->first->active_run != NULL);
+}
+
 static void
 place_units(struct SrPlanPass *pass)
 {
     for (size_t i = 0; i < pass->unit_count; i++) {
+        if (pass->units[i].first->claim != NULL) {
+            place_claimant(pass, &pass->units[i]);
+        }
+    }
+    for (size_t i = 0; i < pass->unit_count; i++) {
+        if (is_settled(&pass->units[i])) {
+            continue;
+        }
         if (pass->units[i].step->gang) {
             place_gang(pass, &pass->units[i]);
             unpin_tasks(&pass->units[i]);
@@ -551,6 +623,7 @@
         pass->accounts[i].cap = &engine->catalog->accounts[i].cap;
     }
     SrPlan_CollectUnits(pass);
+    SrPlan_DropEndedClaims(pass);
     if (pass->unit_count > 0) {
         SrPlan_GroupWorkersByRack(pass);
         SrPlan_CountAccounts(pass);
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "idle.h"
+#include "plan_claim.h"
 
 /* Room for the tasks of a unit. */
 struct Supply {
@@ -211,6 +212,22 @@
     }
 }
 
+void
+SrPlan_LogIdleClaimed(const struct SrPlanPass *pass,
+                      const struct SrPlanUnit *unit)
+{
+    const struct SrClaim *claim = unit->first->claim;
+    struct SrIdleCause cause = {
+        .reason = SR_IDLE_CLAIMED,
+        .u.claim = {claim->place_count,
+                    claim->renewed_ms + SR_CLAIM_MAX_MS - pass->now_ms},
+    };
+    if (is_to_be_explained(unit->flow)) {
+        SrIdle_Log(unit->flow, unit->first->step, unit->count, &cause,
+                   pass->now_ms);
+    }
+}
+
 void
 SrPlan_LogIdle(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -390,6 +390,10 @@
 void SrPlan_LogIdleReserved(const struct SrPlanPass *pass,
                             const struct SrPlanUnit *unit);
 
+/* The same for a unit that waits for its claim. */
+void SrPlan_LogIdleClaimed(const struct SrPlanPass *pass,
+                           const struct SrPlanUnit *unit);
+
 /* The same for a step of which the task `held` may not be started. */
 void SrPlan_LogIdleHeld(const struct SrPlanPass *pass,
                         const struct SrFlowTask *held, uint32_t waiting);
--- a/tests/test_claims.c
+++ b/tests/test_claims.c
@@ -6,6 +6,7 @@
 
 #include "codec.h"
 #include "engine_state.h"
+#include "idle.h"
 #include "log.h"
 #include "plan.h"
 
@@ -13,10 +14,12 @@
 #define ACCELERATORS 8
 #define JOBS_MAX 16
 #define RECLAIM_MS 2700
-/* Time until a worker reports a stopped run as terminated. */
+/* Time until a worker reports a stopped run as terminated, if it is not slow.
+ */
 #define STOP_MS 200
 /* Time after which the urgent jobs of the preemption limit arrive. */
 #define ARRIVAL_MS 2000
+#define OTHERS_INTERVAL_MS 30
 
 /* A job of one step. */
 struct Job {
@@ -29,6 +32,8 @@
     bool single_tasks;
     bool any_rack;
     bool checkpoints;
+    /* The job's account has no guarantee. */
+    bool unguaranteed;
 };
 
 /* A leader's engine with workers that respond at once. */
@@ -47,6 +52,9 @@
     unsigned preempted[JOBS_MAX];
     int64_t begun_ms[JOBS_MAX];
     unsigned events[16];
+    int64_t stop_ms;
+    /* Reasons (enum SrIdleReason) logged for any job, as a bit set. */
+    uint32_t idle_reasons;
 };
 
 static void
@@ -87,7 +95,7 @@
     record.n_steps = 1;
     record.queue = (char *)queues[from->priority];
     record.service = (char *)"s";
-    record.account = (char *)"account";
+    record.account = (char *)(from->unguaranteed ? "other" : "account");
     record.max_attempts = 3;
     record.stretch = 3;
     record.target_ms = 1500;
@@ -154,7 +162,8 @@
         .now_ms = 1000,
         .workers = workers,
         .workers_per_rack = workers_per_rack,
-        .catalog = SrCatalog_Create(SR_LENGTH(queues), 1, 0),
+        .stop_ms = STOP_MS,
+        .catalog = SrCatalog_Create(SR_LENGTH(queues), 2, 0),
     };
     for (unsigned i = 0; i < SR_LENGTH(queues); i++) {
         struct SrCatalogQueue *queue = &site->catalog->queues[i];
@@ -166,6 +175,7 @@
     }
     site->catalog->accounts[0].name = SrUtil_Strdup("account");
     site->catalog->accounts[0].guaranteed_accelerators = guarantee;
+    site->catalog->accounts[1].name = SrUtil_Strdup("other");
     lead(site, 1);
 }
 
@@ -199,7 +209,7 @@
             site->preempted[job_of(run)]++;
         }
     }
-    if (run->stopping && site->now_ms - run->response_ms >= STOP_MS) {
+    if (run->stopping && site->now_ms - run->response_ms >= site->stop_ms) {
         SrEngine_EndRun(site->engine, run, SR_RUN_STOPPED, "", site->now_ms);
         return true;
     }
@@ -253,6 +263,17 @@
     }
 }
 
+static void
+note_idle_reasons(struct Site *site)
+{
+    SrEngine_CheckIdle(site->engine, true, site->now_ms);
+    SR_LIST_EACH(link, &site->engine->flows)
+    {
+        site->idle_reasons |=
+            SR_CONTAINER(link, struct SrFlow, link)->idle_reasons_logged;
+    }
+}
+
 static void
 run_for(struct Site *site, int64_t ms)
 {
@@ -260,6 +281,7 @@
     while (site->now_ms < end_ms) {
         site->now_ms += STEP_MS;
         execute_runs(site);
+        note_idle_reasons(site);
         SrPlan_Pass(site->engine, site->now_ms);
         write_changes(site);
     }
@@ -432,12 +454,225 @@
     }
 }
 
+enum Event {
+    NOTHING,
+    WORKER_LEAVES,
+    CANCELLATION,
+    LEADER_CHANGE,
+    SLOW_STOPS,
+};
+
+/* A gang preempts runs; then something happens, and another job may follow.
+ * Each worker executes a run that is preempted. */
+static const struct {
+    const char *name;
+    unsigned workers;
+    unsigned workers_per_rack;
+    struct Job gang;
+    enum Event event;
+    /* Submitted `others` times, OTHERS_INTERVAL_MS apart; once if that is 0.
+     */
+    struct Job other;
+    unsigned others;
+    /* Latest time at which the gang has begun, ms after its submission; 0 if
+     * it does not begin while the case is watched. */
+    int64_t begun_ms;
+    /* Number of runs preempted, and of claims. */
+    unsigned preempted;
+    unsigned made;
+    unsigned met;
+    unsigned dropped;
+} claim_cases[] = {
+    {
+        .name = "the beneficiary starts",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .begun_ms = 250,
+        .preempted = 2,
+        .made = 1,
+        .met = 1,
+    },
+    {
+        /* Guards against a gang that loses a worker of its rack to a job that
+         * starts sooner, and preempts in the next rack. */
+        .name = "two guaranteed gangs",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 8000, .work_ms = 0},
+        .other = {0, 1, 8, 1000, .work_ms = 0},
+        .begun_ms = 250,
+        .preempted = 3,
+        .made = 2,
+        .met = 2,
+    },
+    {
+        /* Guards against a gang of most of a rack that starts after 3.5 s
+         * because small gangs take each rack in which runs are preempted for
+         * it. */
+        .name = "a large gang in a burst",
+        .workers = 32,
+        .workers_per_rack = 8,
+        .gang = {0, 7, 8, 8000, .work_ms = 0},
+        .other = {0, 1, 8, 1000, .work_ms = 0},
+        .others = 8,
+        .begun_ms = 250,
+        .preempted = 13,
+        .made = 7,
+        .met = 7,
+    },
+    {
+        .name = "a claimed worker leaves",
+        .workers = 6,
+        .workers_per_rack = 3,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .event = WORKER_LEAVES,
+        .begun_ms = 400,
+        .preempted = 3,
+        .made = 1,
+        .met = 1,
+    },
+    {
+        .name = "a claimed worker leaves, and its rack has no other",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .event = WORKER_LEAVES,
+        .begun_ms = 400,
+        .preempted = 4,
+        .made = 2,
+        .met = 1,
+        .dropped = 1,
+    },
+    {
+        .name = "the claimant is cancelled",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .event = CANCELLATION,
+        .preempted = 2,
+        .made = 1,
+        .dropped = 1,
+    },
+    {
+        .name = "a new leader",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .event = LEADER_CHANGE,
+        .begun_ms = 250,
+        .preempted = 2,
+        .made = 1,
+    },
+    {
+        /* Guards against free capacity that is kept for long. */
+        .name = "stops that take too long",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .gang = {0, 2, 8, 4000, .work_ms = 0},
+        .event = SLOW_STOPS,
+        .begun_ms = 2600,
+        .preempted = 2,
+        .made = 1,
+        .dropped = 1,
+    },
+    {
+        /* Guards against a guarantee that is missed because of a claim. */
+        .name = "a claim yields to guaranteed work",
+        .workers = 1,
+        .workers_per_rack = 1,
+        .gang = {0, 1, 8, 8000, .unguaranteed = true},
+        .other = {0, 1, 8, 4000, .any_rack = true},
+        .preempted = 1,
+        .made = 1,
+        .dropped = 1,
+    },
+};
+
+static void
+cause(struct Site *site, enum Event event, unsigned gang)
+{
+    char id[SR_ID_SIZE];
+    switch (event) {
+    case NOTHING:
+        break;
+    case WORKER_LEAVES:
+        SrEngine_SetWorker(site->engine, "w0", NULL, site->now_ms);
+        break;
+    case CANCELLATION:
+        snprintf(id, sizeof(id), "%016u", gang);
+        SrEngine_CancelFlow(site->engine, id, site->now_ms);
+        break;
+    case LEADER_CHANGE:
+        change_leader(site);
+        break;
+    case SLOW_STOPS:
+        site->stop_ms = 2500;
+        break;
+    }
+}
+
+/* Guards against capacity that is freed for one gang and taken by another one,
+ * so that runs are preempted in one rack after the other, and against claims
+ * that outlive their reason. */
+static void
+a_gang_starts_where_runs_were_preempted_for_it(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(claim_cases); i++) {
+        struct Site site;
+        unsigned preempted = 0;
+        open_site(&site, claim_cases[i].workers,
+                  claim_cases[i].workers_per_rack, 128);
+        submit(&site, (struct Job){2, claim_cases[i].workers, ACCELERATORS,
+                                   60000, .single_tasks = true});
+        run_for(&site, 1000);
+        int64_t submitted_ms = site.now_ms;
+        unsigned gang = submit(&site, claim_cases[i].gang);
+        run_for(&site, 50);
+        cause(&site, claim_cases[i].event, gang);
+        if (claim_cases[i].other.count > 0) {
+            submit(&site, claim_cases[i].other);
+        }
+        for (unsigned k = 1; k < claim_cases[i].others; k++) {
+            run_for(&site, OTHERS_INTERVAL_MS);
+            submit(&site, claim_cases[i].other);
+        }
+        run_for(&site, RECLAIM_MS);
+        for (unsigned job = 0; job < site.job_count; job++) {
+            preempted += site.preempted[job];
+        }
+        int64_t begun_ms =
+            site.begun_ms[gang] > 0 ? site.begun_ms[gang] - submitted_ms : 0;
+        const unsigned *events = site.events;
+        print_message("%s: begun after %lld ms, %u preempted\n",
+                      claim_cases[i].name, (long long)begun_ms, preempted);
+        assert_true(begun_ms <= claim_cases[i].begun_ms);
+        assert_int_equal(begun_ms > 0, claim_cases[i].begun_ms > 0);
+        for (unsigned job = gang + 1; job < site.job_count; job++) {
+            assert_true(site.begun_ms[job] > 0);
+        }
+        assert_int_equal(preempted, claim_cases[i].preempted);
+        assert_int_equal(events[SR_ENGINE_RUN_PREEMPTED], preempted);
+        assert_int_equal(events[SR_ENGINE_CLAIM_MADE], claim_cases[i].made);
+        assert_int_equal(events[SR_ENGINE_CLAIM_MET], claim_cases[i].met);
+        assert_int_equal(events[SR_ENGINE_CLAIM_DROPPED],
+                         claim_cases[i].dropped);
+        if (claim_cases[i].event == SLOW_STOPS) {
+            assert_true((site.idle_reasons & 1U << SR_IDLE_CLAIMED) != 0);
+        }
+        assert_true(SrList_IsEmpty(&site.engine->claims));
+        close_site(&site);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_job_is_preempted_for_few_others),
         cmocka_unit_test(few_runs_with_little_work_are_preempted),
+        cmocka_unit_test(a_gang_starts_where_runs_were_preempted_for_it),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
