--- a/src/flow.h
+++ b/src/flow.h
@@ -15,6 +15,7 @@
 #include "list.h"
 #include "map.h"
 #include "util.h"
+#include "yield_limit.h"
 
 /* Size of a task's name, ID.OCCURRENCE.STEP.INDEX, with the terminating zero,
  * bytes. */
@@ -34,6 +35,7 @@
 
 #define SR_FLOW_NOT_FOUND SIZE_MAX
 
+struct SrClaim;
 struct SrRun;
 struct SrWorker;
 
@@ -88,6 +90,9 @@
     /* When the leader first found the step ready to run, ms of the monotonic
      * clock; 0 before. Set for the first task of a step only. */
     int64_t ready_ms;
+    /* Capacity claimed for the step; NULL if none. Set for the first task of a
+     * gang only. */
+    struct SrClaim *claim;
     /* Since when there has been ample room for the step while nothing of the
      * job ran, as far as checked, and when that was last checked, ms of the
      * monotonic clock; 0 if there is none, and before the first check. Set for
@@ -165,6 +170,8 @@
     /* Runs of other jobs were preempted for a gang of this job, and none of
      * the job's runs has been allocated since. */
     bool has_preempted;
+    /* The jobs for which runs of this job were preempted. */
+    struct SrYields yields;
     /* When a run of the job was last found to be executing, or the job could
      * not run yet, ms of the monotonic clock; 0 before the first check. */
     int64_t active_ms;
--- a/src/idle.h
+++ b/src/idle.h
@@ -40,6 +40,9 @@
     SR_IDLE_UNANSWERED,
     /* The runs are being stopped. */
     SR_IDLE_STOPPING,
+    /* Runs were preempted for the gang, and the capacity claimed for it is not
+     * free yet. */
+    SR_IDLE_CLAIMED,
 };
 
 struct SrIdleCause {
@@ -109,6 +112,11 @@
             /* Worker of the first of these runs. */
             const char *worker;
         } runs;
+        struct {
+            unsigned workers;
+            /* Time after which the claim is dropped, ms. */
+            int64_t left_ms;
+        } claim;
     } u;
 };
 
--- a/src/plan.c
+++ b/src/plan.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "log.h"
+#include "plan_claim.h"
 
 /* Number of gangs left waiting in a pass after which further urgent gangs get
  * free resources only: no resources are reserved or preempted for them. This
@@ -124,41 +125,30 @@
 {
     uint32_t count;
     struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
-    SR_INFO("plan", "yield",
-            "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld",
-            run->task->flow->id, run->task->step, run->number,
-            run->task->flow->rank, unit->flow->id, unit->flow->rank,
-            (long)SrPlan_StopCost(pass, run));
+    struct SrFlow *flow = run->task->flow;
     struct SrResources demand = run->demand;
+    if (SrYieldLimit_Count(&flow->yields, unit->flow->id)) {
+        SrEngine_MarkDirty(pass->engine, flow);
+    }
+    SR_INFO("plan", "yield",
+            "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld "
+            "yields=%u",
+            flow->id, run->task->step, run->number, flow->rank, unit->flow->id,
+            unit->flow->rank, (long)SrPlan_StopCost(pass, run),
+            flow->yields.count);
     SrPlan_ForgetMisses(pass);
     for (uint32_t i = 0; i < count; i++) {
         struct SrRun *member = first[i].active_run;
         if (member != NULL && !member->stopping) {
             SrResources_Add(&member->worker->free_after_stops, &demand, 1);
             SrPlan_CountAtWork(member, false);
+            SrEngine_Observe(pass->engine, SR_ENGINE_RUN_PREEMPTED, flow,
+                             pass->now_ms - member->allocated_ms);
             SrEngine_StopRun(pass->engine, member, "yields", pass->now_ms);
         }
     }
 }
 
-/* Preempts runs on each worker until the tasks assigned to it fit. */
-static void
-preempt_for_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
-{
-    SR_LIST_EACH(link, &pass->engine->fleet.workers)
-    {
-        struct SrWorker *worker = SrFleet_WorkerAt(link);
-        while (worker->assigned >
-               SrPlan_TasksThatFit(&worker->free_after_stops, &unit->demand)) {
-            struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-            if (run == NULL) {
-                break;
-            }
-            SrPlan_Preempt(pass, run, unit);
-        }
-    }
-}
-
 /* Logs, once for each wait, what the unit needs and why it has to wait. */
 static void
 log_wait(const struct SrPlanPass *pass, const struct SrPlanUnit *unit,
@@ -192,6 +182,54 @@
     SrPlan_LogIdle(pass, unit);
 }
 
+/* Returns true if the pass may still reserve or preempt for urgent gangs. */
+static bool
+may_reserve_urgent(const struct SrPlanPass *pass)
+{
+    return pass->waiting_gangs < WAITING_GANGS_MAX &&
+           pass->reserved_urgent_gangs < RESERVED_URGENT_GANGS_MAX;
+}
+
+/* Preempts runs for the gang, on workers that `assign` chooses. Returns false
+ * if too few may be preempted. */
+static bool
+try_preempt(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+            bool (*assign)(struct SrPlanPass *, const struct SrPlanUnit *,
+                           enum SrAvailability))
+{
+    if (!assign(pass, unit, SR_AVAILABLE_BY_PREEMPTION) ||
+        !SrPlan_IsPreemptionWorthwhile(pass, unit)) {
+        return false;
+    }
+    SrPlan_PreemptForAssignment(pass, unit);
+    unit->flow->has_preempted = true;
+    pass->reserved_urgent_gangs++;
+    reserve(pass, unit);
+    log_wait(pass, unit, "room-claimed");
+    if (unit->late_count > 0) {
+        SrPlan_LogIdleReserved(pass, unit);
+        return true;
+    }
+    SrPlan_Claim(pass, unit);
+    SrPlan_LogIdleClaimed(pass, unit);
+    return true;
+}
+
+/* Preempts runs of jobs that have reached the preemption limit, for guaranteed
+ * work that finds no other capacity. Returns false if that is not possible. */
+static bool
+preempt_beyond_limit(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                     bool prefers_rack)
+{
+    struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+    if (!exceeding.exceeds_yield_limit || !may_reserve_urgent(pass)) {
+        return false;
+    }
+    return (prefers_rack &&
+            try_preempt(pass, &exceeding, SrPlan_AssignInRack)) ||
+           try_preempt(pass, &exceeding, SrPlan_AssignAnywhere);
+}
+
 /* Assigns the gang to workers by `assign`, and allocates free resources for it
  * or, if there are too few, reserves resources that become free or, for urgent
  * work, preempts runs. Returns false if none of these is possible. */
@@ -217,8 +255,7 @@
         }
         return false;
     }
-    if (pass->waiting_gangs >= WAITING_GANGS_MAX ||
-        pass->reserved_urgent_gangs >= RESERVED_URGENT_GANGS_MAX) {
+    if (!may_reserve_urgent(pass)) {
         return false;
     }
     if (assign(pass, unit, SR_AVAILABLE_AFTER_STOPS) ||
@@ -229,17 +266,7 @@
         SrPlan_LogIdleReserved(pass, unit);
         return true;
     }
-    if (assign(pass, unit, SR_AVAILABLE_BY_PREEMPTION) &&
-        SrPlan_IsPreemptionWorthwhile(pass, unit)) {
-        preempt_for_gang(pass, unit);
-        unit->flow->has_preempted = true;
-        pass->reserved_urgent_gangs++;
-        reserve(pass, unit);
-        log_wait(pass, unit, "room-claimed");
-        SrPlan_LogIdleReserved(pass, unit);
-        return true;
-    }
-    return false;
+    return try_preempt(pass, unit, assign);
 }
 
 /* Returns true if the task, which has late starts, may be started on their
@@ -304,6 +331,39 @@
     return false;
 }
 
+static bool
+place_gang_anywhere(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                    bool prefers_rack)
+{
+    return try_place_gang(pass, unit, SrPlan_AssignAnywhere) ||
+           preempt_beyond_limit(pass, unit, prefers_rack);
+}
+
+/* Allocates the capacity claimed for the gang if it is free, or else keeps it
+ * from other jobs. */
+static void
+place_claimant(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    switch (SrPlan_CheckClaim(pass, unit)) {
+    case SR_CLAIM_FREE:
+        allocate_gang(pass, unit);
+        SrPlan_EndClaim(pass, unit);
+        break;
+    case SR_CLAIM_WAITING:
+        if (place_idle_gang(pass, unit)) {
+            SrPlan_DropClaim(pass, unit, "idle-beside-room");
+            break;
+        }
+        SrPlan_AssignClaim(pass, unit);
+        pass->reserved_urgent_gangs++;
+        reserve(pass, unit);
+        SrPlan_LogIdleClaimed(pass, unit);
+        break;
+    case SR_CLAIM_DROPPED:
+        break;
+    }
+}
+
 static void
 place_gang(struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
@@ -333,7 +393,9 @@
         SrPlan_LogIdle(pass, unit);
         return;
     }
-    if (!try_place_gang(pass, unit, SrPlan_AssignAnywhere)) {
+    if (!place_gang_anywhere(pass, unit, prefers_rack) &&
+        (!SrPlan_DropClaimsBelow(pass, unit) ||
+         !place_gang_anywhere(pass, unit, prefers_rack))) {
         pass->waiting_gangs++;
         note_no_room(pass, unit);
     }
@@ -393,6 +455,41 @@
     return true;
 }
 
+/* Preempts runs for the task on a worker, and returns it; NULL if too few may
+ * be preempted on each. */
+static struct SrWorker *
+preempt_for_task(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                 const struct SrFlowTask *task)
+{
+    struct SrWorker *worker =
+        choose_worker(pass, unit, task, SR_AVAILABLE_BY_PREEMPTION);
+    if (worker != NULL) {
+        SrPlan_PreemptOnWorker(pass, unit, worker, 1);
+    }
+    return worker;
+}
+
+/* Returns a worker that has, or will have, room for the urgent task; preempts
+ * runs if necessary. Returns NULL if there is none. */
+static struct SrWorker *
+find_urgent_worker(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
+                   const struct SrFlowTask *task)
+{
+    struct SrWorker *worker =
+        choose_worker(pass, unit, task, SR_AVAILABLE_AFTER_STOPS);
+    if (worker == NULL) {
+        worker = choose_worker(pass, unit, task, SR_AVAILABLE_IN_TIME);
+    }
+    if (worker == NULL) {
+        worker = preempt_for_task(pass, unit, task);
+    }
+    if (worker == NULL && unit->flow->rank == SR_RANK_GUARANTEED) {
+        struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+        worker = preempt_for_task(pass, &exceeding, task);
+    }
+    return worker;
+}
+
 /* Allocates the task's resources or, for urgent work, reserves resources that
  * become free or preempts runs. Returns false if none of these is possible. */
 static bool
@@ -416,24 +513,13 @@
     if (unit->flow->rank > SR_RANK_URGENT) {
         return false;
     }
-    worker = choose_worker(pass, unit, task, SR_AVAILABLE_AFTER_STOPS);
-    if (worker == NULL) {
-        worker = choose_worker(pass, unit, task, SR_AVAILABLE_IN_TIME);
-    }
-    if (worker == NULL) {
-        worker = choose_worker(pass, unit, task, SR_AVAILABLE_BY_PREEMPTION);
+    worker = find_urgent_worker(pass, unit, task);
+    if (worker == NULL && SrPlan_DropClaimsBelow(pass, unit)) {
+        worker = find_urgent_worker(pass, unit, task);
     }
     if (worker == NULL) {
         return false;
     }
-    while (SrPlan_TasksThatFit(&worker->free_after_stops, &unit->demand) ==
-           0) {
-        struct SrRun *run = SrPlan_CheapestVictim(pass, worker, unit);
-        if (run == NULL) {
-            break;
-        }
-        SrPlan_Preempt(pass, run, unit);
-    }
     SrPlan_Take(pass, worker, &unit->demand, 1);
     SrPlan_ChargeAccount(pass, unit, 1);
     note_reservation(pass, unit, 1);
@@ -509,10 +595,26 @@
     SrPlan_LogIdle(pass, unit);
 }
 
+/* Returns true if the unit is a gang that has a claim, or is allocated. */
+static bool
+is_settled(const struct SrPlanUnit *unit)
+{
+    return unit->step->gang &&
+           (unit->first->claim != NULL || unit->first->active_run != NULL);
+}
+
 static void
 place_units(struct SrPlanPass *pass)
 {
     for (size_t i = 0; i < pass->unit_count; i++) {
+        if (pass->units[i].first->claim != NULL) {
+            place_claimant(pass, &pass->units[i]);
+        }
+    }
+    for (size_t i = 0; i < pass->unit_count; i++) {
+        if (is_settled(&pass->units[i])) {
+            continue;
+        }
         if (pass->units[i].step->gang) {
             place_gang(pass, &pass->units[i]);
             unpin_tasks(&pass->units[i]);
@@ -553,6 +655,7 @@
         pass->accounts[i].cap = &engine->catalog->accounts[i].cap;
     }
     SrPlan_CollectUnits(pass);
+    SrPlan_DropEndedClaims(pass);
     if (pass->unit_count > 0) {
         SrPlan_GroupWorkersByRack(pass);
         SrPlan_CountAccounts(pass);
--- a/tests/test_headroom.c
+++ b/tests/test_headroom.c
@@ -309,6 +309,7 @@
         poll(world, worker, command, &response, running);
         break;
     case SR_COMMAND_ADVISE:
+    case SR_COMMAND_PACE:
         break;
     }
     SrEngine_OnResponse(world->engine, command, &response, world->now_ms);
