Engine: workers that are to be without runs at a time

Cause: a machine's maintenance ends everything on its worker, and the engine knew of no departure but that of a draining worker, which the worker itself announces.

A worker can be marked to be without runs at a time (SrEngine_SetLeaving). It then gets only work that is expected to end before; runs that would not end are moved as off a draining worker. SrEngine_EndRuns stops the rest, a task with max_unavailable only as far as its step allows, and SrEngine_LoadOf says what would be lost. Nothing changes for workers without a mark.

--- /dev/null
+++ b/src/engine_leaving.c
@@ -0,0 +1,118 @@
+#include "engine_leaving.h"
+
+#include "engine_state.h"
+
+/* A task that lasts is at work from this progress on. */
+#define AT_WORK_PERCENT 100
+
+/* Returns true if the task, which lasts, is at work. */
+static bool
+is_at_work(const struct SrFlowTask *task)
+{
+    const struct SrRun *run = task->active_run;
+    return run != NULL && run->state == SR_RUNSTATE_STARTED &&
+           !run->stopping && run->percent >= AT_WORK_PERCENT;
+}
+
+static uint32_t
+count_at_work(const struct SrRun *run)
+{
+    uint32_t count = 0;
+    const struct SrFlowTask *tasks = SrFlow_StepTasks(
+        run->task->flow, run->task->occurrence, run->task->step);
+    for (uint32_t i = 0; i < run->step->count; i++) {
+        count += is_at_work(&tasks[i]) ? 1 : 0;
+    }
+    return count;
+}
+
+/* Returns true if the run may be stopped, and the rest of its gang with it:
+ * no more tasks of the step are away then than it allows, or none more than
+ * are away already. */
+static bool
+may_end(const struct SrRun *run)
+{
+    const Sr__FlowStep *step = run->step;
+    if (!step->continuous || step->max_unavailable == 0) {
+        return true;
+    }
+    uint32_t at_work = count_at_work(run);
+    if (step->gang) {
+        return at_work == 0 || step->count <= step->max_unavailable;
+    }
+    if (!is_at_work(run->task)) {
+        return true;
+    }
+    return step->count - (at_work - 1) <= step->max_unavailable;
+}
+
+static void
+add_run(const struct SrEngine *engine, const struct SrRun *run,
+        int64_t leaves_ms, int64_t now_ms, struct SrWorkerLoad *load)
+{
+    load->runs++;
+    if (run->stopping) {
+        return;
+    }
+    load->held += may_end(run) ? 0 : 1;
+    if (!run->step->continuous) {
+        int64_t end_ms = SrFleet_ExpectedEndMs(run, now_ms);
+        load->ending++;
+        load->end_ms = end_ms > load->end_ms ? end_ms : load->end_ms;
+        if (end_ms <= leaves_ms) {
+            return;
+        }
+    }
+    int64_t members = run->step->gang ? run->step->count : 1;
+    load->lost_work +=
+        members * SrFleet_LostWork(run, engine->options.checkpoint_ms, now_ms);
+}
+
+struct SrWorkerLoad
+SrEngine_LoadOf(const struct SrEngine *engine, const char *id,
+                int64_t leaves_ms, int64_t now_ms)
+{
+    struct SrWorkerLoad load = {0};
+    const struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
+    if (worker == NULL) {
+        return load;
+    }
+    load.incarnation = worker->info.incarnation;
+    SR_LIST_EACH(link, &worker->runs)
+    {
+        add_run(engine, SR_CONTAINER(link, struct SrRun, link), leaves_ms,
+                now_ms, &load);
+    }
+    return load;
+}
+
+void
+SrEngine_SetLeaving(struct SrEngine *engine, const char *id, int64_t leaves_ms)
+{
+    struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
+    if (worker == NULL || worker->upkeep_ms == leaves_ms) {
+        return;
+    }
+    worker->upkeep_ms = leaves_ms;
+    worker->upkeep_handled = false;
+    engine->replan = true;
+}
+
+void
+SrEngine_EndRuns(struct SrEngine *engine, const char *id, int64_t now_ms)
+{
+    struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
+    if (worker == NULL) {
+        return;
+    }
+    SR_LIST_EACH_SAFE(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (!run->stopping && may_end(run)) {
+            SrEngine_StopUnit(engine, run, "machine-upkeep", now_ms);
+            /* The stop may have released further runs of the worker, possibly
+             * `link_next`, so the iteration restarts. */
+            link_next = worker->runs.next;
+        }
+    }
+}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -266,6 +266,11 @@
     int64_t leaves_ms;
     /* The worker's runs have been checked against `leaves_ms`. */
     bool drain_handled;
+    /* When the worker is to be without runs for a maintenance of its machine;
+     * 0 if it is not to (see SrEngine_SetLeaving). */
+    int64_t upkeep_ms;
+    /* The worker's runs have been checked against `upkeep_ms`. */
+    bool upkeep_handled;
 
     /* When a response last listed a run that the leader does not know; 0 if
      * none did, or the response to a later poll lists none. */
@@ -286,6 +291,9 @@
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
+    /* Time until `upkeep_ms`, within which new work must end; INT64_MAX if
+     * there is none. */
+    int64_t upkeep_in_ms;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
--- a/src/plan_drain.c
+++ b/src/plan_drain.c
@@ -39,26 +39,41 @@
     return expected_end_ms(run, now_ms) > leaves_ms + slack_ms;
 }
 
+/* Moves the runs that should be moved off a worker that leaves at that time.
+ */
+static void
+move_runs(struct SrEngine *engine, struct SrWorker *worker, int64_t leaves_ms,
+          const char *reason, int64_t now_ms)
+{
+    SR_LIST_EACH_SAFE(link, &worker->runs)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
+        if (should_move(run, leaves_ms, now_ms)) {
+            SrEngine_StopUnit(engine, run, reason, now_ms);
+            /* The stop may have released further runs of the worker, possibly
+             * `link_next`, so the iteration restarts. */
+            link_next = worker->runs.next;
+        }
+    }
+}
+
 void
 SrPlan_MoveRunsOffDraining(struct SrEngine *engine, int64_t now_ms)
 {
     SR_LIST_EACH(worker_link, &engine->fleet.workers)
     {
         struct SrWorker *worker = SrFleet_WorkerAt(worker_link);
-        if (!worker->present || !worker->info.draining ||
-            worker->drain_handled) {
-            continue;
+        if (worker->present && worker->info.draining &&
+            !worker->drain_handled) {
+            worker->drain_handled = true;
+            move_runs(engine, worker, worker->leaves_ms, "worker-leaves",
+                      now_ms);
         }
-        worker->drain_handled = true;
-        SR_LIST_EACH_SAFE(link, &worker->runs)
-        {
-            struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-            if (should_move(run, worker->leaves_ms, now_ms)) {
-                SrEngine_StopUnit(engine, run, "worker-leaves", now_ms);
-                /* The stop may have released further runs of the worker,
-                 * possibly `link_next`, so the iteration restarts. */
-                link_next = worker->runs.next;
-            }
+        if (worker->present && worker->upkeep_ms > 0 &&
+            !worker->upkeep_handled) {
+            worker->upkeep_handled = true;
+            move_runs(engine, worker, worker->upkeep_ms, "machine-upkeep",
+                      now_ms);
         }
     }
 }
--- a/src/plan_drain.h
+++ b/src/plan_drain.h
@@ -1,4 +1,5 @@
-/* Moves runs off workers that are about to leave.
+/* Moves runs off workers that are about to leave, or to have a maintenance of
+ * their machine.
  *
  * Workers leave at short notice while gangs run on them. A gang that does not
  * end before one of its workers leaves would lose all of its work since its
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -134,13 +134,25 @@
            !is_kept_apart(worker, unit);
 }
 
+/* Returns true unless the unit, started now, is expected to be executing when
+ * the worker is to be without runs. */
+static bool
+ends_before_upkeep(const struct SrWorker *worker,
+                   const struct SrPlanUnit *unit)
+{
+    return worker->upkeep_in_ms == INT64_MAX ||
+           (!unit->step->continuous && unit->step->estimated_ms > 0 &&
+            unit->step->estimated_ms <= worker->upkeep_in_ms);
+}
+
 static bool
 is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
             enum SrAvailability kind)
 {
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
-    return usable && SrPlan_MayExecute(worker, unit);
+    return usable && SrPlan_MayExecute(worker, unit) &&
+           ends_before_upkeep(worker, unit);
 }
 
 unsigned
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -8,6 +8,7 @@
 #include "catalog.h"
 #include "codec.h"
 #include "engine.h"
+#include "engine_leaving.h"
 #include "list.h"
 #include "util.h"
 
@@ -1405,6 +1406,11 @@
         struct Worker *worker = &sim->workers[w];
         if (worker->running_count > 0) {
             sim->draining = worker;
+            if (drain->upkeep) {
+                SrEngine_SetLeaving(sim->leader.engine, worker->entry.id,
+                                    sim->now_ms + drain->notice_ms);
+                continue;
+            }
             worker->entry.draining = true;
             worker->entry.remaining_ms = drain->notice_ms;
             SrEngine_SetWorker(sim->leader.engine, worker->entry.id,
@@ -1413,6 +1419,11 @@
     }
     if (sim->draining != NULL && sim->draining->alive &&
         sim->now_ms >= drain->at_ms + drain->notice_ms) {
+        if (drain->upkeep) {
+            SrEngine_SetLeaving(sim->leader.engine, sim->draining->entry.id,
+                                0);
+            return;
+        }
         end_incarnation(sim, sim->draining, false);
     }
 }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -96,6 +96,9 @@
     /* 0 if no worker drains. */
     int64_t at_ms;
     int64_t notice_ms;
+    /* The worker does not drain, but is to be without runs at that time, for a
+     * maintenance that then does not take place. */
+    bool upkeep;
 };
 
 /* At `at_ms`, a multiple of 5, the leader and all workers that have runs are
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -22,6 +22,8 @@
     /* Maximum time from the submission of the last job until all of its tasks
      * have started, ms; 0 for no bound, as the job waits for the others. */
     int64_t begun_within_ms;
+    /* Minimum of that time. */
+    int64_t begun_after_ms;
     /* Maximum number of runs of the first job that may be stopped. */
     unsigned stopped_max;
     /* Length of the simulation; 0 for DURATION_MS. */
@@ -102,6 +104,46 @@
         .begun_within_ms = 4000 + RECLAIM_MS,
         .stopped_max = 2,
     },
+    {
+        /* Guards against the same with a worker whose machine is next in a
+         * wave of maintenance. */
+        .name = "a gang is moved before its worker's maintenance",
+        .workers = 4,
+        .workers_per_rack = 2,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 2, 8, 20000, true, true}},
+        .count = 1,
+        .drain = {.at_ms = 5000, .notice_ms = 4000, .upkeep = true},
+        .begun_within_ms = 4000 + RECLAIM_MS,
+        .stopped_max = 2,
+    },
+    {
+        /* Guards against a worker that stands idle before its maintenance:
+         * the last job ends before, the one before it would not. */
+        .name = "short work is done before a maintenance",
+        .workers = 1,
+        .workers_per_rack = 1,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 1, 1, 6000, false, false},
+                 {5000, 1, 1, 1, 30000, false, false},
+                 {5500, 1, 1, 1, 4000, false, false}},
+        .count = 3,
+        .drain = {.at_ms = 4000, .notice_ms = 12000, .upkeep = true},
+        .begun_within_ms = 1000,
+    },
+    {
+        /* Guards against work that is lost with the worker. */
+        .name = "long work waits for the end of a maintenance",
+        .workers = 1,
+        .workers_per_rack = 1,
+        .guarantee = 32,
+        .jobs = {{1000, 1, 1, 1, 6000, false, false},
+                 {5000, 1, 1, 1, 30000, false, false}},
+        .count = 2,
+        .drain = {.at_ms = 4000, .notice_ms = 12000, .upkeep = true},
+        .begun_within_ms = 12000,
+        .begun_after_ms = 11000,
+    },
     {
         .name = "a gang that ends before its worker leaves is not moved",
         .workers = 4,
@@ -216,6 +258,7 @@
     if (pattern->begun_within_ms > 0) {
         assert_true(begun_ms <= pattern->begun_within_ms);
     }
+    assert_true(begun_ms >= pattern->begun_after_ms);
     assert_true(result.stopped[0] <= pattern->stopped_max);
 }
 
