Waves of maintenance: decisions, calls, statuses, wiring

Cause: a request for a wave of maintenance (op/wave/N) was ignored, so that no machine had its maintenance and no status was written.

The list of machines and the calls have token buckets. A status is written by a transaction of the ledger with nothing else in it; the leader row, which is in the same partition, fences it. Moves between pools are not implemented.

No run against the platform's own service.

--- a/src/leader.c
+++ b/src/leader.c
@@ -78,6 +78,8 @@
 struct SrLeader {
     struct SrLeaderOptions options;
     struct SrEngine *engine;
+    /* NULL if there is no service for machines. */
+    struct SrWaveRunner *wave_runner;
     int64_t created_ms;
     struct SrFollower *jobs;
     struct SrFollower *cancellations;
@@ -426,6 +428,9 @@
     SrTimer_Start(&leader->expiry_timer, leader->options.kernel,
                   EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, delete_expired,
                   leader);
+    if (leader->wave_runner != NULL) {
+        SrWaveRunner_Start(leader->wave_runner);
+    }
 }
 
 static void
@@ -592,6 +597,25 @@
     SrEngine_SetStoreClock(leader->engine, low_ms, high_ms);
 }
 
+static struct SrWaveRunner *
+create_wave_runner(const struct SrLeader *leader)
+{
+    const struct SrLeaderOptions *options = &leader->options;
+    if (options->wave_backend == NULL) {
+        return NULL;
+    }
+    return SrWaveRunner_Create(&(struct SrWaveRunnerOptions){
+        .kernel = options->kernel,
+        .rows = options->rows,
+        .ledger = options->ledger,
+        .engine = leader->engine,
+        .maintenance_ms = options->settings->maintenance_ms,
+        .notice_ms = options->settings->notice_ms,
+        .stop_ms = options->settings->stop_ms,
+        .backend = *options->wave_backend,
+    });
+}
+
 struct SrLeader *
 SrLeader_Create(const struct SrLeaderOptions *options)
 {
@@ -618,6 +642,7 @@
         },
         options->term, SrOs_MonotonicMs());
     set_store_clock(leader);
+    leader->wave_runner = create_wave_runner(leader);
     leader->workers = follow_workers(leader);
     /* Progress is written by leaders only, and a former one can write none any
      * more, so it does not matter whether a job or its progress is read first.
@@ -670,6 +695,7 @@
     free_changes(leader);
     free(leader->summary);
     free(leader->summary_in_flight);
+    SrWaveRunner_Destroy(leader->wave_runner);
     SrEngine_Destroy(leader->engine);
     free(leader);
 }
@@ -680,6 +706,14 @@
     return leader->engine;
 }
 
+struct SrWaves *
+SrLeader_Waves(struct SrLeader *leader)
+{
+    return leader->wave_runner != NULL
+               ? SrWaveRunner_Waves(leader->wave_runner)
+               : NULL;
+}
+
 void
 SrLeader_SetCatalog(struct SrLeader *leader, const struct SrCatalog *catalog)
 {
@@ -818,6 +852,10 @@
     if (!leader->loaded) {
         return;
     }
+    if (!isolating && leader->wave_runner != NULL &&
+        SrWaveRunner_Fill(leader->wave_runner, batch)) {
+        return;
+    }
     leader->change_count = SrEngine_TakeChanges(
         leader->engine, leader->changes, leader->changes_max);
     leader->part_key_count = 0;
@@ -845,9 +883,22 @@
     leader->keeps_orphans = true;
 }
 
+/* Returns true if the batch in flight contains the status of a wave, and thus
+ * nothing else. */
+static bool
+is_writing_wave(const struct SrLeader *leader)
+{
+    return leader->wave_runner != NULL &&
+           SrWaveRunner_IsWriting(leader->wave_runner);
+}
+
 void
 SrLeader_OnRejected(struct SrLeader *leader)
 {
+    if (is_writing_wave(leader)) {
+        SrWaveRunner_OnRejected(leader->wave_runner);
+        return;
+    }
     SR_MAP_EACH(entry, &leader->unmatched)
     {
         SR_CONTAINER(entry, struct UnmatchedProgress, entry)
@@ -876,6 +927,14 @@
 SrLeader_OnWritten(struct SrLeader *leader)
 {
     set_store_clock(leader);
+    if (is_writing_wave(leader)) {
+        SrWaveRunner_OnWritten(leader->wave_runner);
+        SrLeader_Wake(leader);
+        if (SrEngine_HasChanges(leader->engine)) {
+            SrLedger_ScheduleCommit(leader->options.ledger);
+        }
+        return;
+    }
     leader->changes_max *= REJECTION_FACTOR;
     if (leader->changes_max > CHANGES_MAX) {
         leader->changes_max = CHANGES_MAX;
--- a/src/leader.h
+++ b/src/leader.h
@@ -9,6 +9,7 @@
 #include "ledger.h"
 #include "node_settings.h"
 #include "rows.h"
+#include "wave_runner.h"
 
 /* The rows of an ended job are kept this much longer than its state must be
  * available to callers, ms. */
@@ -34,6 +35,9 @@
     /* Records an event of a job or run in the metrics; may be NULL. */
     void (*observe)(void *context, enum SrEngineEvent event, const char *queue,
                     int64_t ms);
+    /* Service for machines; NULL if there is none, so that there are no waves
+     * of maintenance. Copied. */
+    const struct SrWaveBackend *wave_backend;
     void *context;
 };
 
@@ -46,6 +50,10 @@
  * the engine's inputs. */
 struct SrEngine *SrLeader_Engine(struct SrLeader *leader);
 
+/* Returns the waves of maintenance, which the leader owns; NULL if it has been
+ * created without a service for machines. */
+struct SrWaves *SrLeader_Waves(struct SrLeader *leader);
+
 /* Passes on the response to a command. */
 void SrLeader_OnResponse(struct SrLeader *leader,
                          const struct SrCommand *command,
--- a/src/node.c
+++ b/src/node.c
@@ -23,8 +23,10 @@
 #include "platform_decode.h"
 #include "platform_front.h"
 #include "platform_commands.h"
+#include "platform_machines.h"
 #include "platform_rows.h"
 #include "platform_settings.h"
+#include "platform_wave.h"
 #include "shutdown.h"
 
 #define EXIT_CANNOT_START 3
@@ -69,6 +71,10 @@
 #define SMALL_VM_CORES 0.24
 #define SMALL_VM_STAGGER_MS 500
 
+/* Maximum number of requests for waves of maintenance that are kept. Of more,
+ * the latest are: the rows of completed waves may stay. */
+#define WAVES_MAX 64
+
 struct SrNode {
     struct SrNodeSettings settings;
     struct SrKernel *kernel;
@@ -92,6 +98,11 @@
      * node becomes the leader. */
     char domains_out[SR_DOMAINS_MAX][SR_ID_SIZE];
     uint32_t domains_out_count;
+    /* The operator's requests for waves of maintenance, kept for the same. */
+    struct SrWaveRequest *waves[WAVES_MAX];
+    size_t wave_count;
+    /* Exists while this node leads, if there is a service for machines. */
+    struct SrPlatformMachines *machines;
     ev_signal terminate;
     ev_signal interrupt;
     ev_signal reload;
@@ -164,6 +175,113 @@
     }
 }
 
+static struct SrWaves *
+leader_waves(const struct SrNode *node)
+{
+    return node->leader != NULL ? SrLeader_Waves(node->leader) : NULL;
+}
+
+/* Returns the index of the request, or their number if there is none. */
+static size_t
+find_wave(const struct SrNode *node, const char *key)
+{
+    size_t i = 0;
+    while (i < node->wave_count && strcmp(node->waves[i]->key, key) != 0) {
+        i++;
+    }
+    return i;
+}
+
+static void
+remove_wave(struct SrNode *node, const char *key)
+{
+    size_t i = find_wave(node, key);
+    if (i == node->wave_count) {
+        return;
+    }
+    if (leader_waves(node) != NULL) {
+        SrWaves_Remove(leader_waves(node), key);
+    }
+    SrWaveRequest_Destroy(node->waves[i]);
+    node->waves[i] = node->waves[--node->wave_count];
+}
+
+static struct SrWaveRequest *
+read_wave(const struct SrRow *row)
+{
+    struct SrWaveRequest *request;
+    const char *field;
+    enum SrDecodeError error = SrPlatform_DecodeWave(
+        row->key, row->value, row->size, &request, &field);
+    if (error != SR_DECODE_OK) {
+        SR_ERROR("node", "bad-wave", "key=%s field=%s error=%s", row->key,
+                 field, SrDecode_ErrorText(error));
+        return NULL;
+    }
+    request->version = row->version;
+    request->seen_ms = SrOs_MonotonicMs();
+    request->seen_unix_ms = SrOs_UnixMs();
+    return request;
+}
+
+/* Returns the request that has not been changed for longest. */
+static const struct SrWaveRequest *
+oldest_wave(const struct SrNode *node)
+{
+    const struct SrWaveRequest *oldest = node->waves[0];
+    for (size_t i = 1; i < node->wave_count; i++) {
+        if (node->waves[i]->version < oldest->version) {
+            oldest = node->waves[i];
+        }
+    }
+    SR_WARN("node", "too-many-waves", "dropped=%s kept=%d", oldest->key,
+            WAVES_MAX);
+    return oldest;
+}
+
+/* Adds or replaces a request. A row that cannot be decoded leaves the one that
+ * it replaces as it is. */
+static void
+set_wave(struct SrNode *node, const struct SrRow *row)
+{
+    size_t i = find_wave(node, row->key);
+    if (i < node->wave_count && node->waves[i]->version == row->version) {
+        return;
+    }
+    struct SrWaveRequest *request = read_wave(row);
+    if (request == NULL) {
+        return;
+    }
+    if (i == WAVES_MAX) {
+        remove_wave(node, oldest_wave(node)->key);
+        i = node->wave_count;
+    }
+    if (i == node->wave_count) {
+        node->wave_count++;
+    }
+    else {
+        SrWaveRequest_Destroy(node->waves[i]);
+    }
+    node->waves[i] = request;
+    if (leader_waves(node) != NULL) {
+        SrWaves_Set(leader_waves(node), request);
+    }
+}
+
+static void
+on_wave_row(struct SrNode *node, const struct SrRow *row)
+{
+    if (node->settings.machines_address[0] == '\0') {
+        return;
+    }
+    if (row->deleted) {
+        remove_wave(node, row->key);
+    }
+    else {
+        set_wave(node, row);
+    }
+}
+
 static void
 on_operator_row(void *context, const struct SrRow *row)
 {
@@ -175,6 +293,9 @@
     else if (strcmp(row->key, SrPlatform_CatalogKey) == 0 && !row->deleted) {
         set_catalog(node, row);
     }
+    else if (SrPlatform_IsWaveKey(row->key)) {
+        on_wave_row(node, row);
+    }
 }
 
 static bool
@@ -230,11 +351,79 @@
                       (uint64_t)ms * SR_US_PER_MS);
 }
 
+static void
+on_machine(void *context, const struct SrMachine *machine, int64_t sent_ms)
+{
+    const struct SrNode *node = context;
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnMachine(leader_waves(node), machine, sent_ms);
+    }
+}
+
+static void
+on_machine_list(void *context, size_t count, int64_t begun_ms)
+{
+    const struct SrNode *node = context;
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnListRead(leader_waves(node), count, begun_ms);
+    }
+}
+
+static void
+on_upkeep_result(void *context, const char *machine, uint64_t wave,
+                 enum SrUpkeepResult result)
+{
+    const struct SrNode *node = context;
+    SrMetrics_Count(node->kernel->metrics, "sr_upkeep_calls", "result",
+                    SrUpkeep_ResultText(result), 1);
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnResult(leader_waves(node), machine, wave, result,
+                         SrOs_MonotonicMs());
+    }
+}
+
+static bool
+begin_upkeep(void *context, const char *machine, uint64_t wave)
+{
+    const struct SrNode *node = context;
+    return SrPlatformMachines_Begin(node->machines, machine, wave);
+}
+
+static void
+read_machines(void *context)
+{
+    const struct SrNode *node = context;
+    SrPlatformMachines_ReadList(node->machines);
+}
+
+static void
+create_machines(struct SrNode *node, uint64_t term)
+{
+    SrPlatformMachines_Destroy(node->machines);
+    node->machines =
+        SrPlatformMachines_Create(&(struct SrPlatformMachinesOptions){
+            .http = node->worker_http,
+            .address = node->settings.machines_address,
+            .holder = node->settings.name,
+            .term = term,
+            .calls_per_s = node->settings.machine_calls_per_s,
+            .reads_per_s = node->settings.machine_reads_per_s,
+            .on_machine = on_machine,
+            .on_list = on_machine_list,
+            .on_result = on_upkeep_result,
+            .context = node,
+        });
+}
+
 static void
 on_elected(void *context, uint64_t term)
 {
     struct SrNode *node = context;
+    bool has_machines = node->settings.machines_address[0] != '\0';
     SrLeader_Destroy(node->leader);
+    if (has_machines) {
+        create_machines(node, term);
+    }
     node->leader = SrLeader_Create(&(struct SrLeaderOptions){
         .kernel = node->kernel,
         .settings = &node->settings,
@@ -245,6 +434,14 @@
         .read_worker = read_worker,
         .send = send_command,
         .observe = on_engine_event,
+        .wave_backend = has_machines ? &(struct SrWaveBackend){
+            .status_table = SrPlatform_StatusTable,
+            .decode_status = SrPlatform_DecodeWaveStatus,
+            .encode_status = SrPlatform_EncodeWaveStatus,
+            .begin = begin_upkeep,
+            .read_list = read_machines,
+            .context = node,
+        } : NULL,
         .context = node,
     });
     if (node->catalog != NULL) {
@@ -254,6 +451,9 @@
         SrEngine_SetDomainOut(SrLeader_Engine(node->leader),
                               node->domains_out[i], true);
     }
+    for (size_t i = 0; has_machines && i < node->wave_count; i++) {
+        SrWaves_Set(SrLeader_Waves(node->leader), node->waves[i]);
+    }
 }
 
 static void
@@ -262,6 +462,8 @@
     struct SrNode *node = context;
     SrLeader_Destroy(node->leader);
     node->leader = NULL;
+    SrPlatformMachines_Destroy(node->machines);
+    node->machines = NULL;
 }
 
 static void
@@ -555,6 +757,7 @@
         SrIntake_GiveUp(node->intake);
     }
     SrHttpServer_Destroy(node->callers_server);
+    SrPlatformMachines_Destroy(node->machines);
     SrHttpClient_Destroy(node->store_http);
     SrHttpClient_Destroy(node->worker_http);
     SrIntake_Destroy(node->intake);
@@ -567,6 +770,9 @@
     SrPlatformCommands_Destroy(node->commands);
     SrPlatformRows_Destroy(node->platform_rows);
     SrCatalog_Destroy(node->catalog);
+    for (size_t i = 0; i < node->wave_count; i++) {
+        SrWaveRequest_Destroy(node->waves[i]);
+    }
 }
 
 int
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -54,6 +54,17 @@
     int64_t reclaim_ms;
     /* Time that a task runs between two checkpoints, ms. */
     int64_t checkpoint_ms;
+    /* host:port of the service for machines; empty if there is none. */
+    char machines_address[SR_ID_SIZE];
+    /* Calls that change machines, and reads, that all nodes together may send
+     * to it per second; 0 if unknown. */
+    double machine_calls_per_s;
+    double machine_reads_per_s;
+    /* Duration of a machine's maintenance and of its move, ms. */
+    int64_t maintenance_ms;
+    int64_t migrate_ms;
+    /* Notice period for tasks with `max_unavailable`, ms; 0 if unknown. */
+    int64_t notice_ms;
     /* Largest value of a row in the store, bytes as base64; 0 for the usual
      * limit. */
     int64_t row_bytes;
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -32,6 +32,10 @@
     /* Number of commands, and the latest of them. */
     unsigned commands;
     struct SrCommand command;
+    /* The leader has a service for machines, which executes all calls. */
+    bool has_machines;
+    unsigned upkeep_calls;
+    bool called_unstored;
 };
 
 static void
@@ -60,6 +64,49 @@
     return row->size > 0;
 }
 
+static bool
+decode_status(const struct SrRow *row, bool *completed)
+{
+    *completed = row->size > 0 && row->value[0] == 'c';
+    return true;
+}
+
+static uint8_t *
+encode_status(const struct SrWaveStatus *status, size_t *size)
+{
+    *size = 1;
+    return SrUtil_Memdup(status->completed ? "c" : "r", 1);
+}
+
+static bool
+begin_upkeep(void *context, const char *machine, uint64_t wave)
+{
+    struct World *world = context;
+    size_t size;
+    (void)machine;
+    (void)wave;
+    world->upkeep_calls++;
+    world->called_unstored =
+        world->called_unstored ||
+        SrMemoryRows_Value(world->memory, "status", "wave/1", &size) == NULL;
+    return true;
+}
+
+/* Also responds to the call, if there was one. */
+static void
+list_machines(void *context)
+{
+    struct World *world = context;
+    struct SrWaves *waves = SrLeader_Waves(world->leader);
+    struct SrMachine machine = {.name = "m", .state = SR_MACHINE_UP};
+    int64_t now_ms = SrOs_MonotonicMs();
+    if (world->upkeep_calls > 0) {
+        SrWaves_OnResult(waves, "m", 1, SR_UPKEEP_DONE, now_ms);
+    }
+    SrWaves_OnMachine(waves, &machine, now_ms);
+    SrWaves_OnListRead(waves, 1, now_ms);
+}
+
 static void
 on_elected(void *context, uint64_t term)
 {
@@ -73,8 +120,27 @@
         .worker_table = "workers",
         .read_worker = read_worker,
         .send = record_command,
+        .wave_backend = world->has_machines ? &(struct SrWaveBackend){
+            .status_table = "status",
+            .decode_status = decode_status,
+            .encode_status = encode_status,
+            .begin = begin_upkeep,
+            .read_list = list_machines,
+            .context = world,
+        } : NULL,
         .context = world,
     });
+    if (world->has_machines) {
+        char name[][SR_ID_SIZE] = {"m"};
+        SrWaves_Set(SrLeader_Waves(world->leader), &(struct SrWaveRequest){
+                                                       .key = "wave/1",
+                                                       .version = 1,
+                                                       .number = 1,
+                                                       .cap = 1,
+                                                       .machines = name,
+                                                       .machine_count = 1,
+                                                   });
+    }
 }
 
 static void
@@ -729,6 +795,44 @@
     }
 }
 
+static char
+wave_status(const struct World *world)
+{
+    size_t size;
+    const uint8_t *value =
+        SrMemoryRows_Value(world->memory, "status", "wave/1", &size);
+    return value != NULL ? (char)value[0] : '-';
+}
+
+/* Guards against a call that the next leader cannot know of, since no status
+ * was stored before it; against the loss of a job's progress in the batch of a
+ * status; and against a wave that the next leader runs again. */
+static void
+wave_is_stored_before_it_begins(void **state)
+{
+    (void)state;
+    struct World world;
+    begin(&world, LIMIT_MS);
+    world.has_machines = true;
+    store_cancellation(&world, JOB);
+    store_job(&world, JOB);
+    start_ledger(&world);
+    int64_t end_ms = SrOs_MonotonicMs() + LIMIT_MS;
+    while (wave_status(&world) != 'c' && SrOs_MonotonicMs() < end_ms) {
+        run_once(&world);
+    }
+    run_for(&world, SOON_MS);
+    assert_int_equal(wave_status(&world), 'c');
+    assert_int_equal(world.upkeep_calls, 1);
+    assert_false(world.called_unstored);
+    assert_true(is_stored(&world, SR_TABLE_PROGRESS, JOB));
+    on_lost(&world);
+    on_elected(&world, 2);
+    run_for(&world, SOON_MS);
+    assert_int_equal(world.upkeep_calls, 1);
+    end(&world);
+}
+
 int
 main(void)
 {
@@ -746,6 +850,7 @@
         cmocka_unit_test(jobs_and_progress_are_read_at_once),
         cmocka_unit_test(no_job_is_loaded_without_its_progress),
         cmocka_unit_test(leader_goes_on_after_a_stall),
+        cmocka_unit_test(wave_is_stored_before_it_begins),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
