HTTP server: leave new connections time for their request

At the limit of connections each new one closed the longest idle one at once. When more ordinary clients than that came together, connections whose requests were still in the socket's buffer were closed without a response. At the callers' port a connection is now left alone for 250 ms, and the others wait to be accepted. Once libmicrohttpd's own limit was reached nothing made it listen again after connections had been closed, so a crowd of silent clients stopped the port; the step that does so now follows each closed connection.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -96,7 +96,8 @@
     /* The request in progress, or NULL. */
     struct SrHttpRequest *request;
     struct SrReceiveEntry entry;
-    /* When the connection was added to its list, ms of the monotonic clock. */
+    /* When the connection was added to its list, its request began to arrive,
+     * or the response was made, ms of the monotonic clock. */
     int64_t since_ms;
     /* The socket was shut down; libmicrohttpd closes it in its next step. */
     bool closing;
@@ -378,17 +379,28 @@
     return NULL;
 }
 
+/* Returns the connection, or NULL if it has not been idle for long enough to
+ * be closed for others. */
+static struct Connection *
+if_idle(const struct SrHttpServer *server, struct Connection *connection)
+{
+    int64_t end_ms = SrOs_MonotonicMs() - server->options.idle_min_ms;
+    return connection != NULL && connection->since_ms <= end_ms ? connection
+                                                                : NULL;
+}
+
 /* Returns the connection to close for a new one: one that was rejected, else
  * the one that has been without a request for longest, else the oldest request
- * that has not arrived or whose response is not read. NULL if all requests are
- * being handled. */
+ * that has not arrived or whose response is not read. NULL if there is none,
+ * or none has been idle for long enough. */
 static struct Connection *
 oldest_idle(const struct SrHttpServer *server)
 {
     struct Connection *finished = first_open(&server->finished);
-    struct Connection *fresh = first_open(&server->fresh);
-    struct Connection *idle = first_open(&server->idle);
-    struct Connection *receiving = first_open_request(&server->receiving);
+    struct Connection *fresh = if_idle(server, first_open(&server->fresh));
+    struct Connection *idle = if_idle(server, first_open(&server->idle));
+    struct Connection *receiving =
+        if_idle(server, first_open_request(&server->receiving));
     if (finished != NULL) {
         return finished;
     }
@@ -398,8 +410,9 @@
     if (fresh != NULL || idle != NULL) {
         return fresh != NULL ? fresh : idle;
     }
-    return receiving != NULL ? receiving
-                             : first_open_request(&server->responded);
+    return receiving != NULL
+               ? receiving
+               : if_idle(server, first_open_request(&server->responded));
 }
 
 /* Closes the connections that have been idle for longest while there are more
@@ -407,7 +420,8 @@
 static void
 keep_connections(struct SrHttpServer *server)
 {
-    while (server->connections > server->options.connections_max) {
+    while (server->options.closes_idle &&
+           server->connections > server->options.connections_max) {
         struct Connection *connection = oldest_idle(server);
         if (connection == NULL) {
             break;
@@ -502,6 +516,7 @@
     struct SrHttpServer *server = watcher->data;
     reject_slow_senders(server);
     close_finished(server);
+    keep_connections(server);
     log_closed(server);
 }
 
@@ -512,6 +527,7 @@
     struct SrHttpRequest *request = SrUtil_Calloc(1, sizeof(*request));
     SrList_Remove(&connection_of(connection)->link);
     connection_of(connection)->request = request;
+    connection_of(connection)->since_ms = SrOs_MonotonicMs();
     request->server = server;
     request->connection = connection;
     request->method = SrUtil_Strdup(method);
@@ -756,9 +772,7 @@
     SrReceiveBudget_Add(&server->budget, &connection->entry, address_of(mhd),
                         SR_HTTP_CONNECTION_BYTES);
     server->connections++;
-    if (server->options.closes_idle) {
-        keep_connections(server);
-    }
+    keep_connections(server);
     move_connection(connection, &server->fresh);
     return connection;
 }
@@ -773,6 +787,10 @@
         *slot = add_connection(server, mhd);
         return;
     }
+    /* At its limit of connections, libmicrohttpd removes the listening socket
+     * from the epoll set, and adds it again in the step after the one that
+     * closes a connection. Nothing else makes that step happen. */
+    server->run_needed = true;
     if (!connection->closing) {
         server->connections--;
     }
@@ -1079,6 +1097,7 @@
     struct MHD_Response *mhd_response = make_response(response);
     SrList_Remove(&request->link);
     SrList_Append(&server->responded, &request->link);
+    connection->since_ms = SrOs_MonotonicMs();
     free_body(request, response->size);
     /* Other connections are closed for the memory of the response, not its
      * own. */
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -58,6 +58,9 @@
     /* When the number of connections is reached, the one that has been idle
      * for longest is closed for a new one, which waits otherwise. */
     bool closes_idle;
+    /* A connection is not closed for others before it has been idle for this
+     * time, ms. */
+    int64_t idle_min_ms;
     /* Maximum memory for connections, requests that are being received or
      * handled, and responses that are being sent, bytes; 0 for no limit. The
      * requests with the least progress are closed beyond it, except those that
--- a/src/node.c
+++ b/src/node.c
@@ -49,6 +49,10 @@
 #define CALLER_DESCRIPTORS_DIVISOR 5
 #define CALLER_CONNECTIONS_MIN 64
 #define CALLER_CONNECTIONS_MAX 3000
+/* A caller's connection is not closed for others before its request can have
+ * arrived: the round trip between regions takes 60 ms. Many callers that come
+ * at once then wait for each other. */
+#define CALLER_IDLE_MIN_MS 250
 /* Limits of the readiness port, and of the metrics port, whose responses are
  * larger. */
 #define CHECK_CONNECTIONS_MAX 64
@@ -470,6 +474,7 @@
         &(struct SrHttpServerOptions){
             .address = node->settings.callers_address,
             .connections_max = caller_connections(&node->settings),
+            .idle_min_ms = CALLER_IDLE_MIN_MS,
             .memory_max = caller_memory(&node->settings),
             .handle = SrPlatformFront_Handle,
             .context = node->front,
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -33,6 +33,7 @@
     /* The handler does not respond. */
     bool silent;
     size_t memory_max;
+    int64_t idle_min_ms;
     /* 0 for READ_TIMEOUT_MS. */
     int64_t read_timeout_ms;
 };
@@ -233,6 +234,7 @@
                              .body_max = 1024,
                              .connections_max = connections_max,
                              .closes_idle = fixture->memory_max != 0,
+                             .idle_min_ms = fixture->idle_min_ms,
                              .memory_max = fixture->memory_max,
                              .read_timeout_ms = fixture->read_timeout_ms != 0
                                                     ? fixture->read_timeout_ms
@@ -511,6 +513,32 @@
     }
 }
 
+#define SILENT_CONNECTIONS 40
+
+/* Guards against accepting no connections any more once libmicrohttpd's own
+ * limit was reached by connections that could not be closed yet. */
+static void
+silent_connections_give_way(void **state)
+{
+    (void)state;
+    struct Fixture fixture = {.memory_max = 1024 * 1024, .idle_min_ms = 300};
+    int fds[SILENT_CONNECTIONS + 1];
+    create_server(&fixture, 8);
+    for (unsigned i = 0; i <= SILENT_CONNECTIONS; i++) {
+        fds[i] = connect_to_server();
+        send_text(fds[i], i < SILENT_CONNECTIONS ? HALF_HEADERS : WHOLE);
+    }
+    for (unsigned i = 0; i < 200 && fixture.handled == 0; i++) {
+        run_loop(fixture.loop);
+    }
+    SrHttpServer_Destroy(fixture.server);
+    for (unsigned i = 0; i <= SILENT_CONNECTIONS; i++) {
+        close(fds[i]);
+    }
+    ev_loop_destroy(fixture.loop);
+    assert_int_equal(fixture.handled, 1);
+}
+
 int
 main(void)
 {
@@ -522,6 +550,7 @@
         cmocka_unit_test(body_that_arrives_during_a_pause_is_read),
         cmocka_unit_test(large_bodies_are_refused_before_they_are_read),
         cmocka_unit_test(stalled_requests_are_closed_for_others),
+        cmocka_unit_test(silent_connections_give_way),
     };
     unsigned id = (unsigned)getpid();
     snprintf(host, sizeof(host), "127.%u.%u.%u", 64 + (id >> 16) % 64,
