Intake: a request waits for the store for half of its time at most

Cause: a request with up to 1.3 s left waited until 0.2 s before its deadline; if the store was not back by then, the caller was refused when it could no longer come back.

Change: half of the time that the caller has left is the limit.

--- a/src/write_queue.c
+++ b/src/write_queue.c
@@ -51,6 +51,11 @@
     if (!has_share(queue, item)) {
         return SR_WRITE_QUEUE_ACCOUNT_FULL;
     }
+    int64_t half_end_ms =
+        state->now_ms + state->deadline_left_ms / SR_WRITE_QUEUE_PART;
+    if (item->end_ms > half_end_ms) {
+        item->end_ms = half_end_ms;
+    }
     int64_t reread_end_ms = state->now_ms + SR_WRITE_QUEUE_REREAD_MS;
     if (state->deadline_left_ms > SR_WRITE_QUEUE_HOLD_MS &&
         item->end_ms > reread_end_ms) {
--- a/src/write_queue.h
+++ b/src/write_queue.h
@@ -20,6 +20,9 @@
  * with 3.0, 2.0, 1.25 and 0.6 s left: the first two are refused, and the
  * third waits for at most about a third of the caller's time. */
 #define SR_WRITE_QUEUE_HOLD_MS 1300
+/* A request waits for this part of the caller's remaining time at most, one
+ * half: a caller that is refused then can still come back. */
+#define SR_WRITE_QUEUE_PART 2
 /* Once the store responds again, requests wait up to this long for the
  * configuration to be read: the next read follows within 0.15 s, and a slow
  * store takes 0.3 s. */
--- a/tests/test_write_queue.c
+++ b/tests/test_write_queue.c
@@ -64,6 +64,25 @@
     }
 }
 
+/* Guards against a caller that is refused only when its time is over, so that
+ * it can't come back. */
+static void
+half_of_the_time_is_left(void **state)
+{
+    (void)state;
+    struct SrWriteQueue queue;
+    struct SrWriteQueueItem item = {.end_ms = NOW_MS + 1000};
+    SrWriteQueue_Init(&queue);
+    SrList_Init(&item.link);
+    assert_int_equal(SrWriteQueue_Decide(&queue, &item,
+                                         &(struct SrWriteQueueState){
+                                             .now_ms = NOW_MS,
+                                             .deadline_left_ms = 1200,
+                                         }),
+                     SR_WRITE_QUEUE_HOLD);
+    assert_int_equal(item.end_ms, NOW_MS + 600);
+}
+
 /* Guards against urgent or late requests that are sent behind others. */
 static void
 urgent_and_late_requests_are_sent_first(void **state)
@@ -139,6 +158,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(waiting_requests_are_bounded),
+        cmocka_unit_test(half_of_the_time_is_left),
         cmocka_unit_test(urgent_and_late_requests_are_sent_first),
         cmocka_unit_test(callers_return_in_time),
     };
