--- a/src/commands.h
+++ b/src/commands.h
@@ -21,6 +21,8 @@
     SR_COMMAND_POLL,
     SR_COMMAND_START,
     SR_COMMAND_STOP,
+    /* Sets the share at which a run may work, and disturb others. */
+    SR_COMMAND_PACE,
     /* Asks the advisor which workers may run a step. Not sent by the engine.
      */
     SR_COMMAND_ADVISE,
@@ -64,6 +66,12 @@
             char task[SR_TASK_NAME_SIZE];
             uint32_t run;
         } stop;
+        struct {
+            char task[SR_TASK_NAME_SIZE];
+            uint32_t run;
+            /* 0 to 100; 100 at the start of each run. */
+            int percent;
+        } pace;
         struct {
             char step[SR_TASK_NAME_SIZE];
             char workers[SR_ADVICE_WORKERS_MAX][SR_ID_SIZE];
@@ -117,6 +125,10 @@
     char checkpoint[SR_CHECKPOINT_SIZE];
     /* Progress in percent. */
     int percent;
+    /* Rough figure for the last half second: the tail of a serving task's
+     * response times, ms; for any other task, the processor time in use,
+     * thousandths of a core. -1 if unknown. */
+    int figure;
 };
 
 struct SrTerminatedReport {
--- a/src/engine.c
+++ b/src/engine.c
@@ -5,6 +5,7 @@
 #include "engine_state.h"
 #include "log.h"
 #include "plan.h"
+#include "plan_claim.h"
 #include "plan_drain.h"
 
 /* Time for which a new leader waits for its workers' responses before it
@@ -51,6 +52,10 @@
     [SR_ENGINE_RUN_FAILED] = "run-failed",
     [SR_ENGINE_RUN_LOST] = "run-lost",
     [SR_ENGINE_RUN_CRASHED] = "run-crashed",
+    [SR_ENGINE_RUN_PREEMPTED] = "run-preempted",
+    [SR_ENGINE_CLAIM_MADE] = "claim-made",
+    [SR_ENGINE_CLAIM_MET] = "claim-met",
+    [SR_ENGINE_CLAIM_DROPPED] = "claim-dropped",
 };
 
 const char *
@@ -80,10 +85,12 @@
     engine->confirmed_ms = now_ms;
     engine->forecast = SrForecast_Create();
     SrFleet_Init(&engine->fleet, options->lease_ms);
+    SrInterference_Init(&engine->interference);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
     SrList_Init(&engine->flows);
     SrList_Init(&engine->dirty);
+    SrList_Init(&engine->claims);
     return engine;
 }
 
@@ -91,6 +98,7 @@
 SrEngine_RemoveFlow(struct SrEngine *engine, struct SrFlow *flow)
 {
     SrMap_Remove(&engine->flows_by_id, &flow->entry);
+    SrPlan_ForgetClaims(engine, flow);
     SrFlow_Destroy(flow);
 }
 
@@ -280,6 +288,7 @@
             &engine->fleet, worker, &flow->tasks[i], stored->run, now_ms);
         run->state = SR_RUNSTATE_INHERITED;
         run->inherited = true;
+        run->pace = SrEngine_UnconfirmedPace(engine);
         worker->has_unconfirmed_runs = true;
         run->incarnation = stored->born;
         inherit_lease_grant(engine, worker, stored);
@@ -515,17 +524,26 @@
     }
 }
 
+void
+SrEngine_RemoveEntry(struct SrEngine *engine, struct SrWorker *worker,
+                     int64_t now_ms)
+{
+    worker->present = false;
+    worker->entry_missing = false;
+    SR_INFO("engine", "worker-gone", "worker=%s", worker->info.id);
+    /* Runs are suspected already if the lease has expired. */
+    SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
+}
+
 void
 SrEngine_SetWorker(struct SrEngine *engine, const char *id,
                    const struct SrWorkerEntry *entry, int64_t now_ms)
 {
     struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
     if (entry == NULL) {
-        if (worker != NULL && worker->present) {
-            worker->present = false;
-            SR_INFO("engine", "worker-gone", "worker=%s", id);
-            /* Runs are suspected already if the lease has expired. */
-            SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
+        if (worker != NULL && worker->present &&
+            !SrEngine_KeepWithoutEntry(engine, worker, now_ms)) {
+            SrEngine_RemoveEntry(engine, worker, now_ms);
         }
         return;
     }
@@ -561,6 +579,7 @@
         worker->info.incarnation = incarnation;
     }
     worker->present = true;
+    worker->entry_missing = false;
 }
 
 /* Marks the flow as completed once all of its tasks are done. */
@@ -999,9 +1018,11 @@
     log_grants(engine, now_ms);
     if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
         engine->last_check_ms = now_ms;
+        SrEngine_CheckOutage(engine, now_ms);
         end_runs_without_lease(engine, now_ms);
         stop_stalled_runs(engine, now_ms);
     }
+    SrInterference_Expire(&engine->interference, now_ms);
     if (writable) {
         SrPlan_MoveRunsOffDraining(engine, now_ms);
     }
@@ -1045,12 +1066,21 @@
 SrEngine_Stats(const struct SrEngine *engine, int64_t now_ms)
 {
     struct SrEngineStats stats = {0};
+    int64_t accelerators = 0;
+    unsigned available = 0;
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
         struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
+        bool usable = SrFleet_IsUsable(worker, now_ms);
         stats.workers++;
-        stats.usable += SrFleet_IsUsable(worker, now_ms) ? 1 : 0;
+        stats.usable += usable ? 1 : 0;
+        if (usable && !SrEngine_IsDomainOut(engine, worker->info.domain)) {
+            available++;
+            accelerators += SrFleet_Capacity(worker).accelerators;
+            stats.empty += SrList_IsEmpty(&worker->runs) ? 1 : 0;
+        }
     }
+    stats.headroom = SrPlan_Headroom(engine, available, accelerators, now_ms);
     SR_LIST_EACH(link, &engine->flows)
     {
         const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
@@ -1058,5 +1088,19 @@
         stats.running += flow->outstanding;
         stats.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
     }
+    SR_LIST_EACH(link, &engine->fleet.workers)
+    {
+        const struct SrWorker *worker = SrFleet_WorkerAt(link);
+        SR_LIST_EACH(run_link, &worker->runs)
+        {
+            const struct SrRun *run =
+                SR_CONTAINER(run_link, struct SrRun, link);
+            stats.throttled +=
+                SrEngine_IsThrottled(run) && run->was_throttled ? 1 : 0;
+        }
+    }
+    stats.pace_calls = engine->pace_calls;
+    stats.interference_pairs = engine->interference.known_count;
+    stats.separations = engine->separations;
     return stats;
 }
--- a/src/engine.h
+++ b/src/engine.h
@@ -45,6 +45,16 @@
     /* The run's worker crashed, which counts against the task; time for which
      * the run had been executing, as far as known. */
     SR_ENGINE_RUN_CRASHED,
+    /* The run is stopped for work of higher precedence; time since it was
+     * allocated. */
+    SR_ENGINE_RUN_PREEMPTED,
+    /* Runs were preempted for a gang of the job, and the capacity claimed for
+     * it; time since the gang was ready to run. */
+    SR_ENGINE_CLAIM_MADE,
+    /* The gang was allocated as claimed, or the claim was dropped; time since
+     * the claim was made. */
+    SR_ENGINE_CLAIM_MET,
+    SR_ENGINE_CLAIM_DROPPED,
 };
 
 struct SrEngineOptions {
@@ -58,6 +68,11 @@
     int64_t reclaim_ms;
     /* Interval between two checkpoints of a run, ms. */
     int64_t checkpoint_ms;
+    /* Time for which response times above the target of a serving task are
+     * tolerated, ms; 0 if filler runs are not throttled. */
+    int64_t interference_ms;
+    /* Time until a pace command takes effect, ms. */
+    int64_t pace_ms;
     /* Time for which the state of an ended job is kept, ms. */
     int64_t retention_ms;
     /* Factor by which a task takes longer outside its preferred rack. */
@@ -152,6 +167,14 @@
 void SrEngine_SetWorker(struct SrEngine *engine, const char *id,
                         const struct SrWorkerEntry *entry, int64_t now_ms);
 
+/* Reports that the workers' table has had no response of the store since
+ * `since_ms`, for longer than a worker's heartbeat interval, and that the
+ * store responds again; the latter before the rows of that response. Workers
+ * whose entries vanish in between or within 2 s of the store's return count as
+ * present until then as long as they respond. */
+void SrEngine_OnStoreLost(struct SrEngine *engine, int64_t since_ms);
+void SrEngine_OnStoreBack(struct SrEngine *engine, int64_t now_ms);
+
 /* Handles the response to a command, or the lack of one. Called once for
  * each command. */
 void SrEngine_OnResponse(struct SrEngine *engine,
@@ -218,6 +241,18 @@
     unsigned running;
     /* Jobs that have not ended and of which no run has been allocated yet. */
     unsigned waiting;
+    /* Workers that get new work and have no runs, and how many of them long
+     * work of lower priority leaves to expected urgent jobs. */
+    unsigned empty;
+    unsigned headroom;
+    /* Pairs of images with a known interference, and tasks placed apart
+     * because of it so far. */
+    unsigned interference_pairs;
+    uint64_t separations;
+    /* Filler runs that work at less than the full share, and pace commands
+     * sent so far. */
+    unsigned throttled;
+    uint64_t pace_calls;
 };
 struct SrEngineStats SrEngine_Stats(const struct SrEngine *engine,
                                     int64_t now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -12,6 +12,20 @@
  * 12 s later. One second is added for the exchange itself. */
 #define SR_UNACKED_START_MS 13000
 
+/* The latest outage of the store, as seen by the follower of the workers'
+ * table. */
+struct SrStoreOutage {
+    /* From its beginning until the entries of all workers must be back. */
+    bool active;
+    int64_t since_ms;
+    /* When the store responded again; 0 if not yet. */
+    int64_t back_ms;
+    /* Workers that counted as present without an entry, and those of them
+     * that were gone after all. */
+    unsigned kept;
+    unsigned gone;
+};
+
 struct SrEngine {
     struct SrEngineOptions options;
     uint64_t term;
@@ -29,6 +43,7 @@
     bool grants_paused;
     const struct SrCatalog *catalog;
     struct SrForecast *forecast;
+    struct SrStoreOutage outage;
     struct SrFleet fleet;
     /* Number of workers whose latest poll failed, as of the latest call of
      * SrEngine_SendCommands. */
@@ -41,6 +56,8 @@
     struct SrList flows;
     /* List of the flows whose progress is to be written. */
     struct SrList dirty;
+    /* List of struct SrClaim, in the order in which they were made. */
+    struct SrList claims;
     /* Failure domains excluded from new work. */
     char domains_out[SR_DOMAINS_OUT_MAX][SR_ID_SIZE];
     size_t domains_out_count;
@@ -55,6 +72,9 @@
     bool replan;
     /* When the latest placement pass was executed. */
     int64_t last_pass_ms;
+    /* The headroom holds work back, as last logged, and when that was. */
+    bool headroom_holds;
+    int64_t headroom_logged_ms;
     /* When all runs were last checked for expired leases and stalls. */
     int64_t last_check_ms;
     /* When the jobs were last checked for those of which nothing runs. */
@@ -66,6 +86,18 @@
     int64_t store_offset_max_ms;
     /* Number of start commands without a response so far. */
     unsigned starts_in_flight;
+    struct SrInterference interference;
+    /* First task of the unit for which a worker was last avoided because of
+     * interference; valid within one placement pass only. */
+    const struct SrFlowTask *separating;
+    /* First task of the unit whose image was last looked up, and the number of
+     * that image; valid within one placement pass only. */
+    const struct SrFlowTask *image_task;
+    unsigned image;
+    /* Number of tasks placed apart because of interference. */
+    uint64_t separations;
+    /* Number of pace commands sent. */
+    uint64_t pace_calls;
 };
 
 /* Cancellation of a job that is not known. The job's write may be under way,
@@ -252,6 +284,63 @@
                             const struct SrFlowTask *task, int64_t now_ms,
                             struct SrIdleCause *cause);
 
+/* Marks the worker as gone: the store has no entry of it. */
+void SrEngine_RemoveEntry(struct SrEngine *engine, struct SrWorker *worker,
+                          int64_t now_ms);
+
+/* Returns true if the worker, whose entry has been deleted, still counts as
+ * present: the entry may have expired only because the store was away, and the
+ * worker responds. */
+bool SrEngine_KeepWithoutEntry(struct SrEngine *engine,
+                               struct SrWorker *worker, int64_t now_ms);
+
+/* Marks the workers as gone that are kept without an entry and no longer
+ * respond, or whose entry is not back in time. */
+void SrEngine_CheckOutage(struct SrEngine *engine, int64_t now_ms);
+/* Size of the buffer for an image that has no name. */
+#define SR_ENGINE_IMAGE_SIZE (SR_ID_SIZE + 16)
+
+/* Returns what stands for the task's image: its name or, if it has none, the
+ * queue and the step's index, which are written to the buffer. Valid as long
+ * as the flow and the buffer. */
+const char *SrEngine_ImageOf(const struct SrFlowTask *task,
+                             char buffer[SR_ENGINE_IMAGE_SIZE]);
+
+/* Passes the runs that the latest poll lists on the worker to the estimates of
+ * interference. */
+void SrEngine_ObserveInterference(struct SrEngine *engine,
+                                  const struct SrWorker *worker,
+                                  int64_t now_ms);
+
+/* Time that a figure covers, ms. */
+#define SR_ENGINE_FIGURE_MS 500
+
+/* Returns the pace of a run that may have been given one without a response to
+ * this leader: unknown, or the full share if no run is throttled. */
+int SrEngine_UnconfirmedPace(const struct SrEngine *engine);
+
+/* Returns true if the run is a filler that may work at less than the full
+ * share. */
+bool SrEngine_IsThrottled(const struct SrRun *run);
+
+/* Updates the share of the worker's filler runs after a poll. */
+void SrEngine_UpdateThrottle(struct SrEngine *engine, struct SrWorker *worker,
+                             int64_t now_ms);
+
+/* Returns true if the worker must be polled without delay because a serving
+ * task on it is above its target. */
+bool SrEngine_NeedsFigures(const struct SrWorker *worker, int64_t now_ms);
+
+/* Sends the pace commands that are due. */
+void SrEngine_SendPaces(struct SrEngine *engine, struct SrWorker *worker,
+                        int64_t now_ms);
+
+void SrEngine_OnPaceResponse(struct SrEngine *engine,
+                             const struct SrWorker *worker,
+                             const struct SrCommand *command,
+                             const struct SrCommandResponse *response,
+                             int64_t now_ms);
+
 bool SrEngine_IsDomainOut(const struct SrEngine *engine, const char *domain);
 
 #endif
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -38,6 +38,10 @@
 /* Score at which the worker gets no new work for AVOID_MS. */
 #define FAILURE_SCORE_MAX 4
 #define AVOID_MS 4000
+/* Time after its latest failure in which a worker gets no last attempt of a
+ * job. Without a limit, a job would wait for ever where workers that get no
+ * other work have most of the room. */
+#define FAILED_LATELY_MS 10000
 
 int64_t
 SrFleet_LeaseExpiryMs(int64_t lease_ms)
@@ -144,6 +148,7 @@
     worker->service = intern(&fleet->services, "");
     worker->clock_ms = -1;
     worker->speed = 1;
+    SrThrottle_Init(&worker->throttle);
     SrList_Init(&worker->runs);
     SrList_Init(&worker->unacked_starts);
     SrList_Init(&worker->unknown_runs);
@@ -201,8 +206,11 @@
     run->number = number;
     run->allocated_ms = now_ms;
     run->percent = -1;
+    run->figure = -1;
+    run->pace = SR_THROTTLE_FULL;
     run->percent_ms = now_ms;
     run->progress_ms = now_ms;
+    SrList_Init(&run->victim);
     SrResources_Add(&worker->allocated, &run->demand, 1);
     SrList_Append(&worker->runs, &run->link);
     SrList_Append(&fleet->unsettled_runs, &run->unsettled);
@@ -344,6 +352,13 @@
                SrFleet_LeaseExpiryMs(fleet->lease_max_ms);
 }
 
+bool
+SrFleet_Responds(const struct SrWorker *worker, int64_t now_ms)
+{
+    return worker->response_ms != 0 &&
+           now_ms - worker->response_ms < RESPONSE_FRESH_MS;
+}
+
 bool
 SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms)
 {
@@ -435,7 +450,7 @@
     struct SrWorker *worker = run->worker;
     double span_ms = (double)(run->percent_ms - run->first_percent_ms);
     double progress = run->percent - run->first_percent;
-    if (step->continuous || step->estimated_ms == 0 ||
+    if (step->continuous || step->estimated_ms == 0 || run->was_throttled ||
         progress < SPEED_MIN_PERCENT || span_ms <= 0) {
         return;
     }
@@ -457,6 +472,7 @@
 SrFleet_RecordFailure(struct SrWorker *worker, int64_t now_ms)
 {
     worker->failure_score += FAILURE_SCORE_STEP;
+    worker->failed_ms = now_ms;
     if (worker->failure_score >= FAILURE_SCORE_MAX) {
         worker->failure_score = FAILURE_SCORE_MAX - FAILURE_SCORE_STEP;
         worker->avoid_until_ms = now_ms + AVOID_MS;
@@ -470,3 +486,10 @@
         worker->failure_score--;
     }
 }
+
+bool
+SrFleet_HasFailedLately(const struct SrWorker *worker, int64_t now_ms)
+{
+    return worker->failure_score > 0 &&
+           now_ms - worker->failed_ms < FAILED_LATELY_MS;
+}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -14,9 +14,11 @@
 
 #include "commands.h"
 #include "flow.h"
+#include "interference.h"
 #include "list.h"
 #include "map.h"
 #include "resources.h"
+#include "throttle.h"
 #include "worker_entry.h"
 
 enum SrRunState {
@@ -86,6 +88,28 @@
     int64_t percent_ms;
     /* When `percent` or the checkpoint last changed, or the run started. */
     int64_t progress_ms;
+    /* Figure of the latest report; see struct SrRunningReport. */
+    int figure;
+    struct SrInterferenceTrack interference;
+    /* The following fields are used for filler runs only. */
+
+    /* Share in percent that the worker last acknowledged; SR_THROTTLE_FULL
+     * before, and SR_THROTTLE_UNKNOWN after a former leader or a command
+     * without a response may have set another one. */
+    int pace;
+    bool pace_in_flight;
+    int64_t pace_sent_ms;
+    int64_t next_pace_ms;
+    /* Pace commands without success in a row. */
+    unsigned paces_failed;
+    /* The pace of the latest command without a response, and until when it may
+     * still be executed; 0 if there is none. */
+    int late_pace;
+    int64_t late_pace_until_ms;
+    /* The run was told to work at less than the full share, so that its
+     * progress says nothing about the worker's speed. */
+    bool was_throttled;
+
     /* First reported progress above 0, and when it was reported; 0 before. The
      * rate of progress is computed from this point on. */
     int first_percent;
@@ -98,6 +122,9 @@
     /* Used only while the cost of a preemption is estimated: the run is
      * already counted as a victim. */
     bool is_victim;
+    /* Link in the list of the runs that would be preempted, at the same time.
+     */
+    struct SrList victim;
     /* The run was added to the worker's `suspects`. */
     bool is_suspected;
     /* Number of the latest status poll that listed the run; 0 if none did. */
@@ -174,8 +201,13 @@
     struct SrMapEntry entry;
     struct SrList link;
     struct SrWorkerEntry info;
-    /* False if the store has no entry of the worker. */
+    /* False if the store has no entry of the worker, unless `entry_missing`.
+     */
     bool present;
+    /* The entry vanished with an outage of the store, as that of this
+     * incarnation; see SrEngine_KeepWithoutEntry. */
+    bool entry_missing;
+    int64_t missing_incarnation;
     /* Numbers of `info.rack` and `info.service` (see SrFleet_SetInfo). */
     unsigned rack;
     unsigned service;
@@ -254,6 +286,8 @@
     /* Grows with each failure (see SrFleet_RecordFailure) and shrinks with
      * each successful run. */
     unsigned failure_score;
+    /* When it last grew. */
+    int64_t failed_ms;
     /* The worker has refused a start, and gets none before this time. */
     int64_t refused_until_ms;
     /* The worker has failed, and gets work before this time only if it can't
@@ -266,11 +300,21 @@
     int64_t leaves_ms;
     /* The worker's runs have been checked against `leaves_ms`. */
     bool drain_handled;
+    /* When the worker is to be without runs for a maintenance of its machine;
+     * 0 if it is not to (see SrEngine_SetLeaving). */
+    int64_t upkeep_ms;
+    /* The worker's runs have been checked against `upkeep_ms`. */
+    bool upkeep_handled;
 
     /* When a response last listed a run that the leader does not know; 0 if
      * none did, or the response to a later poll lists none. */
     int64_t unknown_runs_ms;
 
+    /* Share of the filler runs on the worker, and whether there were any at
+     * the latest poll. */
+    struct SrThrottle throttle;
+    bool has_fillers;
+
     /* The following fields are valid within one placement pass only. */
 
     /* Neither allocated nor reserved for a unit of the pass. */
@@ -286,8 +330,13 @@
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
+    /* The worker may fail again: see SrFleet_HasFailedLately. */
+    bool failed_lately;
     /* The worker is usable, and nothing is allocated or reserved on it. */
     bool empty;
+    /* Time until `upkeep_ms`, within which new work must end; INT64_MAX if
+     * there is none. */
+    int64_t upkeep_in_ms;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
@@ -450,6 +499,9 @@
 bool SrFleet_IsLeaseExpired(const struct SrFleet *fleet,
                             const struct SrWorker *worker, int64_t now_ms);
 
+/* Returns true if the worker has responded to a poll recently. */
+bool SrFleet_Responds(const struct SrWorker *worker, int64_t now_ms);
+
 /* Returns true if the worker responds and may get new work, without regard to
  * excluded failure domains. */
 bool SrFleet_IsUsable(const struct SrWorker *worker, int64_t now_ms);
@@ -478,6 +530,10 @@
 void SrFleet_RecordFailure(struct SrWorker *worker, int64_t now_ms);
 void SrFleet_RecordSuccess(struct SrWorker *worker);
 
+/* Returns true if the worker has failed lately, with few successes since: a
+ * job that one more failure would end is not placed on it. */
+bool SrFleet_HasFailedLately(const struct SrWorker *worker, int64_t now_ms);
+
 /* Updates the speed of the run's worker and the estimate error of the run's
  * queue, if the run has made enough progress to measure its rate. */
 void SrFleet_UpdateSpeed(struct SrFleet *fleet, const struct SrRun *run);
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -96,11 +96,13 @@
    */
   protobuf_c_boolean continuous;
   /*
-   * Not used by the scheduler.
+   * Name of what the tasks execute; tasks of one image interfere with others
+   * alike. Empty if there is none: the queue and the step's index stand for it.
    */
   char *image;
   /*
-   * Not used by the scheduler.
+   * Target for the response times of a task that serves requests, ms; 0 if the
+   * tasks serve none.
    */
   uint32_t latency_target_ms;
   /*
@@ -278,10 +280,14 @@
    * In a part: index of the first of its tasks among all tasks of the job.
    */
   uint32_t first_task;
+  /*
+   * Number of different jobs for which the job was preempted.
+   */
+  uint32_t yields;
 };
 #define SR__FLOW_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_progress__descriptor) \
-    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0 }
+    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Sr__LeaderRecord
--- a/src/leader.c
+++ b/src/leader.c
@@ -34,6 +34,11 @@
  * drain of a worker must be detected within 3 s. */
 #define WORKER_WATCH_MS 1200
 #define WORKER_PAUSE_MS 500
+/* The store counts as lost after this time without a response to the watch of
+ * the workers: longer than two heartbeat intervals, of 0.5 s each, and than
+ * the pause between two watches. A watch may wait longer for the first change,
+ * but each heartbeat of a worker is one. */
+#define WORKERS_LOST_MS 1050
 #define CALL_TIMEOUT_MS 1200
 #define RETRY_MS 100
 #define PAGE_ROWS 500
@@ -78,6 +83,8 @@
 struct SrLeader {
     struct SrLeaderOptions options;
     struct SrEngine *engine;
+    /* NULL if there is no service for machines. */
+    struct SrWaveRunner *wave_runner;
     int64_t created_ms;
     struct SrFollower *jobs;
     struct SrFollower *cancellations;
@@ -94,6 +101,8 @@
     bool progress_loaded;
     bool jobs_loaded;
     bool loaded;
+    /* The watch of the workers has had no response for WORKERS_LOST_MS. */
+    bool store_lost;
     /* List of struct HeldJob, in the order of reading. */
     struct SrList held_jobs;
     /* Progress rows by job id, without those whose jobs have been read. Once
@@ -143,6 +152,23 @@
 static void read_progress(void *context);
 static void delete_expired(void *context);
 
+/* Tells the engine whether the store responds to the watch of the workers. */
+static void
+update_store_state(struct SrLeader *leader)
+{
+    int64_t now_ms = SrOs_MonotonicMs();
+    int64_t age_ms = SrFollower_AgeMs(leader->workers);
+    bool lost =
+        SrFollower_IsLoaded(leader->workers) && age_ms > WORKERS_LOST_MS;
+    if (lost && !leader->store_lost) {
+        SrEngine_OnStoreLost(leader->engine, now_ms - age_ms);
+    }
+    else if (!lost && leader->store_lost) {
+        SrEngine_OnStoreBack(leader->engine, now_ms);
+    }
+    leader->store_lost = lost;
+}
+
 static void
 run_engine(void *context)
 {
@@ -150,6 +176,7 @@
     if (!leader->loaded) {
         return;
     }
+    update_store_state(leader);
     int64_t from_us = SrOs_MonotonicUs();
     if (from_us < leader->next_tick_us) {
         SrLeader_Wake(leader);
@@ -203,6 +230,7 @@
     struct SrLeader *leader = context;
     struct SrWorkerEntry entry;
     bool valid = !row->deleted && leader->options.read_worker(row, &entry);
+    update_store_state(leader);
     SrEngine_SetWorker(leader->engine, row->key, valid ? &entry : NULL,
                        SrOs_MonotonicMs());
     SrLeader_Wake(leader);
@@ -426,6 +454,9 @@
     SrTimer_Start(&leader->expiry_timer, leader->options.kernel,
                   EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS, delete_expired,
                   leader);
+    if (leader->wave_runner != NULL) {
+        SrWaveRunner_Start(leader->wave_runner);
+    }
 }
 
 static void
@@ -592,6 +623,25 @@
     SrEngine_SetStoreClock(leader->engine, low_ms, high_ms);
 }
 
+static struct SrWaveRunner *
+create_wave_runner(const struct SrLeader *leader)
+{
+    const struct SrLeaderOptions *options = &leader->options;
+    if (options->wave_backend == NULL) {
+        return NULL;
+    }
+    return SrWaveRunner_Create(&(struct SrWaveRunnerOptions){
+        .kernel = options->kernel,
+        .rows = options->rows,
+        .ledger = options->ledger,
+        .engine = leader->engine,
+        .maintenance_ms = options->settings->maintenance_ms,
+        .notice_ms = options->settings->notice_ms,
+        .stop_ms = options->settings->stop_ms,
+        .backend = *options->wave_backend,
+    });
+}
+
 struct SrLeader *
 SrLeader_Create(const struct SrLeaderOptions *options)
 {
@@ -607,6 +657,8 @@
             .stop_ms = options->settings->stop_ms,
             .reclaim_ms = options->settings->reclaim_ms,
             .checkpoint_ms = options->settings->checkpoint_ms,
+            .interference_ms = options->settings->interference_ms,
+            .pace_ms = options->settings->pace_ms,
             .retention_ms = options->settings->status_retention_ms +
                             SR_LEADER_RETENTION_MARGIN_MS,
             .remote_factor = options->settings->remote_factor,
@@ -618,6 +670,7 @@
         },
         options->term, SrOs_MonotonicMs());
     set_store_clock(leader);
+    leader->wave_runner = create_wave_runner(leader);
     leader->workers = follow_workers(leader);
     /* Progress is written by leaders only, and a former one can write none any
      * more, so it does not matter whether a job or its progress is read first.
@@ -670,6 +723,7 @@
     free_changes(leader);
     free(leader->summary);
     free(leader->summary_in_flight);
+    SrWaveRunner_Destroy(leader->wave_runner);
     SrEngine_Destroy(leader->engine);
     free(leader);
 }
@@ -680,6 +734,14 @@
     return leader->engine;
 }
 
+struct SrWaves *
+SrLeader_Waves(struct SrLeader *leader)
+{
+    return leader->wave_runner != NULL
+               ? SrWaveRunner_Waves(leader->wave_runner)
+               : NULL;
+}
+
 void
 SrLeader_SetCatalog(struct SrLeader *leader, const struct SrCatalog *catalog)
 {
@@ -818,6 +880,10 @@
     if (!leader->loaded) {
         return;
     }
+    if (!isolating && leader->wave_runner != NULL &&
+        SrWaveRunner_Fill(leader->wave_runner, batch)) {
+        return;
+    }
     leader->change_count = SrEngine_TakeChanges(
         leader->engine, leader->changes, leader->changes_max);
     leader->part_key_count = 0;
@@ -845,9 +911,22 @@
     leader->keeps_orphans = true;
 }
 
+/* Returns true if the batch in flight contains the status of a wave, and thus
+ * nothing else. */
+static bool
+is_writing_wave(const struct SrLeader *leader)
+{
+    return leader->wave_runner != NULL &&
+           SrWaveRunner_IsWriting(leader->wave_runner);
+}
+
 void
 SrLeader_OnRejected(struct SrLeader *leader)
 {
+    if (is_writing_wave(leader)) {
+        SrWaveRunner_OnRejected(leader->wave_runner);
+        return;
+    }
     SR_MAP_EACH(entry, &leader->unmatched)
     {
         SR_CONTAINER(entry, struct UnmatchedProgress, entry)
@@ -876,6 +955,14 @@
 SrLeader_OnWritten(struct SrLeader *leader)
 {
     set_store_clock(leader);
+    if (is_writing_wave(leader)) {
+        SrWaveRunner_OnWritten(leader->wave_runner);
+        SrLeader_Wake(leader);
+        if (SrEngine_HasChanges(leader->engine)) {
+            SrLedger_ScheduleCommit(leader->options.ledger);
+        }
+        return;
+    }
     leader->changes_max *= REJECTION_FACTOR;
     if (leader->changes_max > CHANGES_MAX) {
         leader->changes_max = CHANGES_MAX;
--- a/src/node.c
+++ b/src/node.c
@@ -23,8 +23,10 @@
 #include "platform_decode.h"
 #include "platform_front.h"
 #include "platform_commands.h"
+#include "platform_machines.h"
 #include "platform_rows.h"
 #include "platform_settings.h"
+#include "platform_wave.h"
 #include "shutdown.h"
 
 #define EXIT_CANNOT_START 3
@@ -34,19 +36,33 @@
  * period of the store adapter, within 3 s, the shortest time within which a
  * change must take effect. */
 #define OPERATOR_WATCH_MS 800
-/* The node reports that it is not ready if its configuration is older than
- * this (see SrFollower_AgeMs). */
-#define READY_CONFIG_AGE_MAX_MS 2600
-/* Maximum number of callers' connections at one time: the limit on file
- * descriptors, less those for connections to workers and the store. */
+/* Callers get this part of the VM's memory: a node with 350 workers uses up to
+ * 60 MB of the 120 MB of the smallest VM for everything else. Connections
+ * without a request may use half of it. */
+#define CALLER_MEMORY_DIVISOR 5
+/* Smallest memory for callers, bytes; enough for a few of the largest bodies
+ * beside each other. */
+#define CALLER_MEMORY_MIN (4 * 1024 * 1024)
+/* Part of the VM's descriptors for callers, and limits of their number. Each
+ * request that is being handled may use another one for the store. */
+#define CALLER_DESCRIPTORS_DIVISOR 5
+#define CALLER_CONNECTIONS_MIN 64
 #define CALLER_CONNECTIONS_MAX 3000
+/* A caller's connection is not closed for others before its request can have
+ * arrived: the round trip between regions takes 60 ms. Many callers that come
+ * at once then wait for each other. */
+#define CALLER_IDLE_MIN_MS 250
+/* Limits of the readiness port, and of the metrics port, whose responses are
+ * larger. */
 #define CHECK_CONNECTIONS_MAX 64
+#define CHECK_MEMORY_MAX (2 * 1024 * 1024)
+#define METRICS_MEMORY_MAX (4 * 1024 * 1024)
 /* Maximum number of connections to the store that are kept for reuse: the
  * watches of a leader and its calls beside them. */
 #define STORE_CONNECTIONS_KEPT 256
-/* Descriptors that are not used for connections to workers: files, connections
- * to the store and those of callers. */
-#define OTHER_DESCRIPTORS 1000
+/* Descriptors for files, and for connections that are being closed for new
+ * ones or are established beyond those that are kept. */
+#define OTHER_DESCRIPTORS 100
 /* Fewest connections to workers that are kept for reuse. */
 #define WORKER_CONNECTIONS_MIN 512
 #define READ_TIMEOUT_MS 10000
@@ -69,6 +85,10 @@
 #define SMALL_VM_CORES 0.24
 #define SMALL_VM_STAGGER_MS 500
 
+/* Maximum number of requests for waves of maintenance that are kept. Of more,
+ * the latest are: the rows of completed waves may stay. */
+#define WAVES_MAX 64
+
 struct SrNode {
     struct SrNodeSettings settings;
     struct SrKernel *kernel;
@@ -92,6 +112,11 @@
      * node becomes the leader. */
     char domains_out[SR_DOMAINS_MAX][SR_ID_SIZE];
     uint32_t domains_out_count;
+    /* The operator's requests for waves of maintenance, kept for the same. */
+    struct SrWaveRequest *waves[WAVES_MAX];
+    size_t wave_count;
+    /* Exists while this node leads, if there is a service for machines. */
+    struct SrPlatformMachines *machines;
     ev_signal terminate;
     ev_signal interrupt;
     ev_signal reload;
@@ -164,6 +189,113 @@
     }
 }
 
+static struct SrWaves *
+leader_waves(const struct SrNode *node)
+{
+    return node->leader != NULL ? SrLeader_Waves(node->leader) : NULL;
+}
+
+/* Returns the index of the request, or their number if there is none. */
+static size_t
+find_wave(const struct SrNode *node, const char *key)
+{
+    size_t i = 0;
+    while (i < node->wave_count && strcmp(node->waves[i]->key, key) != 0) {
+        i++;
+    }
+    return i;
+}
+
+static void
+remove_wave(struct SrNode *node, const char *key)
+{
+    size_t i = find_wave(node, key);
+    if (i == node->wave_count) {
+        return;
+    }
+    if (leader_waves(node) != NULL) {
+        SrWaves_Remove(leader_waves(node), key);
+    }
+    SrWaveRequest_Destroy(node->waves[i]);
+    node->waves[i] = node->waves[--node->wave_count];
+}
+
+static struct SrWaveRequest *
+read_wave(const struct SrRow *row)
+{
+    struct SrWaveRequest *request;
+    const char *field;
+    enum SrDecodeError error = SrPlatform_DecodeWave(
+        row->key, row->value, row->size, &request, &field);
+    if (error != SR_DECODE_OK) {
+        SR_ERROR("node", "bad-wave", "key=%s field=%s error=%s", row->key,
+                 field, SrDecode_ErrorText(error));
+        return NULL;
+    }
+    request->version = row->version;
+    request->seen_ms = SrOs_MonotonicMs();
+    request->seen_unix_ms = SrOs_UnixMs();
+    return request;
+}
+
+/* Returns the request that has not been changed for longest. */
+static const struct SrWaveRequest *
+oldest_wave(const struct SrNode *node)
+{
+    const struct SrWaveRequest *oldest = node->waves[0];
+    for (size_t i = 1; i < node->wave_count; i++) {
+        if (node->waves[i]->version < oldest->version) {
+            oldest = node->waves[i];
+        }
+    }
+    SR_WARN("node", "too-many-waves", "dropped=%s kept=%d", oldest->key,
+            WAVES_MAX);
+    return oldest;
+}
+
+/* Adds or replaces a request. A row that cannot be decoded leaves the one that
+ * it replaces as it is. */
+static void
+set_wave(struct SrNode *node, const struct SrRow *row)
+{
+    size_t i = find_wave(node, row->key);
+    if (i < node->wave_count && node->waves[i]->version == row->version) {
+        return;
+    }
+    struct SrWaveRequest *request = read_wave(row);
+    if (request == NULL) {
+        return;
+    }
+    if (i == WAVES_MAX) {
+        remove_wave(node, oldest_wave(node)->key);
+        i = node->wave_count;
+    }
+    if (i == node->wave_count) {
+        node->wave_count++;
+    }
+    else {
+        SrWaveRequest_Destroy(node->waves[i]);
+    }
+    node->waves[i] = request;
+    if (leader_waves(node) != NULL) {
+        SrWaves_Set(leader_waves(node), request);
+    }
+}
+
+static void
+on_wave_row(struct SrNode *node, const struct SrRow *row)
+{
+    if (node->settings.machines_address[0] == '\0') {
+        return;
+    }
+    if (row->deleted) {
+        remove_wave(node, row->key);
+    }
+    else {
+        set_wave(node, row);
+    }
+}
+
 static void
 on_operator_row(void *context, const struct SrRow *row)
 {
@@ -175,6 +307,9 @@
     else if (strcmp(row->key, SrPlatform_CatalogKey) == 0 && !row->deleted) {
         set_catalog(node, row);
     }
+    else if (SrPlatform_IsWaveKey(row->key)) {
+        on_wave_row(node, row);
+    }
 }
 
 static bool
@@ -216,6 +351,10 @@
     [SR_ENGINE_RUN_FAILED] = "sr_run_failed_us",
     [SR_ENGINE_RUN_LOST] = "sr_run_lost_us",
     [SR_ENGINE_RUN_CRASHED] = "sr_run_crashed_us",
+    [SR_ENGINE_RUN_PREEMPTED] = "sr_run_preempted_us",
+    [SR_ENGINE_CLAIM_MADE] = "sr_claim_made_us",
+    [SR_ENGINE_CLAIM_MET] = "sr_claim_met_us",
+    [SR_ENGINE_CLAIM_DROPPED] = "sr_claim_dropped_us",
 };
 
 static void
@@ -230,11 +369,79 @@
                       (uint64_t)ms * SR_US_PER_MS);
 }
 
+static void
+on_machine(void *context, const struct SrMachine *machine, int64_t sent_ms)
+{
+    const struct SrNode *node = context;
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnMachine(leader_waves(node), machine, sent_ms);
+    }
+}
+
+static void
+on_machine_list(void *context, size_t count, int64_t begun_ms)
+{
+    const struct SrNode *node = context;
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnListRead(leader_waves(node), count, begun_ms);
+    }
+}
+
+static void
+on_upkeep_result(void *context, const char *machine, uint64_t wave,
+                 enum SrUpkeepResult result)
+{
+    const struct SrNode *node = context;
+    SrMetrics_Count(node->kernel->metrics, "sr_upkeep_calls", "result",
+                    SrUpkeep_ResultText(result), 1);
+    if (leader_waves(node) != NULL) {
+        SrWaves_OnResult(leader_waves(node), machine, wave, result,
+                         SrOs_MonotonicMs());
+    }
+}
+
+static bool
+begin_upkeep(void *context, const char *machine, uint64_t wave)
+{
+    const struct SrNode *node = context;
+    return SrPlatformMachines_Begin(node->machines, machine, wave);
+}
+
+static void
+read_machines(void *context)
+{
+    const struct SrNode *node = context;
+    SrPlatformMachines_ReadList(node->machines);
+}
+
+static void
+create_machines(struct SrNode *node, uint64_t term)
+{
+    SrPlatformMachines_Destroy(node->machines);
+    node->machines =
+        SrPlatformMachines_Create(&(struct SrPlatformMachinesOptions){
+            .http = node->worker_http,
+            .address = node->settings.machines_address,
+            .holder = node->settings.name,
+            .term = term,
+            .calls_per_s = node->settings.machine_calls_per_s,
+            .reads_per_s = node->settings.machine_reads_per_s,
+            .on_machine = on_machine,
+            .on_list = on_machine_list,
+            .on_result = on_upkeep_result,
+            .context = node,
+        });
+}
+
 static void
 on_elected(void *context, uint64_t term)
 {
     struct SrNode *node = context;
+    bool has_machines = node->settings.machines_address[0] != '\0';
     SrLeader_Destroy(node->leader);
+    if (has_machines) {
+        create_machines(node, term);
+    }
     node->leader = SrLeader_Create(&(struct SrLeaderOptions){
         .kernel = node->kernel,
         .settings = &node->settings,
@@ -245,6 +452,14 @@
         .read_worker = read_worker,
         .send = send_command,
         .observe = on_engine_event,
+        .wave_backend = has_machines ? &(struct SrWaveBackend){
+            .status_table = SrPlatform_StatusTable,
+            .decode_status = SrPlatform_DecodeWaveStatus,
+            .encode_status = SrPlatform_EncodeWaveStatus,
+            .begin = begin_upkeep,
+            .read_list = read_machines,
+            .context = node,
+        } : NULL,
         .context = node,
     });
     if (node->catalog != NULL) {
@@ -254,6 +469,9 @@
         SrEngine_SetDomainOut(SrLeader_Engine(node->leader),
                               node->domains_out[i], true);
     }
+    for (size_t i = 0; has_machines && i < node->wave_count; i++) {
+        SrWaves_Set(SrLeader_Waves(node->leader), node->waves[i]);
+    }
 }
 
 static void
@@ -262,6 +480,8 @@
     struct SrNode *node = context;
     SrLeader_Destroy(node->leader);
     node->leader = NULL;
+    SrPlatformMachines_Destroy(node->machines);
+    node->machines = NULL;
 }
 
 static void
@@ -307,9 +527,7 @@
 on_ready_check(void *context, struct SrHttpRequest *request)
 {
     const struct SrNode *node = context;
-    bool ready =
-        !node->kernel->stopping && node->catalog != NULL &&
-        SrFollower_AgeMs(node->operator_rows) < READY_CONFIG_AGE_MAX_MS;
+    bool ready = !node->kernel->stopping && SrIntake_IsReady(node->intake);
     if (!SrPlatformFront_IsReadyCheck(request)) {
         respond_with_text(request, 404, "no such page\n", 13);
         return;
@@ -318,6 +536,38 @@
                       ready ? 6 : 5);
 }
 
+/* Reports what clients hold at each port, and the connections that were closed
+ * at all ports. */
+static void
+set_http_gauges(struct SrNode *node)
+{
+    const struct {
+        const char *port;
+        const struct SrHttpServer *server;
+    } ports[] = {
+        {"callers", node->callers_server},
+        {"readiness", node->ready_server},
+        {"metrics", node->metrics_server},
+    };
+    struct SrMetrics *metrics = node->kernel->metrics;
+    uint64_t closed[SR_HTTP_CLOSURES] = {0};
+    for (size_t i = 0; i < SR_LENGTH(ports); i++) {
+        struct SrHttpServerCounts counts = SrHttpServer_Count(ports[i].server);
+        SrMetrics_Set(metrics, "sr_http_held_bytes", "port", ports[i].port,
+                      counts.held);
+        SrMetrics_Set(metrics, "sr_http_connections", "port", ports[i].port,
+                      counts.connections);
+        for (size_t k = 0; k < SR_HTTP_CLOSURES; k++) {
+            closed[k] += counts.closed[k];
+        }
+    }
+    for (size_t k = 0; k < SR_HTTP_CLOSURES; k++) {
+        SrMetrics_Set(metrics, "sr_http_closed", "reason",
+                      SrHttpServer_ClosureText((enum SrHttpClosure)k),
+                      closed[k]);
+    }
+}
+
 static void
 set_gauges(struct SrNode *node)
 {
@@ -349,6 +599,14 @@
     SrMetrics_Set(metrics, "sr_jobs", "state", "known", stats.flows);
     SrMetrics_Set(metrics, "sr_jobs", "state", "waiting", stats.waiting);
     SrMetrics_Set(metrics, "sr_runs", NULL, NULL, stats.running);
+    SrMetrics_Set(metrics, "sr_empty_workers", NULL, NULL, stats.empty);
+    SrMetrics_Set(metrics, "sr_headroom_workers", NULL, NULL, stats.headroom);
+    SrMetrics_Set(metrics, "sr_interference_pairs", NULL, NULL,
+                  stats.interference_pairs);
+    SrMetrics_Set(metrics, "sr_tasks_separated", NULL, NULL,
+                  stats.separations);
+    SrMetrics_Set(metrics, "sr_throttled_runs", NULL, NULL, stats.throttled);
+    SrMetrics_Set(metrics, "sr_pace_calls", NULL, NULL, stats.pace_calls);
 }
 
 static void
@@ -363,37 +621,106 @@
         return;
     }
     set_gauges(node);
+    set_http_gauges(node);
     SrMetrics_Print(node->kernel->metrics, out);
     fclose(out);
     respond_with_text(request, 200, text, size);
     free(text);
 }
 
+/* Memory that callers may make the node hold, bytes. */
+static size_t
+caller_memory(const struct SrNodeSettings *settings)
+{
+    size_t memory =
+        (size_t)settings->memory_mb * 1024 * 1024 / CALLER_MEMORY_DIVISOR;
+    return memory > CALLER_MEMORY_MIN ? memory : CALLER_MEMORY_MIN;
+}
+
+/* Maximum number of callers' connections. */
+static unsigned
+caller_connections(const struct SrNodeSettings *settings)
+{
+    size_t by_memory = caller_memory(settings) / 2 / SR_HTTP_CONNECTION_BYTES;
+    size_t connections =
+        (size_t)settings->descriptors_max / CALLER_DESCRIPTORS_DIVISOR;
+    if (connections > by_memory) {
+        connections = by_memory;
+    }
+    if (connections > CALLER_CONNECTIONS_MAX) {
+        connections = CALLER_CONNECTIONS_MAX;
+    }
+    return connections > CALLER_CONNECTIONS_MIN ? (unsigned)connections
+                                                : CALLER_CONNECTIONS_MIN;
+}
+
+/* Listens on `options->address`; the members that all servers of a node have
+ * in common need not be set. */
 static bool
-listen_on(struct SrNode *node, const char *address, unsigned connections,
-          void (*handle)(void *, struct SrHttpRequest *), void *context,
+listen_on(struct SrNode *node, const struct SrHttpServerOptions *options,
           struct SrHttpServer **server)
 {
+    struct SrHttpServerOptions all = *options;
+    all.body_max = BODY_MAX_BYTES;
+    all.closes_idle = true;
+    all.read_timeout_ms = READ_TIMEOUT_MS;
+    all.reject = SrPlatformFront_Reject;
     enum SrHttpServerError error =
-        SrHttpServer_Create(node->kernel->loop,
-                            &(struct SrHttpServerOptions){
-                                .address = address,
-                                .body_max = BODY_MAX_BYTES,
-                                .connections_max = connections,
-                                .read_timeout_ms = READ_TIMEOUT_MS,
-                                .handle = handle,
-                                .reject = SrPlatformFront_Reject,
-                                .context = context,
-                            },
-                            server);
+        SrHttpServer_Create(node->kernel->loop, &all, server);
     if (error != SR_HTTP_SERVER_OK) {
-        SR_ERROR("node", "cannot-listen", "address=%s error=%s", address,
+        SR_ERROR("node", "cannot-listen", "address=%s error=%s", all.address,
                  SrHttpServer_ErrorText(error));
         return false;
     }
     return true;
 }
 
+static bool
+listen_for_callers(struct SrNode *node)
+{
+    return listen_on(
+        node,
+        &(struct SrHttpServerOptions){
+            .address = node->settings.callers_address,
+            .connections_max = caller_connections(&node->settings),
+            .idle_min_ms = CALLER_IDLE_MIN_MS,
+            .memory_max = caller_memory(&node->settings),
+            .handle = SrPlatformFront_Handle,
+            .context = node->front,
+        },
+        &node->callers_server);
+}
+
+static bool
+listen_for_checks(struct SrNode *node)
+{
+    return listen_on(node,
+                     &(struct SrHttpServerOptions){
+                         .address = node->settings.ready_address,
+                         .connections_max = CHECK_CONNECTIONS_MAX,
+                         .memory_max = CHECK_MEMORY_MAX,
+                         .handle = on_ready_check,
+                         .context = node,
+                     },
+                     &node->ready_server);
+}
+
+/* Does nothing if the settings give no metrics address. */
+static bool
+listen_for_metrics(struct SrNode *node)
+{
+    return node->settings.metrics_address[0] == '\0' ||
+           listen_on(node,
+                     &(struct SrHttpServerOptions){
+                         .address = node->settings.metrics_address,
+                         .connections_max = CHECK_CONNECTIONS_MAX,
+                         .memory_max = METRICS_MEMORY_MAX,
+                         .handle = on_metrics,
+                         .context = node,
+                     },
+                     &node->metrics_server);
+}
+
 static bool
 is_idle(void *context)
 {
@@ -472,7 +799,9 @@
 static unsigned
 worker_connections(const struct SrNodeSettings *settings)
 {
-    int64_t left = settings->descriptors_max - OTHER_DESCRIPTORS;
+    int64_t left = settings->descriptors_max - OTHER_DESCRIPTORS -
+                   STORE_CONNECTIONS_KEPT - 2 * CHECK_CONNECTIONS_MAX -
+                   caller_connections(settings);
     return left > WORKER_CONNECTIONS_MIN ? (unsigned)left
                                          : WORKER_CONNECTIONS_MIN;
 }
@@ -534,15 +863,8 @@
         .on_rejected = on_rejected,
         .context = node,
     });
-    return listen_on(node, node->settings.callers_address,
-                     CALLER_CONNECTIONS_MAX, SrPlatformFront_Handle,
-                     node->front, &node->callers_server) &&
-           listen_on(node, node->settings.ready_address, CHECK_CONNECTIONS_MAX,
-                     on_ready_check, node, &node->ready_server) &&
-           (node->settings.metrics_address[0] == '\0' ||
-            listen_on(node, node->settings.metrics_address,
-                      CHECK_CONNECTIONS_MAX, on_metrics, node,
-                      &node->metrics_server));
+    return listen_for_callers(node) && listen_for_checks(node) &&
+           listen_for_metrics(node);
 }
 
 static void
@@ -555,6 +877,7 @@
         SrIntake_GiveUp(node->intake);
     }
     SrHttpServer_Destroy(node->callers_server);
+    SrPlatformMachines_Destroy(node->machines);
     SrHttpClient_Destroy(node->store_http);
     SrHttpClient_Destroy(node->worker_http);
     SrIntake_Destroy(node->intake);
@@ -567,6 +890,9 @@
     SrPlatformCommands_Destroy(node->commands);
     SrPlatformRows_Destroy(node->platform_rows);
     SrCatalog_Destroy(node->catalog);
+    for (size_t i = 0; i < node->wave_count; i++) {
+        SrWaveRequest_Destroy(node->waves[i]);
+    }
 }
 
 int
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -140,21 +140,40 @@
 is_risky(const struct SrWorker *worker, const struct SrPlanUnit *unit,
          enum SrAvailability kind)
 {
-    return unit->last_attempt && worker->failure_score > 0 &&
+    return unit->last_attempt && worker->failed_lately &&
            kind != SR_AVAILABLE_AT_NEED && kind != SR_AVAILABLE_UNHELD &&
            kind != SR_AVAILABLE_TOTAL;
 }
 
+/* Returns true if the unit must not be placed on empty workers. */
+static bool
+leaves_empty_workers(const struct SrPlanPass *pass,
+                     const struct SrPlanUnit *unit)
+{
+    uint32_t taken = unit->step->gang ? unit->count : 1;
+    return unit->leaves_headroom && pass->headroom > 0 &&
+           pass->empty_workers < pass->headroom + taken;
+}
+
 bool
 SrPlan_IsHeadroom(const struct SrPlanPass *pass, const struct SrWorker *worker,
                   const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
-    uint32_t taken = unit->step->gang ? unit->count : 1;
-    return unit->leaves_headroom && worker->empty && pass->headroom > 0 &&
-           pass->empty_workers < pass->headroom + taken &&
+    return worker->empty && leaves_empty_workers(pass, unit) &&
            (kind == SR_AVAILABLE_NOW || kind == SR_AVAILABLE_IN_TIME);
 }
 
+/* Returns true unless the unit, started now, is expected to be executing when
+ * the worker is to be without runs. */
+static bool
+ends_before_upkeep(const struct SrWorker *worker,
+                   const struct SrPlanUnit *unit)
+{
+    return worker->upkeep_in_ms == INT64_MAX ||
+           (!unit->step->continuous && unit->step->estimated_ms > 0 &&
+            unit->step->estimated_ms <= worker->upkeep_in_ms);
+}
+
 static bool
 is_eligible(const struct SrWorker *worker, const struct SrPlanUnit *unit,
             enum SrAvailability kind)
@@ -162,7 +181,7 @@
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
     return usable && SrPlan_MayExecute(worker, unit) &&
-           !is_risky(worker, unit, kind);
+           !is_risky(worker, unit, kind) && ends_before_upkeep(worker, unit);
 }
 
 unsigned
@@ -223,6 +242,25 @@
     return sum;
 }
 
+bool
+SrPlan_IsHeldBack(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
+{
+    unsigned needed = unit->step->gang ? unit->count : 1;
+    unsigned fit = 0;
+    unsigned fit_empty = 0;
+    if (!leaves_empty_workers(pass, unit) || pass->empty_workers == 0 ||
+        fit_bound(&pass->free, unit) < needed) {
+        return false;
+    }
+    for (unsigned i = 0; i < pass->worker_count && fit < needed; i++) {
+        const struct SrWorker *worker = pass->workers[i];
+        unsigned tasks = SrPlan_TasksThatFitOn(worker, unit, SR_AVAILABLE_NOW);
+        fit += tasks;
+        fit_empty += worker->empty ? tasks : 0;
+    }
+    return fit >= needed && fit_empty > 0;
+}
+
 /* Returns true if the second unit does not fit either, because it needs at
  * least as much as the first, and no more is available to it. */
 static bool
@@ -236,6 +274,13 @@
            SrResources_AreWithin(&miss->demand, &other->demand);
 }
 
+/* Returns a number that is lower for units that may preempt more runs. */
+static uint32_t
+preemption_rank(const struct SrPlanUnit *unit)
+{
+    return unit->exceeds_yield_limit ? 0 : unit->flow->rank + 1;
+}
+
 static struct SrPlanMiss
 miss_of(const struct SrPlanUnit *unit, uint32_t count,
         enum SrAvailability kind, bool in_rack)
@@ -246,7 +291,7 @@
         .count = count,
         .service = unit->service,
         .demand = unit->demand,
-        .rank = kind == SR_AVAILABLE_BY_PREEMPTION ? unit->flow->rank : 0,
+        .rank = kind == SR_AVAILABLE_BY_PREEMPTION ? preemption_rank(unit) : 0,
         .wait_until_ms =
             kind == SR_AVAILABLE_IN_TIME ? unit->wait_until_ms : 0,
     };
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "idle.h"
+#include "plan_claim.h"
 
 /* Room for the tasks of a unit. */
 struct Supply {
@@ -38,7 +39,7 @@
     supply->free.accelerators += not_below_zero(free.accelerators);
     supply->free.cpu_millis += not_below_zero(free.cpu_millis);
     supply->free.memory_mb += not_below_zero(free.memory_mb);
-    if (worker->usable) {
+    if (worker->usable && !(unit->last_attempt && worker->failed_lately)) {
         supply->fit += SrPlan_TasksThatFit(&worker->free, &unit->demand);
         supply->fit_unreserved += fit;
     }
@@ -131,6 +132,12 @@
            unsigned count)
 {
     struct Supply supply = count_supply(pass, unit);
+    if (SrPlan_IsHeldBack(pass, unit)) {
+        return (struct SrIdleCause){
+            .reason = SR_IDLE_HEADROOM,
+            .u.headroom = {supply.fit, pass->empty_workers, pass->headroom},
+        };
+    }
     if (supply.fit >= count) {
         bool prefers_rack =
             unit->step->same_rack || unit->step->data_rack[0] != '\0';
@@ -211,6 +218,22 @@
     }
 }
 
+void
+SrPlan_LogIdleClaimed(const struct SrPlanPass *pass,
+                      const struct SrPlanUnit *unit)
+{
+    const struct SrClaim *claim = unit->first->claim;
+    struct SrIdleCause cause = {
+        .reason = SR_IDLE_CLAIMED,
+        .u.claim = {claim->place_count,
+                    claim->renewed_ms + SR_CLAIM_MAX_MS - pass->now_ms},
+    };
+    if (is_to_be_explained(unit->flow)) {
+        SrIdle_Log(unit->flow, unit->first->step, unit->count, &cause,
+                   pass->now_ms);
+    }
+}
+
 void
 SrPlan_LogIdle(const struct SrPlanPass *pass, const struct SrPlanUnit *unit)
 {
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -8,6 +8,8 @@
 #include "engine_state.h"
 #include "plan.h"
 
+/* Cost of preemptions that are not possible. */
+#define SR_PLAN_IMPOSSIBLE INT64_MAX
 /* Stands for no rack where a function returns the index of one. */
 #define SR_PLAN_NO_RACK UINT_MAX
 /* Time to replace a run by another, in addition to the stop itself, ms: three
@@ -139,6 +141,8 @@
     bool leaves_headroom;
     /* One more failure of a task of the unit fails the job. */
     bool last_attempt;
+    /* Jobs may be preempted for the unit beyond SR_YIELDS_MAX. */
+    bool exceeds_yield_limit;
     /* When the leader first found the step ready to run. */
     int64_t ready_ms;
     /* Latest start of the job's first step that meets the job's objective for
@@ -149,6 +153,9 @@
      * are preempted for it. For non-urgent work, for which none are preempted,
      * resources may be reserved that become free until then. */
     int64_t wait_until_ms;
+    /* Where runs are preempted for the unit, those that are expected to end by
+     * then are waited for instead. */
+    int64_t await_until_ms;
 };
 
 /* State of an account in a pass. */
@@ -192,6 +199,8 @@
      * how many of them are left to urgent jobs that are expected. */
     unsigned empty_workers;
     unsigned headroom;
+    /* A unit waits that would fit without the headroom. */
+    bool headroom_holds;
     /* Number of gangs that got neither free, reserved nor preempted
      * resources. */
     unsigned waiting_gangs;
@@ -238,6 +247,10 @@
 void SrPlan_WaitForLimit(struct SrPlanPass *pass,
                          const struct SrPlanUnit *unit, unsigned tasks);
 
+/* Returns the unit with the permission to exceed the preemption limit, which
+ * guaranteed work has that finds no other capacity. */
+struct SrPlanUnit SrPlan_ExceedYieldLimit(const struct SrPlanUnit *unit);
+
 /* Returns true if the unit may preempt the run. Tasks that last are preempted
  * for guaranteed work only, and only as many at a time as their step allows to
  * be unavailable. */
@@ -275,11 +288,22 @@
                        const struct SrPlanUnit *unit,
                        enum SrAvailability kind);
 
+/* Returns true if the unit would fit in what is free now, but part of that is
+ * the headroom. */
+bool SrPlan_IsHeldBack(const struct SrPlanPass *pass,
+                       const struct SrPlanUnit *unit);
+
 /* Returns the penalty of choosing the worker for a task under which `crashes`
  * workers have crashed: such a task is kept apart from others like it, so that
  * the next crash shows which of them is the cause, and from many runs. */
 int64_t SrPlan_SuspectPenalty(const struct SrWorker *worker, uint32_t crashes);
 
+/* Counts the unit's next task as placed apart if a worker was avoided for the
+ * unit because of interference and there is none on the given worker. */
+void SrPlan_CountSeparation(struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit,
+                            const struct SrWorker *worker);
+
 /* Returns the worker's resources that count as available to the unit. */
 struct SrResources SrPlan_AvailableOn(const struct SrWorker *worker,
                                       const struct SrPlanUnit *unit,
@@ -297,7 +321,10 @@
                               const struct SrPlanUnit *unit, unsigned tasks);
 
 /* Returns the cost of the preemptions that the latest assignment needs on
- * `count` workers of the pass, from index `first`. */
+ * `count` workers of the pass, from index `first`: a gang counts once, however
+ * many of its members run there. Returns SR_PLAN_IMPOSSIBLE if too few runs
+ * may be preempted. All assignments give the unit the same number of
+ * accelerators, so the lowest cost is also the lowest per accelerator. */
 int64_t SrPlan_AssignmentCost(const struct SrPlanPass *pass,
                               const struct SrPlanUnit *unit, unsigned first,
                               unsigned count);
@@ -313,11 +340,16 @@
 int64_t SrPlan_StopCost(const struct SrPlanPass *pass,
                         const struct SrRun *run);
 
-/* Returns the run on the worker that the unit may preempt at the least cost,
- * leaving out those already marked as victims; NULL if there is none. */
-struct SrRun *SrPlan_CheapestVictim(const struct SrPlanPass *pass,
-                                    const struct SrWorker *worker,
-                                    const struct SrPlanUnit *unit);
+/* Preempts the runs that are necessary for that number of the unit's tasks to
+ * fit on the worker. */
+void SrPlan_PreemptOnWorker(struct SrPlanPass *pass,
+                            const struct SrPlanUnit *unit,
+                            const struct SrWorker *worker, unsigned tasks);
+
+/* Preempts the runs that are necessary for the unit's latest assignment. Must
+ * be possible: see SrPlan_IsPreemptionWorthwhile. */
+void SrPlan_PreemptForAssignment(struct SrPlanPass *pass,
+                                 const struct SrPlanUnit *unit);
 
 /* Assigns the whole gang to workers of one rack by setting each worker's
  * `assigned`; returns false if the gang fits in no rack. */
@@ -387,6 +419,10 @@
 void SrPlan_LogIdleReserved(const struct SrPlanPass *pass,
                             const struct SrPlanUnit *unit);
 
+/* The same for a unit that waits for its claim. */
+void SrPlan_LogIdleClaimed(const struct SrPlanPass *pass,
+                           const struct SrPlanUnit *unit);
+
 /* The same for a step of which the task `held` may not be started. */
 void SrPlan_LogIdleHeld(const struct SrPlanPass *pass,
                         const struct SrFlowTask *held, uint32_t waiting);
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -37,6 +37,8 @@
         !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
     worker->usable =
         worker->usable_at_need && SrFleet_IsUsable(worker, pass->now_ms);
+    worker->upkeep_in_ms =
+        worker->upkeep_ms > 0 ? worker->upkeep_ms - pass->now_ms : INT64_MAX;
     worker->free = SrFleet_Capacity(worker);
     SrResources_Add(&worker->free, &worker->allocated, -1);
     worker->held = (struct SrResources){0};
@@ -45,6 +47,7 @@
     worker->highest_rank = 0;
     worker->run_count = 0;
     worker->empty = false;
+    worker->failed_lately = SrFleet_HasFailedLately(worker, pass->now_ms);
     worker->suspect_count = 0;
     worker->known_flow = NULL;
     SR_LIST_EACH(link, &worker->runs)
@@ -330,6 +333,10 @@
         flow->rank != SR_RANK_GUARANTEED && pass->now_ms > unit.start_by_ms;
     unit.wait_until_ms = wait_until_ms(pass, &unit);
     unit.leaves_headroom = leaves_headroom(pass, &unit);
+    unit.await_until_ms = pass->now_ms + SrPlan_PreemptionMs(pass);
+    if (unit.wait_until_ms < unit.await_until_ms) {
+        unit.await_until_ms = unit.wait_until_ms;
+    }
     add_unit(pass, &unit);
 }
 
@@ -366,24 +373,31 @@
           SrPlan_CompareUnits);
 }
 
+unsigned
+SrPlan_Headroom(const struct SrEngine *engine, unsigned usable,
+                int64_t accelerators, int64_t now_ms)
+{
+    struct SrForecastNeed need =
+        SrForecast_Need(engine->forecast, 0, HEADROOM_AHEAD_MS, now_ms);
+    return accelerators > 0 ? (unsigned)(need.confidence * need.accelerators *
+                                         usable / (double)accelerators)
+                            : 0;
+}
+
 /* Sets how many empty workers are left to urgent jobs. */
 static void
 set_headroom(struct SrPlanPass *pass)
 {
-    struct SrForecastNeed need = SrForecast_Need(
-        pass->engine->forecast, 0, HEADROOM_AHEAD_MS, pass->now_ms);
-    int64_t each = 0;
+    int64_t accelerators = 0;
     unsigned usable = 0;
     for (unsigned i = 0; i < pass->worker_count; i++) {
         if (pass->workers[i]->usable) {
-            each += SrFleet_Capacity(pass->workers[i]).accelerators;
+            accelerators += SrFleet_Capacity(pass->workers[i]).accelerators;
             usable++;
         }
     }
-    if (each > 0) {
-        pass->headroom = (unsigned)(need.confidence * need.accelerators *
-                                    usable / (double)each);
-    }
+    pass->headroom =
+        SrPlan_Headroom(pass->engine, usable, accelerators, pass->now_ms);
 }
 
 void
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -282,6 +282,42 @@
     }
 }
 
+static const struct {
+    const char *row_end;
+    int expected;
+} figure_cases[] = {
+    {"", -1},      {",0", 0},           {",37", 37},       {",37.9", 37},
+    {",-1", -1},   {",1e300", -1},      {",null", -1},     {",\"37\"", -1},
+    {",[37]", -1}, {",2147483648", -1}, {",37,\"x\"", 37},
+};
+
+/* Guards against a malformed figure that makes the whole response count as
+ * none, and against an absent one that is taken for 0. */
+static void
+figures_are_optional(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(figure_cases); i++) {
+        struct SrCommandResponse response;
+        char text[128];
+        snprintf(text, sizeof(text),
+                 "{\"clock_ms\":5,\"running\":[[\"a.0.0.1\",2,\"\",41%s]]}",
+                 figure_cases[i].row_end);
+        SrPlatformCommands_Decode(
+            &(struct SrHttpResponse){
+                .sent = true,
+                .status = 200,
+                .body = (const uint8_t *)text,
+                .size = strlen(text),
+            },
+            &response);
+        assert_int_equal(response.result, SR_COMMAND_DONE);
+        assert_int_equal(response.running[0].figure, figure_cases[i].expected);
+        assert_int_equal(response.running[0].percent, 41);
+        SrPlatformCommands_FreeLists(&response);
+    }
+}
+
 /* Lengths of checkpoints; one that is longer than SR_CHECKPOINT_SIZE - 1
  * counts as absent. */
 static const size_t checkpoint_lengths[] = {0, 16, 64, 80, 256, 257, 4000};
@@ -480,6 +516,88 @@
     ev_loop_destroy(exchange.loop);
 }
 
+struct Received {
+    struct ev_loop *loop;
+    char path[64];
+    char body[256];
+};
+
+static void
+keep_request(void *context, struct SrHttpRequest *request)
+{
+    struct Received *received = context;
+    size_t size;
+    const uint8_t *body = SrHttpRequest_Body(request, &size);
+    SrUtil_Copy(received->path, sizeof(received->path),
+                SrHttpRequest_Path(request));
+    snprintf(received->body, sizeof(received->body), "%.*s", (int)size,
+             (const char *)body);
+    SrHttpRequest_Respond(request, &(struct SrHttpServerResponse){
+                                       .status = 404,
+                                       .type = "application/json",
+                                   });
+}
+
+static void
+end_pace(void *context, const struct SrCommand *command,
+         const struct SrCommandResponse *response)
+{
+    const struct Received *received = context;
+    assert_int_equal(command->kind, SR_COMMAND_PACE);
+    assert_int_equal(response->result, SR_COMMAND_INVALID);
+    ev_break(received->loop, EVBREAK_ALL);
+}
+
+/* Guards against a pace that the platform's workers do not understand. */
+static void
+a_pace_is_encoded_as_the_platform_reads_it(void **state)
+{
+    (void)state;
+    struct Received received = {.loop = ev_loop_new(EVFLAG_AUTO)};
+    struct SrHttpServer *server = NULL;
+    assert_int_equal(SrHttpServer_Create(received.loop,
+                                         &(struct SrHttpServerOptions){
+                                             .address = WORKER_ADDRESS,
+                                             .body_max = 1000,
+                                             .connections_max = 10,
+                                             .read_timeout_ms = 5000,
+                                             .handle = keep_request,
+                                             .reject = reject_request,
+                                             .context = &received,
+                                         },
+                                         &server),
+                     SR_HTTP_SERVER_OK);
+    struct SrHttpClient *http =
+        SrHttpClient_Create(&(struct SrHttpClientOptions){
+            .loop = received.loop,
+            .connections_kept = 1,
+            .shards = 1,
+        });
+    struct SrPlatformCommands *commands =
+        SrPlatformCommands_Create(http, WORKER_ADDRESS, end_pace, &received);
+    SrPlatformCommands_Send(
+        commands, &(struct SrCommand){
+                      .kind = SR_COMMAND_PACE,
+                      .worker = "w",
+                      .address = WORKER_ADDRESS,
+                      .term = 7,
+                      .timeout_ms = EXCHANGE_MS,
+                      .u.pace = {.task = "a.0.0.1", .run = 2, .percent = 40},
+                  });
+    ev_run(received.loop, 0);
+    assert_string_equal(received.path, "/sassafrasrelay/pace");
+    json_t *root = json_loads(received.body, 0, NULL);
+    json_t *expected = json_pack("{s:i,s:s,s:i,s:i}", "fencing_token", 7,
+                                 "task", "a.0.0.1", "run", 2, "percent", 40);
+    assert_true(json_equal(root, expected));
+    json_decref(root);
+    json_decref(expected);
+    SrPlatformCommands_Destroy(commands);
+    SrHttpClient_Destroy(http);
+    SrHttpServer_Destroy(server);
+    ev_loop_destroy(received.loop);
+}
+
 struct BadCatalog {
     const char *body;
     enum SrDecodeError error;
@@ -570,6 +688,49 @@
     }
 }
 
+/* Guards against parsing a body that takes many times its size, and against
+ * refusing the largest job that is legal. */
+static void
+many_values_are_refused_before_the_parse(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *start;
+        const char *text;
+        unsigned count;
+        const char *end;
+        bool accepted;
+    } rows[] = {
+        {"{\"steps\":[", "{},", 63, "{}]}", true},
+        {"{\"steps\":[{}],\"x\":[", "0,", 8000, "0]}", true},
+        {"{\"steps\":[{}],\"x\":[", "0,", 8200, "0]}", false},
+        {"{\"steps\":[", "{},", 8200, "{}]}", false},
+        {"{\"x\":", "[", 33, "", false},
+        {"{\"steps\":[{}],\"spec\":\"", "[,", 1900, "\"}", true},
+        {"{\"steps\":[{}],\"spec\":\"", "\\\"[,", 900, "\"}", true},
+    };
+    for (size_t i = 0; i < SR_LENGTH(rows); i++) {
+        const char *fault = NULL;
+        char *body = NULL;
+        size_t size = 0;
+        FILE *out = open_memstream(&body, &size);
+        fputs(rows[i].start, out);
+        for (unsigned k = 0; k < rows[i].count; k++) {
+            fputs(rows[i].text, out);
+        }
+        fputs(rows[i].end, out);
+        fclose(out);
+        Sr__FlowRecord *record = SrPlatformFront_DecodeJob(body, size, &fault);
+        print_message("%s... %s\n", rows[i].start,
+                      fault != NULL ? fault : "accepted");
+        assert_int_equal(record != NULL, rows[i].accepted);
+        assert_int_equal(fault != NULL && strstr(fault, "too many") != NULL,
+                         !rows[i].accepted);
+        SrCodec_Free(record);
+        free(body);
+    }
+}
+
 struct SettingsCase {
     const char *name;
     const char *line;
@@ -589,6 +750,10 @@
 static const struct SettingsCase settings_cases[] = {
     {"no extra line", "", SR_PLATFORM_SETTINGS_OK},
     {"fraction", "bounds.checkpoint_s=0.5\n", SR_PLATFORM_SETTINGS_OK},
+    {"interference", "bounds.interference_ms=4500\nbounds.pace_ms=100\n",
+     SR_PLATFORM_SETTINGS_OK},
+    {"bad interference", "bounds.interference_ms=soon\n",
+     SR_PLATFORM_SETTINGS_BAD_VALUE},
     {"unknown field", "new.field=1\n", SR_PLATFORM_SETTINGS_OK},
     {"no value", "zone\n", SR_PLATFORM_SETTINGS_BAD_LINE},
     {"not a number", "bounds.grace_s=six\n", SR_PLATFORM_SETTINGS_BAD_VALUE},
@@ -626,6 +791,7 @@
     assert_int_equal(load_with_line("bounds.checkpoint_s=0.5\n", &settings),
                      SR_PLATFORM_SETTINGS_OK);
     assert_int_equal(settings.checkpoint_ms, 500);
+    assert_int_equal(settings.interference_ms, 0);
     assert_int_equal(settings.grace_ms, 6000);
     assert_int_equal(settings.domain_count, 2);
     assert_string_equal(settings.metrics_address, "10.0.0.1:7000");
@@ -641,12 +807,15 @@
         cmocka_unit_test(malformed_catalogs_are_refused),
         cmocka_unit_test(job_bodies),
         cmocka_unit_test(malformed_jobs_are_refused),
+        cmocka_unit_test(many_values_are_refused_before_the_parse),
         cmocka_unit_test(settings_files),
         cmocka_unit_test(malformed_responses_count_as_none),
         cmocka_unit_test(progress_is_within_its_range),
+        cmocka_unit_test(figures_are_optional),
         cmocka_unit_test(a_checkpoint_is_whole_or_absent),
         cmocka_unit_test(full_lists_may_lack_terminated_runs),
         cmocka_unit_test(longest_run_lists_are_read),
+        cmocka_unit_test(a_pace_is_encoded_as_the_platform_reads_it),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
