Maintenance has one name outside the platform's folder

Cause: the code and the metric of waves called a machine's maintenance by the platform's word, while pages, types and comments beside them said maintenance.

Change: one name in src/, tests/ and the metric (sr_maintenance_calls); the platform's word stays in platform/ and in the note on the wire. No change of behaviour.

Checked: test_wave (7 cases), test_leader, test_plan and test_adapter pass.

--- a/src/engine_leaving.c
+++ b/src/engine_leaving.c
@@ -90,11 +90,11 @@
 SrEngine_SetLeaving(struct SrEngine *engine, const char *id, int64_t leaves_ms)
 {
     struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
-    if (worker == NULL || worker->upkeep_ms == leaves_ms) {
+    if (worker == NULL || worker->maintenance_ms == leaves_ms) {
         return;
     }
-    worker->upkeep_ms = leaves_ms;
-    worker->upkeep_handled = false;
+    worker->maintenance_ms = leaves_ms;
+    worker->maintenance_handled = false;
     engine->replan = true;
 }
 
@@ -109,7 +109,7 @@
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
         if (!run->stopping && may_end(run)) {
-            SrEngine_StopUnit(engine, run, "machine-upkeep", now_ms);
+            SrEngine_StopUnit(engine, run, "maintenance", now_ms);
             /* The stop may have released further runs of the worker, possibly
              * `link_next`, so the iteration restarts. */
             link_next = worker->runs.next;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -302,9 +302,9 @@
     bool drain_handled;
     /* When the worker is to be without runs for a maintenance of its machine;
      * 0 if it is not to (see SrEngine_SetLeaving). */
-    int64_t upkeep_ms;
-    /* The worker's runs have been checked against `upkeep_ms`. */
-    bool upkeep_handled;
+    int64_t maintenance_ms;
+    /* The worker's runs have been checked against `maintenance_ms`. */
+    bool maintenance_handled;
 
     /* When a response last listed a run that the leader does not know; 0 if
      * none did, or the response to a later poll lists none. */
@@ -334,9 +334,9 @@
     bool failed_lately;
     /* The worker is usable, and nothing is allocated or reserved on it. */
     bool empty;
-    /* Time until `upkeep_ms`, within which new work must end; INT64_MAX if
-     * there is none. */
-    int64_t upkeep_in_ms;
+    /* Time until `maintenance_ms`, within which new work must end; INT64_MAX
+     * if there is none. */
+    int64_t maintenance_in_ms;
     /* Number of runs on the worker. */
     unsigned run_count;
     /* Number of the worker's runs under whose tasks a worker has crashed. */
--- a/src/node.c
+++ b/src/node.c
@@ -388,12 +388,12 @@
 }
 
 static void
-on_upkeep_result(void *context, const char *machine, uint64_t wave,
-                 enum SrUpkeepResult result)
+on_maintenance_result(void *context, const char *machine, uint64_t wave,
+                      enum SrMaintenanceResult result)
 {
     const struct SrNode *node = context;
-    SrMetrics_Count(node->kernel->metrics, "sr_upkeep_calls", "result",
-                    SrUpkeep_ResultText(result), 1);
+    SrMetrics_Count(node->kernel->metrics, "sr_maintenance_calls", "result",
+                    SrMaintenance_ResultText(result), 1);
     if (leader_waves(node) != NULL) {
         SrWaves_OnResult(leader_waves(node), machine, wave, result,
                          SrOs_MonotonicMs());
@@ -401,7 +401,7 @@
 }
 
 static bool
-begin_upkeep(void *context, const char *machine, uint64_t wave)
+begin_maintenance(void *context, const char *machine, uint64_t wave)
 {
     const struct SrNode *node = context;
     return SrPlatformMachines_Begin(node->machines, machine, wave);
@@ -428,7 +428,7 @@
             .reads_per_s = node->settings.machine_reads_per_s,
             .on_machine = on_machine,
             .on_list = on_machine_list,
-            .on_result = on_upkeep_result,
+            .on_result = on_maintenance_result,
             .context = node,
         });
 }
@@ -456,7 +456,7 @@
             .status_table = SrPlatform_StatusTable,
             .decode_status = SrPlatform_DecodeWaveStatus,
             .encode_status = SrPlatform_EncodeWaveStatus,
-            .begin = begin_upkeep,
+            .begin = begin_maintenance,
             .read_list = read_machines,
             .context = node,
         } : NULL,
--- a/src/plan_drain.c
+++ b/src/plan_drain.c
@@ -69,10 +69,10 @@
             move_runs(engine, worker, worker->leaves_ms, "worker-leaves",
                       now_ms);
         }
-        if (worker->present && worker->upkeep_ms > 0 &&
-            !worker->upkeep_handled) {
-            worker->upkeep_handled = true;
-            move_runs(engine, worker, worker->upkeep_ms, "machine-upkeep",
+        if (worker->present && worker->maintenance_ms > 0 &&
+            !worker->maintenance_handled) {
+            worker->maintenance_handled = true;
+            move_runs(engine, worker, worker->maintenance_ms, "maintenance",
                       now_ms);
         }
     }
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -166,12 +166,12 @@
 /* Returns true unless the unit, started now, is expected to be executing when
  * the worker is to be without runs. */
 static bool
-ends_before_upkeep(const struct SrWorker *worker,
-                   const struct SrPlanUnit *unit)
+ends_before_maintenance(const struct SrWorker *worker,
+                        const struct SrPlanUnit *unit)
 {
-    return worker->upkeep_in_ms == INT64_MAX ||
+    return worker->maintenance_in_ms == INT64_MAX ||
            (!unit->step->continuous && unit->step->estimated_ms > 0 &&
-            unit->step->estimated_ms <= worker->upkeep_in_ms);
+            unit->step->estimated_ms <= worker->maintenance_in_ms);
 }
 
 static bool
@@ -181,7 +181,8 @@
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
     return usable && SrPlan_MayExecute(worker, unit) &&
-           !is_risky(worker, unit, kind) && ends_before_upkeep(worker, unit);
+           !is_risky(worker, unit, kind) &&
+           ends_before_maintenance(worker, unit);
 }
 
 unsigned
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -37,8 +37,9 @@
         !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
     worker->usable =
         worker->usable_at_need && SrFleet_IsUsable(worker, pass->now_ms);
-    worker->upkeep_in_ms =
-        worker->upkeep_ms > 0 ? worker->upkeep_ms - pass->now_ms : INT64_MAX;
+    worker->maintenance_in_ms = worker->maintenance_ms > 0
+                                    ? worker->maintenance_ms - pass->now_ms
+                                    : INT64_MAX;
     worker->free = SrFleet_Capacity(worker);
     SrResources_Add(&worker->free, &worker->allocated, -1);
     worker->held = (struct SrResources){0};
--- a/src/wave.c
+++ b/src/wave.c
@@ -134,14 +134,17 @@
 };
 
 static const char *const result_texts[] = {
-    [SR_UPKEEP_DONE] = "done",       [SR_UPKEEP_FENCED] = "fenced",
-    [SR_UPKEEP_BUSY] = "busy",       [SR_UPKEEP_NOT_IN_WAVE] = "not-in-wave",
-    [SR_UPKEEP_INVALID] = "invalid", [SR_UPKEEP_REFUSED] = "refused",
-    [SR_UPKEEP_UNKNOWN] = "unknown",
+    [SR_MAINTENANCE_DONE] = "done",
+    [SR_MAINTENANCE_FENCED] = "fenced",
+    [SR_MAINTENANCE_BUSY] = "busy",
+    [SR_MAINTENANCE_NOT_IN_WAVE] = "not-in-wave",
+    [SR_MAINTENANCE_INVALID] = "invalid",
+    [SR_MAINTENANCE_REFUSED] = "refused",
+    [SR_MAINTENANCE_UNKNOWN] = "unknown",
 };
 
 const char *
-SrUpkeep_ResultText(enum SrUpkeepResult result)
+SrMaintenance_ResultText(enum SrMaintenanceResult result)
 {
     return result_texts[result];
 }
@@ -453,8 +456,8 @@
     if (machine->seen_ms <= machine->called_ms) {
         return;
     }
-    if (machine->state == SR_MACHINE_UPKEEP) {
-        set_begun(waves, wave, machine, "upkeep", machine->seen_ms);
+    if (machine->state == SR_MACHINE_MAINTENANCE) {
+        set_begun(waves, wave, machine, "maintenance", machine->seen_ms);
     }
     else if (machine->state != SR_MACHINE_UP) {
         return;
@@ -579,7 +582,7 @@
 
 static void
 apply_result(struct SrWaves *waves, struct Wave *wave, struct Machine *machine,
-             enum SrUpkeepResult result, int64_t now_ms)
+             enum SrMaintenanceResult result, int64_t now_ms)
 {
     machine->call_in_flight = false;
     if (machine->step == STEP_BEGUN) {
@@ -587,35 +590,35 @@
         return;
     }
     switch (result) {
-    case SR_UPKEEP_DONE:
+    case SR_MAINTENANCE_DONE:
         set_begun(waves, wave, machine, "response", now_ms);
         break;
-    case SR_UPKEEP_UNKNOWN:
+    case SR_MAINTENANCE_UNKNOWN:
         machine->unanswered = true;
         machine->unanswered_ms = now_ms;
         machine->retry_ms = now_ms + RETRY_MS;
         break;
-    case SR_UPKEEP_FENCED:
+    case SR_MAINTENANCE_FENCED:
         waves->fenced = true;
         on_refused(waves, machine, now_ms);
         break;
-    case SR_UPKEEP_INVALID:
-    case SR_UPKEEP_BUSY:
-    case SR_UPKEEP_NOT_IN_WAVE:
-    case SR_UPKEEP_REFUSED:
+    case SR_MAINTENANCE_INVALID:
+    case SR_MAINTENANCE_BUSY:
+    case SR_MAINTENANCE_NOT_IN_WAVE:
+    case SR_MAINTENANCE_REFUSED:
         on_refused(waves, machine, now_ms);
         break;
     }
-    if (result != SR_UPKEEP_DONE) {
+    if (result != SR_MAINTENANCE_DONE) {
         SR_INFO("wave", "not-begun", "key=%s machine=%s result=%s",
                 wave->request->key, machine->name,
-                SrUpkeep_ResultText(result));
+                SrMaintenance_ResultText(result));
     }
 }
 
 void
 SrWaves_OnResult(struct SrWaves *waves, const char *machine, uint64_t wave,
-                 enum SrUpkeepResult result, int64_t now_ms)
+                 enum SrMaintenanceResult result, int64_t now_ms)
 {
     SR_LIST_EACH(link, &waves->waves)
     {
@@ -882,7 +885,7 @@
     for (size_t i = 0; i < wave->request->machine_count; i++) {
         const struct Machine *machine = &wave->machines[i];
         count += machine->away || (machine->step != STEP_GONE &&
-                                   machine->state == SR_MACHINE_UPKEEP)
+                                   machine->state == SR_MACHINE_MAINTENANCE)
                      ? 1
                      : 0;
     }
--- a/src/wave.h
+++ b/src/wave.h
@@ -30,7 +30,7 @@
     SR_MACHINE_UP,
     SR_MACHINE_MOVING,
     /* In its maintenance. */
-    SR_MACHINE_UPKEEP,
+    SR_MACHINE_MAINTENANCE,
     SR_MACHINE_DOWN,
 };
 
@@ -65,25 +65,25 @@
 void SrWaveRequest_Destroy(struct SrWaveRequest *request);
 
 /* Result of a call that begins a machine's maintenance. */
-enum SrUpkeepResult {
+enum SrMaintenanceResult {
     /* It has begun, now or before. */
-    SR_UPKEEP_DONE,
+    SR_MAINTENANCE_DONE,
     /* Not executed: the machine has received calls of a newer leader. */
-    SR_UPKEEP_FENCED,
+    SR_MAINTENANCE_FENCED,
     /* Not executed: the machine is handled otherwise at present. */
-    SR_UPKEEP_BUSY,
+    SR_MAINTENANCE_BUSY,
     /* Not executed: the wave does not permit it at present. */
-    SR_UPKEEP_NOT_IN_WAVE,
+    SR_MAINTENANCE_NOT_IN_WAVE,
     /* Not executed: the service takes the call for malformed. */
-    SR_UPKEEP_INVALID,
+    SR_MAINTENANCE_INVALID,
     /* Not executed: too many calls, or no connection. */
-    SR_UPKEEP_REFUSED,
+    SR_MAINTENANCE_REFUSED,
     /* May have been executed, or may be executed later. */
-    SR_UPKEEP_UNKNOWN,
+    SR_MAINTENANCE_UNKNOWN,
 };
 
 /* Returns a static name of the result, for the log and the metrics. */
-const char *SrUpkeep_ResultText(enum SrUpkeepResult result);
+const char *SrMaintenance_ResultText(enum SrMaintenanceResult result);
 
 struct SrWavesOptions {
     /* Duration of a maintenance. */
@@ -135,7 +135,7 @@
 void SrWaves_OnListRead(struct SrWaves *waves, size_t count, int64_t begun_ms);
 
 void SrWaves_OnResult(struct SrWaves *waves, const char *machine,
-                      uint64_t wave, enum SrUpkeepResult result,
+                      uint64_t wave, enum SrMaintenanceResult result,
                       int64_t now_ms);
 
 /* Makes the decisions that are due. While `may_call` is false, because this
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -1407,7 +1407,7 @@
         struct Worker *worker = &sim->workers[w];
         if (worker->running_count > 0) {
             sim->draining = worker;
-            if (drain->upkeep) {
+            if (drain->maintenance) {
                 SrEngine_SetLeaving(sim->leader.engine, worker->entry.id,
                                     sim->now_ms + drain->notice_ms);
                 continue;
@@ -1420,7 +1420,7 @@
     }
     if (sim->draining != NULL && sim->draining->alive &&
         sim->now_ms >= drain->at_ms + drain->notice_ms) {
-        if (drain->upkeep) {
+        if (drain->maintenance) {
             SrEngine_SetLeaving(sim->leader.engine, sim->draining->entry.id,
                                 0);
             return;
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -98,7 +98,7 @@
     int64_t notice_ms;
     /* The worker does not drain, but is to be without runs at that time, for a
      * maintenance that then does not take place. */
-    bool upkeep;
+    bool maintenance;
 };
 
 /* At `at_ms`, a multiple of 5, the leader and all workers that have runs are
--- a/tests/test_leader.c
+++ b/tests/test_leader.c
@@ -34,7 +34,7 @@
     struct SrCommand command;
     /* The leader has a service for machines, which executes all calls. */
     bool has_machines;
-    unsigned upkeep_calls;
+    unsigned maintenance_calls;
     bool called_unstored;
 };
 
@@ -79,13 +79,13 @@
 }
 
 static bool
-begin_upkeep(void *context, const char *machine, uint64_t wave)
+begin_maintenance(void *context, const char *machine, uint64_t wave)
 {
     struct World *world = context;
     size_t size;
     (void)machine;
     (void)wave;
-    world->upkeep_calls++;
+    world->maintenance_calls++;
     world->called_unstored =
         world->called_unstored ||
         SrMemoryRows_Value(world->memory, "status", "wave/1", &size) == NULL;
@@ -100,8 +100,8 @@
     struct SrWaves *waves = SrLeader_Waves(world->leader);
     struct SrMachine machine = {.name = "m", .state = SR_MACHINE_UP};
     int64_t now_ms = SrOs_MonotonicMs();
-    if (world->upkeep_calls > 0) {
-        SrWaves_OnResult(waves, "m", 1, SR_UPKEEP_DONE, now_ms);
+    if (world->maintenance_calls > 0) {
+        SrWaves_OnResult(waves, "m", 1, SR_MAINTENANCE_DONE, now_ms);
     }
     SrWaves_OnMachine(waves, &machine, now_ms);
     SrWaves_OnListRead(waves, 1, now_ms);
@@ -124,7 +124,7 @@
             .status_table = "status",
             .decode_status = decode_status,
             .encode_status = encode_status,
-            .begin = begin_upkeep,
+            .begin = begin_maintenance,
             .read_list = list_machines,
             .context = world,
         } : NULL,
@@ -878,13 +878,13 @@
     }
     run_for(&world, SOON_MS);
     assert_int_equal(wave_status(&world), 'c');
-    assert_int_equal(world.upkeep_calls, 1);
+    assert_int_equal(world.maintenance_calls, 1);
     assert_false(world.called_unstored);
     assert_true(is_stored(&world, SR_TABLE_PROGRESS, JOB));
     on_lost(&world);
     on_elected(&world, 2);
     run_for(&world, SOON_MS);
-    assert_int_equal(world.upkeep_calls, 1);
+    assert_int_equal(world.maintenance_calls, 1);
     end(&world);
 }
 
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -73,7 +73,7 @@
     /* The last two machines are busy until this time, and the maintenance of
      * machine 0 that someone else has begun ends at this time. */
     int64_t busy_ms;
-    int64_t other_upkeep_ms;
+    int64_t other_maintenance_ms;
     /* Maximum number of calls; 0 for any. */
     unsigned calls_max;
     /* Not completed before this time, and completed by the end of the wave's
@@ -102,7 +102,7 @@
 
 struct SimResult {
     char machine[SR_ID_SIZE];
-    enum SrUpkeepResult result;
+    enum SrMaintenanceResult result;
     int64_t due_ms;
     bool pending;
 };
@@ -201,7 +201,7 @@
     enum Fault fault =
         sim->calls < sim->c->faults ? sim->c->fault : FAULT_NONE;
     int64_t due_ms = sim->now_ms;
-    enum SrUpkeepResult code = SR_UPKEEP_UNKNOWN;
+    enum SrMaintenanceResult code = SR_MAINTENANCE_UNKNOWN;
     assert_int_equal(wave, 7);
     assert_true(sim->stored);
     assert_false(result->pending);
@@ -218,7 +218,7 @@
         sim->c->removed_ms > 0 && sim->now_ms > sim->c->removed_ms ? 1 : 0;
     switch (fault) {
     case FAULT_NONE:
-        code = SR_UPKEEP_DONE;
+        code = SR_MAINTENANCE_DONE;
         execute(sim, machine);
         break;
     case FAULT_RESPONSE_LOST:
@@ -233,16 +233,16 @@
         due_ms += CALL_TIMEOUT_MS;
         break;
     case FAULT_BUSY:
-        code = SR_UPKEEP_BUSY;
+        code = SR_MAINTENANCE_BUSY;
         break;
     case FAULT_LIMITED:
-        code = SR_UPKEEP_REFUSED;
+        code = SR_MAINTENANCE_REFUSED;
         break;
     case FAULT_NOT_IN_WAVE:
-        code = SR_UPKEEP_NOT_IN_WAVE;
+        code = SR_MAINTENANCE_NOT_IN_WAVE;
         break;
     case FAULT_FENCED:
-        code = SR_UPKEEP_FENCED;
+        code = SR_MAINTENANCE_FENCED;
         break;
     }
     *result =
@@ -350,7 +350,7 @@
     if (sim->now_ms % LIST_MS == 0) {
         for (unsigned i = 0; i < sim->c->machines; i++) {
             sim->machines[i].state = sim->machines[i].back_ms > 0
-                                         ? SR_MACHINE_UPKEEP
+                                         ? SR_MACHINE_MAINTENANCE
                                          : SR_MACHINE_UP;
         }
     }
@@ -436,7 +436,7 @@
     for (unsigned i = 0; i < c->machines; i++) {
         sim->machines[i].runs_end_ms = c->run_ms > 0 ? LIST_MS + c->run_ms : 0;
     }
-    sim->machines[0].back_ms = c->other_upkeep_ms;
+    sim->machines[0].back_ms = c->other_maintenance_ms;
     make_request(sim, c->replaced_ms > 0 ? 1 : 0);
     create_waves(sim);
     for (; sim->now_ms < SIM_MS; sim->now_ms += STEP_MS) {
@@ -474,7 +474,7 @@
      .run_ms = 140000, .held_from_ms = 3000, .held_ms = 140000,
      .earliest_ms = 140000, .late = true},
     {WAVE("a machine that someone else maintains does not count", 4, 1, 90000),
-     .other_upkeep_ms = 30000, .earliest_ms = 30000},
+     .other_maintenance_ms = 30000, .earliest_ms = 30000},
     {WAVE("machines that stay busy hold up the others", 6, 2, 90000),
      .busy_ms = 60000},
     {WAVE("a status of the replaced request counts for the new one", 6, 2,
@@ -755,7 +755,7 @@
     unsigned listed;
     size_t list_count;
     unsigned results;
-    enum SrUpkeepResult result[8];
+    enum SrMaintenanceResult result[8];
 };
 
 static void
@@ -834,7 +834,7 @@
 on_machine(void *context, const struct SrMachine *machine, int64_t sent_ms)
 {
     static const enum SrMachineState states[] = {
-        SR_MACHINE_UP, SR_MACHINE_UPKEEP, SR_MACHINE_DOWN};
+        SR_MACHINE_UP, SR_MACHINE_MAINTENANCE, SR_MACHINE_DOWN};
     struct Service *service = context;
     assert_true(sent_ms > 0);
     assert_int_equal(machine->state, states[service->listed % 3]);
@@ -852,7 +852,7 @@
 
 static void
 on_result(void *context, const char *machine, uint64_t wave,
-          enum SrUpkeepResult result)
+          enum SrMaintenanceResult result)
 {
     struct Service *service = context;
     (void)wave;
@@ -925,10 +925,11 @@
 service_is_called(void **state)
 {
     (void)state;
-    static const enum SrUpkeepResult expected[] = {
-        SR_UPKEEP_DONE,        SR_UPKEEP_FENCED,  SR_UPKEEP_BUSY,
-        SR_UPKEEP_NOT_IN_WAVE, SR_UPKEEP_INVALID, SR_UPKEEP_UNKNOWN,
-        SR_UPKEEP_REFUSED};
+    static const enum SrMaintenanceResult expected[] = {
+        SR_MAINTENANCE_DONE,    SR_MAINTENANCE_FENCED,
+        SR_MAINTENANCE_BUSY,    SR_MAINTENANCE_NOT_IN_WAVE,
+        SR_MAINTENANCE_INVALID, SR_MAINTENANCE_UNKNOWN,
+        SR_MAINTENANCE_REFUSED};
     struct Service service;
     struct SrHttpClient *http;
     int64_t end_ms = SrOs_MonotonicMs() + 10000;
