--- a/src/engine.c
+++ b/src/engine.c
@@ -12,10 +12,6 @@
  * places anything, so that most workers are usable when gangs are placed: the
  * time of two exchanges with workers in another region. */
 #define FIRST_PASS_DELAY_MS 250
-/* Time within which a restarted worker updates its entry in the store: several
- * heartbeat intervals. Until then, and for as long after the latest response,
- * an entry of an earlier incarnation is ignored. */
-#define STALE_ENTRY_MS 6000
 /* Minimum interval of placement passes. With many events a pass then handles
  * several at once. */
 #define PASS_INTERVAL_MS 12
@@ -25,24 +21,9 @@
 #define REPLAN_INTERVAL_MS 40
 /* Interval of the checks of all runs for expired leases and stalls. */
 #define CHECK_INTERVAL_MS 20
-/* A run without progress for this long, and for STALL_PERCENTS times the time
- * that a percent takes by the estimate, is stalled. The time must exceed the
- * interval between two reports of progress: on a slow worker a run may take a
- * second to progress by a percent, and a worker is polled once a second. */
-#define STALL_TIMEOUT_MS 2300
-#define STALL_PERCENTS 4
-/* The estimate may be far too low, or absent. Each stalled run of a task
- * beyond the first STALLS_BEFORE_DOUBLING doubles the time, at most
- * STALL_DOUBLINGS_MAX times. */
-#define STALLS_BEFORE_DOUBLING 1
-#define STALL_DOUBLINGS_MAX 12
 /* A new leader learns the rate of arrivals from the jobs that are younger than
  * this. */
 #define ARRIVAL_AGE_MAX_MS 8000
-/* A gang member that reports at least this progress is not considered stalled:
- * it may have done its work and be waiting for the other members. Workers
- * round percentages up. */
-#define DONE_PERCENT 99
 
 static const char *const event_texts[] = {
     [SR_ENGINE_BEGUN] = "begun",
@@ -495,93 +476,6 @@
     stop_runs(engine, flow, "cancelled", now_ms);
 }
 
-static bool
-is_other_incarnation(const struct SrWorker *worker, int64_t incarnation)
-{
-    return worker->info.incarnation != 0 && incarnation != 0 &&
-           worker->info.incarnation != incarnation;
-}
-
-/* Handles an entry that names another incarnation of the worker than the known
- * one. While a worker with runs responds, its own responses decide: the entry
- * may come from another writer, and runs that went on would be started again
- * elsewhere. */
-static void
-on_other_incarnation(struct SrEngine *engine, struct SrWorker *worker,
-                     int64_t incarnation, int64_t now_ms)
-{
-    if (SrList_IsEmpty(&worker->runs) || !worker->fenced ||
-        worker->failed_polls > 0) {
-        SrEngine_OnNewIncarnation(engine, worker, incarnation, now_ms);
-        return;
-    }
-    if (worker->restart_reported_ms == 0) {
-        SR_INFO("engine", "restart-reported", "worker=%s born=%ld known=%ld",
-                worker->info.id, (long)incarnation,
-                (long)worker->info.incarnation);
-        worker->restart_reported_ms = now_ms;
-        worker->next_quick_poll_ms = now_ms;
-    }
-}
-
-void
-SrEngine_RemoveEntry(struct SrEngine *engine, struct SrWorker *worker,
-                     int64_t now_ms)
-{
-    worker->present = false;
-    worker->entry_missing = false;
-    SR_INFO("engine", "worker-gone", "worker=%s", worker->info.id);
-    /* Runs are suspected already if the lease has expired. */
-    SrEngine_OnCrash(engine, worker, SR_CRASH_ENTRY_GONE, now_ms);
-}
-
-void
-SrEngine_SetWorker(struct SrEngine *engine, const char *id,
-                   const struct SrWorkerEntry *entry, int64_t now_ms)
-{
-    struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
-    if (entry == NULL) {
-        if (worker != NULL && worker->present &&
-            !SrEngine_KeepWithoutEntry(engine, worker, now_ms)) {
-            SrEngine_RemoveEntry(engine, worker, now_ms);
-        }
-        return;
-    }
-    if (worker == NULL) {
-        worker = SrFleet_FindOrAdd(&engine->fleet, id);
-    }
-    bool stale = is_other_incarnation(worker, entry->incarnation) &&
-                 entry->incarnation < worker->info.incarnation &&
-                 (now_ms - worker->incarnation_seen_ms < STALE_ENTRY_MS ||
-                  now_ms - worker->response_ms < STALE_ENTRY_MS);
-    if (stale) {
-        /* A newer incarnation of the worker has responded already, or still
-         * responds. */
-        return;
-    }
-    if (is_other_incarnation(worker, entry->incarnation)) {
-        on_other_incarnation(engine, worker, entry->incarnation, now_ms);
-    }
-    if (entry->draining && !worker->info.draining) {
-        worker->leaves_ms = now_ms + entry->remaining_ms;
-        worker->drain_handled = false;
-        SR_INFO("engine", "worker-draining", "worker=%s remaining-ms=%ld", id,
-                (long)entry->remaining_ms);
-    }
-    if (!worker->present) {
-        SR_INFO("engine", "worker-seen", "worker=%s domain=%s rack=%s", id,
-                entry->domain, entry->rack);
-    }
-    int64_t incarnation = worker->info.incarnation;
-    SrFleet_SetInfo(&engine->fleet, worker, entry);
-    if (entry->incarnation == 0 || worker->restart_reported_ms != 0) {
-        /* The entry names no incarnation, or one that is not confirmed. */
-        worker->info.incarnation = incarnation;
-    }
-    worker->present = true;
-    worker->entry_missing = false;
-}
-
 /* Marks the flow as completed once all of its tasks are done. */
 static void
 complete_if_done(struct SrEngine *engine, struct SrFlow *flow, int64_t now_ms)
@@ -619,10 +513,9 @@
     stop_runs(engine, flow, "job-failed", now_ms);
 }
 
-/* Counts the failure or stall of a run of the job against the worker, unless
- * the job is the likelier cause. */
-static void
-blame_worker(struct SrFlow *flow, struct SrWorker *worker, int64_t now_ms)
+void
+SrEngine_BlameWorker(struct SrFlow *flow, struct SrWorker *worker,
+                     int64_t now_ms)
 {
     if (SrFlow_BlameWorker(flow, worker->info.id)) {
         SrFleet_RecordFailure(worker, now_ms);
@@ -634,7 +527,7 @@
                struct SrWorker *worker, uint32_t number, int64_t now_ms)
 {
     SrUtil_Copy(task->failed_on, sizeof(task->failed_on), worker->info.id);
-    blame_worker(task->flow, worker, now_ms);
+    SrEngine_BlameWorker(task->flow, worker, now_ms);
     if (SrFlow_RecordFailure(task, number)) {
         SrEngine_FailFlow(engine, task->flow, task, now_ms);
     }
@@ -815,152 +708,6 @@
     }
 }
 
-/* Ends the runs of workers whose lease has expired, and removes the workers
- * that have neither runs, unacknowledged starts nor an entry in the store. */
-static void
-end_runs_without_lease(struct SrEngine *engine, int64_t now_ms)
-{
-    SR_LIST_EACH_SAFE(link, &engine->fleet.workers)
-    {
-        struct SrWorker *worker = SR_CONTAINER(link, struct SrWorker, link);
-        bool expired = SrFleet_IsLeaseExpired(&engine->fleet, worker, now_ms);
-        /* An unknown run has begun a lease of its own. */
-        if (expired && now_ms - worker->unknown_runs_ms >
-                           SrFleet_LeaseExpiryMs(engine->fleet.lease_max_ms)) {
-            SrEngine_ClearUnknownRuns(engine, worker);
-        }
-        SrEngine_ExpireSuspects(worker, now_ms);
-        if (SrList_IsEmpty(&worker->runs)) {
-            /* Unacknowledged starts and counted crashes are remembered, since
-             * the worker may return. */
-            if (!worker->present && SrList_IsEmpty(&worker->suspects) &&
-                !worker->poll_in_flight && !worker->quick_poll_in_flight &&
-                SrList_IsEmpty(&worker->unacked_starts) &&
-                SrList_IsEmpty(&worker->unknown_runs)) {
-                SrFleet_Remove(&engine->fleet, worker);
-            }
-            continue;
-        }
-        if (!expired) {
-            continue;
-        }
-        SR_WARN("engine", "lease-out",
-                "worker=%s answered-to-this-leader=%d granted-by=%s "
-                "lease-ms-ago=%ld",
-                worker->info.id, worker->response_ms != 0,
-                worker->grant_inherited ? "former-leader" : "this-leader",
-                (long)(now_ms - worker->granted_ms));
-        worker->fenced = false;
-        SR_LIST_EACH(run_link, &worker->runs)
-        {
-            SrEngine_SuspectRun(SR_CONTAINER(run_link, struct SrRun, link));
-        }
-        while (!SrList_IsEmpty(&worker->runs)) {
-            SrEngine_EndRun(
-                engine, SR_CONTAINER(worker->runs.next, struct SrRun, link),
-                SR_RUN_LAPSED, "", now_ms);
-        }
-        if (!worker->present) {
-            SrEngine_OnCrash(engine, worker, SR_CRASH_LEASE_EXPIRED, now_ms);
-        }
-    }
-}
-
-static void
-mark_runs_dirty(struct SrEngine *engine, struct SrWorker *worker)
-{
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        SrEngine_MarkDirty(engine,
-                           SR_CONTAINER(link, struct SrRun, link)->task->flow);
-    }
-}
-
-void
-SrEngine_StoreLeaseGrant(struct SrEngine *engine, struct SrWorker *worker)
-{
-    if (worker->grant_stored || worker->grant_clear_change != 0 ||
-        SrList_IsEmpty(&worker->runs)) {
-        return;
-    }
-    worker->grant_stored = true;
-    mark_runs_dirty(engine, worker);
-}
-
-void
-SrEngine_ClearLeaseGrant(struct SrEngine *engine, struct SrWorker *worker)
-{
-    if (!worker->grant_stored) {
-        return;
-    }
-    worker->grant_stored = false;
-    mark_runs_dirty(engine, worker);
-    worker->grant_clear_change = engine->latest_change;
-}
-
-static int64_t
-stall_timeout_ms(const struct SrRun *run)
-{
-    int64_t timeout_ms =
-        STALL_PERCENTS * (int64_t)run->step->estimated_ms / 100;
-    uint32_t doublings = run->task->stalls > STALLS_BEFORE_DOUBLING
-                             ? run->task->stalls - STALLS_BEFORE_DOUBLING
-                             : 0;
-    if (timeout_ms < STALL_TIMEOUT_MS) {
-        timeout_ms = STALL_TIMEOUT_MS;
-    }
-    return timeout_ms << (doublings < STALL_DOUBLINGS_MAX
-                              ? doublings
-                              : STALL_DOUBLINGS_MAX);
-}
-
-/* Returns true if the run makes no progress although nothing keeps it waiting.
- * A member of a gang is not stalled while it waits for other members to start,
- * or once it has done its work. */
-static bool
-is_stalled(const struct SrRun *run)
-{
-    const Sr__FlowStep *step = SrFlow_StepOf(run->task);
-    if (run->state != SR_RUNSTATE_STARTED || run->stopping ||
-        step->continuous ||
-        run->worker->response_ms - run->progress_ms < stall_timeout_ms(run)) {
-        return false;
-    }
-    if (!step->gang) {
-        return true;
-    }
-    const struct SrFlowTask *first = SrFlow_StepTasks(
-        run->task->flow, run->task->occurrence, run->task->step);
-    for (uint32_t i = 0; i < step->count; i++) {
-        if (first[i].active_run == NULL ||
-            first[i].active_run->state != SR_RUNSTATE_STARTED) {
-            return false;
-        }
-    }
-    return run->percent < DONE_PERCENT;
-}
-
-static void
-stop_stalled_runs(struct SrEngine *engine, int64_t now_ms)
-{
-    SR_LIST_EACH(worker_link, &engine->fleet.workers)
-    {
-        struct SrWorker *worker =
-            SR_CONTAINER(worker_link, struct SrWorker, link);
-        SR_LIST_EACH_SAFE(link, &worker->runs)
-        {
-            struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-            if (is_stalled(run)) {
-                /* Further stalls are rather due to the estimate. */
-                if (run->task->stalls++ == 0) {
-                    blame_worker(run->task->flow, worker, now_ms);
-                }
-                SrEngine_StopRun(engine, run, "stands-still", now_ms);
-            }
-        }
-    }
-}
-
 /* Updates which results, and which removals of lease grants, have been written
  * to the store: all those whose change is older than the oldest unwritten
  * change of any flow. */
@@ -1019,8 +766,8 @@
     if (now_ms - engine->last_check_ms >= CHECK_INTERVAL_MS) {
         engine->last_check_ms = now_ms;
         SrEngine_CheckOutage(engine, now_ms);
-        end_runs_without_lease(engine, now_ms);
-        stop_stalled_runs(engine, now_ms);
+        SrEngine_EndRunsWithoutLease(engine, now_ms);
+        SrEngine_StopStalledRuns(engine, now_ms);
     }
     SrInterference_Expire(&engine->interference, now_ms);
     if (writable) {
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -297,6 +297,18 @@
 /* Marks the workers as gone that are kept without an entry and no longer
  * respond, or whose entry is not back in time. */
 void SrEngine_CheckOutage(struct SrEngine *engine, int64_t now_ms);
+
+/* Counts the failure or stall of a run of the job against the worker, unless
+ * the job is the likelier cause. */
+void SrEngine_BlameWorker(struct SrFlow *flow, struct SrWorker *worker,
+                          int64_t now_ms);
+
+/* Ends the runs of workers whose lease has expired, and removes the workers
+ * that have neither runs, unacknowledged starts nor an entry in the store. */
+void SrEngine_EndRunsWithoutLease(struct SrEngine *engine, int64_t now_ms);
+
+/* Stops the runs that make no progress. */
+void SrEngine_StopStalledRuns(struct SrEngine *engine, int64_t now_ms);
 /* Size of the buffer for an image that has no name. */
 #define SR_ENGINE_IMAGE_SIZE (SR_ID_SIZE + 16)
 
