Preemption limit: one name for it in code, row and log

No change of behaviour.

Checked: test_claims, test_plan, test_succession, test_starts, test_stops, test_leases and test_outage pass.

--- a/src/engine_store.c
+++ b/src/engine_store.c
@@ -56,7 +56,7 @@
     Sr__FlowTask **pointers = SrUtil_Calloc(count, sizeof(Sr__FlowTask *));
     progress.status = flow->status;
     progress.begun = flow->begun;
-    progress.yields = flow->yields.count;
+    progress.preemptions = flow->preemptions.count;
     if (flow->begun && !flow->unstorable) {
         for (size_t i = 0; i < count; i++) {
             pointers[i] = pack_task(engine, &flow->tasks[i], &tasks[i]);
--- a/src/flow.c
+++ b/src/flow.c
@@ -180,7 +180,7 @@
     }
     flow->status = progress->status;
     flow->begun = progress->begun;
-    flow->yields.count = progress->yields;
+    flow->preemptions.count = progress->preemptions;
     flow->stored_parts = progress->parts;
     for (size_t i = 0; i < progress->n_tasks; i++) {
         const Sr__FlowTask *from = progress->tasks[i];
--- a/src/flow.h
+++ b/src/flow.h
@@ -15,7 +15,7 @@
 #include "list.h"
 #include "map.h"
 #include "util.h"
-#include "yield_limit.h"
+#include "preemption_limit.h"
 
 /* Size of a task's name, ID.OCCURRENCE.STEP.INDEX, with the terminating zero,
  * bytes. */
@@ -171,7 +171,7 @@
      * the job's runs has been allocated since. */
     bool has_preempted;
     /* The jobs for which runs of this job were preempted. */
-    struct SrYields yields;
+    struct SrPreemptions preemptions;
     /* When a run of the job was last found to be executing, or the job could
      * not run yet, ms of the monotonic clock; 0 before the first check. */
     int64_t active_ms;
--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -1070,12 +1070,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "yields",
+    "preemptions",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Sr__FlowProgress, yields),
+    offsetof(Sr__FlowProgress, preemptions),
     NULL,
     NULL,
     0,             /* flags */
@@ -1087,9 +1087,9 @@
   3,   /* field[3] = ended_ms */
   5,   /* field[5] = first_task */
   4,   /* field[4] = parts */
+  6,   /* field[6] = preemptions */
   0,   /* field[0] = status */
   1,   /* field[1] = tasks */
-  6,   /* field[6] = yields */
 };
 static const ProtobufCIntRange sr__flow_progress__number_ranges[1 + 1] =
 {
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -283,7 +283,7 @@
   /*
    * Number of different jobs for which the job was preempted.
    */
-  uint32_t yields;
+  uint32_t preemptions;
 };
 #define SR__FLOW_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_progress__descriptor) \
--- a/src/plan.c
+++ b/src/plan.c
@@ -127,15 +127,15 @@
     struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
     struct SrFlow *flow = run->task->flow;
     struct SrResources demand = run->demand;
-    if (SrYieldLimit_Count(&flow->yields, unit->flow->id)) {
+    if (SrPreemptionLimit_Count(&flow->preemptions, unit->flow->id)) {
         SrEngine_MarkDirty(pass->engine, flow);
     }
     SR_INFO("plan", "yield",
             "id=%s step=%u run=%u rank=%u to=%s to-rank=%u lost-core-s=%ld "
-            "yields=%u",
+            "preemptions=%u",
             flow->id, run->task->step, run->number, flow->rank, unit->flow->id,
             unit->flow->rank, (long)SrPlan_StopCost(pass, run),
-            flow->yields.count);
+            flow->preemptions.count);
     SrPlan_ForgetMisses(pass);
     for (uint32_t i = 0; i < count; i++) {
         struct SrRun *member = first[i].active_run;
@@ -221,8 +221,8 @@
 preempt_beyond_limit(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
                      bool prefers_rack)
 {
-    struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
-    if (!exceeding.exceeds_yield_limit || !may_reserve_urgent(pass)) {
+    struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(unit);
+    if (!exceeding.exceeds_preemption_limit || !may_reserve_urgent(pass)) {
         return false;
     }
     return (prefers_rack &&
@@ -484,7 +484,7 @@
         worker = preempt_for_task(pass, unit, task);
     }
     if (worker == NULL && unit->flow->rank == SR_RANK_GUARANTEED) {
-        struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+        struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(unit);
         worker = preempt_for_task(pass, &exceeding, task);
     }
     return worker;
--- a/src/plan_accounts.c
+++ b/src/plan_accounts.c
@@ -134,7 +134,7 @@
                tasks) {
         struct SrRun *run = cheapest_run_of(pass, account, unit);
         if (run == NULL) {
-            struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(unit);
+            struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(unit);
             run = cheapest_run_of(pass, account, &exceeding);
         }
         if (run == NULL) {
--- a/src/plan_claim.c
+++ b/src/plan_claim.c
@@ -274,9 +274,9 @@
     if (pass->now_ms - claim->renewed_ms >= SR_CLAIM_MAX_MS) {
         return "overdue";
     }
-    struct SrPlanUnit exceeding = SrPlan_ExceedYieldLimit(&waiting);
+    struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(&waiting);
     return preempt_remaining(pass, &waiting) ||
-                   (exceeding.exceeds_yield_limit &&
+                   (exceeding.exceeds_preemption_limit &&
                     preempt_remaining(pass, &exceeding))
                ? NULL
                : "no-capacity";
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -279,7 +279,7 @@
 static uint32_t
 preemption_rank(const struct SrPlanUnit *unit)
 {
-    return unit->exceeds_yield_limit ? 0 : unit->flow->rank + 1;
+    return unit->exceeds_preemption_limit ? 0 : unit->flow->rank + 1;
 }
 
 static struct SrPlanMiss
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -141,8 +141,8 @@
     bool leaves_headroom;
     /* One more failure of a task of the unit fails the job. */
     bool last_attempt;
-    /* Jobs may be preempted for the unit beyond SR_YIELDS_MAX. */
-    bool exceeds_yield_limit;
+    /* Jobs may be preempted for the unit beyond SR_PREEMPTIONS_MAX. */
+    bool exceeds_preemption_limit;
     /* When the leader first found the step ready to run. */
     int64_t ready_ms;
     /* Latest start of the job's first step that meets the job's objective for
@@ -249,7 +249,7 @@
 
 /* Returns the unit with the permission to exceed the preemption limit, which
  * guaranteed work has that finds no other capacity. */
-struct SrPlanUnit SrPlan_ExceedYieldLimit(const struct SrPlanUnit *unit);
+struct SrPlanUnit SrPlan_ExceedPreemptionLimit(const struct SrPlanUnit *unit);
 
 /* Returns true if the unit may preempt the run. Tasks that last are preempted
  * for guaranteed work only, and only as many at a time as their step allows to
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -62,10 +62,11 @@
 }
 
 struct SrPlanUnit
-SrPlan_ExceedYieldLimit(const struct SrPlanUnit *unit)
+SrPlan_ExceedPreemptionLimit(const struct SrPlanUnit *unit)
 {
     struct SrPlanUnit exceeding = *unit;
-    exceeding.exceeds_yield_limit = unit->flow->rank == SR_RANK_GUARANTEED;
+    exceeding.exceeds_preemption_limit =
+        unit->flow->rank == SR_RANK_GUARANTEED;
     return exceeding;
 }
 
@@ -76,8 +77,8 @@
     if (run->stopping || flow->rank <= unit->flow->rank) {
         return false;
     }
-    if (!unit->exceeds_yield_limit &&
-        !SrYieldLimit_Allows(&flow->yields, unit->flow->id)) {
+    if (!unit->exceeds_preemption_limit &&
+        !SrPreemptionLimit_Allows(&flow->preemptions, unit->flow->id)) {
         return false;
     }
     return !run->step->continuous ||
@@ -259,8 +260,8 @@
             is_awaited(run, unit)) {
             continue;
         }
-        bool allowed =
-            SrYieldLimit_Allows(&run->task->flow->yields, unit->flow->id);
+        bool allowed = SrPreemptionLimit_Allows(&run->task->flow->preemptions,
+                                                unit->flow->id);
         int64_t cost = SrPlan_StopCost(choice->pass, run);
         int64_t freed = accelerators_freed(choice, run, lacking);
         int64_t difference = cost * best_freed - best_cost * freed;
--- a/src/yield_limit.h
+++ b/src/preemption_limit.h
@@ -2,8 +2,8 @@
  *
  * Addresses bursts of urgent gangs on a full pool, during which the same job
  * was preempted for up to 17 jobs. Holds state only. */
-#ifndef SR_YIELD_LIMIT_H
-#define SR_YIELD_LIMIT_H
+#ifndef SR_PREEMPTION_LIMIT_H
+#define SR_PREEMPTION_LIMIT_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -12,28 +12,31 @@
 
 /* Maximum number of different jobs for which a job is preempted, unless
  * guaranteed work finds no other capacity. */
-#define SR_YIELDS_MAX 3
+#define SR_PREEMPTIONS_MAX 3
 
 /* The jobs for which a job was preempted. */
-struct SrYields {
+struct SrPreemptions {
     /* Number of these jobs, under all leaders. */
     uint32_t count;
     /* Ids of the latest of them, as far as this leader knows; empty if there
      * are fewer. */
-    char jobs[SR_YIELDS_MAX][SR_ID_SIZE];
+    char jobs[SR_PREEMPTIONS_MAX][SR_ID_SIZE];
     /* Index of the id that is replaced next. */
     uint32_t next;
 };
 
 /* Returns true if the job was preempted for the given job under this leader,
- * and for fewer than SR_YIELDS_MAX others since. */
-bool SrYieldLimit_IsCounted(const struct SrYields *yields, const char *job);
+ * and for fewer than SR_PREEMPTIONS_MAX others since. */
+bool SrPreemptionLimit_IsCounted(const struct SrPreemptions *preemptions,
+                                 const char *job);
 
 /* Returns true if a preemption for the given job keeps to the limit. */
-bool SrYieldLimit_Allows(const struct SrYields *yields, const char *job);
+bool SrPreemptionLimit_Allows(const struct SrPreemptions *preemptions,
+                              const char *job);
 
 /* Counts a preemption for the given job. Returns true if the number of jobs
  * changes, which must then be stored. */
-bool SrYieldLimit_Count(struct SrYields *yields, const char *job);
+bool SrPreemptionLimit_Count(struct SrPreemptions *preemptions,
+                             const char *job);
 
 #endif
