Constants name their units: throttle, forecast, waves

Cause: shares in percent and permille, and a time constant called memory, could be taken for other quantities.

Change: names with units; no change of behaviour. Checked: test_throttle, test_forecast and test_wave pass.

--- a/src/forecast.c
+++ b/src/forecast.c
@@ -9,7 +9,7 @@
 /* Time constant of the weights of past arrivals, ms: long enough to span the
  * gaps between the jobs of one account, short enough to follow a burst of a
  * few seconds. */
-#define MEMORY_MS 4000.0
+#define DECAY_MS 4000.0
 /* Observations after which the confidence is 1 - 1/e. */
 #define CONFIDENT_COUNT 8.0
 
@@ -48,7 +48,7 @@
 static double
 decay(int64_t then_ms, int64_t now_ms)
 {
-    return now_ms > then_ms ? exp((double)(then_ms - now_ms) / MEMORY_MS) : 1;
+    return now_ms > then_ms ? exp((double)(then_ms - now_ms) / DECAY_MS) : 1;
 }
 
 /* Returns the class of the queue and account, replacing the one that has been
@@ -110,7 +110,7 @@
         }
     }
     return (struct SrForecastNeed){
-        .accelerators = accelerators * (double)ahead_ms / MEMORY_MS,
+        .accelerators = accelerators * (double)ahead_ms / DECAY_MS,
         .confidence = 1 - exp(-(double)observed / CONFIDENT_COUNT),
     };
 }
--- a/src/throttle.c
+++ b/src/throttle.c
@@ -2,19 +2,20 @@
 
 #include <stdbool.h>
 
-/* The share is raised while the response times are below RELEASE_BELOW, and
- * more slowly while they are below SLOW_RELEASE_BELOW; the band from there up
- * to the target keeps a step from exceeding it. */
-#define RELEASE_BELOW 800
-#define SLOW_RELEASE_BELOW 900
+/* The share is raised while the response times are below
+ * RELEASE_BELOW_PERMILLE, and more slowly while they are below
+ * SLOW_RELEASE_BELOW_PERMILLE; the band from there up to the target keeps a
+ * step from exceeding it. */
+#define RELEASE_BELOW_PERMILLE 800
+#define SLOW_RELEASE_BELOW_PERMILLE 900
 /* Steps by which the share is raised, percent, and time between them, ms: at
  * least two reports and the time until a change shows in them. */
-#define RELEASE_STEP 10
-#define SLOW_RELEASE_STEP 5
+#define RELEASE_STEP_PERCENT 10
+#define SLOW_RELEASE_STEP_PERCENT 5
 #define RELEASE_INTERVAL_MS 2000
 #define SLOW_RELEASE_INTERVAL_MS 8000
 /* Share of a new leader whose first figures are near the target. */
-#define ADOPTED_SHARE 50
+#define ADOPTED_PERCENT 50
 /* Time that a change needs, beyond its delay, to show in a figure: that of the
  * figure (500 ms) and of the response (300 ms). */
 #define SETTLE_MS 800
@@ -47,8 +48,8 @@
 void
 SrThrottle_Adopt(struct SrThrottle *throttle, int permille, int64_t now_ms)
 {
-    if (permille >= RELEASE_BELOW) {
-        set_share(throttle, ADOPTED_SHARE, now_ms);
+    if (permille >= RELEASE_BELOW_PERMILLE) {
+        set_share(throttle, ADOPTED_PERCENT, now_ms);
     }
 }
 
@@ -56,9 +57,9 @@
 static void
 lower_ceiling(struct SrThrottle *throttle, int64_t now_ms)
 {
-    bool again = throttle->share > throttle->ceiling - RELEASE_STEP &&
+    bool again = throttle->share > throttle->ceiling - RELEASE_STEP_PERCENT &&
                  throttle->ceiling < SR_THROTTLE_FULL;
-    int ceiling = throttle->share - RELEASE_STEP;
+    int ceiling = throttle->share - RELEASE_STEP_PERCENT;
     throttle->ceiling = ceiling > 0 ? ceiling : 0;
     if (again && throttle->ceiling_wait_ms < CEILING_WAIT_MAX_MS) {
         throttle->ceiling_wait_ms *= 2;
@@ -95,7 +96,7 @@
 static void
 release(struct SrThrottle *throttle, int permille, int64_t now_ms)
 {
-    bool slowly = permille >= RELEASE_BELOW;
+    bool slowly = permille >= RELEASE_BELOW_PERMILLE;
     int64_t interval_ms =
         slowly ? SLOW_RELEASE_INTERVAL_MS : RELEASE_INTERVAL_MS;
 
@@ -107,7 +108,8 @@
         now_ms - throttle->changed_ms < interval_ms) {
         return;
     }
-    int share = throttle->share + (slowly ? SLOW_RELEASE_STEP : RELEASE_STEP);
+    int share = throttle->share +
+                (slowly ? SLOW_RELEASE_STEP_PERCENT : RELEASE_STEP_PERCENT);
     share = share < SR_THROTTLE_FULL ? share : SR_THROTTLE_FULL;
     if (share > throttle->ceiling) {
         if (now_ms < throttle->ceiling_until_ms) {
@@ -135,7 +137,7 @@
         return;
     }
     throttle->over_since_ms = 0;
-    if (permille >= SLOW_RELEASE_BELOW) {
+    if (permille >= SLOW_RELEASE_BELOW_PERMILLE) {
         throttle->low_since_ms = 0;
         return;
     }
--- a/src/wave.c
+++ b/src/wave.c
@@ -19,9 +19,9 @@
 /* Time from the end of a worker's last run to the call, besides the time to
  * stop a run. */
 #define ROUND_OVERHEAD_MS 1000
-/* Share of the wave's duration, 1/DURATION_MARGIN, that is kept in reserve for
- * changes of leaders and calls without a response. */
-#define DURATION_MARGIN 10
+/* Share of the wave's duration, 1/DURATION_MARGIN_DIVISOR, that is kept in
+ * reserve for changes of leaders and calls without a response. */
+#define DURATION_MARGIN_DIVISOR 10
 /* Default of `notice_ms`. */
 #define NOTICE_MS 6500
 /* Pause after a machine has lost its turn, and the number of refused calls
@@ -637,7 +637,7 @@
 {
     int64_t duration_ms = wave->request->duration_ms;
     return wave->request->seen_ms + duration_ms -
-           duration_ms / DURATION_MARGIN;
+           duration_ms / DURATION_MARGIN_DIVISOR;
 }
 
 static bool
