A job has begun once a worker has executed a run of it

Cause: the placement pass set the job's `begun` when it allocated room, before any command was sent, and nothing took that back when the start was refused, got no response or was never sent. The same flag had a second use, for which allocation is right: that the stored progress contains the tasks. The next leader read it from the row, so the number stayed wrong under it as well.

Change: `allocated` and `begun` are two things. A job has begun once a worker has acknowledged a start of it or lists a run as running or terminated, whether the leader knows that run or not; flow.h says it, and the number of waiting jobs, the status, the two metrics, the wait for a rack under a new leader and the stored progress go by it. The row has a new field for it. Rows of earlier versions do not have it: such a job counts as begun if the progress of a task shows a run, and otherwise once a worker lists one. Earlier versions find in a new row what they need to know the outstanding runs. The log line `engine begun` says by what sign.

--- a/src/engine.c
+++ b/src/engine.c
@@ -185,17 +185,49 @@
                               : SR_FLOW_NOT_FOUND;
 }
 
+bool
+SrEngine_HasUrgentChange(const struct SrFlow *flow)
+{
+    return flow->latest_urgent_change > flow->written_change;
+}
+
 void
-SrEngine_MarkDirty(struct SrEngine *engine, struct SrFlow *flow)
+SrEngine_DeferWrite(struct SrEngine *engine, struct SrFlow *flow)
 {
-    engine->replan = true;
     flow->latest_change = ++engine->latest_change;
     if (SrList_IsEmpty(&flow->dirty)) {
-        flow->oldest_unwritten_change = flow->latest_change;
         SrList_Append(&engine->dirty, &flow->dirty);
     }
 }
 
+void
+SrEngine_MarkDirty(struct SrEngine *engine, struct SrFlow *flow)
+{
+    bool is_first =
+        SrList_IsEmpty(&flow->dirty) || !SrEngine_HasUrgentChange(flow);
+    engine->replan = true;
+    SrEngine_DeferWrite(engine, flow);
+    flow->latest_urgent_change = flow->latest_change;
+    if (is_first) {
+        flow->oldest_unwritten_change = flow->latest_change;
+    }
+}
+
+void
+SrEngine_SetBegun(struct SrEngine *engine, struct SrFlow *flow,
+                  const char *worker, const char *sign, int64_t now_ms)
+{
+    if (flow->begun || SrFlow_HasEnded(flow)) {
+        return;
+    }
+    SrFlow_SetBegun(flow);
+    SrEngine_DeferWrite(engine, flow);
+    SrEngine_Observe(engine, SR_ENGINE_BEGUN, flow, now_ms - flow->arrived_ms);
+    SR_INFO("engine", "begun", "id=%s queue=%s worker=%s sign=%s after-ms=%ld",
+            flow->id, flow->record->queue, worker, sign,
+            (long)(now_ms - flow->arrived_ms));
+}
+
 struct SrFlow *
 SrEngine_FindFlow(const struct SrEngine *engine, const char *id)
 {
@@ -382,6 +414,9 @@
                  SrFlow_ErrorText(error));
         return false;
     }
+    if (flow->status != progress->status) {
+        SrEngine_DeferWrite(engine, flow);
+    }
     inherit_runs(engine, flow, progress, now_ms);
     flow->cancelled = flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
     if (SrFlow_HasEnded(flow)) {
@@ -718,7 +753,8 @@
     SR_LIST_EACH(link, &engine->dirty)
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, dirty);
-        if (flow->oldest_unwritten_change < oldest) {
+        if (SrEngine_HasUrgentChange(flow) &&
+            flow->oldest_unwritten_change < oldest) {
             oldest = flow->oldest_unwritten_change;
         }
     }
@@ -799,7 +835,7 @@
     SR_LIST_EACH(link, &engine->flows)
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
-        if (flow->begun || SrFlow_HasEnded(flow)) {
+        if (!SrFlow_IsWaiting(flow)) {
             continue;
         }
         SrEngine_LookUp(engine->catalog, flow);
@@ -833,7 +869,7 @@
         const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
         stats.flows++;
         stats.running += flow->outstanding;
-        stats.waiting += !flow->begun && !SrFlow_HasEnded(flow) ? 1 : 0;
+        stats.waiting += SrFlow_IsWaiting(flow) ? 1 : 0;
     }
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
--- a/src/engine.h
+++ b/src/engine.h
@@ -29,7 +29,7 @@
 
 /* Events that are reported to `observe`, each with a duration. */
 enum SrEngineEvent {
-    /* The first run of a job was allocated; time since the job arrived. */
+    /* The job has begun (see struct SrFlow); time since it arrived. */
     SR_ENGINE_BEGUN,
     /* The job completed or failed; time since the job arrived. Not reported
      * for a cancelled job. */
@@ -198,6 +198,11 @@
                             struct SrEngineChange *changes, size_t rows_max);
 void SrEngine_OnWritten(struct SrEngine *engine, const char *id,
                         uint64_t change);
+
+/* Returns true if there are changes for which a batch must be written at once.
+ * SrEngine_TakeChanges may return others: they are written with the next
+ * batch, which the leader writes to renew its leadership if for nothing else.
+ */
 bool SrEngine_HasChanges(const struct SrEngine *engine);
 
 /* Reports that the store rejects the job's progress, so that no state of its
@@ -227,8 +232,7 @@
 bool SrEngine_IsFenced(const struct SrEngine *engine);
 
 /* Sets `counts`, one for each queue of the catalog in force, to the number of
- * the queue's jobs that have not ended and of which no run has been allocated
- * yet. */
+ * the queue's jobs that have neither begun nor ended. */
 void SrEngine_CountWaiting(struct SrEngine *engine, unsigned *counts);
 
 struct SrEngineStats {
@@ -239,7 +243,7 @@
     unsigned flows;
     /* Outstanding runs. */
     unsigned running;
-    /* Jobs that have not ended and of which no run has been allocated yet. */
+    /* Jobs that have neither begun nor ended. */
     unsigned waiting;
     /* Workers that get new work and have no runs, and how many of them long
      * work of lower priority leaves to expected urgent jobs. */
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -209,6 +209,18 @@
            (known == NULL || strcmp(known, report->checkpoint) != 0);
 }
 
+/* Records that the worker has executed a run of the task, by its list or its
+ * acknowledgement of a start, whether the leader knows the run or not. */
+static void
+note_executed(struct SrEngine *engine, const struct SrWorker *worker,
+              const char *name, const char *sign, int64_t now_ms)
+{
+    const struct SrFlowTask *task = SrEngine_FindTask(engine, name);
+    if (task != NULL) {
+        SrEngine_SetBegun(engine, task->flow, worker->info.id, sign, now_ms);
+    }
+}
+
 /* Returns false if the leader does not know the run, which is then stopped. */
 static bool
 update_running(struct SrEngine *engine, struct SrWorker *worker,
@@ -217,10 +229,13 @@
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
+        note_executed(engine, worker, report->task, "listed", now_ms);
         remember_unknown_run(engine, worker, report->task);
         stop_unknown(engine, worker, report, now_ms);
         return false;
     }
+    SrEngine_SetBegun(engine, run->task->flow, worker->info.id, "listed",
+                      now_ms);
     run->listed_by_poll = engine->poll_number;
     run->figure = report->figure;
     if (run->state != SR_RUNSTATE_STARTED) {
@@ -280,6 +295,7 @@
                const struct SrTerminatedReport *report, int64_t now_ms)
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
+    note_executed(engine, worker, report->task, "terminated", now_ms);
     if (run == NULL) {
         SR_INFO("engine", "end-of-unknown-run",
                 "worker=%s task=%s run=%u how=%s", worker->info.id,
@@ -646,6 +662,10 @@
     if (response->result == SR_COMMAND_NO_RESPONSE) {
         remember_unacked_start(engine, worker, run, command, now_ms);
     }
+    if (response->result == SR_COMMAND_DONE) {
+        note_executed(engine, worker, command->u.start.task, "acknowledged",
+                      now_ms);
+    }
     if (run == NULL) {
         forget_start_in_flight(engine, worker, command, response, now_ms);
         return;
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -135,9 +135,23 @@
 void SrEngine_Observe(const struct SrEngine *engine, enum SrEngineEvent event,
                       const struct SrFlow *flow, int64_t ms);
 
-/* Marks the flow's progress as changed, so that it is written. */
+/* Marks the flow's progress as changed, so that it is written at once. */
 void SrEngine_MarkDirty(struct SrEngine *engine, struct SrFlow *flow);
 
+/* Marks the flow's progress as changed, so that it is written with the next
+ * batch, but no batch is written for it alone. For changes that no command
+ * waits for. */
+void SrEngine_DeferWrite(struct SrEngine *engine, struct SrFlow *flow);
+
+/* Returns true if a change of the flow's progress that is not deferred is not
+ * written yet. */
+bool SrEngine_HasUrgentChange(const struct SrFlow *flow);
+
+/* Records that the job has begun, unless it had: the worker has executed a run
+ * of it. `sign` says how that is known, for the log. */
+void SrEngine_SetBegun(struct SrEngine *engine, struct SrFlow *flow,
+                       const char *worker, const char *sign, int64_t now_ms);
+
 /* Stops the run, but no other member of its gang. If its start command was
  * never sent, the run is released, and thus freed, at once; otherwise
  * SrEngine_SendCommands sends a stop command. `reason` is for the log. */
--- a/src/engine_store.c
+++ b/src/engine_store.c
@@ -55,9 +55,10 @@
     SR_CLEANUP(SrUtil_FreePointer)
     Sr__FlowTask **pointers = SrUtil_Calloc(count, sizeof(Sr__FlowTask *));
     progress.status = flow->status;
+    progress.allocated = flow->allocated;
     progress.begun = flow->begun;
     progress.preemptions = flow->preemptions.count;
-    if (flow->begun && !flow->unstorable) {
+    if (flow->allocated && !flow->unstorable) {
         for (size_t i = 0; i < count; i++) {
             pointers[i] = pack_task(engine, &flow->tasks[i], &tasks[i]);
         }
@@ -208,7 +209,14 @@
 bool
 SrEngine_HasChanges(const struct SrEngine *engine)
 {
-    return !SrList_IsEmpty(&engine->dirty);
+    SR_LIST_EACH(link, &engine->dirty)
+    {
+        if (SrEngine_HasUrgentChange(
+                SR_CONTAINER(link, struct SrFlow, dirty))) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Allows the start commands of the runs whose allocation is written. */
--- a/src/flow.c
+++ b/src/flow.c
@@ -171,6 +171,22 @@
     }
 }
 
+/* Returns true if the progress of a task shows that a worker has executed a
+ * run of it. A crash without an age does not: the worker may not have received
+ * the start. */
+static bool
+shows_execution(const Sr__FlowProgress *progress)
+{
+    for (size_t i = 0; i < progress->n_tasks; i++) {
+        const Sr__FlowTask *task = progress->tasks[i];
+        if (task->done || task->failures > 0 || task->crash_age_ms > 0 ||
+            task->checkpoint[0] != '\0' || task->long_checkpoint[0] != '\0') {
+            return true;
+        }
+    }
+    return false;
+}
+
 enum SrFlowError
 SrFlow_Load(struct SrFlow *flow, const Sr__FlowProgress *progress)
 {
@@ -179,7 +195,11 @@
         return SR_FLOW_BAD_ROW;
     }
     flow->status = progress->status;
-    flow->begun = progress->begun;
+    flow->allocated = progress->allocated;
+    flow->begun = progress->begun || shows_execution(progress);
+    if (flow->status == SR__FLOW_STATUS__FLOW_RUNNING && !flow->begun) {
+        flow->status = SR__FLOW_STATUS__FLOW_QUEUED;
+    }
     flow->preemptions.count = progress->preemptions;
     flow->stored_parts = progress->parts;
     for (size_t i = 0; i < progress->n_tasks; i++) {
@@ -307,6 +327,21 @@
            flow->status == SR__FLOW_STATUS__FLOW_CANCELLED;
 }
 
+bool
+SrFlow_IsWaiting(const struct SrFlow *flow)
+{
+    return !flow->begun && !SrFlow_HasEnded(flow);
+}
+
+void
+SrFlow_SetBegun(struct SrFlow *flow)
+{
+    flow->begun = true;
+    if (flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
+        flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
+    }
+}
+
 int64_t
 SrFlow_DueMs(const struct SrFlow *flow, uint32_t occurrence)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -125,8 +125,20 @@
     /* Tasks of one occurrence. */
     uint32_t tasks_per_occurrence;
     struct SrFlowTask *tasks;
+    /* FLOW_RUNNING once the job has begun. */
     Sr__FlowStatus status;
-    /* True once a run has been allocated for any task. */
+    /* A run has been allocated for any task, so that the stored progress
+     * contains the tasks. */
+    bool allocated;
+    /* The job has begun: a worker is known to have executed a run of any task,
+     * because it acknowledged a start command or listed the run as running or
+     * terminated. A job of which runs were only allocated, or were refused by
+     * their workers, has not begun, and neither has one whose start commands
+     * got no response, until a list shows that one was executed.
+     *
+     * A job that has begun stays so when its runs end, and under the next
+     * leader. The number of waiting jobs, the status that callers are told and
+     * the metric of the waiting time follow from this. */
     bool begun;
     /* A cancellation of the job was read, possibly after the job had ended. */
     bool cancelled;
@@ -136,10 +148,12 @@
      * job; ms of the monotonic clock. Set anew if the deletion of the rows
      * written for callers fails. */
     int64_t ended_ms;
-    /* Number of the latest change of the progress. */
+    /* Number of the latest change of the progress, and of the latest one that
+     * is not deferred (see SrEngine_DeferWrite). */
     uint64_t latest_change;
-    /* Number of the oldest change that is not written to the store; valid
-     * while the flow is in the list of those to be written. */
+    uint64_t latest_urgent_change;
+    /* Number of the oldest change that is neither deferred nor written to the
+     * store; valid while the flow is in the list of those to be written. */
     uint64_t oldest_unwritten_change;
     /* Number of the latest change that is written to the store. */
     uint64_t written_change;
@@ -213,7 +227,11 @@
 
 /* Applies a progress row, but does not allocate the outstanding runs. Returns
  * SR_FLOW_BAD_ROW, and changes nothing, if the row has tasks, but not as many
- * as the record. */
+ * as the record.
+ *
+ * The row of an earlier version does not say whether the job has begun. It
+ * counts as begun if the progress of a task shows it, and otherwise once a
+ * worker is known to execute a run. */
 enum SrFlowError SrFlow_Load(struct SrFlow *flow,
                              const Sr__FlowProgress *progress);
 
@@ -254,6 +272,12 @@
 /* Returns true if the job is completed, failed or cancelled. */
 bool SrFlow_HasEnded(const struct SrFlow *flow);
 
+/* Returns true if the job has neither begun nor ended. */
+bool SrFlow_IsWaiting(const struct SrFlow *flow);
+
+/* Records that the job has begun. */
+void SrFlow_SetBegun(struct SrFlow *flow);
+
 /* Returns when an occurrence is due, ms since 1970; 0 if the job has no
  * schedule. */
 int64_t SrFlow_DueMs(const struct SrFlow *flow, uint32_t occurrence);
--- a/src/gen/flow.pb-c.c
+++ b/src/gen/flow.pb-c.c
@@ -995,7 +995,7 @@
   (ProtobufCMessageInit) sr__flow_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sr__flow_progress__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sr__flow_progress__field_descriptors[8] =
 {
   {
     "status",
@@ -1022,12 +1022,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "begun",
+    "allocated",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Sr__FlowProgress, begun),
+    offsetof(Sr__FlowProgress, allocated),
     NULL,
     NULL,
     0,             /* flags */
@@ -1081,9 +1081,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sr__FlowProgress, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sr__flow_progress__field_indices_by_name[] = {
-  2,   /* field[2] = begun */
+  2,   /* field[2] = allocated */
+  7,   /* field[7] = begun */
   3,   /* field[3] = ended_ms */
   5,   /* field[5] = first_task */
   4,   /* field[4] = parts */
@@ -1094,7 +1107,7 @@
 static const ProtobufCIntRange sr__flow_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sr__flow_progress__descriptor =
 {
@@ -1104,7 +1117,7 @@
   "Sr__FlowProgress",
   "sr",
   sizeof(Sr__FlowProgress),
-  7,
+  8,
   sr__flow_progress__field_descriptors,
   sr__flow_progress__field_indices_by_name,
   1,  sr__flow_progress__number_ranges,
--- a/src/gen/flow.pb-c.h
+++ b/src/gen/flow.pb-c.h
@@ -27,6 +27,9 @@
 /* --- enums --- */
 
 typedef enum _Sr__FlowStatus {
+  /*
+   * The job has not begun (see FlowProgress.begun).
+   */
   SR__FLOW_STATUS__FLOW_QUEUED = 0,
   SR__FLOW_STATUS__FLOW_RUNNING = 1,
   SR__FLOW_STATUS__FLOW_COMPLETED = 2,
@@ -267,7 +270,7 @@
   /*
    * A run has been allocated for at least one task.
    */
-  protobuf_c_boolean begun;
+  protobuf_c_boolean allocated;
   /*
    * Not used by the scheduler.
    */
@@ -284,10 +287,16 @@
    * Number of different jobs for which the job was preempted.
    */
   uint32_t preemptions;
+  /*
+   * The job has begun: a worker has executed a run of at least one task.
+   * Earlier versions do not write this, and set the status to running when
+   * they allocate the first run.
+   */
+  protobuf_c_boolean begun;
 };
 #define SR__FLOW_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sr__flow_progress__descriptor) \
-    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0, 0 }
+    , SR__FLOW_STATUS__FLOW_QUEUED, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sr__LeaderRecord
@@ -324,8 +333,7 @@
   ProtobufCMessage base;
   char *queue;
   /*
-   * Number of accepted jobs that have not ended and of which no run has been
-   * allocated.
+   * Number of accepted jobs that have neither begun nor ended.
    */
   uint32_t waiting;
 };
--- a/src/leader.c
+++ b/src/leader.c
@@ -473,8 +473,8 @@
     if (find_unmatched(leader, row->key) != NULL) {
         return;
     }
-    /* The row is written once the job has begun or ended, so it is not empty.
-     */
+    /* The row is written once a run has been allocated or the job has ended,
+     * so it is not empty. */
     Sr__FlowProgress *progress =
         row->size > 0 ? SrCodec_Unpack(&sr__flow_progress__descriptor,
                                        row->value, row->size)
--- a/src/plan.c
+++ b/src/plan.c
@@ -30,16 +30,9 @@
     SrPlan_Take(pass, worker, &unit->demand, 1);
     SrPlan_ChargeAccount(pass, unit, 1);
     SrPlan_CountRun(worker, task);
-    if (!unit->flow->begun) {
-        SrEngine_Observe(pass->engine, SR_ENGINE_BEGUN, unit->flow,
-                         pass->now_ms - unit->flow->arrived_ms);
-    }
-    unit->flow->begun = true;
+    unit->flow->allocated = true;
     unit->flow->has_preempted = false;
     unit->first->wait_logged = false;
-    if (unit->flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
-        unit->flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
-    }
     SrEngine_MarkDirty(pass->engine, unit->flow);
     run->allocation_change = unit->flow->latest_change;
     pass->allocated++;
--- a/tests/test_flow.c
+++ b/tests/test_flow.c
@@ -264,7 +264,7 @@
             tasks[t].done = done[i];
             pointers[t] = &tasks[t];
         }
-        progress.begun = true;
+        progress.allocated = true;
         progress.tasks = pointers;
         progress.n_tasks = SR_FLOW_TASKS_MAX;
         SR_CLEANUP(SrUtil_FreePointer)
--- a/tests/test_leases.c
+++ b/tests/test_leases.c
@@ -269,7 +269,7 @@
         if (c->stored_grant_ms != 0) {
             task.granted_ms = CREATED_MS + c->stored_grant_ms;
         }
-        progress.begun = true;
+        progress.allocated = true;
         progress.tasks = tasks;
         progress.n_tasks = 1;
         add_job(&world, &progress);
--- a/tests/test_progress_rows.c
+++ b/tests/test_progress_rows.c
@@ -63,6 +63,7 @@
     Sr__FlowProgress *progress = SrUtil_Calloc(1, sizeof(*progress));
     sr__flow_progress__init(progress);
     progress->status = SR__FLOW_STATUS__FLOW_RUNNING;
+    progress->allocated = c->tasks > 0;
     progress->begun = c->tasks > 0;
     progress->n_tasks = c->tasks;
     progress->tasks = SrUtil_Calloc(c->tasks, sizeof(Sr__FlowTask *));
--- a/tests/test_stops.c
+++ b/tests/test_stops.c
@@ -67,7 +67,7 @@
     task.worker = (char *)"w";
     task.born = 1;
     progress.status = status;
-    progress.begun = true;
+    progress.allocated = true;
     progress.tasks = tasks;
     progress.n_tasks = 1;
     SR_CLEANUP(SrUtil_FreePointer)
--- a/tests/test_succession.c
+++ b/tests/test_succession.c
@@ -360,7 +360,7 @@
     stored[1].failures = failures;
     stored[0].failed_run = failures;
     stored[1].failed_run = failures;
-    progress.begun = true;
+    progress.allocated = true;
     progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
     progress.tasks = tasks;
     progress.n_tasks = 2;
@@ -490,7 +490,7 @@
     task.run = 1;
     task.late_start_worker = (char *)"w0";
     progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
-    progress.begun = true;
+    progress.allocated = true;
     progress.tasks = tasks;
     progress.n_tasks = 1;
     add_job(&world, 1, true, &progress);
@@ -568,7 +568,7 @@
         task.worker = (char *)"w0";
         task.born = 1;
         progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
-        progress.begun = true;
+        progress.allocated = true;
         progress.tasks = tasks;
         progress.n_tasks = 1;
         add_job(&world, 1, c->gang, &progress);
--- a/tests/test_throttle.c
+++ b/tests/test_throttle.c
@@ -275,7 +275,7 @@
     task.worker = (char *)"w0";
     task.born = 1;
     progress.status = SR__FLOW_STATUS__FLOW_RUNNING;
-    progress.begun = true;
+    progress.allocated = true;
     progress.tasks = tasks;
     progress.n_tasks = 1;
     SrEngine_AddFlow(world->engine, id, SrCodec_Clone(&record.base),
