A job that has begun is not shown as queued after a rolling update

In a rolling update a leader of an earlier version may take over a queued job, run it and be replaced before it allocates anything: its row still says queued. The next leader knew from the progress of the tasks that the job had begun, and kept the status of the row, so callers read `queued` until the job ended, while it did not count as waiting.

Cause: the status of a loaded row was corrected in one direction only, and the count and the status came from two fields.

Change: the status of a loaded job that has not ended follows from whether it has begun, and the number of waiting jobs from the status. The functions that record the beginning are in the one file that uses them.

--- a/src/engine.c
+++ b/src/engine.c
@@ -213,21 +213,6 @@
     }
 }
 
-void
-SrEngine_SetBegun(struct SrEngine *engine, struct SrFlow *flow,
-                  const char *worker, const char *sign, int64_t now_ms)
-{
-    if (flow->begun || SrFlow_HasEnded(flow)) {
-        return;
-    }
-    SrFlow_SetBegun(flow);
-    SrEngine_DeferWrite(engine, flow);
-    SrEngine_Observe(engine, SR_ENGINE_BEGUN, flow, now_ms - flow->arrived_ms);
-    SR_INFO("engine", "begun", "id=%s queue=%s worker=%s sign=%s after-ms=%ld",
-            flow->id, flow->record->queue, worker, sign,
-            (long)(now_ms - flow->arrived_ms));
-}
-
 struct SrFlow *
 SrEngine_FindFlow(const struct SrEngine *engine, const char *id)
 {
@@ -835,7 +820,7 @@
     SR_LIST_EACH(link, &engine->flows)
     {
         struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
-        if (!SrFlow_IsWaiting(flow)) {
+        if (!SrFlow_IsQueued(flow)) {
             continue;
         }
         SrEngine_LookUp(engine->catalog, flow);
@@ -869,7 +854,7 @@
         const struct SrFlow *flow = SR_CONTAINER(link, struct SrFlow, link);
         stats.flows++;
         stats.running += flow->outstanding;
-        stats.waiting += SrFlow_IsWaiting(flow) ? 1 : 0;
+        stats.waiting += SrFlow_IsQueued(flow) ? 1 : 0;
     }
     SR_LIST_EACH(link, &engine->fleet.workers)
     {
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -209,15 +209,33 @@
            (known == NULL || strcmp(known, report->checkpoint) != 0);
 }
 
-/* Records that the worker has executed a run of the task, by its list or its
- * acknowledgement of a start, whether the leader knows the run or not. */
+/* Records that the job has begun, unless it had: the worker has executed a run
+ * of it. `sign` says how that is known, for the log. */
 static void
-note_executed(struct SrEngine *engine, const struct SrWorker *worker,
-              const char *name, const char *sign, int64_t now_ms)
+set_begun(struct SrEngine *engine, struct SrFlow *flow,
+          const struct SrWorker *worker, const char *sign, int64_t now_ms)
+{
+    if (flow->begun || SrFlow_HasEnded(flow)) {
+        return;
+    }
+    SrFlow_SetBegun(flow);
+    SrEngine_DeferWrite(engine, flow);
+    SrEngine_Observe(engine, SR_ENGINE_BEGUN, flow, now_ms - flow->arrived_ms);
+    SR_INFO("engine", "begun", "id=%s queue=%s worker=%s sign=%s after-ms=%ld",
+            flow->id, flow->record->queue, worker->info.id, sign,
+            (long)(now_ms - flow->arrived_ms));
+}
+
+/* Does the same for the job of the task with this name, if it is known. The
+ * run itself may be over or unknown. */
+static void
+set_begun_by_name(struct SrEngine *engine, const char *name,
+                  const struct SrWorker *worker, const char *sign,
+                  int64_t now_ms)
 {
     const struct SrFlowTask *task = SrEngine_FindTask(engine, name);
     if (task != NULL) {
-        SrEngine_SetBegun(engine, task->flow, worker->info.id, sign, now_ms);
+        set_begun(engine, task->flow, worker, sign, now_ms);
     }
 }
 
@@ -229,13 +247,12 @@
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
     if (run == NULL) {
-        note_executed(engine, worker, report->task, "listed", now_ms);
+        set_begun_by_name(engine, report->task, worker, "listed", now_ms);
         remember_unknown_run(engine, worker, report->task);
         stop_unknown(engine, worker, report, now_ms);
         return false;
     }
-    SrEngine_SetBegun(engine, run->task->flow, worker->info.id, "listed",
-                      now_ms);
+    set_begun(engine, run->task->flow, worker, "listed", now_ms);
     run->listed_by_poll = engine->poll_number;
     run->figure = report->figure;
     if (run->state != SR_RUNSTATE_STARTED) {
@@ -295,7 +312,7 @@
                const struct SrTerminatedReport *report, int64_t now_ms)
 {
     struct SrRun *run = find_run(engine, worker, report->task, report->run);
-    note_executed(engine, worker, report->task, "terminated", now_ms);
+    set_begun_by_name(engine, report->task, worker, "terminated", now_ms);
     if (run == NULL) {
         SR_INFO("engine", "end-of-unknown-run",
                 "worker=%s task=%s run=%u how=%s", worker->info.id,
@@ -663,8 +680,8 @@
         remember_unacked_start(engine, worker, run, command, now_ms);
     }
     if (response->result == SR_COMMAND_DONE) {
-        note_executed(engine, worker, command->u.start.task, "acknowledged",
-                      now_ms);
+        set_begun_by_name(engine, command->u.start.task, worker,
+                          "acknowledged", now_ms);
     }
     if (run == NULL) {
         forget_start_in_flight(engine, worker, command, response, now_ms);
--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -147,11 +147,6 @@
  * written yet. */
 bool SrEngine_HasUrgentChange(const struct SrFlow *flow);
 
-/* Records that the job has begun, unless it had: the worker has executed a run
- * of it. `sign` says how that is known, for the log. */
-void SrEngine_SetBegun(struct SrEngine *engine, struct SrFlow *flow,
-                       const char *worker, const char *sign, int64_t now_ms);
-
 /* Stops the run, but no other member of its gang. If its start command was
  * never sent, the run is released, and thus freed, at once; otherwise
  * SrEngine_SendCommands sends a stop command. `reason` is for the log. */
--- a/src/flow.c
+++ b/src/flow.c
@@ -197,8 +197,9 @@
     flow->status = progress->status;
     flow->allocated = progress->allocated;
     flow->begun = progress->begun || shows_execution(progress);
-    if (flow->status == SR__FLOW_STATUS__FLOW_RUNNING && !flow->begun) {
-        flow->status = SR__FLOW_STATUS__FLOW_QUEUED;
+    if (!SrFlow_HasEnded(flow)) {
+        flow->status = flow->begun ? SR__FLOW_STATUS__FLOW_RUNNING
+                                   : SR__FLOW_STATUS__FLOW_QUEUED;
     }
     flow->preemptions.count = progress->preemptions;
     flow->stored_parts = progress->parts;
@@ -328,18 +329,16 @@
 }
 
 bool
-SrFlow_IsWaiting(const struct SrFlow *flow)
+SrFlow_IsQueued(const struct SrFlow *flow)
 {
-    return !flow->begun && !SrFlow_HasEnded(flow);
+    return flow->status == SR__FLOW_STATUS__FLOW_QUEUED;
 }
 
 void
 SrFlow_SetBegun(struct SrFlow *flow)
 {
     flow->begun = true;
-    if (flow->status == SR__FLOW_STATUS__FLOW_QUEUED) {
-        flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
-    }
+    flow->status = SR__FLOW_STATUS__FLOW_RUNNING;
 }
 
 int64_t
--- a/src/flow.h
+++ b/src/flow.h
@@ -125,7 +125,8 @@
     /* Tasks of one occurrence. */
     uint32_t tasks_per_occurrence;
     struct SrFlowTask *tasks;
-    /* FLOW_RUNNING once the job has begun. */
+    /* FLOW_QUEUED until the job has begun, and FLOW_RUNNING from then on until
+     * it ends. */
     Sr__FlowStatus status;
     /* A run has been allocated for any task, so that the stored progress
      * contains the tasks. */
@@ -273,9 +274,9 @@
 bool SrFlow_HasEnded(const struct SrFlow *flow);
 
 /* Returns true if the job has neither begun nor ended. */
-bool SrFlow_IsWaiting(const struct SrFlow *flow);
+bool SrFlow_IsQueued(const struct SrFlow *flow);
 
-/* Records that the job has begun. */
+/* Records that the job, which must not have ended, has begun. */
 void SrFlow_SetBegun(struct SrFlow *flow);
 
 /* Returns when an occurrence is due, ms since 1970; 0 if the job has no
--- a/tests/test_begun.c
+++ b/tests/test_begun.c
@@ -37,10 +37,12 @@
     EVENT_IS_CUT_OFF,
     /* Its entry is deleted as well. */
     EVENT_LEAVES,
-    /* The next leader loads the stored progress; the second as an earlier
-     * version would have stored it. */
+    /* The next leader loads the stored progress; the second as a leader of an
+     * earlier version would have stored it, and the third as such a leader
+     * would have if it had taken over a queued job and allocated nothing. */
     EVENT_LEADER_CHANGES,
     EVENT_LEADER_CHANGES_FROM_EARLIER,
+    EVENT_LEADER_CHANGES_VIA_EARLIER,
 };
 
 struct World {
@@ -283,8 +285,11 @@
         world->is_cut_off = true;
         break;
     case EVENT_LEADER_CHANGES_FROM_EARLIER:
+    case EVENT_LEADER_CHANGES_VIA_EARLIER:
         world->stored->begun = false;
-        world->stored->status = SR__FLOW_STATUS__FLOW_RUNNING;
+        world->stored->status = event == EVENT_LEADER_CHANGES_FROM_EARLIER
+                                    ? SR__FLOW_STATUS__FLOW_RUNNING
+                                    : SR__FLOW_STATUS__FLOW_QUEUED;
         elect(world);
         break;
     case EVENT_LEADER_CHANGES:
@@ -394,6 +399,16 @@
       {.event = EVENT_STOPS_RUN_AT_CHECKPOINT},
       {.event = EVENT_LEADER_CHANGES_FROM_EARLIER}},
      4},
+    {"stopped with checkpoint, via earlier version",
+     {{.event = EVENT_EXECUTES_STARTS},
+      {.event = EVENT_REFUSES_STARTS},
+      {.event = EVENT_STOPS_RUN_AT_CHECKPOINT},
+      {.event = EVENT_LEADER_CHANGES_VIA_EARLIER}},
+     4},
+    {"running, via earlier version",
+     {{.event = EVENT_EXECUTES_STARTS},
+      {.event = EVENT_LEADER_CHANGES_VIA_EARLIER}},
+     2},
     /* Nothing in the row shows the run, so the job waits until its next one.
      */
     {"stopped without checkpoint, earlier version",
@@ -445,7 +460,8 @@
             const struct Step *step = &c->steps[s];
             int64_t ms = step->ms > 0 ? step->ms : STEP_MS;
             apply(&world, step->event);
-            if (step->event == EVENT_LEADER_CHANGES_FROM_EARLIER) {
+            if (step->event == EVENT_LEADER_CHANGES_FROM_EARLIER ||
+                step->event == EVENT_LEADER_CHANGES_VIA_EARLIER) {
                 waiting = true;
             }
             for (int64_t end_ms = world.now_ms + ms; world.now_ms < end_ms;) {
