Review case 11: a late poll takes note of results that nobody has read

Cause: the number up to which results are acknowledged is not tied to the boot that made them; a poll that is executed late by the next boot removes its results, and the tasks, which are done, are started again. Change: the case takes the place of the one on services that are given up, which case 8 shows already. The stand-ins execute polls late, and what no case uses has gone from them.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,8 +4,8 @@
 # the case couldn't run. TROUBLE=0 leaves out the disruption.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-[ -x target/sassafrasrelay ] && [ -x target/review-3/lost ] || exit 2
-timeout 118 target/review-3/lost "$folder/record.txt"
+[ -x target/sassafrasrelay ] && [ -x target/review-3/latepoll ] || exit 2
+timeout 118 target/review-3/latepoll "$folder/record.txt"
 code=$?
 [ $code -le 1 ] && exit $code
 exit 2
--- a/review/lib3/crowd.c
+++ b/review/lib3/crowd.c
@@ -12,7 +12,8 @@
 #define GIVEN_UP_MS 20000
 
 static const char routes[] =
-    "{\"name\":\"batch\",\"host\":\"site.example\",\"path_prefix\":\"/batch/\","
+    "{\"name\":\"batch\",\"host\":\"site.example\",\"path_prefix\":\"/batch/"
+    "\","
     "\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"service\":\"work\","
     "\"priority\":2,\"max_attempts\":3,\"stretch\":3.0,"
     "\"target_duration_ms\":3000,\"allow_anonymous\":false},"
@@ -21,12 +22,13 @@
     "\"service\":\"work\",\"priority\":0,\"max_attempts\":2,\"stretch\":1.5,"
     "\"target_duration_ms\":600,\"allow_anonymous\":false}";
 static const char tenants[] =
-    "{\"name\":\"team\",\"api_keys\":[\"key\"],\"guaranteed_gpus\":{\"gpu\":64}"
+    "{\"name\":\"team\",\"api_keys\":[\"key\"],\"guaranteed_gpus\":{\"gpu\":"
+    "64}"
     "},{\"name\":\"crowd\",\"api_keys\":[\"other\"],\"guaranteed_gpus\":"
     "{\"gpu\":0}}";
-static const char small_tasks[] =
-    "{\"spec\":\"ms=600000\",\"steps\":[{\"count\":1000,\"cpu\":100,\"mem_mb\":"
-    "100,\"estimated_ms\":600000}]}";
+static const char small_tasks[] = "{\"spec\":\"ms=600000\",\"steps\":[{"
+                                  "\"count\":1000,\"cpu\":100,\"mem_mb\":"
+                                  "100,\"estimated_ms\":600000}]}";
 static const char urgent[] =
     "{\"spec\":\"ms=3000\",\"steps\":[{\"count\":1,\"cpu\":52000,\"mem_mb\":"
     "19000,\"gpu\":8,\"estimated_ms\":3000}]}";
--- a/review/lib3/reclaim.c
+++ b/review/lib3/reclaim.c
@@ -10,7 +10,8 @@
 #define WATCH_MS 40000
 
 static const char routes[] =
-    "{\"name\":\"serve\",\"host\":\"site.example\",\"path_prefix\":\"/serve/\","
+    "{\"name\":\"serve\",\"host\":\"site.example\",\"path_prefix\":\"/serve/"
+    "\","
     "\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"service\":\"work\","
     "\"priority\":2,\"max_attempts\":3,\"stretch\":3.0,"
     "\"target_duration_ms\":3000,\"allow_anonymous\":false},"
@@ -19,11 +20,13 @@
     "\"service\":\"work\",\"priority\":0,\"max_attempts\":2,\"stretch\":1.5,"
     "\"target_duration_ms\":600,\"allow_anonymous\":false}";
 static const char tenants[] =
-    "{\"name\":\"team\",\"api_keys\":[\"key\"],\"guaranteed_gpus\":{\"gpu\":16}"
+    "{\"name\":\"team\",\"api_keys\":[\"key\"],\"guaranteed_gpus\":{\"gpu\":"
+    "16}"
     "},{\"name\":\"shop\",\"api_keys\":[\"other\"],\"guaranteed_gpus\":"
     "{\"gpu\":0}}";
 static const char lasting[] =
-    "{\"spec\":\"serve\",\"steps\":[{\"count\":24,\"cpu\":8000,\"mem_mb\":19000,"
+    "{\"spec\":\"serve\",\"steps\":[{\"count\":24,\"cpu\":8000,\"mem_mb\":"
+    "19000,"
     "\"gpu\":1,\"continuous\":true,\"max_unavailable\":1}]}";
 static const char urgent[] =
     "{\"spec\":\"ms=2500\",\"steps\":[{\"count\":2,\"cpu\":15000,\"mem_mb\":"
--- a/review/lib3/rig.c
+++ b/review/lib3/rig.c
@@ -27,6 +27,8 @@
 #define STARTUP_MS 300
 #define ENDS_PER_RESPONSE 500
 #define ROWS_MAX 4096
+/* Instead of a status: no response, on a channel that stays open. */
+#define SILENT (-1)
 
 struct Row {
     char table[64];
@@ -67,6 +69,27 @@
 static struct Row rows[ROWS_MAX];
 static int row_count;
 static long store_version = 1;
+
+/* A status poll that got no response and is executed later. */
+struct LatePoll {
+    struct LatePoll *next;
+    struct RigMinion *minion;
+    char id[32];
+    json_t *root;
+    int64_t born;
+    int64_t due_ms;
+};
+
+static struct LatePoll *late_polls;
+static unsigned random_state = 1;
+
+/* Returns a number below 2^24, from the same sequence in each run. */
+static unsigned
+next_random(void)
+{
+    random_state = random_state * 1103515245U + 12345U;
+    return random_state >> 8;
+}
 static int64_t begun_ms;
 
 int64_t
@@ -210,9 +233,9 @@
 static json_t *
 row_json(const struct Row *row)
 {
-    json_t *to = json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part",
-                           row->part, "key", row->key, "row_version",
-                           (json_int_t)row->version);
+    json_t *to =
+        json_pack("{s:s,s:s,s:s,s:I}", "table", row->table, "part", row->part,
+                  "key", row->key, "row_version", (json_int_t)row->version);
     if (row->deleted) {
         json_object_set_new(to, "deleted", json_true());
     }
@@ -284,8 +307,7 @@
     to[0] = '\0';
     const char *query = strchr(path, '?');
     snprintf(start, sizeof(start), "%s=", name);
-    while (query != NULL &&
-           strncmp(query + 1, start, strlen(start)) != 0) {
+    while (query != NULL && strncmp(query + 1, start, strlen(start)) != 0) {
         query = strchr(query + 1, '&');
     }
     if (query == NULL) {
@@ -374,8 +396,7 @@
     for (;;) {
         int count = 0;
         for (int i = 0; i < row_count; i++) {
-            if (rows[i].version > after &&
-                strcmp(rows[i].table, table) == 0) {
+            if (rows[i].version > after && strcmp(rows[i].table, table) == 0) {
                 found[count++] = &rows[i];
             }
         }
@@ -576,11 +597,13 @@
             end_run(minion, i, "stopped", true);
         }
         else if (run->work_ms > 0 && now_ms >= run->began_ms + run->work_ms) {
-            end_run(minion, i, run->fails ? "failed" : "done", true);
+            end_run(minion, i, "done", true);
         }
     }
 }
 
+static void run_late_polls(void);
+
 static void *
 run_ticks(void *context)
 {
@@ -590,6 +613,7 @@
         for (int i = 0; i < rig.minion_count; i++) {
             tick_minion(&rig.minions[i]);
         }
+        run_late_polls();
         Rig_Unlock();
         Rig_Sleep(10);
     }
@@ -668,8 +692,10 @@
     *run = (struct RigRun){.run = number, .began_ms = Rig_Now()};
     snprintf(run->task, sizeof(run->task), "%s", task);
     run->work_ms = work != NULL ? atol(work + 3) : 0;
+    if (strstr(spec, "uneven") != NULL && run->work_ms > 0) {
+        run->work_ms += next_random() % run->work_ms;
+    }
     run->lasts = strncmp(spec, "serve", 5) == 0;
-    run->fails = strstr(spec, "fail") != NULL;
     struct RigStart *start = &rig.starts[rig.start_count++];
     *start = (struct RigStart){.run = number, .at_ms = Rig_Now()};
     snprintf(start->task, sizeof(start->task), "%s", task);
@@ -712,7 +738,9 @@
 {
     int64_t whole_ms = run->lasts ? STARTUP_MS : run->work_ms;
     int64_t part_ms = Rig_Now() - run->began_ms;
-    return part_ms >= whole_ms || whole_ms == 0 ? 100 : (int)(part_ms * 100 / whole_ms);
+    return part_ms >= whole_ms || whole_ms == 0
+               ? 100
+               : (int)(part_ms * 100 / whole_ms);
 }
 
 static void
@@ -728,30 +756,96 @@
     }
     for (int i = 0; i < minion->end_count && i < ENDS_PER_RESPONSE; i++) {
         const struct RigEnd *end = &minion->ends[i];
-        json_array_append_new(ended, json_pack("[i,s,i,s,s]",
-                                               (int)end->number, end->task,
-                                               (int)end->run, end->how, ""));
+        json_array_append_new(ended, json_pack("[i,s,i,s,s]", (int)end->number,
+                                               end->task, (int)end->run,
+                                               end->how, ""));
     }
     json_object_set_new(to, "running", running);
     json_object_set_new(to, "ended", ended);
 }
 
-static int
-hold(struct RigMinion *minion, const json_t *root, json_t *to)
+/* Forgets the ends up to the number; they are taken note of. */
+static void
+forget_ends(struct RigMinion *minion, const json_t *root, bool late)
 {
     long acked =
         (long)json_integer_value(json_object_get(root, "acked_through"));
-    int64_t end_ms =
-        Rig_Now() + json_integer_value(json_object_get(root, "wait_ms"));
-    unsigned life = minion->life;
     int kept = 0;
-    extend_lease(minion, root);
     for (int i = 0; i < minion->end_count; i++) {
-        if (minion->ends[i].number > acked) {
-            minion->ends[kept++] = minion->ends[i];
+        const struct RigEnd *end = &minion->ends[i];
+        if (end->number > acked) {
+            minion->ends[kept++] = *end;
+            continue;
+        }
+        struct RigStart *start =
+            start_of((int)(minion - rig.minions), end->task, end->run);
+        if (start != NULL) {
+            start->noted = true;
+        }
+        if (late) {
+            Rig_Log("a late poll takes note of the end %ld (%s) of %s run=%u "
+                    "on %s",
+                    end->number, end->how, end->task, end->run, minion->id);
         }
     }
     minion->end_count = kept;
+}
+
+static void
+run_late_polls(void)
+{
+    for (struct LatePoll **at = &late_polls; *at != NULL;) {
+        struct LatePoll *late = *at;
+        struct RigMinion *minion = late->minion;
+        if (Rig_Now() < late->due_ms) {
+            at = &late->next;
+            continue;
+        }
+        *at = late->next;
+        uint64_t token = (uint64_t)json_integer_value(
+            json_object_get(late->root, "fencing_token"));
+        if (minion->down_until_ms == 0 && strcmp(late->id, minion->id) == 0 &&
+            token >= minion->token) {
+            Rig_Log("a late poll of %s with acked_through %ld is executed%s",
+                    minion->id,
+                    (long)json_integer_value(
+                        json_object_get(late->root, "acked_through")),
+                    late->born != minion->born ? ", by the next boot" : "");
+            minion->token = token;
+            extend_lease(minion, late->root);
+            forget_ends(minion, late->root, true);
+        }
+        json_decref(late->root);
+        free(late);
+    }
+}
+
+/* Keeps a share of the polls without a response, to be executed 2 to 12 s
+ * later. Takes a reference of `root` if it returns true. */
+static bool
+delay_poll(struct RigMinion *minion, json_t *root)
+{
+    if ((int)next_random() % 100 >= rig.late_poll_percent) {
+        return false;
+    }
+    struct LatePoll *late = calloc(1, sizeof(*late));
+    *late = (struct LatePoll){
+        .next = late_polls, .minion = minion, .born = minion->born};
+    snprintf(late->id, sizeof(late->id), "%s", minion->id);
+    late->root = json_incref(root);
+    late->due_ms = Rig_Now() + 2000 + next_random() % 10000;
+    late_polls = late;
+    return true;
+}
+
+static int
+hold(struct RigMinion *minion, const json_t *root, json_t *to)
+{
+    int64_t end_ms =
+        Rig_Now() + json_integer_value(json_object_get(root, "wait_ms"));
+    unsigned life = minion->life;
+    extend_lease(minion, root);
+    forget_ends(minion, root, false);
     while (minion->life == life && minion->end_count == 0 &&
            Rig_Now() < end_ms) {
         wait_until(end_ms);
@@ -760,7 +854,8 @@
     return 200;
 }
 
-/* Returns the status; 0 if there is no response. */
+/* Returns the status; 0 if there is no response, and SILENT if the channel
+ * stays open nevertheless. */
 static int
 handle_minion(struct RigMinion *minion, unsigned life,
               const struct Request *request, json_t *to)
@@ -773,11 +868,17 @@
         return 421;
     }
     json_t *root = json_loads(request->body, 0, NULL);
-    uint64_t token = (uint64_t)json_integer_value(
-        json_object_get(root, "fencing_token"));
+    uint64_t token =
+        (uint64_t)json_integer_value(json_object_get(root, "fencing_token"));
     if (root == NULL) {
         return 400;
     }
+    if (rig.late_poll_percent > 0 &&
+        strcmp(request->path, "/sassafrasrelay/hold") == 0 &&
+        delay_poll(minion, root)) {
+        json_decref(root);
+        return SILENT;
+    }
     if (token < minion->token) {
         status = reject(to, "fence");
     }
@@ -841,11 +942,11 @@
                             : strcmp(minion->down_for, "upkeep") == 0
                                 ? "upkeep"
                                 : "down";
-        json_t *entry = json_pack(
-            "{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i}}", "machine",
-            minion->machine, "pool", "work", "state", state, "zone",
-            minion->zone, "labels", "a", minion->rack, "capacity", "cpu",
-            128000, "mem_mb", 524288, "gpu", minion->gpu);
+        json_t *entry =
+            json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:i,s:i,s:i}}", "machine",
+                      minion->machine, "pool", "work", "state", state, "zone",
+                      minion->zone, "labels", "a", minion->rack, "capacity",
+                      "cpu", 128000, "mem_mb", 524288, "gpu", minion->gpu);
         if (!down) {
             json_object_set_new(entry, "id", json_string(minion->id));
         }
@@ -895,17 +996,9 @@
     return 200;
 }
 
-/* A silent service reads the call and does nothing. */
 static int
 handle_cloud(const struct Request *request, json_t *to)
 {
-    if (rig.cloud_silent) {
-        rig.cloud_unanswered +=
-            strcmp(request->path, "/sassafrasrelay/machine-upkeep") == 0;
-        Rig_Log("the service for machines leaves %s unanswered",
-                request->path);
-        return 0;
-    }
     if (strncmp(request->path, "/sassafrasrelay/machines", 24) == 0) {
         list_machines(to);
         return 200;
@@ -1001,7 +1094,7 @@
     size_t size = 0;
     struct Request request;
     int status = 1;
-    while (status != 0 &&
+    while (status > 0 &&
            read_request(connection->fd, &buffer, &size, &request)) {
         json_t *to = json_object();
         Rig_Lock();
@@ -1025,13 +1118,12 @@
                  "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
                  "Content-Length: %zu\r\n\r\n",
                  status, strlen(body));
-        if (status != 0 &&
-            (!send_all(connection->fd, head, strlen(head)) ||
-             !send_all(connection->fd, body, strlen(body)))) {
+        if (status > 0 && (!send_all(connection->fd, head, strlen(head)) ||
+                           !send_all(connection->fd, body, strlen(body)))) {
             status = 0;
         }
-        else if (status == 0 && listener->role == ROLE_CLOUD) {
-            /* Silent: the channel stays open until its other end closes it. */
+        else if (status == SILENT) {
+            /* Until the other end closes the channel. */
             char rest[256];
             while (recv(connection->fd, rest, sizeof(rest), 0) > 0) {
             }
@@ -1192,10 +1284,9 @@
             "bounds.maintenance_s=%d\nbounds.enforce_fencing=false\n"
             "bounds.lease_ms=3000\nbounds.pace_ms=100\n"
             "bounds.interference_ms=4000\nbounds.reclaim_ms=2900\n",
-            rig.nodes[node].name, rig.nodes[node].front,
-            rig.nodes[node].ready, HEARTBEAT_MS, rig.store_port,
-            TRANSACTION_MS, rig.cloud_port, HOLD_MAX_MS, STOP_MS,
-            MAINTENANCE_MS / 1000);
+            rig.nodes[node].name, rig.nodes[node].front, rig.nodes[node].ready,
+            HEARTBEAT_MS, rig.store_port, TRANSACTION_MS, rig.cloud_port,
+            HOLD_MAX_MS, STOP_MS, MAINTENANCE_MS / 1000);
     fclose(file);
 }
 
@@ -1225,19 +1316,6 @@
     Rig_Unlock();
 }
 
-void
-Rig_Kill(int node, int number)
-{
-    Rig_Lock();
-    Rig_Log("node %s gets signal %d", rig.nodes[node].name, number);
-    Rig_Unlock();
-    kill(rig.nodes[node].pid, number);
-    if (number == SIGKILL) {
-        waitpid(rig.nodes[node].pid, NULL, 0);
-        rig.nodes[node].pid = 0;
-    }
-}
-
 static int
 connect_to(int port)
 {
@@ -1276,8 +1354,7 @@
     size_t got = 0;
     if (send_all(fd, head, strlen(head)) && send_all(fd, body, strlen(body))) {
         for (;;) {
-            ssize_t part =
-                recv(fd, buffer + got, sizeof(buffer) - 1 - got, 0);
+            ssize_t part = recv(fd, buffer + got, sizeof(buffer) - 1 - got, 0);
             if (part <= 0) {
                 break;
             }
@@ -1297,8 +1374,8 @@
 bool
 Rig_IsReady(int node)
 {
-    return call_port(rig.nodes[node].ready, "GET",
-                     "/sassafrasrelay/readiness", "", NULL, 0) == 200;
+    return call_port(rig.nodes[node].ready, "GET", "/sassafrasrelay/readiness",
+                     "", NULL, 0) == 200;
 }
 
 int
@@ -1322,8 +1399,7 @@
 Rig_Submit(const char *path, const char *body)
 {
     for (int i = 0; i < 40; i++) {
-        if (Rig_Call(i % rig.node_count, "POST", path, body, NULL, 0) ==
-            200) {
+        if (Rig_Call(i % rig.node_count, "POST", path, body, NULL, 0) == 200) {
             return;
         }
         Rig_Sleep(250);
@@ -1354,9 +1430,8 @@
     return leader;
 }
 
-static const char one_tenant[] =
-    "{\"name\":\"team\",\"api_keys\":[\"key\"],"
-    "\"guaranteed_gpus\":{\"gpu\":8}}";
+static const char one_tenant[] = "{\"name\":\"team\",\"api_keys\":[\"key\"],"
+                                 "\"guaranteed_gpus\":{\"gpu\":8}}";
 
 void
 Rig_Start(int nodes, const char *routes, const char *tenants)
--- a/review/lib3/rig.h
+++ b/review/lib3/rig.h
@@ -4,7 +4,6 @@
 #ifndef RIG_H
 #define RIG_H
 
-#include <signal.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -23,8 +22,6 @@
     int64_t work_ms;
     /* The task lasts: it is at work after a short startup. */
     bool lasts;
-    /* The run ends as failed. */
-    bool fails;
     int64_t began_ms;
     /* When the run ends because of a stop; 0 if none was received. */
     int64_t stop_ms;
@@ -77,6 +74,8 @@
     /* How the run ended, "" while it is at work, and when. */
     char how[16];
     int64_t end_ms;
+    /* The end is taken note of: `acked_through` has reached it. */
+    bool noted;
 };
 
 /* A call of a node to the service for machines. */
@@ -95,10 +94,9 @@
     int start_count;
     struct RigUpkeep upkeeps[RIG_STARTS];
     int upkeep_count;
-    /* The service for machines reads calls and does not respond. */
-    bool cloud_silent;
-    /* Number of calls that it has left so. */
-    int cloud_unanswered;
+    /* Share of the status polls that get no response and are executed 2 to
+     * 12 s later, by the minion that then has the id, percent. */
+    int late_poll_percent;
     int store_port;
     int cloud_port;
     struct {
@@ -162,7 +160,6 @@
 
 /* The node that leads, by the store's leader row as the log lines show it. */
 int Rig_Leader(void);
-void Rig_Kill(int node, int signal);
 void Rig_StartNode(int node);
 
 /* Crashes the minion; it is back after `down_ms`, under its id. */
--- a/review/lib3/wave.c
+++ b/review/lib3/wave.c
@@ -11,12 +11,14 @@
 #define STARTUP_MS 300
 
 static const char route[] =
-    "{\"name\":\"plans\",\"host\":\"site.example\",\"path_prefix\":\"/plans/\","
+    "{\"name\":\"plans\",\"host\":\"site.example\",\"path_prefix\":\"/plans/"
+    "\","
     "\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"service\":\"work\","
     "\"priority\":1,\"max_attempts\":3,\"stretch\":3.0,"
     "\"target_duration_ms\":1500,\"allow_anonymous\":false}";
 static const char lasting[] =
-    "{\"spec\":\"serve\",\"steps\":[{\"count\":8,\"cpu\":8000,\"mem_mb\":19000,"
+    "{\"spec\":\"serve\",\"steps\":[{\"count\":8,\"cpu\":8000,\"mem_mb\":"
+    "19000,"
     "\"gpu\":1,\"continuous\":true,\"max_unavailable\":1}]}";
 static const char service[] = "00000000000000c0.0.0.";
 
