Review case 14: the zone that loses power has no node in it

Cause: the minions of the case were in the zone of the three nodes, so that a loss of power there would have stopped the nodes as well.

--- a/review/lib3/apart.c
+++ b/review/lib3/apart.c
@@ -57,7 +57,7 @@
     int64_t idle_since_ms[SERVICES] = {0};
     Rig_Open(argc > 1 ? argv[1] : "record.txt");
     for (int i = 0; i < MINIONS; i++) {
-        Rig_AddMinion("east-a", i < 2 ? "r1-1" : "r1-2", 8);
+        Rig_AddMinion("south-a", i < 2 ? "r1-1" : "r1-2", 8);
     }
     Rig_Start(3, route, NULL);
     for (int i = 0; i < SERVICES; i++) {
