Let no acknowledgement take effect on a worker's next incarnation

Cause: a status poll without a response may be executed seconds later, by the next incarnation of its worker under the same id. Results are acknowledged by number, and each incarnation numbers them from 1, so the poll deleted results there that the leader had not read. It then found the runs in neither list, took them for lost and started their tasks again.

Change: a term now stands for 2^20 fencing tokens, and the leader raises the token of its commands to a worker when it learns of a restart, and when a poll with an acknowledgement gets no response. An incarnation that has received a later command refuses the polls sent before. The tokens of a new leader are higher than all of its predecessors'. A command that is refused because it was overtaken is sent again and is no sign of a newer leader. No worker waits for this. event=results-missing says that results are missing between those read.

--- a/src/commands.h
+++ b/src/commands.h
@@ -34,8 +34,11 @@
      * unused for SR_COMMAND_ADVISE. */
     char worker[SR_ID_SIZE];
     char address[SR_ID_SIZE];
-    /* Fencing token. */
+    /* Term of the leader; not sent along. */
     uint64_t term;
+    /* A worker does nothing for a token that is lower than one that its
+     * incarnation has received. */
+    uint64_t fencing_token;
     int64_t timeout_ms;
     /* When the leader sent the command, by its clock; not sent along. */
     int64_t sent_ms;
--- a/src/engine.c
+++ b/src/engine.c
@@ -66,6 +66,8 @@
     engine->confirmed_ms = now_ms;
     engine->forecast = SrForecast_Create();
     SrFleet_Init(&engine->fleet, options->lease_ms);
+    engine->fleet.fencing_token =
+        options->first_token != 0 ? options->first_token : term;
     SrInterference_Init(&engine->interference);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
--- a/src/engine.h
+++ b/src/engine.h
@@ -27,6 +27,10 @@
  * value. */
 #define SR_ENGINE_UNCONFIRMED_GRANT_MS 6000
 
+/* Number of fencing tokens of a leader. All are higher than those of former
+ * leaders. */
+#define SR_ENGINE_TOKENS ((uint64_t)1 << 20)
+
 /* Events that are reported to `observe`, each with a duration. */
 enum SrEngineEvent {
     /* The job has begun (see struct SrFlow); time since it arrived. */
@@ -58,6 +62,9 @@
 };
 
 struct SrEngineOptions {
+    /* Lowest of the SR_ENGINE_TOKENS fencing tokens that the commands may
+     * carry; 0 if it is the term. */
+    uint64_t first_token;
     /* Longest lease that workers accept, ms. */
     int64_t lease_ms;
     /* Maximum time that a worker takes to stop a run, ms. */
@@ -108,9 +115,9 @@
     uint64_t change;
 };
 
-/* Creates a leader's engine; `term` is the fencing token of its commands. To
- * be called when the process knows that it leads: a former leader may grant
- * leases until SR_ENGINE_UNCONFIRMED_GRANT_MS after `now_ms`. */
+/* Creates a leader's engine for the term. To be called when the process knows
+ * that it leads: a former leader may grant leases until
+ * SR_ENGINE_UNCONFIRMED_GRANT_MS after `now_ms`. */
 struct SrEngine *SrEngine_Create(const struct SrEngineOptions *options,
                                  uint64_t term, int64_t now_ms);
 void SrEngine_Destroy(struct SrEngine *engine);
--- a/src/engine_commands.c
+++ b/src/engine_commands.c
@@ -34,6 +34,7 @@
 {
     command->sent_ms = now_ms;
     command->term = engine->term;
+    command->fencing_token = worker->fencing_token;
     SrUtil_Copy(command->worker, sizeof(command->worker), worker->info.id);
     SrUtil_Copy(command->address, sizeof(command->address),
                 worker->info.address);
--- a/src/engine_pace.c
+++ b/src/engine_pace.c
@@ -144,6 +144,7 @@
     struct SrCommand command = {
         .kind = SR_COMMAND_PACE,
         .term = engine->term,
+        .fencing_token = worker->fencing_token,
         .timeout_ms = PACE_TIMEOUT_MS,
         .sent_ms = now_ms,
         .u.pace = {.run = run->number, .percent = worker->throttle.share},
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -65,6 +65,7 @@
     SR_INFO("engine", "worker-reborn", "worker=%s born=%ld", worker->info.id,
             (long)incarnation);
     SrEngine_CountCrash(engine, worker, incarnation, now_ms);
+    SrFleet_RaiseFencingToken(&engine->fleet, worker);
     worker->info.incarnation = incarnation;
     worker->incarnation_seen_ms = now_ms;
     worker->restart_reported_ms = 0;
@@ -153,6 +154,7 @@
     struct SrCommand command = {
         .kind = SR_COMMAND_STOP,
         .term = engine->term,
+        .fencing_token = worker->fencing_token,
         .timeout_ms = STOP_UNKNOWN_TIMEOUT_MS,
         .sent_ms = now_ms,
     };
@@ -336,6 +338,13 @@
                   const struct SrCommandResponse *response, int64_t now_ms)
 {
     uint64_t seen = worker->results_seen;
+    if (response->terminated_count > 0 &&
+        response->terminated[0].number > seen + 1) {
+        SR_WARN("engine", "results-missing",
+                "worker=%s born=%ld seen=%lu next=%lu", worker->info.id,
+                (long)worker->info.incarnation, (unsigned long)seen,
+                (unsigned long)response->terminated[0].number);
+    }
     for (size_t i = 0; i < response->terminated_count; i++) {
         const struct SrTerminatedReport *report = &response->terminated[i];
         if (report->number <= worker->results_seen) {
@@ -459,6 +468,13 @@
         engine->fenced = true;
         return;
     default:
+        if (command->u.poll.acked_through > 0 &&
+            response->result == SR_COMMAND_NO_RESPONSE) {
+            /* If executed late by the next incarnation, the poll would delete
+             * results that no leader has read. An incarnation that has started
+             * a run by a later command refuses the poll. */
+            SrFleet_RaiseFencingToken(&engine->fleet, worker);
+        }
         worker->failed_polls++;
         if (worker->failed_polls >= STORE_GRANT_POLLS) {
             SrEngine_StoreLeaseGrant(engine, worker);
@@ -799,10 +815,21 @@
     }
 }
 
+/* Returns the result of a command that was overtaken by one with a higher
+ * token of this leader and refused for that: it was not executed. */
+static enum SrCommandResult
+result_of_overtaken(enum SrCommandKind kind)
+{
+    /* The start is sent again. */
+    return kind == SR_COMMAND_START ? SR_COMMAND_LEASE_PASSED
+                                    : SR_COMMAND_NOT_EXECUTED;
+}
+
 void
 SrEngine_OnResponse(struct SrEngine *engine, const struct SrCommand *command,
                     const struct SrCommandResponse *response, int64_t now_ms)
 {
+    struct SrCommandResponse overtaken = *response;
     struct SrWorker *worker = SrFleet_Find(&engine->fleet, command->worker);
     if (command->term != engine->term) {
         return;
@@ -813,6 +840,11 @@
     if (worker == NULL) {
         return;
     }
+    if (response->result == SR_COMMAND_FENCED &&
+        command->fencing_token < worker->fencing_token) {
+        overtaken.result = result_of_overtaken(command->kind);
+        response = &overtaken;
+    }
     switch (command->kind) {
     case SR_COMMAND_POLL:
         on_poll_response(engine, worker, command, response, now_ms);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -147,6 +147,8 @@
     worker->rack = intern(&fleet->racks, "");
     worker->service = intern(&fleet->services, "");
     worker->clock_ms = -1;
+    /* The worker may have been known before, and have received this token. */
+    worker->fencing_token = fleet->fencing_token;
     worker->speed = 1;
     SrThrottle_Init(&worker->throttle);
     SrList_Init(&worker->runs);
@@ -158,6 +160,17 @@
     return worker;
 }
 
+void
+SrFleet_RaiseFencingToken(struct SrFleet *fleet, struct SrWorker *worker)
+{
+    /* Tokens are compared within one worker only, so that workers share them.
+     */
+    if (worker->fencing_token == fleet->fencing_token) {
+        fleet->fencing_token++;
+    }
+    worker->fencing_token = fleet->fencing_token;
+}
+
 void
 SrFleet_Remove(struct SrFleet *fleet, struct SrWorker *worker)
 {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -224,6 +224,9 @@
      * it is known whether the worker crashed, or for a while after a
      * crash was counted that may be taken back. */
     struct SrList suspects;
+    /* Fencing token of the commands to the worker (see
+     * SrFleet_RaiseFencingToken). */
+    uint64_t fencing_token;
     /* When the leader learned that the worker had restarted; 0 if only one
      * incarnation is known. */
     int64_t incarnation_seen_ms;
@@ -391,6 +394,8 @@
     int64_t lease_max_ms;
     /* Lease that this leader grants, ms. */
     int64_t lease_ms;
+    /* Highest fencing token in use, and that of workers that are added. */
+    uint64_t fencing_token;
 };
 
 /* Returns the time, ms, from sending a lease of `lease_ms` to a worker until
@@ -411,6 +416,12 @@
 /* Returns the worker; adds it with `present` false if it is not known. */
 struct SrWorker *SrFleet_FindOrAdd(struct SrFleet *fleet, const char *id);
 
+/* Gives the worker's commands a higher fencing token from now on. Once an
+ * incarnation of the worker has received one of them, it refuses those sent
+ * before, which may have been meant for a former incarnation with the same id.
+ */
+void SrFleet_RaiseFencingToken(struct SrFleet *fleet, struct SrWorker *worker);
+
 /* Sets the worker's entry as read from the store. */
 void SrFleet_SetInfo(struct SrFleet *fleet, struct SrWorker *worker,
                      const struct SrWorkerEntry *info);
--- a/src/leader.c
+++ b/src/leader.c
@@ -653,6 +653,7 @@
     SrList_Init(&leader->held_jobs);
     leader->engine = SrEngine_Create(
         &(struct SrEngineOptions){
+            .first_token = options->term - SR_LEDGER_TERM_STEP + 1,
             .lease_ms = options->settings->lease_max_ms,
             .stop_ms = options->settings->stop_ms,
             .reclaim_ms = options->settings->reclaim_ms,
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -406,10 +406,11 @@
         return;
     }
     SR_INFO("ledger", "claim", "term=%lu version=%lu unchanged-ms=%ld",
-            (unsigned long)ledger->term + 1, (unsigned long)version,
+            (unsigned long)(ledger->term + SR_LEDGER_TERM_STEP),
+            (unsigned long)version,
             (long)(now_ms - ledger->unchanged_since_ms));
     ledger->state = LEDGER_CLAIMING;
-    ledger->term++;
+    ledger->term += SR_LEDGER_TERM_STEP;
     send_claim(ledger);
 }
 
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -24,12 +24,18 @@
 #ifndef SR_LEDGER_H
 #define SR_LEDGER_H
 
+#include "engine.h"
 #include "kernel.h"
 #include "rows.h"
 
 /* Maximum number of writes in a batch, besides the leader row. */
 #define SR_LEDGER_WRITES_MAX 90
 
+/* Difference between the terms of successive leaders. A leader's fencing
+ * tokens are its term and the numbers below, down to that of the former term,
+ * so that each is higher than all tokens of former leaders. */
+#define SR_LEDGER_TERM_STEP SR_ENGINE_TOKENS
+
 struct SrLedger;
 
 struct SrLedgerBatch {
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -198,7 +198,7 @@
 struct Leader {
     /* NULL if there is no such leader. */
     struct SrEngine *engine;
-    /* Also the fencing token of its commands. */
+    /* Also the lowest fencing token of its commands. */
     uint64_t term;
     /* When the leader took over. */
     int64_t since_ms;
@@ -767,7 +767,7 @@
          !(late && worker->restart_cut_until_ms > sim->now_ms))) {
         return;
     }
-    if (command->term < worker->fencing_token) {
+    if (command->fencing_token < worker->fencing_token) {
         respond(sim, worker, exchange, SR_COMMAND_FENCED);
         return;
     }
@@ -775,7 +775,7 @@
         respond(sim, worker, exchange, SR_COMMAND_NOT_EXECUTED);
         return;
     }
-    worker->fencing_token = command->term;
+    worker->fencing_token = command->fencing_token;
     switch (command->kind) {
     case SR_COMMAND_POLL:
         acknowledge(sim, worker, command->u.poll.acked_through);
@@ -1128,7 +1128,7 @@
 {
     struct Leader *leader = &sim->leader;
     *leader = (struct Leader){
-        .term = leader->term + 1,
+        .term = leader->term + SR_ENGINE_TOKENS,
         .since_ms = sim->now_ms,
         .confirmed_ms = sim->now_ms,
     };
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -580,7 +580,7 @@
                       .kind = SR_COMMAND_PACE,
                       .worker = "w",
                       .address = WORKER_ADDRESS,
-                      .term = 7,
+                      .fencing_token = 7,
                       .timeout_ms = EXCHANGE_MS,
                       .u.pace = {.task = "a.0.0.1", .run = 2, .percent = 40},
                   });
--- a/tests/test_terminated.c
+++ b/tests/test_terminated.c
@@ -1,5 +1,5 @@
-/* Workers with more terminated runs than a response lists: the others are
- * listed once these are acknowledged. */
+/* Terminated runs of workers and their acknowledgement: those beyond what a
+ * response lists, and acknowledgements that reach a later incarnation. */
 #include "test_support.h"
 
 #include <limits.h>
@@ -15,6 +15,8 @@
 #define TASKS 5
 /* Number of terminated runs that the worker lists in a response. */
 #define LISTED_MAX 2
+/* Longer than the timeout of any poll. */
+#define POLL_TIMEOUT_MS 2000
 #define STEP_MS 10
 #define LEASE_MS 6000
 #define COMMANDS_MAX 32
@@ -47,6 +49,16 @@
     uint64_t acked_through;
     /* Number of polls to which the worker still responds. */
     unsigned responses_left;
+    /* Number of terminated runs that the worker lists in a response. */
+    size_t listed_max;
+    /* Start of the worker's incarnation, and the highest fencing token that it
+     * has received. */
+    int64_t incarnation;
+    uint64_t fencing_token;
+    /* The next poll that acknowledges results is kept in `late`, and the
+     * worker does not receive it. */
+    bool delays_ack;
+    struct SrCommand late;
     /* Latest progress of JOB that was written to the store. */
     uint8_t *progress;
     size_t progress_size;
@@ -71,7 +83,7 @@
         .cpu_millis = 64000,
         .memory_mb = 64000,
         .accelerators = TASKS,
-        .incarnation = 1,
+        .incarnation = leader->incarnation,
     };
     leader->engine = SrEngine_Create(
         &(struct SrEngineOptions){
@@ -95,6 +107,8 @@
         .now_ms = 1000,
         .writable = true,
         .responses_left = UINT_MAX,
+        .listed_max = LISTED_MAX,
+        .incarnation = 1,
     };
     leader->catalog->queues[0].name = SrUtil_Strdup("q");
     leader->catalog->queues[0].host = SrUtil_Strdup("h");
@@ -174,8 +188,10 @@
     response->running = leader->running;
     response->running_count = leader->running_count;
     response->terminated = leader->terminated + leader->acked_through;
-    response->terminated_count = left < LISTED_MAX ? left : LISTED_MAX;
-    response->has_more_terminated = response->terminated_count == LISTED_MAX;
+    response->terminated_count =
+        left < leader->listed_max ? left : leader->listed_max;
+    response->has_more_terminated =
+        response->terminated_count == leader->listed_max;
 }
 
 /* Executes the oldest pending command that gets a response. Returns false if
@@ -186,7 +202,7 @@
     struct SrCommandResponse response = {
         .result = SR_COMMAND_DONE,
         .clock_ms = leader->now_ms,
-        .incarnation = 1,
+        .incarnation = leader->incarnation,
     };
     unsigned i = 0;
     while (i < leader->pending_count &&
@@ -201,6 +217,19 @@
     leader->pending_count--;
     memmove(&leader->pending[i], &leader->pending[i + 1],
             (leader->pending_count - i) * sizeof(command));
+    if (leader->delays_ack && command.kind == SR_COMMAND_POLL &&
+        command.u.poll.acked_through > 0) {
+        leader->delays_ack = false;
+        leader->late = command;
+        return true;
+    }
+    if (command.fencing_token < leader->fencing_token) {
+        response.result = SR_COMMAND_FENCED;
+        SrEngine_OnResponse(leader->engine, &command, &response,
+                            leader->now_ms);
+        return true;
+    }
+    leader->fencing_token = command.fencing_token;
     switch (command.kind) {
     case SR_COMMAND_POLL:
         if (command.u.poll.acked_through > leader->acked_through) {
@@ -266,7 +295,7 @@
 {
     SrEngine_Destroy(leader->engine);
     leader->pending_count = 0;
-    create_engine(leader, 2);
+    create_engine(leader, 1 + SR_ENGINE_TOKENS);
     add_job(leader, JOB, TASKS);
 }
 
@@ -390,6 +419,126 @@
     resign(&leader);
 }
 
+/* The worker restarts under its id; the leader does not learn of it yet. */
+static void
+restart_worker(struct Leader *leader)
+{
+    leader->incarnation++;
+    leader->fencing_token = 0;
+    leader->running_count = 0;
+    leader->terminated_count = 0;
+    leader->acked_through = 0;
+}
+
+static void
+time_out_late_poll(struct Leader *leader)
+{
+    SrEngine_OnResponse(
+        leader->engine, &leader->late,
+        &(struct SrCommandResponse){.result = SR_COMMAND_NO_RESPONSE},
+        leader->now_ms);
+}
+
+/* The worker executes the poll that was delayed, without a response. */
+static void
+execute_late_poll(struct Leader *leader)
+{
+    if (leader->late.fencing_token >= leader->fencing_token) {
+        leader->acked_through = leader->late.u.poll.acked_through;
+    }
+}
+
+enum RestartSign {
+    /* A poll's response shows the restart. */
+    RESTART_SHOWN_BY_POLL,
+    /* The response to a start does, which the new incarnation has executed. */
+    RESTART_SHOWN_BY_START,
+};
+
+struct LateAckCase {
+    const char *name;
+    enum RestartSign sign;
+    /* The poll times out before the restart; otherwise the response is
+     * outstanding when the new incarnation gets work. */
+    bool times_out;
+    /* Another leader takes over before the restart. */
+    bool new_leader;
+    /* The worker restarts once more before it gets work. */
+    bool restarts_again;
+};
+
+static const struct LateAckCase late_ack_cases[] = {
+    {"poll without a response", RESTART_SHOWN_BY_POLL, true, false, false},
+    {"poll in flight", RESTART_SHOWN_BY_POLL, false, false, false},
+    {"poll without a response, start first", RESTART_SHOWN_BY_START, true,
+     false, false},
+    {"poll in flight, start first", RESTART_SHOWN_BY_START, false, false,
+     false},
+    {"poll without a response, two restarts", RESTART_SHOWN_BY_POLL, true,
+     false, true},
+    {"poll of a former leader", RESTART_SHOWN_BY_POLL, true, true, false},
+    {"poll of a former leader, start first", RESTART_SHOWN_BY_START, true,
+     true, false},
+};
+
+/* Guards against tasks that are done and run again: an acknowledgement meant
+ * for a worker's former incarnation reached the next one with the same id, and
+ * deleted results there that no leader had read. */
+static void
+late_acks_delete_no_results_of_later_incarnations(void **state)
+{
+    (void)state;
+    unsigned failed = 0;
+    for (size_t i = 0; i < SR_LENGTH(late_ack_cases); i++) {
+        const struct LateAckCase *c = &late_ack_cases[i];
+        struct Leader leader;
+        lead(&leader);
+        leader.listed_max = COMMANDS_MAX;
+        add_job(&leader, JOB, TASKS);
+        pass_time(&leader, 1000);
+        leader.delays_ack = true;
+        end_runs(&leader, SR_RUN_DONE);
+        pass_time(&leader, 100);
+        assert_int_equal(leader.late.u.poll.acked_through, TASKS);
+        if (c->times_out) {
+            pass_time(&leader, POLL_TIMEOUT_MS);
+            time_out_late_poll(&leader);
+            pass_time(&leader, 100);
+        }
+        if (c->new_leader) {
+            take_over(&leader);
+            pass_time(&leader, 1000);
+        }
+        restart_worker(&leader);
+        leader.responses_left =
+            c->sign == RESTART_SHOWN_BY_POLL ? UINT_MAX : 0;
+        if (c->sign == RESTART_SHOWN_BY_POLL) {
+            pass_time(&leader, 200);
+        }
+        if (c->restarts_again) {
+            restart_worker(&leader);
+            pass_time(&leader, POLL_TIMEOUT_MS);
+        }
+        free(leader.progress);
+        leader.progress = NULL;
+        add_job(&leader, NEXT_JOB, TASKS);
+        pass_time(&leader, 100);
+        assert_int_equal(leader.running_count, TASKS);
+        leader.responses_left = UINT_MAX;
+        pass_time(&leader, 2 * STEP_MS);
+        end_runs(&leader, SR_RUN_DONE);
+        execute_late_poll(&leader);
+        pass_time(&leader, 3000);
+        if (leader.sent[SR_COMMAND_START] != 2 * TASKS) {
+            print_message("%s: %u starts of %u tasks\n", c->name,
+                          leader.sent[SR_COMMAND_START], 2 * TASKS);
+            failed++;
+        }
+        resign(&leader);
+    }
+    assert_int_equal(failed, 0);
+}
+
 int
 main(void)
 {
@@ -397,6 +546,7 @@
         cmocka_unit_test(unlisted_ends_are_not_taken_for_lost_runs),
         cmocka_unit_test(unlisted_stopped_runs_hold_their_resources),
         cmocka_unit_test(unlisted_unknown_runs_keep_their_task_from_starting),
+        cmocka_unit_test(late_acks_delete_no_results_of_later_incarnations),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
     return cmocka_run_group_tests(tests, NULL, NULL);
