Call a machine only when its tasks may be away together

Cause: a machine was called when no run of its worker was held and the time at which it was to be without runs had passed by more than a stop takes. The load was read before the stops of that step, and "held" is about each run alone: of eight tasks at work each may be ended, but not all. A machine with a newer worker, after a change of leaders, was called by the same condition, with all its tasks at work.

Change: the load is read again after the stops, and the machine is called if all runs left were told to stop longer ago than a stop takes. A renewed machine is called directly only if all its tasks may be away together. From the call until its outcome is known, its tasks count as away for other stops, and it gets no tasks that last.

Evidence: maintenance_ends_no_more_tasks_than_may_be_away in test_wave fails in 7 of its 8 rows on the code before, with 4 to 8 tasks away where one or two may be, and passes now.

--- a/src/engine.c
+++ b/src/engine.c
@@ -712,6 +712,7 @@
         return;
     }
     run->stopping = true;
+    run->stopping_since_ms = now_ms;
     run->stop_reason = reason;
     run->next_send_ms = now_ms;
     SrFleet_MarkUnsettled(&engine->fleet, run);
--- a/src/engine_leaving.c
+++ b/src/engine_leaving.c
@@ -11,19 +11,47 @@
 {
     const struct SrRun *run = task->active_run;
     return run != NULL && run->state == SR_RUNSTATE_STARTED &&
-           !run->stopping && run->percent >= AT_WORK_PERCENT;
+           !run->stopping && run->percent >= AT_WORK_PERCENT &&
+           !run->worker->ending;
 }
 
-static uint32_t
-count_at_work(const struct SrRun *run)
+/* Returns true if the step limits how many of its tasks may be away. */
+static bool
+has_limit(const Sr__FlowStep *step)
+{
+    return step->continuous && step->max_unavailable > 0;
+}
+
+/* Returns true if the step, which has a limit, allows that its tasks on the
+ * worker are away, or only the task of the run if `worker` is NULL. */
+static bool
+allows_end(const struct SrRun *run, const struct SrWorker *worker)
 {
-    uint32_t count = 0;
+    const Sr__FlowStep *step = run->step;
+    uint32_t at_work = 0;
     const struct SrFlowTask *tasks = SrFlow_StepTasks(
         run->task->flow, run->task->occurrence, run->task->step);
-    for (uint32_t i = 0; i < run->step->count; i++) {
-        count += is_at_work(&tasks[i]) ? 1 : 0;
+    for (uint32_t i = 0; i < step->count && !step->gang; i++) {
+        bool ends = worker != NULL ? tasks[i].active_run != NULL &&
+                                         tasks[i].active_run->worker == worker
+                                   : &tasks[i] == run->task;
+        at_work += !ends && is_at_work(&tasks[i]) ? 1 : 0;
+    }
+    return step->count - at_work <= step->max_unavailable;
+}
+
+/* Returns true if no member of the run's gang is at work. */
+static bool
+is_gang_away(const struct SrRun *run)
+{
+    uint32_t count;
+    const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (is_at_work(&first[i])) {
+            return false;
+        }
     }
-    return count;
+    return true;
 }
 
 /* Returns true if the run may be stopped, and the rest of its gang with it:
@@ -32,18 +60,12 @@
 static bool
 may_end(const struct SrRun *run)
 {
-    const Sr__FlowStep *step = run->step;
-    if (!step->continuous || step->max_unavailable == 0) {
-        return true;
-    }
-    uint32_t at_work = count_at_work(run);
-    if (step->gang) {
-        return at_work == 0 || step->count <= step->max_unavailable;
-    }
-    if (!is_at_work(run->task)) {
+    if (!has_limit(run->step)) {
         return true;
     }
-    return step->count - (at_work - 1) <= step->max_unavailable;
+    bool is_away =
+        run->step->gang ? is_gang_away(run) : !is_at_work(run->task);
+    return is_away || allows_end(run, NULL);
 }
 
 static void
@@ -52,9 +74,15 @@
 {
     load->runs++;
     if (run->stopping) {
+        load->stopping++;
+        if (run->stopping_since_ms > load->stopping_since_ms) {
+            load->stopping_since_ms = run->stopping_since_ms;
+        }
         return;
     }
     load->held += may_end(run) ? 0 : 1;
+    load->held_together |= has_limit(run->step) && is_at_work(run->task) &&
+                           !allows_end(run, run->worker);
     if (!run->step->continuous) {
         int64_t end_ms = SrFleet_ExpectedEndMs(run, now_ms);
         load->ending++;
@@ -98,6 +126,16 @@
     engine->replan = true;
 }
 
+void
+SrEngine_SetEnding(struct SrEngine *engine, const char *id, bool ending)
+{
+    struct SrWorker *worker = SrFleet_Find(&engine->fleet, id);
+    if (worker != NULL) {
+        worker->ending = ending;
+        engine->replan = true;
+    }
+}
+
 void
 SrEngine_EndRuns(struct SrEngine *engine, const char *id, int64_t now_ms)
 {
--- a/src/engine_leaving.h
+++ b/src/engine_leaving.h
@@ -14,6 +14,12 @@
     /* Runs that may not be ended now: more tasks of their step would be away
      * than its `max_unavailable` allows. */
     unsigned held;
+    /* The same holds if all runs were ended at once, though each may be ended
+     * alone. */
+    bool held_together;
+    /* Runs that are being stopped, and when the last of them was told to. */
+    unsigned stopping;
+    int64_t stopping_since_ms;
     /* When the last of the runs that end by themselves is expected to end. */
     int64_t end_ms;
     /* Work, in core-seconds, that is lost if the runs that do not end before
@@ -30,6 +36,11 @@
 void SrEngine_SetLeaving(struct SrEngine *engine, const char *id,
                          int64_t leaves_ms);
 
+/* Sets whether a call that ends the worker may be executed at any time. Its
+ * tasks then count as away for others of their step, and it gets no task that
+ * lasts. No effect if the worker is not known. */
+void SrEngine_SetEnding(struct SrEngine *engine, const char *id, bool ending);
+
 /* Returns the load of the worker; all zeros if it is not known. `leaves_ms` is
  * the time up to which its runs may end by themselves. */
 struct SrWorkerLoad SrEngine_LoadOf(const struct SrEngine *engine,
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -52,6 +52,8 @@
     uint64_t allocation_change;
     /* The run is to be stopped. */
     bool stopping;
+    /* Since when. */
+    int64_t stopping_since_ms;
     /* Why, as logged; NULL while it is not to be stopped. Static text. */
     const char *stop_reason;
     /* The worker acknowledged the stop command, rejected it as old or invalid,
@@ -306,6 +308,9 @@
     /* When the worker is to be without runs for a maintenance of its machine;
      * 0 if it is not to (see SrEngine_SetLeaving). */
     int64_t maintenance_ms;
+    /* A call that ends the worker may be executed at any time (see
+     * SrEngine_SetEnding). */
+    bool ending;
     /* The worker's runs have been checked against `maintenance_ms`. */
     bool maintenance_handled;
 
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -169,6 +169,9 @@
 ends_before_maintenance(const struct SrWorker *worker,
                         const struct SrPlanUnit *unit)
 {
+    if (worker->ending && unit->step->continuous) {
+        return false;
+    }
     return worker->maintenance_in_ms == INT64_MAX ||
            (!unit->step->continuous && unit->step->estimated_ms > 0 &&
             unit->step->estimated_ms <= worker->maintenance_in_ms);
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -8,7 +8,8 @@
 is_at_work(const struct SrRun *run)
 {
     return run->state == SR_RUNSTATE_STARTED && !run->stopping &&
-           !run->is_victim && run->percent >= AT_WORK_PERCENT;
+           !run->is_victim && run->percent >= AT_WORK_PERCENT &&
+           !run->worker->ending;
 }
 
 /* Returns the first task of the step that the run executes. */
--- a/src/wave.c
+++ b/src/wave.c
@@ -76,6 +76,8 @@
      * the call has begun can be over. */
     int64_t called_incarnation;
     char called_worker[SR_ID_SIZE];
+    /* Worker that a call may end; empty if none. */
+    char ending[SR_ID_SIZE];
     /* Counts as in its maintenance, because of a call. */
     bool away;
     /* Since when the maintenance is known to have begun, and the earliest time
@@ -265,6 +267,22 @@
     machine->marked[0] = '\0';
 }
 
+/* Sets whether a call may end the machine's worker. */
+static void
+set_ending(const struct SrWaves *waves, struct Machine *machine, bool ending)
+{
+    if (ending == (machine->ending[0] != '\0')) {
+        return;
+    }
+    if (ending) {
+        SrUtil_Copy(machine->ending, sizeof(machine->ending), machine->worker);
+    }
+    waves->options.set_ending(waves->options.context, machine->ending, ending);
+    if (!ending) {
+        machine->ending[0] = '\0';
+    }
+}
+
 /* Applies the stored status to the wave, if it was written after the request.
  */
 static void
@@ -310,6 +328,7 @@
 {
     for (size_t i = 0; i < wave->request->machine_count; i++) {
         unmark(waves, &wave->machines[i]);
+        set_ending(waves, &wave->machines[i], false);
     }
 }
 
@@ -397,6 +416,7 @@
 {
     machine->step = STEP_BEGUN;
     machine->unanswered = false;
+    set_ending(waves, machine, false);
     machine->away = true;
     machine->begun_ms = begun_ms;
     /* That of a renewed worker has probably ended: the call had no effect. */
@@ -574,6 +594,7 @@
         return;
     }
     machine->away = false;
+    set_ending(waves, machine, false);
     machine->step = STEP_LEAVING;
     if (++machine->refusals >= REFUSALS_MAX) {
         lose_turn(waves, machine, now_ms);
@@ -818,12 +839,13 @@
     lose_turn(waves, machine, now_ms);
 }
 
-/* Ends the runs of the machine's worker as far as they may be ended. Returns
- * true if none is left, or none that does not end soon: of a worker that does
- * not respond, runs are not known to be over. */
+/* Ends the runs of the machine's worker as far as they may be ended, and
+ * updates its load. Returns true if none is left, or all were told to stop
+ * long enough ago: of a worker that does not respond, runs are not known to be
+ * over. */
 static bool
 empty_worker(struct SrWaves *waves, struct Wave *wave, struct Machine *machine,
-             const struct SrWorkerLoad *load, int64_t now_ms)
+             struct SrWorkerLoad *load, int64_t now_ms)
 {
     if (load->held == 0) {
         machine->held = 0;
@@ -840,9 +862,11 @@
     if (load->runs > 0) {
         waves->options.end_runs(waves->options.context, machine->worker,
                                 now_ms);
+        /* Of runs that may each be ended alone, some may be held now. */
+        *load = load_of(waves, machine, machine->limit_ms, now_ms);
     }
-    return load->runs == 0 ||
-           (load->held == 0 && now_ms - machine->leaves_ms >
+    return load->runs == load->stopping &&
+           (load->runs == 0 || now_ms - load->stopping_since_ms >
                                    waves->options.stop_ms + ROUND_OVERHEAD_MS);
 }
 
@@ -853,9 +877,11 @@
 {
     struct SrWorkerLoad load =
         load_of(waves, machine, machine->limit_ms, now_ms);
-    if (machine->renewed) {
-        return load.held == 0;
+    if (machine->renewed && !load.held_together) {
+        return true;
     }
+    /* Otherwise the call, if it has an effect, would end too many tasks. */
+    machine->renewed = false;
     if (strcmp(machine->marked, machine->worker) != 0) {
         mark(waves, machine, leave_time(&load, machine->limit_ms, now_ms));
     }
@@ -905,6 +931,7 @@
         machine->called_ms = now_ms;
         record_life(waves, machine);
     }
+    set_ending(waves, machine, true);
     machine->step = STEP_CALLED;
     machine->call_in_flight = true;
     machine->away = true;
@@ -925,6 +952,7 @@
         if (now_ms - machine->unanswered_ms > SR_WAVE_LATE_CALL_MS) {
             machine->unanswered = false;
             machine->away = false;
+            set_ending(waves, machine, false);
             machine->step = STEP_LEAVING;
         }
         else if (may_call && !wave->removed && now_ms >= machine->retry_ms) {
--- a/src/wave.h
+++ b/src/wave.h
@@ -93,10 +93,12 @@
     int64_t notice_ms;
     /* Time that a worker takes to stop a run. */
     int64_t stop_ms;
-    /* See SrEngine_LoadOf, SrEngine_SetLeaving and SrEngine_EndRuns. */
+    /* See SrEngine_LoadOf, SrEngine_SetLeaving, SrEngine_SetEnding and
+     * SrEngine_EndRuns. */
     struct SrWorkerLoad (*load_of)(void *context, const char *worker,
                                    int64_t leaves_ms, int64_t now_ms);
     void (*set_leaving)(void *context, const char *worker, int64_t leaves_ms);
+    void (*set_ending)(void *context, const char *worker, bool ending);
     void (*end_runs)(void *context, const char *worker, int64_t now_ms);
     /* Calls the service for a machine; the result must be passed to
      * SrWaves_OnResult, but not before `begin` returns. Returns false if no
--- a/src/wave_runner.c
+++ b/src/wave_runner.c
@@ -40,6 +40,13 @@
     SrEngine_SetLeaving(runner->options.engine, worker, leaves_ms);
 }
 
+static void
+set_ending(void *context, const char *worker, bool ending)
+{
+    const struct SrWaveRunner *runner = context;
+    SrEngine_SetEnding(runner->options.engine, worker, ending);
+}
+
 static void
 end_runs(void *context, const char *worker, int64_t now_ms)
 {
@@ -117,6 +124,7 @@
             .stop_ms = options->stop_ms,
             .load_of = load_of,
             .set_leaving = set_leaving,
+            .set_ending = set_ending,
             .end_runs = end_runs,
             .begin = begin,
             .context = runner,
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -170,6 +170,14 @@
                  sim->c->fault == FAULT_NONE && sim->c->replaced_ms == 0);
 }
 
+static void
+ignore_ending(void *context, const char *worker, bool ending)
+{
+    (void)context;
+    (void)worker;
+    (void)ending;
+}
+
 static void
 sim_end_runs(void *context, const char *worker, int64_t now_ms)
 {
@@ -261,6 +269,7 @@
             .stop_ms = STOP_MS,
             .load_of = sim_load,
             .set_leaving = sim_set_leaving,
+            .set_ending = ignore_ending,
             .end_runs = sim_end_runs,
             .begin = sim_begin,
             .context = sim,
@@ -614,10 +623,24 @@
     (void)command;
 }
 
-/* An engine with one job that lasts, each of whose tasks runs on a worker of
- * its own. */
+/* Lets the task run on the worker, where it is at work. */
+static void
+start_task(struct SrEngine *engine, const char *worker,
+           struct SrFlowTask *task, int64_t now_ms)
+{
+    struct SrRun *run =
+        SrFleet_Allocate(&engine->fleet, SrFleet_Find(&engine->fleet, worker),
+                         task, task->run + 1, now_ms);
+    run->state = SR_RUNSTATE_STARTED;
+    run->percent = 100;
+    run->starts_sent = 1;
+}
+
+/* An engine with one job that lasts, and workers, one for each `per_worker`
+ * tasks, that execute them. */
 static struct SrEngine *
-create_engine(uint32_t tasks, uint32_t max_unavailable, bool gang)
+create_engine(uint32_t tasks, uint32_t per_worker, uint32_t max_unavailable,
+              bool gang)
 {
     struct SrEngine *engine = SrEngine_Create(
         &(struct SrEngineOptions){.lease_ms = 10000, .send = ignore_command},
@@ -637,16 +660,13 @@
     SrUtil_SetText(&record->queue, "q");
     assert_true(SrEngine_AddFlow(engine, "job", record, NULL, 1));
     for (uint32_t i = 0; i < tasks; i++) {
-        struct SrWorkerEntry entry = {.accelerators = 1, .incarnation = 5};
-        snprintf(entry.id, sizeof(entry.id), "w%u", i);
+        struct SrWorkerEntry entry = {.accelerators = per_worker,
+                                      .incarnation = 5};
+        snprintf(entry.id, sizeof(entry.id), "w%u", i / per_worker);
         SrEngine_SetWorker(engine, entry.id, &entry, 1);
-        struct SrFlowTask *task = &SrEngine_FindFlow(engine, "job")->tasks[i];
-        struct SrRun *run = SrFleet_Allocate(
-            &engine->fleet, SrFleet_Find(&engine->fleet, entry.id), task, 1,
-            1);
-        run->state = SR_RUNSTATE_STARTED;
-        run->percent = 100;
-        run->starts_sent = 1;
+        SrFleet_Find(&engine->fleet, entry.id)->response_ms = 1;
+        start_task(engine, entry.id,
+                   &SrEngine_FindFlow(engine, "job")->tasks[i], 1);
     }
     return engine;
 }
@@ -677,7 +697,7 @@
     for (size_t i = 0; i < SR_LENGTH(away_cases); i++) {
         const struct AwayCase *c = &away_cases[i];
         struct SrEngine *engine =
-            create_engine(4, c->max_unavailable, c->gang);
+            create_engine(4, 1, c->max_unavailable, c->gang);
         struct SrFlow *flow = SrEngine_FindFlow(engine, "job");
         unsigned stopped = 0;
         for (uint32_t k = 0; k < c->away; k++) {
@@ -700,6 +720,316 @@
     }
 }
 
+#define MOVED_TASKS 8
+#define MOVE_MS 120000
+/* Time from the start of a task until it is at work. */
+#define STARTUP_MS 300
+
+struct MoveCase {
+    /* Names what the maintenance is requested in. */
+    const char *name;
+    uint32_t max_unavailable;
+    /* The first workers have the tasks, the others none. A wave is requested
+     * for each of the machines of the first `waves` workers. */
+    uint32_t tasks_per_worker;
+    unsigned waves;
+    /* A former leader has stored the status of the waves, and the workers are
+     * newer than their requests. */
+    bool renewed;
+    /* Another leader takes over at this time; 0 for none. */
+    int64_t takeover_ms;
+    /* The calls get no response, and are executed this much later. */
+    int64_t late_ms;
+};
+
+static const struct MoveCase move_cases[] = {
+    {"one task away at a time", 1, 8, 1, false, 0, 0},
+    {"two tasks away at a time", 2, 8, 1, false, 0, 0},
+    {"two waves at once", 1, 4, 2, false, 0, 0},
+    {"a new leader", 1, 8, 1, true, 0, 0},
+    {"a new leader, two waves at once", 1, 4, 2, true, 0, 0},
+    {"a new leader, tasks within the limit", 2, 2, 4, true, 0, 0},
+    {"the same, calls executed late", 2, 2, 4, true, 0, 5000},
+    {"leaders in sequence", 1, 4, 2, false, 4000, 0},
+};
+
+/* Machines, each with a worker of the same number, waves for some of them, and
+ * the job whose tasks are moved. */
+struct MoveWorld {
+    const struct MoveCase *c;
+    struct SrEngine *engine;
+    struct SrWaves *waves;
+    int64_t now_ms;
+    unsigned workers;
+    /* For each worker, when a call for its machine is executed, and when its
+     * maintenance ends; 0 for not at all. */
+    int64_t execute_ms[MOVED_TASKS + 2];
+    int64_t back_ms[MOVED_TASKS + 2];
+    bool done[MOVED_TASKS + 2];
+    /* When the result of a call is known; 0 for none. */
+    int64_t result_ms[MOVED_TASKS + 2];
+    bool completed[MOVED_TASKS];
+    /* Highest number of tasks that were away together because of stops and
+     * maintenances. */
+    uint32_t most_away;
+};
+
+static struct SrFlow *
+moved_flow(const struct MoveWorld *world)
+{
+    return SrEngine_FindFlow(world->engine, "job");
+}
+
+static struct SrWorkerLoad
+move_load(void *context, const char *worker, int64_t leaves_ms, int64_t now_ms)
+{
+    const struct MoveWorld *world = context;
+    return SrEngine_LoadOf(world->engine, worker, leaves_ms, now_ms);
+}
+
+static void
+move_set_leaving(void *context, const char *worker, int64_t leaves_ms)
+{
+    struct MoveWorld *world = context;
+    SrEngine_SetLeaving(world->engine, worker, leaves_ms);
+}
+
+static void
+move_set_ending(void *context, const char *worker, bool ending)
+{
+    struct MoveWorld *world = context;
+    SrEngine_SetEnding(world->engine, worker, ending);
+}
+
+static void
+move_end_runs(void *context, const char *worker, int64_t now_ms)
+{
+    struct MoveWorld *world = context;
+    SrEngine_EndRuns(world->engine, worker, now_ms);
+}
+
+static bool
+move_begin(void *context, const char *machine, uint64_t wave)
+{
+    struct MoveWorld *world = context;
+    unsigned w = index_of(machine);
+    (void)wave;
+    if (world->execute_ms[w] == 0) {
+        world->execute_ms[w] = world->now_ms + world->c->late_ms;
+    }
+    world->result_ms[w] =
+        world->now_ms + (world->c->late_ms > 0 ? CALL_TIMEOUT_MS : STEP_MS);
+    return true;
+}
+
+static void
+create_move_waves(struct MoveWorld *world, bool stored)
+{
+    SrWaves_Destroy(world->waves);
+    world->waves = SrWaves_Create(
+        &(struct SrWavesOptions){
+            .maintenance_ms = MAINTENANCE_MS,
+            .stop_ms = STOP_MS,
+            .load_of = move_load,
+            .set_leaving = move_set_leaving,
+            .set_ending = move_set_ending,
+            .end_runs = move_end_runs,
+            .begin = move_begin,
+            .context = world,
+        },
+        world->now_ms);
+    for (unsigned i = 0; i < world->c->waves; i++) {
+        char names[1][SR_ID_SIZE];
+        struct SrWaveRequest request = {
+            .version = 1,
+            .number = i,
+            .duration_ms = MOVE_MS / 2,
+            .cap = 1,
+            .machines = names,
+            .machine_count = 1,
+            .seen_ms = world->now_ms,
+            .seen_unix_ms = world->c->renewed ? 1 : SIM_MS,
+        };
+        snprintf(names[0], SR_ID_SIZE, "m%u", i);
+        snprintf(request.key, sizeof(request.key), "wave/%u", i);
+        SrWaves_Set(world->waves, &request);
+        if (stored) {
+            SrWaves_SetStored(world->waves, request.key, false, 2);
+        }
+    }
+    SrWaves_SetStatusesLoaded(world->waves);
+}
+
+static void
+end_run(struct MoveWorld *world, struct SrRun *run, enum SrRunOutcome outcome)
+{
+    SrEngine_EndRun(world->engine, run, outcome, "", world->now_ms);
+}
+
+/* Executes the calls that are due, and ends maintenances. */
+static void
+move_machines(struct MoveWorld *world)
+{
+    for (unsigned w = 0; w < world->workers; w++) {
+        char name[SR_ID_SIZE];
+        snprintf(name, sizeof(name), "w%u", w);
+        struct SrWorker *worker = SrFleet_Find(&world->engine->fleet, name);
+        if (world->execute_ms[w] != 0 &&
+            world->now_ms >= world->execute_ms[w]) {
+            world->execute_ms[w] = 0;
+            if (!world->done[w]) {
+                world->done[w] = true;
+                world->back_ms[w] = world->now_ms + MAINTENANCE_MS;
+                while (!SrList_IsEmpty(&worker->runs)) {
+                    end_run(
+                        world,
+                        SR_CONTAINER(worker->runs.next, struct SrRun, link),
+                        SR_RUN_LAPSED);
+                }
+            }
+        }
+        if (world->result_ms[w] != 0 && world->now_ms >= world->result_ms[w]) {
+            world->result_ms[w] = 0;
+            snprintf(name, sizeof(name), "m%u", w);
+            SrWaves_OnResult(world->waves, name, w,
+                             world->c->late_ms == 0 ? SR_MAINTENANCE_DONE
+                                                    : SR_MAINTENANCE_UNKNOWN,
+                             world->now_ms);
+        }
+        if (world->now_ms >= world->back_ms[w]) {
+            world->back_ms[w] = 0;
+            worker->response_ms = world->now_ms;
+        }
+    }
+}
+
+/* Returns a worker that may get a task; NULL if there is none. */
+static const char *
+find_place(const struct MoveWorld *world)
+{
+    for (unsigned w = world->workers; w > 0; w--) {
+        char name[SR_ID_SIZE];
+        snprintf(name, sizeof(name), "w%u", w - 1);
+        const struct SrWorker *worker =
+            SrFleet_Find(&world->engine->fleet, name);
+        if (worker->maintenance_ms == 0 && !worker->ending &&
+            world->back_ms[w - 1] == 0 &&
+            worker->allocated.accelerators < worker->info.accelerators) {
+            return worker->info.id;
+        }
+    }
+    return NULL;
+}
+
+/* Ends the runs that have stopped, and starts their tasks again. */
+static void
+move_tasks(struct MoveWorld *world)
+{
+    struct SrFlow *flow = moved_flow(world);
+    uint32_t away = 0;
+    for (uint32_t i = 0; i < MOVED_TASKS; i++) {
+        struct SrFlowTask *task = &flow->tasks[i];
+        struct SrRun *run = task->active_run;
+        const char *place = find_place(world);
+        if (run != NULL && run->stopping &&
+            world->now_ms - run->stopping_since_ms >= STOP_MS) {
+            end_run(world, run, SR_RUN_STOPPED);
+        }
+        if (task->active_run == NULL && place != NULL) {
+            start_task(world->engine, place, task, world->now_ms);
+            task->active_run->percent = 0;
+        }
+        run = task->active_run;
+        if (run != NULL && world->now_ms - run->allocated_ms >= STARTUP_MS) {
+            run->percent = 100;
+        }
+        away += run == NULL || run->stopping || run->percent < 100 ? 1 : 0;
+    }
+    if (away > world->most_away) {
+        world->most_away = away;
+    }
+}
+
+static void
+list_moved_machines(struct MoveWorld *world)
+{
+    for (unsigned w = 0; w < world->workers; w++) {
+        struct SrMachine machine = {.state = world->back_ms[w] == 0
+                                                 ? SR_MACHINE_UP
+                                                 : SR_MACHINE_MAINTENANCE};
+        snprintf(machine.name, sizeof(machine.name), "m%u", w);
+        if (machine.state == SR_MACHINE_UP) {
+            snprintf(machine.worker, sizeof(machine.worker), "w%u", w);
+        }
+        SrWaves_OnMachine(world->waves, &machine, world->now_ms);
+    }
+}
+
+/* Plays the case; returns the number of waves that were completed. */
+static unsigned
+run_moves(struct MoveWorld *world, const struct MoveCase *c)
+{
+    unsigned completed = 0;
+    *world = (struct MoveWorld){
+        .c = c,
+        .engine = create_engine(MOVED_TASKS, c->tasks_per_worker,
+                                c->max_unavailable, false),
+        .workers = MOVED_TASKS / c->tasks_per_worker + 2,
+        .now_ms = 1000,
+    };
+    for (unsigned w = world->workers - 2; w < world->workers; w++) {
+        struct SrWorkerEntry entry = {.accelerators = MOVED_TASKS,
+                                      .incarnation = 5};
+        snprintf(entry.id, sizeof(entry.id), "w%u", w);
+        SrEngine_SetWorker(world->engine, entry.id, &entry, 1);
+    }
+    create_move_waves(world, c->renewed);
+    for (; world->now_ms < MOVE_MS; world->now_ms += STEP_MS) {
+        struct SrWaveStatus status;
+        move_machines(world);
+        move_tasks(world);
+        if (world->now_ms % LIST_MS == 0) {
+            list_moved_machines(world);
+        }
+        if (c->takeover_ms != 0 && world->now_ms == c->takeover_ms) {
+            create_move_waves(world, true);
+        }
+        SrWaves_Step(world->waves, true, world->now_ms);
+        while (SrWaves_NextStatus(world->waves, &status)) {
+            world->completed[status.number] |= status.completed;
+            SrWaves_OnStatusStored(world->waves, &status);
+        }
+    }
+    for (unsigned i = 0; i < c->waves; i++) {
+        completed += world->completed[i] && world->done[i] ? 1 : 0;
+    }
+    SrWaves_Destroy(world->waves);
+    SrEngine_Destroy(world->engine);
+    return completed;
+}
+
+/* Guards against a maintenance that ends several tasks of a step at once,
+ * each of which may be ended alone. */
+static void
+maintenance_ends_no_more_tasks_than_may_be_away(void **state)
+{
+    (void)state;
+    unsigned failed = 0;
+    for (size_t i = 0; i < SR_LENGTH(move_cases); i++) {
+        const struct MoveCase *c = &move_cases[i];
+        static struct MoveWorld world;
+        unsigned completed = run_moves(&world, c);
+        if (world.most_away > c->max_unavailable || completed != c->waves) {
+            print_message("%s: %u tasks away, %u allowed; %u of %u waves "
+                          "completed\n",
+                          c->name, world.most_away, c->max_unavailable,
+                          completed, c->waves);
+            failed++;
+        }
+    }
+    assert_int_equal(failed, 0);
+}
+
 struct RequestCase {
     const char *name;
     const char *body;
@@ -985,6 +1315,7 @@
         cmocka_unit_test(least_loss_is_first),
         cmocka_unit_test(waves_share_a_machine),
         cmocka_unit_test(tasks_are_stopped_within_their_limit),
+        cmocka_unit_test(maintenance_ends_no_more_tasks_than_may_be_away),
         cmocka_unit_test(requests_are_decoded),
         cmocka_unit_test(service_is_called),
         cmocka_unit_test(calls_stay_within_their_rate),
