Allow for the age of reports before a task that lasts is stopped

What callers see: more tasks of a step away than `max_unavailable` (AVAIL).

Cause: a task whose latest report has less than 100 percent counted as away, so that it could be stopped while another was away, though it may be at work since the report. A task of a worker that does not respond counted as at work until the lease had expired, 6.5 s later, and others were stopped beside it, by waves and by preemption.

Change: a task is at work for others of its step only if its worker has responded within 2.2 s. Before it is stopped itself, a task is away only if no start of its run can have been executed.

Evidence: stops_allow_for_the_age_of_reports in test_wave fails before in the rows 'a task that may be at work since the report is stopped' (held 0, stopped 1) and with a silent worker; the case 'beside a silent worker' of test_contention has 3 tasks preempted before, and none now.

--- a/src/engine_leaving.c
+++ b/src/engine_leaving.c
@@ -5,14 +5,21 @@
 /* A task that lasts is at work from this progress on. */
 #define AT_WORK_PERCENT 100
 
-/* Returns true if the task, which lasts, is at work. */
+/* Returns true if the task, which lasts, is known to be at work. */
 static bool
-is_at_work(const struct SrFlowTask *task)
+is_at_work(const struct SrFlowTask *task, int64_t now_ms)
 {
     const struct SrRun *run = task->active_run;
     return run != NULL && run->state == SR_RUNSTATE_STARTED &&
            !run->stopping && run->percent >= AT_WORK_PERCENT &&
-           !run->worker->ending;
+           !run->worker->ending && SrFleet_Responds(run->worker, now_ms);
+}
+
+/* Returns true if the run, whose task lasts, may be at work by now. */
+static bool
+may_be_at_work(const struct SrRun *run)
+{
+    return !run->stopping && SrEngine_MayHaveExecuted(run);
 }
 
 /* Returns true if the step limits how many of its tasks may be away. */
@@ -25,7 +32,8 @@
 /* Returns true if the step, which has a limit, allows that its tasks on the
  * worker are away, or only the task of the run if `worker` is NULL. */
 static bool
-allows_end(const struct SrRun *run, const struct SrWorker *worker)
+allows_end(const struct SrRun *run, const struct SrWorker *worker,
+           int64_t now_ms)
 {
     const Sr__FlowStep *step = run->step;
     uint32_t at_work = 0;
@@ -35,19 +43,20 @@
         bool ends = worker != NULL ? tasks[i].active_run != NULL &&
                                          tasks[i].active_run->worker == worker
                                    : &tasks[i] == run->task;
-        at_work += !ends && is_at_work(&tasks[i]) ? 1 : 0;
+        at_work += !ends && is_at_work(&tasks[i], now_ms) ? 1 : 0;
     }
     return step->count - at_work <= step->max_unavailable;
 }
 
-/* Returns true if no member of the run's gang is at work. */
+/* Returns true if no member of the run's gang may be at work. */
 static bool
 is_gang_away(const struct SrRun *run)
 {
     uint32_t count;
     const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
     for (uint32_t i = 0; i < count; i++) {
-        if (is_at_work(&first[i])) {
+        if (first[i].active_run != NULL &&
+            may_be_at_work(first[i].active_run)) {
             return false;
         }
     }
@@ -58,14 +67,13 @@
  * no more tasks of the step are away then than it allows, or none more than
  * are away already. */
 static bool
-may_end(const struct SrRun *run)
+may_end(const struct SrRun *run, int64_t now_ms)
 {
     if (!has_limit(run->step)) {
         return true;
     }
-    bool is_away =
-        run->step->gang ? is_gang_away(run) : !is_at_work(run->task);
-    return is_away || allows_end(run, NULL);
+    bool is_away = run->step->gang ? is_gang_away(run) : !may_be_at_work(run);
+    return is_away || allows_end(run, NULL, now_ms);
 }
 
 static void
@@ -80,9 +88,9 @@
         }
         return;
     }
-    load->held += may_end(run) ? 0 : 1;
-    load->held_together |= has_limit(run->step) && is_at_work(run->task) &&
-                           !allows_end(run, run->worker);
+    load->held += may_end(run, now_ms) ? 0 : 1;
+    load->held_together |= has_limit(run->step) && may_be_at_work(run) &&
+                           !allows_end(run, run->worker, now_ms);
     if (!run->step->continuous) {
         int64_t end_ms = SrFleet_ExpectedEndMs(run, now_ms);
         load->ending++;
@@ -146,7 +154,7 @@
     SR_LIST_EACH_SAFE(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (!run->stopping && may_end(run)) {
+        if (!run->stopping && may_end(run, now_ms)) {
             SrEngine_StopUnit(engine, run, "maintenance", now_ms);
             /* The stop may have released further runs of the worker, possibly
              * `link_next`, so the iteration restarts. */
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -335,6 +335,8 @@
      * and the highest rank. */
     int64_t earliest_end_ms;
     uint32_t highest_rank;
+    /* The worker has responded to a poll recently. */
+    bool responds;
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -37,6 +37,7 @@
         !SrEngine_IsDomainOut(pass->engine, worker->info.domain);
     worker->usable =
         worker->usable_at_need && SrFleet_IsUsable(worker, pass->now_ms);
+    worker->responds = SrFleet_Responds(worker, pass->now_ms);
     worker->maintenance_in_ms = worker->maintenance_ms > 0
                                     ? worker->maintenance_ms - pass->now_ms
                                     : INT64_MAX;
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -3,13 +3,13 @@
 /* A task that lasts is at work from this progress on. */
 #define AT_WORK_PERCENT 100
 
-/* Returns true if the run's task, which lasts, is at work. */
+/* Returns true if the run's task, which lasts, is known to be at work. */
 static bool
 is_at_work(const struct SrRun *run)
 {
     return run->state == SR_RUNSTATE_STARTED && !run->stopping &&
            !run->is_victim && run->percent >= AT_WORK_PERCENT &&
-           !run->worker->ending;
+           !run->worker->ending && run->worker->responds;
 }
 
 /* Returns the first task of the step that the run executes. */
--- a/tests/test_contention.c
+++ b/tests/test_contention.c
@@ -63,6 +63,8 @@
     unsigned lasting_stops;
     /* Smallest number of lasting tasks at work since they all were. */
     unsigned fewest_at_work;
+    /* The last worker does not respond. */
+    bool is_silent;
 };
 
 static void
@@ -264,6 +266,12 @@
         .clock_ms = world->now_ms,
         .incarnation = 1,
     };
+    if (world->is_silent && worker == &world->workers[WORKERS - 1]) {
+        response = (struct SrCommandResponse){.result = SR_COMMAND_NO_RESPONSE,
+                                              .clock_ms = -1};
+        SrEngine_OnResponse(world->engine, command, &response, world->now_ms);
+        return;
+    }
     switch (command->kind) {
     case SR_COMMAND_START:
         start(world, worker, command);
@@ -343,18 +351,23 @@
      * time. */
     unsigned stopped_max;
     unsigned away_max;
+    /* The last worker has been silent for this long when the job comes. */
+    int64_t silent_ms;
 };
 
 static const struct Case cases[] = {
-    {"within the guarantee", 32, "urgent", 8, 1, false, 8, 8, 8},
-    {"without a limit of the step", 0, "urgent", 8, 1, false, 8, 8, 8},
-    {"at the limit of the step", 8, "urgent", 8, 1, false, 8, 8, 8},
-    {"beyond the limit of the step", 3, "urgent", 8, 1, false, 3, 3, 3},
-    {"a gang", 16, "urgent", 2, 8, true, 2, 16, 16},
-    {"a gang beyond the limit of the step", 15, "urgent", 2, 8, true, 0, 0, 0},
-    {"a gang within one worker's limit", 12, "urgent", 2, 6, true, 2, 12, 12},
-    {"beyond the guarantee", 32, "urgent", 17, 1, false, 0, 0, 0},
-    {"a lower priority", 32, "normal", 8, 1, false, 0, 0, 0},
+    {"within the guarantee", 32, "urgent", 8, 1, false, 8, 8, 8, 0},
+    {"without a limit of the step", 0, "urgent", 8, 1, false, 8, 8, 8, 0},
+    {"at the limit of the step", 8, "urgent", 8, 1, false, 8, 8, 8, 0},
+    {"beyond the limit of the step", 3, "urgent", 8, 1, false, 3, 3, 3, 0},
+    {"a gang", 16, "urgent", 2, 8, true, 2, 16, 16, 0},
+    {"a gang beyond the limit of the step", 15, "urgent", 2, 8, true, 0, 0, 0,
+     0},
+    {"a gang within one worker's limit", 12, "urgent", 2, 6, true, 2, 12, 12,
+     0},
+    {"beyond the guarantee", 32, "urgent", 17, 1, false, 0, 0, 0, 0},
+    {"a lower priority", 32, "normal", 8, 1, false, 0, 0, 0, 0},
+    {"beside a silent worker", 3, "urgent", 8, 1, false, 0, 0, 0, 3000},
 };
 
 /* Guards against a guarantee that is not reclaimed from tasks that last, and
@@ -383,6 +396,8 @@
         run_for(world, FILL_MS);
         assert_int_equal(count_at_work(world), LASTING_TASKS);
         world->fewest_at_work = LASTING_TASKS;
+        world->is_silent = c->silent_ms > 0;
+        run_for(world, c->silent_ms);
         add_job(world, URGENT_JOB, c->queue, &step);
         run_for(world, RECLAIM_MS);
         unsigned begun = world->urgent_starts;
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -720,6 +720,68 @@
     }
 }
 
+#define SILENCE_MS 3000
+
+struct ReportCase {
+    /* Names the failure that the case guards against. */
+    const char *name;
+    /* The task on w0 is being stopped. */
+    bool first_is_stopping;
+    /* Progress of the task on w1 in the latest report, and whether a start was
+     * sent. */
+    int percent;
+    bool is_started;
+    /* w2 has not responded for SILENCE_MS. */
+    bool is_silent;
+    /* The task on w1 may be stopped; at most one of the step may be away. */
+    bool stops;
+};
+
+static const struct ReportCase report_cases[] = {
+    {"a task beside those at work is held", false, 100, true, false, true},
+    {"two tasks are stopped", true, 100, true, false, false},
+    {"a task that may be at work since the report is stopped", true, 10, true,
+     false, false},
+    {"a task that was never started is held", true, -1, false, false, true},
+    {"a task of a silent worker counts as at work", false, 100, true, true,
+     false},
+};
+
+/* Guards against stops that rely on what a report said of a task some time
+ * ago: it may have begun or ended to work since. */
+static void
+stops_allow_for_the_age_of_reports(void **state)
+{
+    (void)state;
+    for (size_t i = 0; i < SR_LENGTH(report_cases); i++) {
+        const struct ReportCase *c = &report_cases[i];
+        struct SrEngine *engine = create_engine(4, 1, 1, false);
+        struct SrFlowTask *tasks = SrEngine_FindFlow(engine, "job")->tasks;
+        int64_t now_ms = 1 + SILENCE_MS;
+        for (uint32_t k = 0; k < 4; k++) {
+            tasks[k].active_run->worker->response_ms =
+                k == 2 && c->is_silent ? 1 : now_ms;
+        }
+        if (c->first_is_stopping) {
+            SrEngine_StopRun(engine, tasks[0].active_run, "test", now_ms);
+        }
+        struct SrRun *run = tasks[1].active_run;
+        run->percent = c->percent;
+        if (!c->is_started) {
+            run->state = SR_RUNSTATE_STARTING;
+            run->starts_sent = 0;
+        }
+        bool held = SrEngine_LoadOf(engine, "w1", 0, now_ms).held > 0;
+        SrEngine_EndRuns(engine, "w1", now_ms);
+        run = tasks[1].active_run;
+        bool stops = run == NULL || run->stopping;
+        if (stops != c->stops || held == c->stops) {
+            fail_msg("%s: held %d, stopped %d", c->name, held, stops);
+        }
+        SrEngine_Destroy(engine);
+    }
+}
+
 #define MOVED_TASKS 8
 #define MOVE_MS 120000
 /* Time from the start of a task until it is at work. */
@@ -1315,6 +1377,7 @@
         cmocka_unit_test(least_loss_is_first),
         cmocka_unit_test(waves_share_a_machine),
         cmocka_unit_test(tasks_are_stopped_within_their_limit),
+        cmocka_unit_test(stops_allow_for_the_age_of_reports),
         cmocka_unit_test(maintenance_ends_no_more_tasks_than_may_be_away),
         cmocka_unit_test(requests_are_decoded),
         cmocka_unit_test(service_is_called),
