Keep guarantees free of tasks that can't be stopped in time

Cause: tasks that last were placed on all idle accelerators, whatever is guaranteed. Of a step of which M tasks may be away, M can ever be stopped if no other room is free, and none while others are away. What they held was lost to the guarantee.

Change: while such tasks wait, each placement pass keeps whole workers free of them, of each service that runs jobs of priority 0, with as many accelerators as all accounts are guaranteed. Other work is placed there as before, since it can be preempted in the time of a stop. `plan waits` and `plan idle` name the reason (`guarantees`).

The cases of a_guarantee_is_reclaimed_from_lasting_tasks set the guarantee after the lasting tasks are placed, because these could not hold all workers otherwise; their checks and bounds are unchanged.

--- a/src/fleet.h
+++ b/src/fleet.h
@@ -337,6 +337,11 @@
     uint32_t highest_rank;
     /* The worker has responded to a poll recently. */
     bool responds;
+    /* The worker has runs that can't be stopped in time for guaranteed work
+     * (see SrPlan_IsUnreclaimable). */
+    bool has_unreclaimable_runs;
+    /* The worker gets no such runs. */
+    bool kept_for_guarantees;
     /* The worker may get new work; the same, or it is only avoided. */
     bool usable;
     bool usable_at_need;
--- a/src/idle.c
+++ b/src/idle.c
@@ -49,6 +49,10 @@
                  cause->u.headroom.fit, cause->u.headroom.empty,
                  cause->u.headroom.headroom);
         break;
+    case SR_IDLE_GUARANTEES:
+        LOG_IDLE("guarantees", " fit=%u fit-there=%u", cause->u.guarantees.fit,
+                 cause->u.guarantees.fit_there);
+        break;
     case SR_IDLE_AVOIDED:
         LOG_IDLE("avoided", " fit=%u fit-there=%u workers=%u worker=%s",
                  cause->u.workers.fit, cause->u.workers.fit_there,
--- a/src/idle.h
+++ b/src/idle.h
@@ -21,6 +21,8 @@
     SR_IDLE_RESERVED,
     /* There is room, but it is left to urgent jobs that are expected. */
     SR_IDLE_HEADROOM,
+    /* There is room, but on workers that are kept for guaranteed work. */
+    SR_IDLE_GUARANTEES,
     /* There is room, but on workers that are avoided after failures. */
     SR_IDLE_AVOIDED,
     /* There is room, but on workers that get no starts at present: they do not
@@ -87,6 +89,12 @@
             unsigned empty;
             unsigned headroom;
         } headroom;
+        struct {
+            /* Number of tasks that fit on all usable workers, and on those
+             * that are kept. */
+            unsigned fit;
+            unsigned fit_there;
+        } guarantees;
         struct {
             /* Number of tasks that fit on usable workers, and of those that
              * fit on the other ones. */
--- a/src/plan.c
+++ b/src/plan.c
@@ -170,7 +170,9 @@
     if (!pass->headroom_holds || !unit->first->wait_logged) {
         bool held_back = SrPlan_IsHeldBack(pass, unit);
         pass->headroom_holds |= held_back;
-        log_wait(pass, unit, held_back ? "headroom" : "no-room");
+        const char *reason =
+            SrPlan_TasksKeptOut(pass, unit) > 0 ? "guarantees" : "no-room";
+        log_wait(pass, unit, held_back ? "headroom" : reason);
     }
     SrPlan_LogIdle(pass, unit);
 }
@@ -652,6 +654,7 @@
     if (pass->unit_count > 0) {
         SrPlan_GroupWorkersByRack(pass);
         SrPlan_CountAccounts(pass);
+        SrPlan_KeepForGuarantees(pass);
         place_units(pass);
     }
     log_headroom(pass);
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -184,7 +184,7 @@
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
     return usable && SrPlan_MayExecute(worker, unit) &&
-           !is_risky(worker, unit, kind) &&
+           !is_risky(worker, unit, kind) && !SrPlan_IsKeptFrom(worker, unit) &&
            ends_before_maintenance(worker, unit);
 }
 
@@ -327,7 +327,7 @@
     /* Units without these limits may fit. */
     if (unit->step->label[0] != '\0' || unit->step->max_per_worker > 0 ||
         unit->crashes >= SR_FLOW_KNOWN_CRASHES || unit->late_count > 0 ||
-        unit->last_attempt) {
+        unit->last_attempt || unit->unreclaimable) {
         return;
     }
     for (unsigned i = 0; i < misses->count; i++) {
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -138,6 +138,13 @@
             .u.headroom = {supply.fit, pass->empty_workers, pass->headroom},
         };
     }
+    unsigned kept_out = SrPlan_TasksKeptOut(pass, unit);
+    if (kept_out > 0) {
+        return (struct SrIdleCause){
+            .reason = SR_IDLE_GUARANTEES,
+            .u.guarantees = {supply.fit, kept_out},
+        };
+    }
     if (supply.fit >= count) {
         bool prefers_rack =
             unit->step->same_rack || unit->step->data_rack[0] != '\0';
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -137,6 +137,9 @@
     uint32_t late_count;
     /* Highest number of crashes under one of them. */
     uint32_t crashes;
+    /* The unit's tasks can't be stopped in time for guaranteed work, so they
+     * are not placed on the workers that are kept for it. */
+    bool unreclaimable;
     /* The unit leaves the headroom of the pass to urgent jobs. */
     bool leaves_headroom;
     /* One more failure of a task of the unit fails the job. */
@@ -222,6 +225,24 @@
 /* Computes each worker's free resources, and groups the workers by rack. */
 void SrPlan_GroupWorkersByRack(struct SrPlanPass *pass);
 
+/* Returns true if a run of the step, in a job of that rank, can't be stopped
+ * in time for guaranteed work: its task lasts, and not all tasks of the step
+ * may be away. */
+bool SrPlan_IsUnreclaimable(const Sr__FlowStep *step, uint32_t rank);
+
+/* Chooses the workers that are kept free of such runs: of each service that
+ * runs urgent jobs, whole workers with as many accelerators as all accounts
+ * are guaranteed together, as far as there are enough without such runs. */
+void SrPlan_KeepForGuarantees(struct SrPlanPass *pass);
+
+/* Returns true if the unit is not placed on the worker for that reason. */
+bool SrPlan_IsKeptFrom(const struct SrWorker *worker,
+                       const struct SrPlanUnit *unit);
+
+/* Returns how many tasks of the unit would fit on such workers. */
+unsigned SrPlan_TasksKeptOut(const struct SrPlanPass *pass,
+                             const struct SrPlanUnit *unit);
+
 /* Takes the demand of `tasks` tasks from the free resources of the worker. */
 void SrPlan_Take(struct SrPlanPass *pass, struct SrWorker *worker,
                  const struct SrResources *demand, unsigned tasks);
--- a/src/plan_units.c
+++ b/src/plan_units.c
@@ -52,6 +52,8 @@
     worker->failed_lately = SrFleet_HasFailedLately(worker, pass->now_ms);
     worker->suspect_count = 0;
     worker->known_flow = NULL;
+    worker->has_unreclaimable_runs = false;
+    worker->kept_for_guarantees = false;
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
@@ -60,6 +62,8 @@
             SrResources_Add(&worker->free_after_stops, &run->demand, 1);
             continue;
         }
+        worker->has_unreclaimable_runs |=
+            SrPlan_IsUnreclaimable(run->step, run->task->flow->rank);
         run->expected_end_ms = SrFleet_ExpectedEndMs(run, pass->now_ms);
         if (run->task->flow->rank > worker->highest_rank) {
             worker->highest_rank = run->task->flow->rank;
@@ -323,6 +327,7 @@
         .count = waiting,
         .late_count = count_late(first, step->count),
         .crashes = highest_crashes(first, step->count),
+        .unreclaimable = SrPlan_IsUnreclaimable(step, flow->rank),
         .last_attempt =
             !step->continuous && is_last_attempt(first, step->count),
         .ready_ms = first->ready_ms,
--- a/tests/test_contention.c
+++ b/tests/test_contention.c
@@ -15,6 +15,8 @@
 #define RUNS_MAX 128
 #define LASTING_JOB "0000000000000001"
 #define URGENT_JOB "0000000000000002"
+#define SECOND_LASTING_JOB "0000000000000003"
+#define JOBS_MAX 3
 #define STEP_MS 10
 /* Time until all lasting tasks are at work, and that of a run of the urgent
  * job, ms. */
@@ -32,6 +34,8 @@
  * ms. */
 #define STOP_MS 150
 #define WARM_UP_MS 500
+/* Time after which the lease of a lost worker has expired, ms. */
+#define LEASE_OUT_MS 8000
 
 struct Run {
     char task[SR_TASK_NAME_SIZE];
@@ -50,8 +54,20 @@
     uint64_t terminated_total;
 };
 
+/* A submitted job, and its progress as stored. */
+struct Job {
+    const char *id;
+    uint8_t *record;
+    size_t record_size;
+    uint8_t *progress;
+    size_t progress_size;
+};
+
 struct World {
     struct SrEngine *engine;
+    struct Job jobs[JOBS_MAX];
+    unsigned job_count;
+    uint64_t term;
     struct SrCatalog *catalog;
     int64_t now_ms;
     struct Worker workers[WORKERS];
@@ -65,6 +81,8 @@
     unsigned fewest_at_work;
     /* The last worker does not respond. */
     bool is_silent;
+    /* Worker that is gone; NULL for none. */
+    const struct Worker *lost;
 };
 
 static void
@@ -78,7 +96,7 @@
 static bool
 is_lasting(const char *task)
 {
-    return strncmp(task, LASTING_JOB, strlen(LASTING_JOB)) == 0;
+    return strncmp(task, URGENT_JOB, strlen(URGENT_JOB)) != 0;
 }
 
 static bool
@@ -90,25 +108,9 @@
 }
 
 static void
-begin(struct World *world)
+create_engine(struct World *world)
 {
-    memset(world, 0, sizeof(*world));
-    world->now_ms = 100000;
-    world->fewest_at_work = LASTING_TASKS;
-    world->catalog = SrCatalog_Create(3, 1, 0);
-    for (unsigned i = 0; i < 3; i++) {
-        static const char *const names[] = {"urgent", "normal", "bulk"};
-        struct SrCatalogQueue *queue = &world->catalog->queues[i];
-        queue->name = SrUtil_Strdup(names[i]);
-        queue->host = SrUtil_Strdup("h");
-        queue->prefix = SrUtil_Strdup("/");
-        queue->service = SrUtil_Strdup("s");
-        queue->priority = i;
-        queue->max_attempts = 3;
-        queue->stretch = 3;
-    }
-    world->catalog->accounts[0].name = SrUtil_Strdup("t");
-    world->catalog->accounts[0].guaranteed_accelerators = GUARANTEE;
+    world->term += SR_ENGINE_TOKENS;
     world->engine = SrEngine_Create(
         &(struct SrEngineOptions){
             .lease_ms = 6000,
@@ -120,7 +122,7 @@
             .send = send_command,
             .context = world,
         },
-        1, world->now_ms);
+        world->term, world->now_ms);
     SrEngine_SetCatalog(world->engine, world->catalog);
     for (unsigned i = 0; i < WORKERS; i++) {
         struct SrWorkerEntry entry = {
@@ -136,11 +138,65 @@
     }
 }
 
+static void
+begin(struct World *world, uint32_t guarantee)
+{
+    memset(world, 0, sizeof(*world));
+    world->now_ms = 100000;
+    world->fewest_at_work = LASTING_TASKS;
+    world->catalog = SrCatalog_Create(3, 1, 0);
+    for (unsigned i = 0; i < 3; i++) {
+        static const char *const names[] = {"urgent", "normal", "bulk"};
+        struct SrCatalogQueue *queue = &world->catalog->queues[i];
+        queue->name = SrUtil_Strdup(names[i]);
+        queue->host = SrUtil_Strdup("h");
+        queue->prefix = SrUtil_Strdup("/");
+        queue->service = SrUtil_Strdup("s");
+        queue->priority = i;
+        queue->max_attempts = 3;
+        queue->stretch = 3;
+    }
+    world->catalog->accounts[0].name = SrUtil_Strdup("t");
+    world->catalog->accounts[0].guaranteed_accelerators = guarantee;
+    create_engine(world);
+}
+
 static void
 end(struct World *world)
 {
     SrEngine_Destroy(world->engine);
     SrCatalog_Destroy(world->catalog);
+    for (unsigned i = 0; i < world->job_count; i++) {
+        free(world->jobs[i].record);
+        free(world->jobs[i].progress);
+    }
+}
+
+static void
+pass_job(struct World *world, const struct Job *job)
+{
+    Sr__FlowProgress *progress =
+        job->progress != NULL
+            ? SrCodec_Unpack(&sr__flow_progress__descriptor, job->progress,
+                             job->progress_size)
+            : NULL;
+    SrEngine_AddFlow(world->engine, job->id,
+                     SrCodec_Unpack(&sr__flow_record__descriptor, job->record,
+                                    job->record_size),
+                     progress, world->now_ms);
+    SrCodec_Free(progress);
+}
+
+/* Another leader takes over. */
+static void
+take_over(struct World *world)
+{
+    SrEngine_Destroy(world->engine);
+    world->command_count = 0;
+    create_engine(world);
+    for (unsigned i = 0; i < world->job_count; i++) {
+        pass_job(world, &world->jobs[i]);
+    }
 }
 
 static void
@@ -156,8 +212,11 @@
     record.target_ms = 1500;
     record.steps = &step;
     record.n_steps = 1;
-    SrEngine_AddFlow(world->engine, id, SrCodec_Clone(&record.base), NULL,
-                     world->now_ms);
+    assert_true(world->job_count < JOBS_MAX);
+    struct Job *job = &world->jobs[world->job_count++];
+    *job = (struct Job){.id = id};
+    job->record = SrCodec_Pack(&record, &job->record_size);
+    pass_job(world, job);
 }
 
 static struct Run *
@@ -266,7 +325,8 @@
         .clock_ms = world->now_ms,
         .incarnation = 1,
     };
-    if (world->is_silent && worker == &world->workers[WORKERS - 1]) {
+    if (worker == world->lost ||
+        (world->is_silent && worker == &world->workers[WORKERS - 1])) {
         response = (struct SrCommandResponse){.result = SR_COMMAND_NO_RESPONSE,
                                               .clock_ms = -1};
         SrEngine_OnResponse(world->engine, command, &response, world->now_ms);
@@ -296,7 +356,14 @@
     size_t count =
         SrEngine_TakeChanges(world->engine, changes, SR_LENGTH(changes));
     for (size_t i = 0; i < count; i++) {
-        SrProgressRows_Clear(&changes[i].rows);
+        for (unsigned k = 0; k < world->job_count; k++) {
+            struct Job *job = &world->jobs[k];
+            if (strcmp(job->id, changes[i].id) == 0) {
+                free(job->progress);
+                job->progress = changes[i].rows.value;
+                job->progress_size = changes[i].rows.size;
+            }
+        }
         SrEngine_OnWritten(world->engine, changes[i].id, changes[i].change);
     }
 }
@@ -391,10 +458,12 @@
         step.accelerators = c->accelerators;
         step.gang = c->gang;
         step.estimated_ms = URGENT_RUN_MS;
-        begin(world);
+        /* The tasks hold what is guaranteed later. */
+        begin(world, 0);
         add_job(world, LASTING_JOB, "bulk", &lasting);
         run_for(world, FILL_MS);
         assert_int_equal(count_at_work(world), LASTING_TASKS);
+        world->catalog->accounts[0].guaranteed_accelerators = GUARANTEE;
         world->fewest_at_work = LASTING_TASKS;
         world->is_silent = c->silent_ms > 0;
         run_for(world, c->silent_ms);
@@ -413,6 +482,144 @@
     }
 }
 
+enum Trouble {
+    TROUBLE_NONE,
+    /* A worker with lasting tasks is gone before the urgent job comes. */
+    TROUBLE_WORKER_LOST,
+    /* Another leader has taken over. */
+    TROUBLE_NEW_LEADER,
+};
+
+struct KeptCase {
+    /* Names what holds or wants the accelerators. */
+    const char *name;
+    /* Jobs with lasting tasks of one accelerator, each of so many, and how
+     * many of a job may be away. The second one may be in another queue. */
+    unsigned jobs;
+    uint32_t lasting_tasks;
+    uint32_t max_unavailable;
+    bool lasting_gang;
+    const char *second_queue;
+    enum Trouble trouble;
+    /* The urgent job; no tasks for none. */
+    uint32_t tasks;
+    uint32_t accelerators;
+    bool gang;
+    /* The urgent queue has another service. */
+    bool other_service;
+    /* Lasting tasks at work when the urgent job comes. */
+    unsigned at_work;
+};
+
+static const struct KeptCase kept_cases[] = {
+    {"one may be away", 1, 32, 1, false, "bulk", TROUBLE_NONE, 16, 1, false,
+     false, 16},
+    {"four may be away", 1, 32, 4, false, "bulk", TROUBLE_NONE, 4, 4, false,
+     false, 16},
+    {"whole workers", 1, 32, 1, false, "bulk", TROUBLE_NONE, 2, 8, false,
+     false, 16},
+    {"a gang on whole workers", 1, 32, 1, false, "bulk", TROUBLE_NONE, 2, 8,
+     true, false, 16},
+    {"two lasting jobs", 2, 16, 1, false, "bulk", TROUBLE_NONE, 2, 8, true,
+     false, 16},
+    {"a lasting gang", 1, 16, 1, true, "bulk", TROUBLE_NONE, 2, 8, true, false,
+     16},
+    {"a lasting gang that is too large", 1, 17, 1, true, "bulk", TROUBLE_NONE,
+     2, 8, true, false, 0},
+    {"tasks of a lost worker", 1, 32, 1, false, "bulk", TROUBLE_WORKER_LOST, 2,
+     8, true, false, 8},
+    {"a new leader", 1, 32, 1, false, "bulk", TROUBLE_NEW_LEADER, 2, 8, true,
+     false, 16},
+    {"all may be away", 1, 32, 32, false, "bulk", TROUBLE_NONE, 2, 8, true,
+     false, 32},
+    {"a lasting job within the guarantee", 2, 16, 1, false, "urgent",
+     TROUBLE_NONE, 0, 0, false, false, 32},
+    {"no urgent jobs on the workers", 1, 32, 1, false, "bulk", TROUBLE_NONE, 0,
+     0, false, true, 32},
+};
+
+/* The last worker with lasting tasks is gone for good. */
+static void
+lose_worker(struct World *world)
+{
+    for (unsigned w = WORKERS; w > 0; w--) {
+        struct Worker *worker = &world->workers[w - 1];
+        if (worker->run_count > 0) {
+            char id[SR_ID_SIZE];
+            snprintf(id, sizeof(id), "w%u", w - 1);
+            worker->run_count = 0;
+            world->lost = worker;
+            SrEngine_SetWorker(world->engine, id, NULL, world->now_ms);
+            return;
+        }
+    }
+}
+
+/* Guards against a guarantee that can't be reclaimed in time, because lasting
+ * tasks of which few may be away hold what is guaranteed. */
+static void
+lasting_tasks_leave_room_for_guarantees(void **state)
+{
+    (void)state;
+    unsigned failed = 0;
+    for (size_t i = 0; i < SR_LENGTH(kept_cases); i++) {
+        const struct KeptCase *c = &kept_cases[i];
+        struct World *world = SrUtil_Calloc(1, sizeof(*world));
+        Sr__FlowStep lasting = SR__FLOW_STEP__INIT;
+        Sr__FlowStep step = SR__FLOW_STEP__INIT;
+        lasting.count = c->lasting_tasks;
+        lasting.cpu_millis = 1000;
+        lasting.accelerators = 1;
+        lasting.continuous = true;
+        lasting.gang = c->lasting_gang;
+        lasting.max_unavailable = c->max_unavailable;
+        step.count = c->tasks;
+        step.cpu_millis = 1000;
+        step.accelerators = c->accelerators;
+        step.gang = c->gang;
+        step.estimated_ms = URGENT_RUN_MS;
+        begin(world, GUARANTEE);
+        if (c->other_service) {
+            free(world->catalog->queues[0].service);
+            world->catalog->queues[0].service = SrUtil_Strdup("other");
+        }
+        add_job(world, LASTING_JOB, "bulk", &lasting);
+        if (c->jobs > 1) {
+            add_job(world, SECOND_LASTING_JOB, c->second_queue, &lasting);
+        }
+        run_for(world, FILL_MS);
+        switch (c->trouble) {
+        case TROUBLE_NONE:
+            break;
+        case TROUBLE_WORKER_LOST:
+            lose_worker(world);
+            break;
+        case TROUBLE_NEW_LEADER:
+            take_over(world);
+            break;
+        }
+        run_for(world, LEASE_OUT_MS);
+        unsigned at_work = count_at_work(world);
+        world->fewest_at_work = at_work;
+        if (c->tasks > 0) {
+            add_job(world, URGENT_JOB, "urgent", &step);
+        }
+        run_for(world, RECLAIM_MS);
+        if (world->urgent_starts != c->tasks || at_work != c->at_work ||
+            (c->max_unavailable < c->lasting_tasks &&
+             world->fewest_at_work < at_work)) {
+            print_message("%s: %u of %u tasks begun, %u lasting ones at work, "
+                          "%u expected\n",
+                          c->name, world->urgent_starts, c->tasks, at_work,
+                          c->at_work);
+            failed++;
+        }
+        end(world);
+        free(world);
+    }
+    assert_int_equal(failed, 0);
+}
+
 static const struct {
     const char *name;
     bool continuous;
@@ -443,7 +650,7 @@
     urgent.cpu_millis = 1000;
     urgent.accelerators = 1;
     urgent.estimated_ms = URGENT_RUN_MS;
-    begin(world);
+    begin(world, GUARANTEE);
     world->fail_after_ms = fail_after_ms;
     run_for(world, 1000);
     add_job(world, LASTING_JOB, "bulk", &failing);
@@ -486,6 +693,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_guarantee_is_reclaimed_from_lasting_tasks),
+        cmocka_unit_test(lasting_tasks_leave_room_for_guarantees),
         cmocka_unit_test(failures_of_one_job_do_not_hold_up_others),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
