Take no crash of a worker for the maintenance of its machine

Cause: a call without a response counted as executed once the machine's worker had a new life. A crash gives it one too.

Change: a new life is no sign. The call is repeated, as before, until the service responds or lists the machine as in its maintenance. Until then the new worker gets no tasks that last, and those on it are ended as their steps allow before the call is repeated.

Evidence: three cases of waves_under_faults in test_wave fail before, with "completed without machine 4". The simulation's workers have an incarnation from the start now, without which no new life could be seen.

--- a/src/wave.c
+++ b/src/wave.c
@@ -468,6 +468,22 @@
            incarnation != machine->called_incarnation;
 }
 
+/* Handles a new life of the machine's worker after a call without a response:
+ * the maintenance is over, or the worker has crashed and the maintenance has
+ * not begun. The repeated call shows which; until then it may end the new
+ * worker. */
+static void
+expect_end_of_new_life(const struct SrWaves *waves, const struct Wave *wave,
+                       struct Machine *machine)
+{
+    SR_INFO("wave", "new-life", "key=%s machine=%s worker=%s",
+            wave->request->key, machine->name, machine->worker);
+    machine->renewed = true;
+    record_life(waves, machine);
+    set_ending(waves, machine, false);
+    set_ending(waves, machine, true);
+}
+
 /* Handles a reading of a machine for which a call has got no response. */
 static void
 check_unanswered(const struct SrWaves *waves, const struct Wave *wave,
@@ -488,8 +504,7 @@
         record_life(waves, machine);
     }
     else if (has_new_life(waves, machine)) {
-        set_begun(waves, wave, machine, "new-life", machine->seen_ms);
-        machine->back_from_ms = machine->seen_ms;
+        expect_end_of_new_life(waves, wave, machine);
     }
 }
 
@@ -938,6 +953,22 @@
     return true;
 }
 
+/* Returns true if a call for the machine may be repeated: if the worker has a
+ * new life, tasks may have been placed on it. Ends them otherwise, as far as
+ * they may be ended. */
+static bool
+may_repeat(const struct SrWaves *waves, const struct Machine *machine,
+           int64_t now_ms)
+{
+    struct SrWorkerLoad load =
+        load_of(waves, machine, machine->limit_ms, now_ms);
+    if (load.held_together) {
+        waves->options.end_runs(waves->options.context, machine->worker,
+                                now_ms);
+    }
+    return !load.held_together;
+}
+
 /* Repeats the calls without a response, or ends the time for which they may be
  * executed. */
 static void
@@ -955,7 +986,8 @@
             set_ending(waves, machine, false);
             machine->step = STEP_LEAVING;
         }
-        else if (may_call && !wave->removed && now_ms >= machine->retry_ms) {
+        else if (may_call && !wave->removed && now_ms >= machine->retry_ms &&
+                 may_repeat(waves, machine, now_ms)) {
             call(waves, wave, machine, now_ms);
         }
     }
--- a/tests/test_wave.c
+++ b/tests/test_wave.c
@@ -70,6 +70,8 @@
     int64_t run_ms;
     int64_t held_from_ms;
     int64_t held_ms;
+    /* All workers restart at this time. */
+    int64_t crash_ms;
     /* The last two machines are busy until this time, and the maintenance of
      * machine 0 that someone else has begun ends at this time. */
     int64_t busy_ms;
@@ -155,7 +157,7 @@
         .lost_work = machine->runs_end_ms > leaves_ms || sim->c->run_ms == 0
                          ? (sim->taken_over ? index : MACHINES_MAX - index)
                          : 0,
-        .incarnation = machine->life * SIM_MS,
+        .incarnation = 1 + machine->life * SIM_MS,
     };
 }
 
@@ -338,6 +340,9 @@
             machine->execute_ms = 0;
             execute(sim, machine);
         }
+        if (sim->c->crash_ms > 0 && sim->now_ms == sim->c->crash_ms) {
+            machine->life++;
+        }
         if (machine->back_ms > 0 && sim->now_ms >= machine->back_ms) {
             machine->back_ms = 0;
             machine->life++;
@@ -493,6 +498,12 @@
      .list_gap_from_ms = 2000, .list_gap_ms = 30000},
     {WAVE("a call that is never executed counts as done", 6, 2, 60000),
      FAULTS(FAULT_DROPPED, 12)},
+    {WAVE("a crash of workers counts as their maintenance", 6, 2, 90000),
+     FAULTS(FAULT_DROPPED, 12), .crash_ms = 6000},
+    {WAVE("the same, one machine at a time", 2, 1, 90000),
+     FAULTS(FAULT_DROPPED, 12), .crash_ms = 6000},
+    {WAVE("the same, and a new leader", 6, 2, 90000),
+     FAULTS(FAULT_DROPPED, 12), .crash_ms = 6000, .takeover_ms = 7000},
     {WAVE("a busy machine counts as done", 6, 2, 60000),
      FAULTS(FAULT_BUSY, 4)},
     {WAVE("busy machines keep the turn for good", 6, 2, 90000),
