Bound the search for runs to preempt

Cause: the search for victims walked all runs of a worker twice for each victim, and again for each victim that might be dropped: with n runs and v victims n times v, and n times v squared at worst. One pass looked at runs 96 to 127 million times, on the event loop, so polls and renewals were late and the next leader began anew. An account at its limit searched the runs of all workers in the same way.

Change: room is computed once for each search, candidates are sorted once in groups that free the same number of accelerators, and one walk by falling cost drops the victims that are not needed.

--- a/src/engine_state.h
+++ b/src/engine_state.h
@@ -96,6 +96,8 @@
     unsigned image;
     /* Number of tasks placed apart because of interference. */
     uint64_t separations;
+    /* Number of runs that were looked at in searches for runs to preempt. */
+    uint64_t runs_examined;
     /* Number of pace commands sent. */
     uint64_t pace_calls;
 };
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -362,6 +362,10 @@
 
     /* The following fields are valid while one unit is placed only. */
 
+    /* What is free once the runs that would be preempted for the unit have
+     * stopped, and those that it waits for have ended. */
+    struct SrResources room;
+
     /* Number of the unit's tasks that fit on the worker. */
     unsigned fit;
     /* Number of the unit's tasks that are assigned to the worker, and of those
--- a/src/plan_accounts.c
+++ b/src/plan_accounts.c
@@ -1,6 +1,6 @@
 #include "plan_state.h"
 
-#include "log.h"
+#include <stdlib.h>
 
 /* Resources that a task counts for against its account's limit. Other than on
  * a worker, tasks that use idle processor time count in full. */
@@ -91,32 +91,117 @@
     }
 }
 
-/* Returns the run of the account that the unit may preempt at the least cost;
- * NULL if there is none. */
-static struct SrRun *
-cheapest_run_of(const struct SrPlanPass *pass,
-                const struct SrPlanAccount *account,
-                const struct SrPlanUnit *unit)
+/* A run of the account that the unit may preempt. */
+struct Candidate {
+    struct SrFlowTask *task;
+    /* May be freed if it is not the task's active run any more. */
+    struct SrRun *run;
+    int64_t cost;
+    /* Place among the runs of all workers. */
+    unsigned index;
+};
+
+/* Compares two candidates for qsort: the cheaper one is the lower one. */
+static int
+compare_candidates(const void *left, const void *right)
 {
-    struct SrRun *best = NULL;
-    int64_t best_cost = 0;
+    const struct Candidate *a = left;
+    const struct Candidate *b = right;
+    if (a->cost != b->cost) {
+        return a->cost < b->cost ? -1 : 1;
+    }
+    return a->index < b->index ? -1 : 1;
+}
+
+/* Fills in the runs of the account that the unit may preempt, in the order of
+ * their cost; returns their number. */
+static unsigned
+collect_candidates(const struct SrPlanPass *pass,
+                   const struct SrPlanAccount *account,
+                   const struct SrPlanUnit *unit, struct Candidate *candidates)
+{
+    unsigned count = 0;
+    unsigned index = 0;
     SR_LIST_EACH(worker_link, &pass->engine->fleet.workers)
     {
         SR_LIST_EACH(link, &SrFleet_WorkerAt(worker_link)->runs)
         {
             struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-            if (account_of(pass, run->task->flow) != account ||
-                !SrPlan_MayPreempt(unit, run)) {
-                continue;
-            }
-            int64_t cost = SrPlan_StopCost(pass, run);
-            if (best == NULL || cost < best_cost) {
-                best = run;
-                best_cost = cost;
+            index++;
+            if (account_of(pass, run->task->flow) == account &&
+                SrPlan_MayPreempt(unit, run)) {
+                candidates[count++] = (struct Candidate){
+                    .task = run->task,
+                    .run = run,
+                    .cost = SrPlan_StopCost(pass, run),
+                    .index = index,
+                };
             }
         }
     }
-    return best;
+    pass->engine->runs_examined += index;
+    qsort(candidates, count, sizeof(*candidates), compare_candidates);
+    return count;
+}
+
+/* Returns true if the account may start that many tasks of the unit once the
+ * runs that are being stopped have ended. */
+static bool
+has_room_after_stops(const struct SrPlanAccount *account,
+                     const struct SrPlanUnit *unit, unsigned tasks)
+{
+    return tasks_within(account->cap, &account->used_after_stops,
+                        unit->step) >= tasks;
+}
+
+/* Preempts the candidates in their order until there is room for the tasks;
+ * those of one job only if `only` is not NULL. Once a job has been preempted
+ * beyond its limit, its other runs go before further such jobs. */
+static void
+preempt_candidates(struct SrPlanPass *pass, struct SrPlanAccount *account,
+                   const struct SrPlanUnit *unit, unsigned tasks,
+                   const struct Candidate *candidates, unsigned count,
+                   const struct SrFlow *only)
+{
+    for (unsigned i = 0;
+         i < count && !has_room_after_stops(account, unit, tasks); i++) {
+        struct SrFlow *flow = candidates[i].task->flow;
+        struct SrRun *run = candidates[i].run;
+        /* A member of a gang may be stopped because of another, and each stop
+         * counts against what a step allows to be away. */
+        if ((only != NULL && flow != only) ||
+            candidates[i].task->active_run != run ||
+            !SrPlan_MayPreempt(unit, run)) {
+            continue;
+        }
+        uint32_t members;
+        SrFlow_UnitOf(run->task, &members);
+        struct SrResources demand = counted_demand(run->step);
+        SrPlan_Preempt(pass, run, unit);
+        SrResources_Add(&account->used_after_stops, &demand,
+                        -(int64_t)members);
+        unit->flow->has_preempted = true;
+        if (unit->exceeds_preemption_limit && only == NULL) {
+            preempt_candidates(pass, account, unit, tasks, candidates, count,
+                               flow);
+        }
+    }
+}
+
+/* Preempts runs of the account, the cheapest first, until there is room for
+ * the tasks or no further run may be preempted. */
+static void
+preempt_of_account(struct SrPlanPass *pass, struct SrPlanAccount *account,
+                   const struct SrPlanUnit *unit, unsigned tasks)
+{
+    size_t most = 1;
+    for (unsigned i = 0; i < pass->worker_count; i++) {
+        most += pass->workers[i]->run_count;
+    }
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct Candidate *candidates = SrUtil_Calloc(most, sizeof(*candidates));
+    unsigned count = collect_candidates(pass, account, unit, candidates);
+    preempt_candidates(pass, account, unit, tasks, candidates, count, NULL);
 }
 
 void
@@ -129,24 +214,15 @@
         tasks_within(account->cap, &nothing, unit->step) < tasks) {
         return;
     }
-    while (unit->flow->rank <= SR_RANK_URGENT &&
-           tasks_within(account->cap, &account->used_after_stops, unit->step) <
-               tasks) {
-        struct SrRun *run = cheapest_run_of(pass, account, unit);
-        if (run == NULL) {
-            struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(unit);
-            run = cheapest_run_of(pass, account, &exceeding);
+    if (unit->flow->rank <= SR_RANK_URGENT) {
+        if (!has_room_after_stops(account, unit, tasks)) {
+            preempt_of_account(pass, account, unit, tasks);
         }
-        if (run == NULL) {
-            break;
+        struct SrPlanUnit exceeding = SrPlan_ExceedPreemptionLimit(unit);
+        if (exceeding.exceeds_preemption_limit &&
+            !has_room_after_stops(account, unit, tasks)) {
+            preempt_of_account(pass, account, &exceeding, tasks);
         }
-        uint32_t members;
-        SrFlow_UnitOf(run->task, &members);
-        struct SrResources demand = counted_demand(run->step);
-        SrPlan_Preempt(pass, run, unit);
-        SrResources_Add(&account->used_after_stops, &demand,
-                        -(int64_t)members);
-        unit->flow->has_preempted = true;
     }
     SrPlan_ChargeAccount(pass, unit, tasks);
 }
--- a/src/plan_score.c
+++ b/src/plan_score.c
@@ -115,7 +115,7 @@
 /* Prefers healthy workers, and of these the ones with the fewest accelerators
  * available. */
 int64_t
-SrPlan_PenaltyOf(const struct SrPlanPass *pass, const struct SrWorker *worker,
+SrPlan_PenaltyOf(const struct SrPlanPass *pass, struct SrWorker *worker,
                  const struct SrPlanUnit *unit, enum SrAvailability kind)
 {
     struct SrResources available = SrPlan_AvailableOn(worker, unit, kind);
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -338,7 +338,7 @@
 /* Returns the cost of stopping the runs that must be preempted for the given
  * number of the unit's tasks to fit on the worker. */
 int64_t SrPlan_PreemptionCost(const struct SrPlanPass *pass,
-                              const struct SrWorker *worker,
+                              struct SrWorker *worker,
                               const struct SrPlanUnit *unit, unsigned tasks);
 
 /* Returns the cost of the preemptions that the latest assignment needs on
@@ -352,7 +352,7 @@
 
 /* Returns the penalty of choosing the worker; lower is better. */
 int64_t SrPlan_PenaltyOf(const struct SrPlanPass *pass,
-                         const struct SrWorker *worker,
+                         struct SrWorker *worker,
                          const struct SrPlanUnit *unit,
                          enum SrAvailability kind);
 
@@ -365,7 +365,7 @@
  * fit on the worker. */
 void SrPlan_PreemptOnWorker(struct SrPlanPass *pass,
                             const struct SrPlanUnit *unit,
-                            const struct SrWorker *worker, unsigned tasks);
+                            struct SrWorker *worker, unsigned tasks);
 
 /* Preempts the runs that are necessary for the unit's latest assignment. Must
  * be possible: see SrPlan_IsPreemptionWorthwhile. */
--- a/src/plan_victims.c
+++ b/src/plan_victims.c
@@ -1,5 +1,7 @@
 #include "plan_state.h"
 
+#include <stdlib.h>
+
 /* A task that lasts is at work from this progress on. */
 #define AT_WORK_PERCENT 100
 
@@ -126,7 +128,22 @@
     struct SrList victims;
 };
 
-/* Marks the run, and the rest of its gang, as victims, or no longer. */
+/* A run that may be preempted for the unit. */
+struct Candidate {
+    struct SrRun *run;
+    /* Place in the list of the worker's runs. */
+    unsigned index;
+    int64_t cost;
+    /* The preemption limit of its job allows it. */
+    bool allowed;
+    /* Accelerators that its unit holds on the worker, and on others to which
+     * tasks are assigned. */
+    int64_t here;
+    int64_t elsewhere;
+};
+
+/* Marks the run, and the rest of its gang, as victims, or no longer, and
+ * updates the room on their workers. */
 static void
 mark_unit(const struct SrRun *run, bool is_victim)
 {
@@ -138,6 +155,8 @@
             member->is_victim == is_victim) {
             continue;
         }
+        SrResources_Add(&member->worker->room, &member->demand,
+                        is_victim ? 1 : -1);
         if (is_victim) {
             SrPlan_MarkVictim(member);
         }
@@ -187,41 +206,19 @@
     return true;
 }
 
-/* Returns what the worker has free once the victims are stopped and the
- * awaited runs have ended. */
-static struct SrResources
-room_on(const struct SrWorker *worker, const struct SrPlanUnit *unit)
-{
-    struct SrResources room = worker->free_after_stops;
-    SR_LIST_EACH(link, &worker->runs)
-    {
-        const struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim || is_awaited(run, unit)) {
-            SrResources_Add(&room, &run->demand, 1);
-        }
-    }
-    return room;
-}
-
 static bool
 has_room(const struct SrWorker *worker, const struct SrPlanUnit *unit,
          unsigned tasks)
 {
-    struct SrResources room = room_on(worker, unit);
-    return SrPlan_TasksThatFit(&room, &unit->demand) >= tasks;
+    return SrPlan_TasksThatFit(&worker->room, &unit->demand) >= tasks;
 }
 
-/* Returns how many of the accelerators that the unit lacks become free if the
- * run is stopped, and the rest of its gang with it; at least 1. What would be
- * freed beyond the need does not count, since it would speak for stopping more
- * work than necessary. */
-static int64_t
-accelerators_freed(const struct Choice *choice, const struct SrRun *run,
-                   int64_t lacking)
+/* Sets the accelerators that the candidate's unit holds. */
+static void
+count_accelerators(const struct Choice *choice, struct Candidate *candidate)
 {
     uint32_t count;
-    int64_t here = 0;
-    int64_t elsewhere = 0;
+    const struct SrRun *run = candidate->run;
     const struct SrFlowTask *first = SrFlow_UnitOf(run->task, &count);
     for (uint32_t i = 0; i < count; i++) {
         const struct SrRun *member = first[i].active_run;
@@ -229,69 +226,185 @@
             continue;
         }
         if (member->worker == run->worker) {
-            here += member->demand.accelerators;
+            candidate->here += member->demand.accelerators;
         }
         else if (choice->only == NULL && member->worker->assigned > 0) {
-            elsewhere += member->demand.accelerators;
+            candidate->elsewhere += member->demand.accelerators;
         }
     }
-    int64_t freed = (here < lacking ? here : lacking) + elsewhere;
-    return freed > 0 ? freed : 1;
 }
 
-/* Returns the run on the worker that the unit preempts next: of those within
- * the preemption limit, if there are any, the one with the least work lost per
- * accelerator freed; of equal ones the one that would end last. Returns NULL
- * if there is none. */
-static struct SrRun *
-best_victim(const struct Choice *choice, const struct SrWorker *worker,
-            unsigned tasks)
+/* Sets the worker's `room` to what it has free once the victims are stopped
+ * and the awaited runs have ended, and fills in the runs that the unit may
+ * preempt. Returns their number. */
+static unsigned
+collect_candidates(const struct Choice *choice, struct SrWorker *worker,
+                   struct Candidate *candidates)
 {
     const struct SrPlanUnit *unit = choice->unit;
-    struct SrResources room = room_on(worker, unit);
-    int64_t lacking = tasks * unit->demand.accelerators - room.accelerators;
-    struct SrRun *best = NULL;
-    bool best_allowed = false;
-    int64_t best_cost = 0;
-    int64_t best_freed = 1;
+    unsigned count = 0;
+    unsigned index = 0;
+    worker->room = worker->free_after_stops;
     SR_LIST_EACH(link, &worker->runs)
     {
         struct SrRun *run = SR_CONTAINER(link, struct SrRun, link);
-        if (run->is_victim || !SrPlan_MayPreempt(unit, run) ||
-            is_awaited(run, unit)) {
-            continue;
+        index++;
+        if (run->is_victim || is_awaited(run, unit)) {
+            SrResources_Add(&worker->room, &run->demand, 1);
+        }
+        else if (SrPlan_MayPreempt(unit, run)) {
+            candidates[count] = (struct Candidate){
+                .run = run,
+                .index = index,
+                .cost = SrPlan_StopCost(choice->pass, run),
+                .allowed = SrPreemptionLimit_Allows(
+                    &run->task->flow->preemptions, unit->flow->id),
+            };
+            count_accelerators(choice, &candidates[count++]);
+        }
+    }
+    choice->pass->engine->runs_examined += index;
+    return count;
+}
+
+/* Compares two candidates that hold the same accelerators, for qsort: the one
+ * that is preempted first is the lower one. */
+static int
+compare_equals(const struct Candidate *a, const struct Candidate *b)
+{
+    if (a->allowed != b->allowed) {
+        return a->allowed ? -1 : 1;
+    }
+    if (a->cost != b->cost) {
+        return a->cost < b->cost ? -1 : 1;
+    }
+    if (a->run->expected_end_ms != b->run->expected_end_ms) {
+        return a->run->expected_end_ms > b->run->expected_end_ms ? -1 : 1;
+    }
+    return a->index < b->index ? -1 : 1;
+}
+
+/* Groups the candidates that hold the same accelerators, for qsort. */
+static int
+compare_candidates(const void *left, const void *right)
+{
+    const struct Candidate *a = left;
+    const struct Candidate *b = right;
+    if (a->here != b->here) {
+        return a->here < b->here ? -1 : 1;
+    }
+    if (a->elsewhere != b->elsewhere) {
+        return a->elsewhere < b->elsewhere ? -1 : 1;
+    }
+    return compare_equals(a, b);
+}
+
+/* Returns how many of the accelerators that the unit lacks become free if the
+ * candidate is stopped, and the rest of its gang with it; at least 1. What
+ * would be freed beyond the need does not count, since it would speak for
+ * stopping more work than necessary. */
+static int64_t
+accelerators_freed(const struct Candidate *candidate, int64_t lacking)
+{
+    int64_t here = candidate->here < lacking ? candidate->here : lacking;
+    int64_t freed = here + candidate->elsewhere;
+    return freed > 0 ? freed : 1;
+}
+
+/* Returns true if the first candidate is to be preempted before the second:
+ * those within the preemption limit first, then those with less work lost per
+ * accelerator freed; of equal ones those that would end later. */
+static bool
+is_better(const struct Candidate *candidate, const struct Candidate *other,
+          int64_t lacking)
+{
+    int64_t difference = candidate->cost * accelerators_freed(other, lacking) -
+                         other->cost * accelerators_freed(candidate, lacking);
+    if (candidate->allowed != other->allowed) {
+        return candidate->allowed;
+    }
+    if (difference != 0) {
+        return difference < 0;
+    }
+    if (candidate->run->expected_end_ms != other->run->expected_end_ms) {
+        return candidate->run->expected_end_ms > other->run->expected_end_ms;
+    }
+    return candidate->index < other->index;
+}
+
+/* Candidates that hold the same accelerators, in the order of preemption. */
+struct CandidateGroup {
+    struct Candidate *next;
+    struct Candidate *end;
+};
+
+/* Divides the sorted candidates into groups; returns their number. */
+static unsigned
+group_candidates(struct Candidate *candidates, unsigned count,
+                 struct CandidateGroup *groups)
+{
+    unsigned group_count = 0;
+    for (unsigned i = 0; i < count; i++) {
+        if (i == 0 || candidates[i].here != candidates[i - 1].here ||
+            candidates[i].elsewhere != candidates[i - 1].elsewhere) {
+            groups[group_count++].next = &candidates[i];
         }
-        bool allowed = SrPreemptionLimit_Allows(&run->task->flow->preemptions,
-                                                unit->flow->id);
-        int64_t cost = SrPlan_StopCost(choice->pass, run);
-        int64_t freed = accelerators_freed(choice, run, lacking);
-        int64_t difference = cost * best_freed - best_cost * freed;
-        if (best == NULL || (allowed && !best_allowed) ||
-            (allowed == best_allowed &&
-             (difference < 0 ||
-              (difference == 0 &&
-               run->expected_end_ms > best->expected_end_ms)))) {
-            best = run;
-            best_allowed = allowed;
-            best_cost = cost;
-            best_freed = freed;
+        groups[group_count - 1].end = &candidates[i + 1];
+    }
+    return group_count;
+}
+
+/* Returns the candidate that the unit preempts next, and removes it from its
+ * group; NULL if there is none. */
+static const struct Candidate *
+take_best(const struct SrPlanUnit *unit, struct CandidateGroup *groups,
+          unsigned group_count, int64_t lacking)
+{
+    struct CandidateGroup *best = NULL;
+    for (unsigned i = 0; i < group_count; i++) {
+        struct CandidateGroup *group = &groups[i];
+        /* A member of a gang may be a victim because of another, and each
+         * victim of a step counts against what the step allows to be away. */
+        while (group->next < group->end &&
+               (group->next->run->is_victim ||
+                !SrPlan_MayPreempt(unit, group->next->run))) {
+            group->next++;
+        }
+        if (group->next < group->end &&
+            (best == NULL || is_better(group->next, best->next, lacking))) {
+            best = group;
         }
     }
-    return best;
+    return best != NULL ? best->next++ : NULL;
 }
 
 /* Adds victims until that many of the unit's tasks fit on the worker. Returns
  * false if too few runs may be preempted. */
 static bool
-choose_on(struct Choice *choice, const struct SrWorker *worker, unsigned tasks)
+choose_on(struct Choice *choice, struct SrWorker *worker, unsigned tasks)
 {
-    while (!has_room(worker, choice->unit, tasks)) {
-        struct SrRun *run = best_victim(choice, worker, tasks);
-        if (run == NULL) {
+    const struct SrPlanUnit *unit = choice->unit;
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct Candidate *candidates =
+        SrUtil_Calloc(worker->run_count + 1, sizeof(*candidates));
+    unsigned count = collect_candidates(choice, worker, candidates);
+    if (has_room(worker, unit, tasks)) {
+        return true;
+    }
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct CandidateGroup *groups = SrUtil_Calloc(count + 1, sizeof(*groups));
+    qsort(candidates, count, sizeof(*candidates), compare_candidates);
+    unsigned group_count = group_candidates(candidates, count, groups);
+    while (!has_room(worker, unit, tasks)) {
+        int64_t lacking =
+            tasks * unit->demand.accelerators - worker->room.accelerators;
+        const struct Candidate *best =
+            take_best(unit, groups, group_count, lacking);
+        if (best == NULL) {
             return false;
         }
-        mark_unit(run, true);
-        SrList_Append(&choice->victims, &run->victim);
+        mark_unit(best->run, true);
+        SrList_Append(&choice->victims, &best->run->victim);
     }
     return true;
 }
@@ -320,29 +433,48 @@
     return fits;
 }
 
+/* Compares two victims for qsort: the costlier one is the lower one. */
+static int
+compare_victims(const void *left, const void *right)
+{
+    const struct Candidate *a = left;
+    const struct Candidate *b = right;
+    if (a->cost != b->cost) {
+        return a->cost > b->cost ? -1 : 1;
+    }
+    return a->index < b->index ? -1 : 1;
+}
+
 /* Drops the victims that are not needed beside the others, the costliest
  * first. `tasks` is the number of tasks on the only worker, if there is one.
- */
+ * A victim that is needed stays so when others are dropped. */
 static void
 drop_unneeded(struct Choice *choice, unsigned tasks)
 {
-    struct SrRun *costliest;
-    do {
-        int64_t highest = 0;
-        costliest = NULL;
-        SR_LIST_EACH(link, &choice->victims)
-        {
-            struct SrRun *run = SR_CONTAINER(link, struct SrRun, victim);
-            int64_t cost = SrPlan_StopCost(choice->pass, run);
-            if (cost > highest && is_unneeded(choice, run, tasks)) {
-                costliest = run;
-                highest = cost;
-            }
-        }
-        if (costliest != NULL) {
-            drop_victim(costliest);
+    unsigned count = 0;
+    SR_LIST_EACH(count_link, &choice->victims)
+    {
+        count++;
+    }
+    SR_CLEANUP(SrUtil_FreePointer)
+    struct Candidate *victims = SrUtil_Calloc(count + 1, sizeof(*victims));
+    count = 0;
+    SR_LIST_EACH(link, &choice->victims)
+    {
+        struct SrRun *run = SR_CONTAINER(link, struct SrRun, victim);
+        victims[count] = (struct Candidate){
+            .run = run,
+            .index = count,
+            .cost = SrPlan_StopCost(choice->pass, run),
+        };
+        count++;
+    }
+    qsort(victims, count, sizeof(*victims), compare_victims);
+    for (unsigned i = 0; i < count; i++) {
+        if (is_unneeded(choice, victims[i].run, tasks)) {
+            drop_victim(victims[i].run);
         }
-    } while (costliest != NULL);
+    }
 }
 
 static void
@@ -356,7 +488,7 @@
 /* Chooses the victims for the tasks on one worker. */
 static void
 choose_for_worker(struct Choice *choice, const struct SrPlanPass *pass,
-                  const struct SrPlanUnit *unit, const struct SrWorker *worker,
+                  const struct SrPlanUnit *unit, struct SrWorker *worker,
                   unsigned tasks)
 {
     begin_choice(choice, pass, unit, worker);
@@ -374,7 +506,7 @@
     bool possible = true;
     begin_choice(choice, pass, unit, NULL);
     for (unsigned i = first; i < first + count && possible; i++) {
-        const struct SrWorker *worker = pass->workers[i];
+        struct SrWorker *worker = pass->workers[i];
         possible = worker->assigned == 0 ||
                    choose_on(choice, worker, worker->assigned);
     }
@@ -397,8 +529,7 @@
 }
 
 int64_t
-SrPlan_PreemptionCost(const struct SrPlanPass *pass,
-                      const struct SrWorker *worker,
+SrPlan_PreemptionCost(const struct SrPlanPass *pass, struct SrWorker *worker,
                       const struct SrPlanUnit *unit, unsigned tasks)
 {
     struct Choice choice;
@@ -438,7 +569,7 @@
 
 void
 SrPlan_PreemptOnWorker(struct SrPlanPass *pass, const struct SrPlanUnit *unit,
-                       const struct SrWorker *worker, unsigned tasks)
+                       struct SrWorker *worker, unsigned tasks)
 {
     struct Choice choice;
     choose_for_worker(&choice, pass, unit, worker, tasks);
