Start a job beside another one under which workers crashed

Cause: jobs under which several workers have crashed are kept apart, one on a worker, as a hard condition. With more such jobs than workers the rest got none, and the rule for jobs that stand beside room did not count these workers.

`plan idle` gives the reason `kept-apart` instead of a shortage of accelerators.

Evidence: the room 'beside another job under which workers crashed' of job_does_not_stand_beside_room in test_idle fails before, and its line in cause_is_logged_once is new. crashing_tasks_are_given_up holds.

--- a/src/idle.c
+++ b/src/idle.c
@@ -53,6 +53,11 @@
         LOG_IDLE("guarantees", " fit=%u fit-there=%u", cause->u.guarantees.fit,
                  cause->u.guarantees.fit_there);
         break;
+    case SR_IDLE_APART:
+        LOG_IDLE("kept-apart", " fit=%u fit-there=%u workers=%u worker=%s",
+                 cause->u.workers.fit, cause->u.workers.fit_there,
+                 cause->u.workers.workers, cause->u.workers.worker);
+        break;
     case SR_IDLE_AVOIDED:
         LOG_IDLE("avoided", " fit=%u fit-there=%u workers=%u worker=%s",
                  cause->u.workers.fit, cause->u.workers.fit_there,
--- a/src/idle.h
+++ b/src/idle.h
@@ -23,6 +23,9 @@
     SR_IDLE_HEADROOM,
     /* There is room, but on workers that are kept for guaranteed work. */
     SR_IDLE_GUARANTEES,
+    /* There is room, but on workers with jobs from which the tasks are kept
+     * apart, since workers have crashed under both. */
+    SR_IDLE_APART,
     /* There is room, but on workers that are avoided after failures. */
     SR_IDLE_AVOIDED,
     /* There is room, but on workers that get no starts at present: they do not
--- a/src/plan_fit.c
+++ b/src/plan_fit.c
@@ -115,11 +115,9 @@
     return fit > 0 ? (unsigned)fit : 0;
 }
 
-/* Returns true if the unit and another job with a run on the worker both have
- * tasks under which several workers have crashed. Together on one worker, both
- * would be suspected of the next crash. */
-static bool
-is_kept_apart(const struct SrWorker *worker, const struct SrPlanUnit *unit)
+bool
+SrPlan_IsKeptApart(const struct SrWorker *worker,
+                   const struct SrPlanUnit *unit)
 {
     return unit->crashes >= SR_FLOW_KNOWN_CRASHES &&
            worker->known_flow != NULL && worker->known_flow != unit->flow;
@@ -130,8 +128,7 @@
 {
     return worker->service == unit->service &&
            (unit->step->label[0] == '\0' ||
-            has_label(worker, unit->step->label)) &&
-           !is_kept_apart(worker, unit);
+            has_label(worker, unit->step->label));
 }
 
 /* Returns true if the worker has failed lately and the unit must not fail once
@@ -163,6 +160,15 @@
            (kind == SR_AVAILABLE_NOW || kind == SR_AVAILABLE_IN_TIME);
 }
 
+/* Returns true if the worker is left out because the unit is kept apart from a
+ * job there. A job that stands idle beside room takes it all the same. */
+static bool
+is_left_out(const struct SrWorker *worker, const struct SrPlanUnit *unit,
+            enum SrAvailability kind)
+{
+    return kind != SR_AVAILABLE_UNHELD && SrPlan_IsKeptApart(worker, unit);
+}
+
 /* Returns true unless the unit, started now, is expected to be executing when
  * the worker is to be without runs. */
 static bool
@@ -184,7 +190,8 @@
     bool usable =
         kind == SR_AVAILABLE_AT_NEED ? worker->usable_at_need : worker->usable;
     return usable && SrPlan_MayExecute(worker, unit) &&
-           !is_risky(worker, unit, kind) && !SrPlan_IsKeptFrom(worker, unit) &&
+           !is_left_out(worker, unit, kind) && !is_risky(worker, unit, kind) &&
+           !SrPlan_IsKeptFrom(worker, unit) &&
            ends_before_maintenance(worker, unit);
 }
 
--- a/src/plan_idle.c
+++ b/src/plan_idle.c
@@ -11,8 +11,12 @@
      * without the reservations. */
     unsigned fit;
     unsigned fit_unreserved;
-    /* Number of tasks that would fit on workers that are only avoided, and on
-     * those that are not usable at all; these workers. */
+    /* Number of tasks that would fit on workers with jobs from which the unit
+     * is kept apart, on those that are only avoided, and on those that are not
+     * usable at all; these workers. */
+    unsigned fit_apart;
+    unsigned apart;
+    const char *apart_worker;
     unsigned fit_avoided;
     unsigned avoided;
     const char *avoided_worker;
@@ -39,7 +43,13 @@
     supply->free.accelerators += not_below_zero(free.accelerators);
     supply->free.cpu_millis += not_below_zero(free.cpu_millis);
     supply->free.memory_mb += not_below_zero(free.memory_mb);
-    if (worker->usable && !(unit->last_attempt && worker->failed_lately)) {
+    if (worker->usable && SrPlan_IsKeptApart(worker, unit)) {
+        supply->fit_apart += fit;
+        supply->apart++;
+        supply->apart_worker = worker->info.id;
+    }
+    else if (worker->usable &&
+             !(unit->last_attempt && worker->failed_lately)) {
         supply->fit += SrPlan_TasksThatFit(&worker->free, &unit->demand);
         supply->fit_unreserved += fit;
     }
@@ -161,6 +171,13 @@
                                : ""},
         };
     }
+    if (supply.fit_unreserved + supply.fit_apart >= count) {
+        return (struct SrIdleCause){
+            .reason = SR_IDLE_APART,
+            .u.workers = {supply.fit, supply.fit_apart, supply.apart,
+                          supply.apart_worker},
+        };
+    }
     if (supply.fit_unreserved + supply.fit_avoided >= count) {
         return (struct SrIdleCause){
             .reason = SR_IDLE_AVOIDED,
--- a/src/plan_state.h
+++ b/src/plan_state.h
@@ -426,6 +426,12 @@
 bool SrPlan_MayExecute(const struct SrWorker *worker,
                        const struct SrPlanUnit *unit);
 
+/* Returns true if the unit and another job with a run on the worker both have
+ * tasks under which several workers have crashed. Together on one worker, both
+ * would be suspected of the next crash. */
+bool SrPlan_IsKeptApart(const struct SrWorker *worker,
+                        const struct SrPlanUnit *unit);
+
 /* Returns for how long the unit may still wait for its preferred rack, ms. */
 int64_t SrPlan_RackWaitLeftMs(const struct SrPlanPass *pass,
                               const struct SrPlanUnit *unit);
--- a/tests/test_idle.c
+++ b/tests/test_idle.c
@@ -417,6 +417,28 @@
     submit(site, 0, 1, 9000);
 }
 
+/* Submits a job of one task under which several workers have crashed. */
+static void
+submit_suspect(struct Site *site, unsigned job)
+{
+    char id[SR_ID_SIZE];
+    snprintf(id, sizeof(id), "%016u", job);
+    site->accelerators = 1;
+    submit(site, job, 1, 60000);
+    SrEngine_FindFlow(site->engine, id)->tasks[0].crashes =
+        SR_FLOW_KNOWN_CRASHES;
+}
+
+/* Job 1 runs on the only worker. */
+static void
+suspect_another_job(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    submit_suspect(site, 1);
+    serve(site, 500);
+    submit_suspect(site, 0);
+}
+
 struct Cause {
     const char *name;
     void (*arrange)(struct Site *site);
@@ -436,6 +458,8 @@
      "reason=avoided fit=0 fit-there=1 workers=1 worker=w1"},
     {"the worker failed and must not once more", fail_before_the_last_attempt,
      "reason=avoided fit=0 fit-there=1 workers=1 worker=w1"},
+    {"both jobs are suspected of crashes", suspect_another_job,
+     "reason=kept-apart fit=0 fit-there=7 workers=1 worker=w1"},
     {"the room is left to urgent jobs", expect_urgent_jobs,
      "reason=headroom fit=2 empty=2 headroom="},
     {"the worker drains", let_worker_drain,
@@ -584,6 +608,19 @@
     submit(site, 0, 1, 9000);
 }
 
+/* Each of two workers has a job under which workers have crashed. */
+static void
+suspect_more_jobs_than_workers(struct Site *site)
+{
+    set_worker(site, "w1", "a", false);
+    set_worker(site, "w2", "a", false);
+    for (unsigned job = 1; job <= 4; job++) {
+        submit_suspect(site, job);
+    }
+    serve(site, 500);
+    submit_suspect(site, 0);
+}
+
 static const struct {
     const char *name;
     void (*arrange)(struct Site *site);
@@ -591,6 +628,8 @@
     {"in several racks", prefer_one_rack},
     {"away from the data", prefer_full_rack},
     {"reserved for a larger job", reserve_most_workers},
+    {"beside another job under which workers crashed", suspect_another_job},
+    {"beside several such jobs", suspect_more_jobs_than_workers},
 };
 
 /* Guards against a job of which nothing runs for 3 s although there is room
