Let an open call for a machine cover the worker that follows

Cause: a call without a response may still be executed. The worker of the machine at the time of the call gets no tasks that last meanwhile; one that took its place did, and the call could end them together.

Change: the mark moves to the worker that the service lists. The cases of test_wave hold.

--- a/src/wave.c
+++ b/src/wave.c
@@ -468,6 +468,18 @@
            incarnation != machine->called_incarnation;
 }
 
+/* Lets an open call end the worker that is listed now, which may have taken
+ * the place of the former one. */
+static void
+follow_worker(const struct SrWaves *waves, struct Machine *machine)
+{
+    if (machine->worker[0] != '\0' &&
+        strcmp(machine->worker, machine->ending) != 0) {
+        set_ending(waves, machine, false);
+        set_ending(waves, machine, true);
+    }
+}
+
 /* Handles a new life of the machine's worker after a call without a response:
  * the maintenance is over, or the worker has crashed and the maintenance has
  * not begun. The repeated call shows which; until then it may end the new
@@ -480,8 +492,6 @@
             wave->request->key, machine->name, machine->worker);
     machine->renewed = true;
     record_life(waves, machine);
-    set_ending(waves, machine, false);
-    set_ending(waves, machine, true);
 }
 
 /* Handles a reading of a machine for which a call has got no response. */
@@ -494,12 +504,14 @@
     }
     if (machine->state == SR_MACHINE_MAINTENANCE) {
         set_begun(waves, wave, machine, "maintenance", machine->seen_ms);
+        return;
     }
-    else if (machine->state != SR_MACHINE_UP) {
+    if (machine->state != SR_MACHINE_UP) {
         return;
     }
-    else if (machine->seen_ms <
-             machine->called_ms + waves->options.maintenance_ms) {
+    follow_worker(waves, machine);
+    if (machine->seen_ms <
+        machine->called_ms + waves->options.maintenance_ms) {
         /* A restart that shows now was before the call. */
         record_life(waves, machine);
     }
