Sum up kept room only for units that are kept out of it

The room on workers that are kept for guarantees was summed up over all workers for each unit that waits, to name the reason of the wait. With a thousand workers that is a cost in each pass for units that it does not concern. Found while the changes before were read as a whole; not measured.

--- a/src/plan_guarantee.c
+++ b/src/plan_guarantee.c
@@ -108,7 +108,7 @@
                     const struct SrPlanUnit *unit)
 {
     unsigned fit = 0;
-    for (unsigned i = 0; i < pass->worker_count; i++) {
+    for (unsigned i = 0; i < pass->worker_count && unit->unreclaimable; i++) {
         const struct SrWorker *worker = pass->workers[i];
         if (worker->usable && SrPlan_MayExecute(worker, unit) &&
             SrPlan_IsKeptFrom(worker, unit)) {
