Keep a leader's fencing tokens below its successor's

What could happen: with 2^20 raises of the token for one worker a leader's tokens would have reached those of its successor, and workers would have obeyed both.

Change: the last token is kept, and `tokens-used-up` logged. tokens_end_before_those_of_the_next_leader in test_terminated is new.

--- a/src/engine.c
+++ b/src/engine.c
@@ -68,6 +68,8 @@
     SrFleet_Init(&engine->fleet, options->lease_ms);
     engine->fleet.fencing_token =
         options->first_token != 0 ? options->first_token : term;
+    engine->fleet.fencing_token_max =
+        engine->fleet.fencing_token + SR_ENGINE_TOKENS - 1;
     SrInterference_Init(&engine->interference);
     SrMap_Init(&engine->flows_by_id);
     SrMap_Init(&engine->early_cancellations);
--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -58,6 +58,16 @@
     }
 }
 
+/* Lets the worker's next incarnations refuse the commands sent so far. */
+static void
+raise_fencing_token(struct SrEngine *engine, struct SrWorker *worker)
+{
+    if (!SrFleet_RaiseFencingToken(&engine->fleet, worker)) {
+        SR_WARN("engine", "tokens-used-up", "worker=%s token=%lu",
+                worker->info.id, (unsigned long)worker->fencing_token);
+    }
+}
+
 void
 SrEngine_OnNewIncarnation(struct SrEngine *engine, struct SrWorker *worker,
                           int64_t incarnation, int64_t now_ms)
@@ -65,7 +75,7 @@
     SR_INFO("engine", "worker-reborn", "worker=%s born=%ld", worker->info.id,
             (long)incarnation);
     SrEngine_CountCrash(engine, worker, incarnation, now_ms);
-    SrFleet_RaiseFencingToken(&engine->fleet, worker);
+    raise_fencing_token(engine, worker);
     worker->info.incarnation = incarnation;
     worker->incarnation_seen_ms = now_ms;
     worker->restart_reported_ms = 0;
@@ -473,7 +483,7 @@
             /* If executed late by the next incarnation, the poll would delete
              * results that no leader has read. An incarnation that has started
              * a run by a later command refuses the poll. */
-            SrFleet_RaiseFencingToken(&engine->fleet, worker);
+            raise_fencing_token(engine, worker);
         }
         worker->failed_polls++;
         if (worker->failed_polls >= STORE_GRANT_POLLS) {
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -160,15 +160,19 @@
     return worker;
 }
 
-void
+bool
 SrFleet_RaiseFencingToken(struct SrFleet *fleet, struct SrWorker *worker)
 {
     /* Tokens are compared within one worker only, so that workers share them.
      */
     if (worker->fencing_token == fleet->fencing_token) {
+        if (fleet->fencing_token == fleet->fencing_token_max) {
+            return false;
+        }
         fleet->fencing_token++;
     }
     worker->fencing_token = fleet->fencing_token;
+    return true;
 }
 
 void
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -412,6 +412,8 @@
     int64_t lease_ms;
     /* Highest fencing token in use, and that of workers that are added. */
     uint64_t fencing_token;
+    /* The next leader's tokens are higher than this. */
+    uint64_t fencing_token_max;
 };
 
 /* Returns the time, ms, from sending a lease of `lease_ms` to a worker until
@@ -435,8 +437,8 @@
 /* Gives the worker's commands a higher fencing token from now on. Once an
  * incarnation of the worker has received one of them, it refuses those sent
  * before, which may have been meant for a former incarnation with the same id.
- */
-void SrFleet_RaiseFencingToken(struct SrFleet *fleet, struct SrWorker *worker);
+ * Returns false if the leader has no higher token. */
+bool SrFleet_RaiseFencingToken(struct SrFleet *fleet, struct SrWorker *worker);
 
 /* Sets the worker's entry as read from the store. */
 void SrFleet_SetInfo(struct SrFleet *fleet, struct SrWorker *worker,
--- a/tests/test_terminated.c
+++ b/tests/test_terminated.c
@@ -8,6 +8,7 @@
 
 #include "codec.h"
 #include "engine.h"
+#include "fleet.h"
 #include "log.h"
 
 #define JOB "0000000000000001"
@@ -539,6 +540,28 @@
     assert_int_equal(failed, 0);
 }
 
+/* Guards against a leader whose tokens reach those of its successor, so that
+ * workers accept commands of both. */
+static void
+tokens_end_before_those_of_the_next_leader(void **state)
+{
+    (void)state;
+    struct SrFleet fleet = {0};
+    SrFleet_Init(&fleet, LEASE_MS);
+    fleet.fencing_token = 1;
+    fleet.fencing_token_max = 3;
+    struct SrWorker *first = SrFleet_FindOrAdd(&fleet, "first");
+    struct SrWorker *second = SrFleet_FindOrAdd(&fleet, "second");
+    assert_true(SrFleet_RaiseFencingToken(&fleet, first));
+    assert_true(SrFleet_RaiseFencingToken(&fleet, first));
+    assert_false(SrFleet_RaiseFencingToken(&fleet, first));
+    assert_int_equal(first->fencing_token, 3);
+    assert_true(SrFleet_RaiseFencingToken(&fleet, second));
+    assert_int_equal(second->fencing_token, 3);
+    assert_int_equal(SrFleet_FindOrAdd(&fleet, "third")->fencing_token, 3);
+    SrFleet_Clear(&fleet);
+}
+
 int
 main(void)
 {
@@ -546,6 +569,7 @@
         cmocka_unit_test(unlisted_ends_are_not_taken_for_lost_runs),
         cmocka_unit_test(unlisted_stopped_runs_hold_their_resources),
         cmocka_unit_test(unlisted_unknown_runs_keep_their_task_from_starting),
+        cmocka_unit_test(tokens_end_before_those_of_the_next_leader),
         cmocka_unit_test(late_acks_delete_no_results_of_later_incarnations),
     };
     SrLog_Start(SR_LOG_ERROR, "test");
