Report missing results only for incarnations heard from

`results-missing` was logged after each change of leaders for each worker with acknowledged results, because a new leader has read none. It is now logged only for an incarnation that the leader has had a response of, or knows from its beginning.

--- a/src/engine_responses.c
+++ b/src/engine_responses.c
@@ -82,6 +82,7 @@
     worker->results_seen = 0;
     worker->results_written = 0;
     worker->results_acked = 0;
+    worker->results_known = true;
     worker->clock_ms = -1;
     worker->fenced = false;
     worker->next_poll_ms = now_ms;
@@ -348,7 +349,7 @@
                   const struct SrCommandResponse *response, int64_t now_ms)
 {
     uint64_t seen = worker->results_seen;
-    if (response->terminated_count > 0 &&
+    if (worker->results_known && response->terminated_count > 0 &&
         response->terminated[0].number > seen + 1) {
         SR_WARN("engine", "results-missing",
                 "worker=%s born=%ld seen=%lu next=%lu", worker->info.id,
@@ -365,6 +366,7 @@
             seen = report->number;
         }
     }
+    worker->results_known = true;
     if (seen > worker->results_seen) {
         worker->results_seen = seen;
         worker->results_change = engine->latest_change;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -269,6 +269,9 @@
     /* Number of the latest reported run that the leader acknowledged in a
      * successful poll. */
     uint64_t results_acked;
+    /* `results_seen` says what the incarnation has reported: the leader has
+     * had a response of it, or knows that it is new. */
+    bool results_known;
     /* Number of the change that must be written before `results_written` is
      * set to `results_seen`. */
     uint64_t results_change;
