Name the type of the elements that are sorted

clang-tidy takes the size of an expression that is a pointer for a suspicious one (bugprone-sizeof-expression), so that `make lint` failed. The program is the same.

--- a/src/plan_guarantee.c
+++ b/src/plan_guarantee.c
@@ -69,7 +69,7 @@
             candidates[count++] = worker;
         }
     }
-    qsort(candidates, count, sizeof(candidates[0]), compare_workers);
+    qsort(candidates, count, sizeof(struct SrWorker *), compare_workers);
     for (unsigned i = 0; i < count && kept < accelerators; i++) {
         candidates[i]->kept_for_guarantees = true;
         kept += candidates[i]->info.accelerators;
